--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy and of the capacity."""
--- /dev/null
+++ b/packages/core/mastichatch_core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared core of mastichatch: types, errors and pure decisions."""
--- /dev/null
+++ b/packages/core/mastichatch_core/errors.py
@@ -0,0 +1,157 @@
+"""The closed list of error kinds and the answer that belongs to each."""
+
+import dataclasses
+from typing import Final
+
+from mastichatch_core.generated.messages import ErrorBody, ErrorKind, Ran
+
+RETRY_SOON_MS: Final = 500
+RETRY_LATER_MS: Final = 2000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The answer to a caller for one error kind.
+
+    :param status: HTTP status code
+    :param ran: whether the call ran at an endpoint
+    :param retry_after_ms: when a retry may help, in milliseconds
+    :param meaning: what the kind says, for the reference page
+    """
+
+    status: int
+    ran: Ran
+    retry_after_ms: int | None
+    meaning: str
+
+
+ANSWERS: Final[dict[ErrorKind, Answer]] = {
+    ErrorKind.bad_request: Answer(
+        400, Ran.no, None, 'The request is malformed.'
+    ),
+    ErrorKind.body_too_large: Answer(
+        413, Ran.no, None, 'The body is over the limit.'
+    ),
+    ErrorKind.unknown_service: Answer(
+        404, Ran.no, None, 'The manifest has no such service.'
+    ),
+    ErrorKind.unknown_operation: Answer(
+        404, Ran.no, None, 'The service has no such operation.'
+    ),
+    ErrorKind.unknown_workspace: Answer(
+        403, Ran.no, None, 'The manifest has no such workspace.'
+    ),
+    ErrorKind.workspace_not_allowed: Answer(
+        403, Ran.no, None, 'The workspace may not call this service.'
+    ),
+    ErrorKind.key_missing: Answer(
+        400, Ran.no, None, 'The call must carry an idempotency key.'
+    ),
+    ErrorKind.key_reused: Answer(
+        422, Ran.no, None, 'The key was used with another body.'
+    ),
+    ErrorKind.ticket_invalid: Answer(
+        400, Ran.no, None, 'The ticket was not signed by this system.'
+    ),
+    ErrorKind.ticket_expired: Answer(
+        410, Ran.no, None, 'The ticket expired before it was used.'
+    ),
+    ErrorKind.not_found: Answer(404, Ran.no, None, 'Nothing is known of this.'),
+    ErrorKind.queue_full: Answer(
+        429, Ran.no, RETRY_LATER_MS, 'The queue of the service is full.'
+    ),
+    ErrorKind.workspace_limit: Answer(
+        429, Ran.no, RETRY_LATER_MS, 'The workspace is at its limit.'
+    ),
+    ErrorKind.queue_deadline: Answer(
+        503, Ran.no, RETRY_LATER_MS, 'No endpoint became free in time.'
+    ),
+    ErrorKind.no_endpoint: Answer(
+        503, Ran.no, RETRY_LATER_MS, 'No endpoint of the service is in use.'
+    ),
+    ErrorKind.endpoint_refused: Answer(
+        503, Ran.no, RETRY_SOON_MS, 'The endpoint refused and did not run it.'
+    ),
+    ErrorKind.endpoint_failed: Answer(
+        502, Ran.unknown, None, 'The endpoint answered with a failure.'
+    ),
+    ErrorKind.endpoint_unreachable: Answer(
+        503, Ran.no, RETRY_SOON_MS, 'No connection to an endpoint was made.'
+    ),
+    ErrorKind.generation_lost: Answer(
+        502, Ran.yes, RETRY_SOON_MS, 'The generation ended before its end.'
+    ),
+    ErrorKind.outcome_unknown: Answer(
+        502, Ran.unknown, None, 'The call was sent; its outcome is unknown.'
+    ),
+    ErrorKind.in_progress: Answer(
+        409, Ran.unknown, RETRY_SOON_MS, 'The call is still in progress.'
+    ),
+    ErrorKind.platform_unavailable: Answer(
+        503, Ran.no, RETRY_LATER_MS, 'The platform did not answer.'
+    ),
+    ErrorKind.not_ready: Answer(
+        503, Ran.no, RETRY_SOON_MS, 'The node has no configuration yet.'
+    ),
+    ErrorKind.draining: Answer(
+        503, Ran.no, RETRY_SOON_MS, 'The node takes no new requests.'
+    ),
+    ErrorKind.conflict: Answer(
+        409, Ran.no, None, 'Another change was accepted first.'
+    ),
+    ErrorKind.manifest_invalid: Answer(
+        422, Ran.no, None, 'The manifest is not valid.'
+    ),
+    ErrorKind.peer_unreachable: Answer(
+        503, Ran.no, RETRY_SOON_MS, 'The node that is asked did not answer.'
+    ),
+    ErrorKind.cancelled: Answer(
+        499, Ran.unknown, None, 'The caller withdrew the request.'
+    ),
+    ErrorKind.internal: Answer(
+        500, Ran.unknown, None, 'The system failed; see its log.'
+    ),
+}
+
+
+class MastichatchError(Exception):
+    """A refusal or failure of one kind.
+
+    :param kind: one of the closed list
+    :param message: what happened, for a person
+    :param ran: whether the call ran, where it differs from the table
+    :param tokens_delivered: tokens handed out before a generation was lost
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str = '',
+        *,
+        ran: Ran | None = None,
+        tokens_delivered: int | None = None,
+    ) -> None:
+        """Keep the kind and what goes with it."""
+        super().__init__(message or ANSWERS[kind].meaning)
+        self.kind = kind
+        self.ran = ANSWERS[kind].ran if ran is None else ran
+        self.tokens_delivered = tokens_delivered
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the answer."""
+        return ANSWERS[self.kind].status
+
+    def body(self, request_id: str) -> ErrorBody:
+        """Return the body of the answer to the caller.
+
+        :param request_id: id of the failed request
+        """
+        return ErrorBody(
+            kind=self.kind,
+            message=str(self),
+            ran=self.ran,
+            request_id=request_id,
+            retry_after_ms=ANSWERS[self.kind].retry_after_ms,
+            tokens_delivered=self.tokens_delivered,
+        )
--- /dev/null
+++ b/packages/ctl/mastichatch_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests and stand-ins."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developers' tools."""
