--- /dev/null
+++ b/packages/core/mastichatch_core/fairness.py
@@ -0,0 +1,157 @@
+"""Orders waiting requests by class and by workspace, without starvation."""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import Final
+
+from mastichatch_core.generated.messages import PermitRequest, RequestClass
+
+CLASS_WEIGHTS: Final[dict[RequestClass, float]] = {
+    RequestClass.interactive: 8.0,
+    RequestClass.standard: 4.0,
+    RequestClass.batch: 1.0,
+}
+
+PermitKey = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Waiting:
+    """A request in the queue.
+
+    :param request: what the node asked for
+    :param queued_at: when its wait began, in seconds
+    :param deadline_at: when it is refused, in seconds
+    :param cost: expected work, in tokens
+    """
+
+    request: PermitRequest
+    queued_at: float
+    deadline_at: float
+    cost: float
+
+    @property
+    def key(self) -> PermitKey:
+        """Request id and attempt."""
+        return (self.request.request_id, self.request.attempt)
+
+
+class FairQueue:
+    """Waiting requests, with a virtual time per class and per workspace."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._entries: dict[PermitKey, Waiting] = {}
+        self._lanes: dict[
+            tuple[RequestClass, str], dict[PermitKey, Waiting]
+        ] = {}
+        self._class_times: dict[RequestClass, float] = {}
+        self._workspace_times: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._entries)
+
+    def __iter__(self) -> Iterator[Waiting]:
+        """Iterate in order of arrival."""
+        return iter(tuple(self._entries.values()))
+
+    def __contains__(self, key: PermitKey) -> bool:
+        """Return whether a request waits."""
+        return key in self._entries
+
+    def get(self, key: PermitKey) -> Waiting | None:
+        """Return a waiting request.
+
+        :param key: request id and attempt
+        """
+        return self._entries.get(key)
+
+    def count(self, workspace: str) -> int:
+        """Return how many requests of a workspace wait.
+
+        :param workspace: name of the workspace
+        """
+        return self._counts.get(workspace, 0)
+
+    def add(self, entry: Waiting) -> None:
+        """Queue a request at the end of its workspace's lane.
+
+        :param entry: the request; replaces one with the same key
+        """
+        self.remove(entry.key)
+        request = entry.request
+        self._rejoin(request)
+        lane = (request.request_class, request.workspace)
+        self._lanes.setdefault(lane, {})[entry.key] = entry
+        self._entries[entry.key] = entry
+        self._counts[request.workspace] = self.count(request.workspace) + 1
+
+    def remove(self, key: PermitKey) -> Waiting | None:
+        """Take a request out of the queue.
+
+        :param key: request id and attempt
+        :returns: the request, or ``None`` if it did not wait
+        """
+        entry = self._entries.pop(key, None)
+        if entry is None:
+            return None
+        request = entry.request
+        lane = (request.request_class, request.workspace)
+        self._lanes[lane].pop(key)
+        if not self._lanes[lane]:
+            self._lanes.pop(lane)
+        left = self._counts[request.workspace] - 1
+        self._counts[request.workspace] = left
+        if not left:
+            self._counts.pop(request.workspace)
+        return entry
+
+    def charge(self, entry: Waiting, weight: float) -> None:
+        """Advance the virtual times of a granted request.
+
+        :param entry: the granted request
+        :param weight: share of its workspace
+        """
+        request = entry.request
+        self._class_times[request.request_class] = (
+            self._class_times.get(request.request_class, 0)
+            + entry.cost / CLASS_WEIGHTS[request.request_class]
+        )
+        self._workspace_times[request.workspace] = (
+            self._workspace_times.get(request.workspace, 0)
+            + entry.cost / weight
+        )
+
+    def heads(self) -> Iterator[Waiting]:
+        """Iterate over the oldest request of each lane, in order of grant."""
+        lanes = sorted(
+            self._lanes,
+            key=lambda lane: (
+                self._class_times.get(lane[0], 0),
+                self._workspace_times.get(lane[1], 0),
+            ),
+        )
+        for lane in lanes:
+            yield next(iter(self._lanes[lane].values()))
+
+    def _rejoin(self, request: PermitRequest) -> None:
+        """Lift the virtual times of a class or workspace that was idle."""
+        classes = {lane[0] for lane in self._lanes}
+        if request.request_class not in classes:
+            floor = min(
+                (self._class_times.get(name, 0) for name in classes),
+                default=0,
+            )
+            self._class_times[request.request_class] = max(
+                floor, self._class_times.get(request.request_class, 0)
+            )
+        if request.workspace not in self._counts:
+            floor = min(
+                (self._workspace_times.get(name, 0) for name in self._counts),
+                default=0,
+            )
+            self._workspace_times[request.workspace] = max(
+                floor, self._workspace_times.get(request.workspace, 0)
+            )
