--- /dev/null
+++ b/packages/core/mastichatch_core/settings.py
@@ -0,0 +1,312 @@
+"""Reads and checks settings against the schema that describes them."""
+
+import dataclasses
+import ipaddress
+import json
+from collections.abc import Callable, Iterable, Mapping
+from importlib import resources
+from typing import Any, Final
+
+import jsonschema
+import msgspec
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.generated.settings import Settings
+
+VARIABLE_PREFIX: Final = 'MASTICHATCH_'
+HIGHEST_PORT: Final = 65535
+_UNSPECIFIED_HOST: Final = '0.0.0.0:'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SettingField:
+    """One setting, as the schema describes it.
+
+    :param name: name in the schema
+    :param kind: JSON type: ``string``, ``integer`` or ``array``
+    :param description: meaning and unit
+    :param default: default as text; ``None`` where the setting is required
+    :param choices: allowed values; empty where any is allowed
+    :param minimum: least value of a number
+    """
+
+    name: str
+    kind: str
+    description: str
+    default: str | None
+    choices: tuple[str, ...] = ()
+    minimum: int | None = None
+
+    @property
+    def flag(self) -> str:
+        """Flag that gives the setting."""
+        return '--{0}'.format(self.name.replace('_', '-'))
+
+    @property
+    def environment_name(self) -> str:
+        """Environment variable that gives the setting."""
+        return f'{VARIABLE_PREFIX}{self.name.upper()}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GivenValue:
+    """The text of a setting and where it was given.
+
+    :param text: the value as written
+    :param source: flag or environment variable
+    """
+
+    text: str
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SettingFault:
+    """One wrong setting.
+
+    :param source: flag, environment variable or both
+    :param reason: what is wrong with it
+    """
+
+    source: str
+    reason: str
+
+
+class SettingsError(MastichatchError):
+    """Settings that a node can't start with.
+
+    :param faults: every wrong setting
+    """
+
+    def __init__(self, faults: tuple[SettingFault, ...]) -> None:
+        """Keep the faults, and name all of them in the message."""
+        lines = [f'  {fault.source}: {fault.reason}' for fault in faults]
+        super().__init__(
+            ErrorKind.bad_request,
+            '\n'.join(('the settings are wrong:', *lines)),
+        )
+        self.faults = faults
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Rule:
+    """A condition that joins two settings.
+
+    :param first: setting that is named in the fault
+    :param second: setting that it is compared with
+    :param holds: whether the two values fit together
+    :param reason: what is wrong if they don't
+    """
+
+    first: str
+    second: str
+    holds: Callable[[Any, Any], bool]
+    reason: str
+
+
+_RULES: Final = (
+    _Rule(
+        'member_timeout_ms',
+        'heartbeat_interval_ms',
+        lambda timeout, interval: timeout > interval,
+        'must be longer than the heartbeat interval',
+    ),
+    _Rule(
+        'node_lease_ms',
+        'member_timeout_ms',
+        lambda lease, timeout: lease > timeout,
+        'must be longer than the member timeout',
+    ),
+    _Rule(
+        'node_lease_ms',
+        'platform_timeout_ms',
+        lambda lease, timeout: lease > timeout,
+        'must be longer than the platform timeout, or no renewal fits into it',
+    ),
+    _Rule(
+        'peer_address',
+        'http_address',
+        lambda peer, http: peer != http,
+        'must differ from the address for callers',
+    ),
+)
+
+
+def schema() -> dict[str, Any]:
+    """Return the JSON Schema of the settings."""
+    files = resources.files('mastichatch_core')
+    text = files.joinpath('schemas/settings.json').read_text()
+    loaded: dict[str, Any] = json.loads(text)
+    return loaded
+
+
+def setting_fields() -> tuple[SettingField, ...]:
+    """Return every setting in the order of the schema."""
+    loaded = schema()
+    required = frozenset(loaded['required'])
+    return tuple(
+        _field(name, described, required=name in required)
+        for name, described in loaded['properties'].items()
+    )
+
+
+def _field(
+    name: str,
+    described: Mapping[str, Any],
+    *,
+    required: bool,
+) -> SettingField:
+    default = described.get('default', '')
+    if described['type'] == 'array':
+        default = ','.join(default)
+    return SettingField(
+        name=name,
+        kind=described['type'],
+        description=described['description'],
+        default=None if required else str(default),
+        choices=tuple(described.get('enum', ())),
+        minimum=described.get('minimum'),
+    )
+
+
+def parse_settings(given: Mapping[str, GivenValue]) -> Settings:
+    """Return the settings, checked as a whole.
+
+    :param given: values by the setting's name
+    :raises SettingsError: naming every wrong setting
+    """
+    fields = {field.name: field for field in setting_fields()}
+    sources = {
+        name: given[name].source if name in given else _both_sources(field)
+        for name, field in fields.items()
+    }
+    values, wrong = _convert(fields, given)
+    wrong |= _schema_faults(values)
+    complete = _with_defaults(fields, values)
+    sound = {
+        name: value for name, value in complete.items() if name not in wrong
+    }
+    wrong |= _address_faults(sound)
+    if sound.get('peer_address', '').startswith(_UNSPECIFIED_HOST):
+        wrong.setdefault('peer_address', 'must name one IP for other nodes')
+    wrong |= _rule_faults(sound.keys() - wrong.keys(), sound)
+    if wrong:
+        raise SettingsError(
+            tuple(
+                SettingFault(source=sources[name], reason=wrong[name])
+                for name in fields
+                if name in wrong
+            ),
+        )
+    return msgspec.convert(complete, Settings)
+
+
+def _both_sources(field: SettingField) -> str:
+    return f'{field.flag} or {field.environment_name}'
+
+
+def _convert(
+    fields: Mapping[str, SettingField],
+    given: Mapping[str, GivenValue],
+) -> tuple[dict[str, Any], dict[str, str]]:
+    values: dict[str, Any] = {}
+    wrong: dict[str, str] = {}
+    for name, value in given.items():
+        try:
+            values[name] = _typed(fields[name], value.text)
+        except ValueError:
+            wrong[name] = f'{value.text!r} is not a whole number'
+    return values, wrong
+
+
+def _typed(field: SettingField, text: str) -> str | int | list[str]:
+    if field.kind == 'integer':
+        return int(text)
+    if field.kind == 'array':
+        return [part.strip() for part in text.split(',') if part.strip()]
+    return text
+
+
+def _schema_faults(values: Mapping[str, Any]) -> dict[str, str]:
+    described = schema()
+    required = described.pop('required')
+    validator = jsonschema.Draft202012Validator(described)
+    wrong = {
+        str(error.absolute_path[0]): _reason(error)
+        for error in validator.iter_errors(values)
+    }
+    for name in required:
+        if name not in values:
+            wrong.setdefault(name, 'is required')
+    return wrong
+
+
+def _reason(error: jsonschema.ValidationError) -> str:
+    bound: Any = error.validator_value
+    match error.validator:
+        case 'pattern' if '[0-9.]+' in bound:
+            return f'{error.instance!r} is not an address of the form IP:PORT'
+        case 'minimum':
+            return f'{error.instance} is less than {bound}'
+        case 'enum':
+            choices = ', '.join(bound)
+            return f'{error.instance!r} is not one of {choices}'
+        case 'minLength':
+            return f'is shorter than {bound} characters'
+    return error.message
+
+
+def _with_defaults(
+    fields: Mapping[str, SettingField],
+    values: Mapping[str, Any],
+) -> dict[str, Any]:
+    defaults = {
+        name: _typed(field, field.default)
+        for name, field in fields.items()
+        if field.default is not None
+    }
+    return {**defaults, **values}
+
+
+def _address_faults(values: Mapping[str, Any]) -> dict[str, str]:
+    wrong: dict[str, str] = {}
+    for name in ('platform', 'http_address', 'peer_address', 'statsd', 'seeds'):
+        reason = _wrong_address(_as_list(values.get(name, '')))
+        if reason:
+            wrong[name] = reason
+    return wrong
+
+
+def _as_list(value: str | list[str]) -> list[str]:
+    return [value] if isinstance(value, str) else value
+
+
+def _wrong_address(addresses: Iterable[str]) -> str:
+    for address in filter(None, addresses):
+        host, _, port = address.rpartition(':')
+        if not 1 <= int(port) <= HIGHEST_PORT:
+            return f'{address!r} has a port outside 1 to {HIGHEST_PORT}'
+        try:
+            ipaddress.IPv4Address(host)
+        except ValueError:
+            return f'{address!r} has a wrong IP address'
+    return ''
+
+
+def _rule_faults(
+    names: Iterable[str],
+    values: Mapping[str, Any],
+) -> dict[str, str]:
+    known = frozenset(names)
+    wrong: dict[str, str] = {}
+    for rule in _RULES:
+        if not {rule.first, rule.second} <= known:
+            continue
+        first, second = values[rule.first], values[rule.second]
+        if not rule.holds(first, second):
+            wrong.setdefault(
+                rule.first,
+                f'{first} {rule.reason} ({second})',
+            )
+    return wrong
--- /dev/null
+++ b/packages/node/mastichatch_node/decisions.py
@@ -0,0 +1,103 @@
+"""Logs routing and placement decisions, and keeps the newest of them."""
+
+import collections
+import time
+from typing import Final
+
+import msgspec
+from absl import logging
+
+from mastichatch_core.generated.messages import CandidateScore, Decision
+
+_MS_PER_SECOND: Final = 1000
+
+
+class DecisionLog:
+    """The newest decisions of one node, by request.
+
+    :param node: name of this host
+    :param limit: number of decisions kept
+    """
+
+    def __init__(self, node: str, limit: int) -> None:
+        """Start with no decisions."""
+        self._node = node
+        self._limit = limit
+        self._request_ids: collections.deque[str] = collections.deque()
+        self._by_request: dict[str, collections.deque[Decision]] = {}
+
+    def note(
+        self,
+        event: str,
+        request_id: str,
+        *,
+        choice: str = '',
+        reason: str = '',
+        term: int = 0,
+        revision: int = 0,
+        candidates: tuple[CandidateScore, ...] = (),
+    ) -> None:
+        """Log one decision and keep it.
+
+        :param event: what was decided, such as ``placed`` or ``refused``
+        :param request_id: request that the decision is about
+        :param choice: endpoint, node or data centre that was chosen
+        :param reason: why it was chosen
+        :param term: number of the scheduler's term; zero where none acted
+        :param revision: configuration revision in force
+        :param candidates: what was weighed, with scores
+        """
+        decision = Decision(
+            event=event,
+            request_id=request_id,
+            node=self._node,
+            choice=choice,
+            reason=reason,
+            term=term,
+            revision=revision,
+            at_epoch_ms=int(time.time() * _MS_PER_SECOND),
+            candidates=candidates,
+        )
+        self._keep(decision)
+        _log(decision)
+
+    def of(self, request_id: str) -> tuple[Decision, ...]:
+        """Return the decisions that are kept on a request, oldest first.
+
+        :param request_id: id of the request
+        """
+        return tuple(self._by_request.get(request_id, ()))
+
+    def _keep(self, decision: Decision) -> None:
+        request_id = decision.request_id
+        self._request_ids.append(request_id)
+        kept = self._by_request.setdefault(request_id, collections.deque())
+        kept.append(decision)
+        if len(self._request_ids) > self._limit:
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        request_id = self._request_ids.popleft()
+        kept = self._by_request[request_id]
+        kept.popleft()
+        if not kept:
+            self._by_request.pop(request_id)
+
+
+def create_decision_log(node: str, limit: int) -> DecisionLog:
+    """Return an empty decision log.
+
+    :param node: name of this host
+    :param limit: number of decisions kept
+    """
+    return DecisionLog(node, limit)
+
+
+def _log(decision: Decision) -> None:
+    if not logging.level_info():
+        return
+    fields = msgspec.to_builtins(decision)
+    # The line's own fields hold these.
+    for name in ('event', 'node', 'at_epoch_ms'):
+        fields.pop(name)
+    logging.info(decision.event, extra=fields)
--- /dev/null
+++ b/packages/node/mastichatch_node/logs.py
@@ -0,0 +1,46 @@
+"""Sets up the log: JSON lines on standard error."""
+
+from typing import Final
+
+from absl import flags, logging
+from pythonjsonlogger import json as json_logger
+
+_LEVELS: Final[dict[str, int]] = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
+
+
+def set_up_logging(node: str, level: str) -> None:
+    """Write every log line as one JSON object to standard error.
+
+    Each line has the fields ``time``, ``level``, ``node`` and ``event``, and
+    what the call gives as ``extra``. Lines of libraries that log through the
+    standard module take the same form.
+
+    :param node: name of this host, put into each line
+    :param level: least severe level that is written
+    :raises KeyError: for an unknown level
+    """
+    # absl warns in plain text before its flags are parsed.
+    flags.FLAGS.mark_as_parsed()
+    flags.FLAGS['logtostderr'].value = True
+    logging.use_absl_handler()
+    logging.set_verbosity(_LEVELS[level])
+    logging.get_absl_handler().setFormatter(create_formatter(node))
+
+
+def create_formatter(node: str) -> json_logger.JsonFormatter:
+    """Return the formatter of the log lines.
+
+    :param node: name of this host, put into each line
+    """
+    return json_logger.JsonFormatter(
+        '{levelname}{message}',
+        style='{',
+        rename_fields={'levelname': 'level', 'message': 'event'},
+        static_fields={'node': node},
+        timestamp='time',
+    )
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,43 @@
+"""Decisions are logged, and the newest of them are kept."""
+
+import logging
+
+import pytest
+from absl import logging as absl_logging
+from hypothesis import given, strategies
+
+from mastichatch_core.generated.messages import CandidateScore
+from mastichatch_node.decisions import create_decision_log
+
+
+@given(
+    limit=strategies.integers(1, 8),
+    request_ids=strategies.lists(strategies.sampled_from('abc')),
+)
+def test_keeps_exactly_the_newest_decisions(
+    limit: int, request_ids: list[str]
+) -> None:
+    log = create_decision_log('n1', limit)
+    for number, request_id in enumerate(request_ids):
+        log.note('placed', request_id, choice=str(number))
+    newest = list(enumerate(request_ids))[-limit:]
+    for request_id in 'abc':
+        kept = [decision.choice for decision in log.of(request_id)]
+        assert kept == [str(at) for at, of in newest if of == request_id]
+
+
+def test_logs_one_line_with_all_that_was_weighed(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    absl_logging.set_verbosity(absl_logging.INFO)
+    candidate = CandidateScore(endpoint='e1', score=0.5, reason='cold')
+    with caplog.at_level(logging.INFO, logger='absl'):
+        create_decision_log('n1', 8).note(
+            'placed', 'r1', choice='e1', term=3, candidates=(candidate,)
+        )
+    (record,) = caplog.records
+    assert record.message == 'placed'
+    assert record.__dict__['request_id'] == 'r1'
+    assert record.__dict__['term'] == 3
+    (logged,) = record.__dict__['candidates']
+    assert logged == {'endpoint': 'e1', 'score': 0.5, 'reason': 'cold'}
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,91 @@
+"""Settings come from flags and variables and are checked as a whole."""
+
+import pytest
+
+from mastichatch_node.settings import (
+    SettingsError,
+    create_parser,
+    read_settings,
+)
+
+REQUIRED = ('--name', 'a', '--data-centre', 'd', '--platform', '127.0.0.1:1')
+
+
+def wrong_sources(
+    arguments: tuple[str, ...], environment: dict[str, str] | None = None
+) -> set[str]:
+    with pytest.raises(SettingsError) as caught:
+        read_settings(arguments, environment or {})
+    return {fault.source for fault in caught.value.faults}
+
+
+class TestSources:
+    def test_flags_win_over_variables(self) -> None:
+        environment = {
+            'MASTICHATCH_NAME': 'b',
+            'MASTICHATCH_NODE_LEASE_MS': '7000',
+            'MASTICHATCH_SEEDS': '127.0.0.1:5, 127.0.0.1:6',
+        }
+        settings = read_settings(REQUIRED, environment)
+        assert settings.name == 'a'
+        assert settings.node_lease_ms == 7000
+        assert settings.seeds == ('127.0.0.1:5', '127.0.0.1:6')
+
+    def test_other_variables_are_left_alone(self) -> None:
+        environment = {'MASTICHATCH_NODE': '127.0.0.1:1', 'PATH': '/bin'}
+        assert read_settings(REQUIRED, environment).name == 'a'
+
+    def test_help_names_units_defaults_and_the_variables(self) -> None:
+        text = ' '.join(create_parser().format_help().split())
+        assert 'Time between heartbeats, in milliseconds. Default: 250' in text
+        assert 'MASTICHATCH_NODE_LEASE_MS' in text
+
+
+class TestFaults:
+    def test_every_wrong_setting_is_named_at_once(self) -> None:
+        arguments = (
+            '--name',
+            '--platform=1.2.3.4:99999',
+            '--bogus',
+            '--heartbeat-interval-ms=x',
+            '--log-level=loud',
+        )
+        environment = {
+            'MASTICHATCH_NODE_LEASE_MS': '99',
+            'MASTICHATCH_TYPO': '1',
+            'MASTICHATCH_SEEDS': '127.0.0.1:5,elsewhere',
+        }
+        assert wrong_sources(arguments, environment) >= {
+            '--name',
+            '--platform',
+            '--bogus',
+            '--heartbeat-interval-ms',
+            '--log-level',
+            '--data-centre or MASTICHATCH_DATA_CENTRE',
+            'MASTICHATCH_NODE_LEASE_MS',
+            'MASTICHATCH_TYPO',
+            'MASTICHATCH_SEEDS',
+        }
+
+    @pytest.mark.parametrize(
+        ('wrong', 'source'),
+        [
+            ('--member-timeout-ms=250', '--member-timeout-ms'),
+            ('--node-lease-ms=1500', '--node-lease-ms'),
+            ('--platform-timeout-ms=6000', '--node-lease-ms or'),
+            ('--http-address=127.0.0.1:8081', '--peer-address or'),
+            ('--http-address=127.0.0.1:0', '--http-address'),
+            ('--statsd=300.0.0.1:8125', '--statsd'),
+            ('--peer-address=0.0.0.0:8081', '--peer-address'),
+        ],
+    )
+    def test_settings_that_do_not_fit_together(
+        self, wrong: str, source: str
+    ) -> None:
+        (named,) = wrong_sources((*REQUIRED, wrong))
+        assert named.startswith(source)
+
+    def test_a_default_that_clashes_is_named_by_flag_and_variable(self) -> None:
+        assert wrong_sources((*REQUIRED, '--platform-timeout-ms=9000')) == {
+            '--node-lease-ms or MASTICHATCH_NODE_LEASE_MS',
+        }
