--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -331,35 +331,44 @@
 def create_faults(store: Store) -> Any:
     """Return the middleware that counts calls and brings about the faults.
 
-    A delayed call takes effect after the delay, also when its caller has
+    A delayed write takes effect after the delay, also when its caller has
     given up by then.
     """
 
-    @web.middleware
-    async def faults(
-        request: web.Request, handler: Handler
+    async def answer(
+        request: web.Request, handler: Handler, kind: str
     ) -> web.StreamResponse:
-        if not request.path.startswith('/v1/'):
-            return await handler(request)
-        kind, key = classify(request)
-        store.count(kind, key)
-        if store.faults['delay_ms']:
-            await asyncio.sleep(store.faults['delay_ms'] / 1000)
-        if not store.faults['available']:
-            if store.faults['mode'] == 'refuse':
+        faults = store.faults
+        if faults['delay_ms']:
+            await asyncio.sleep(faults['delay_ms'] / 1000)
+        if not faults['available']:
+            if faults['mode'] == 'refuse':
                 return web.Response(status=503)
             await store.restored.wait()
             cut(request)
             return web.Response(status=503)
-        answer = await handler(request)
-        if kind == 'watches' and not store.faults['available']:
+        response = await handler(request)
+        if kind == 'watches' and not faults['available']:
             return web.Response(status=503)
-        if kind == 'writes' and store.faults['lose_answers'] > 0:
-            store.faults['lose_answers'] -= 1
+        if kind == 'writes' and faults['lose_answers'] > 0:
+            faults['lose_answers'] -= 1
             cut(request)
-        return answer
+        return response
+
+    @web.middleware
+    async def inject(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if not request.path.startswith('/v1/'):
+            return await handler(request)
+        kind, key = classify(request)
+        store.count(kind, key)
+        if kind == 'writes':
+            await request.read()
+            return await asyncio.shield(answer(request, handler, kind))
+        return await answer(request, handler, kind)
 
-    return faults
+    return inject
 
 
 def main() -> None:
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -28,12 +28,17 @@
 async def serve(application: web.Application, port: int) -> AsyncIterator[str]:
     """Serve an application on loopback.
 
+    A handler is cancelled when its client goes, unless it is shielded.
+
     :param application: what to serve
     :param port: TCP port; 0 takes a free one
     :returns: the address, as IP:PORT
     """
     runner = web.AppRunner(
-        application, access_log=None, shutdown_timeout=SHUTDOWN_S
+        application,
+        access_log=None,
+        shutdown_timeout=SHUTDOWN_S,
+        handler_cancellation=True,
     )
     await runner.setup()
     try:
