--- a/tests/standins/engine_model.py
+++ b/tests/standins/engine_model.py
@@ -134,6 +134,7 @@
         self._fallen = False
         self._cold_until = now + parameters.cold_ms / MS_PER_S
         self._step_ends_at: float | None = None
+        self._extra_step_ms = 0.0
         self._cache: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -198,6 +199,13 @@
         self._cold_until = now + self._parameters.cold_ms / MS_PER_S
         self._cache.clear()
 
+    def slow_down(self, extra_step_ms: float) -> None:
+        """Make each later step longer.
+
+        :param extra_step_ms: time added to a step, in milliseconds
+        """
+        self._extra_step_ms = extra_step_ms
+
     def submit(
         self,
         name: str,
@@ -334,6 +342,7 @@
         limits = self._parameters
         return (
             limits.step_ms
+            + self._extra_step_ms
             + limits.step_ms_per_generation * len(self._running)
             + limits.step_ms_per_1000_tokens * self._memory_used / 1000
         )
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -74,10 +74,13 @@
 
     async def operate(request: web.Request) -> web.Response:
         body = await request.json()
+        # A call that arrived runs, also when its caller has gone.
+        return await asyncio.shield(count(request, body))
+
+    async def count(request: web.Request, body: object) -> web.Response:
         record.enter()
         try:
-            # A call that arrived runs, also when its caller has gone.
-            return await asyncio.shield(handle(request, body))
+            return await handle(request, body)
         finally:
             record.running -= 1
 
