--- /dev/null
+++ b/packages/core/mastichatch_core/chat.py
@@ -0,0 +1,147 @@
+"""OpenAI-style chat requests and answers."""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Any, Final
+
+import msgspec
+import xxhash
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.events import TokenEvent
+from mastichatch_core.generated.messages import ErrorKind
+
+_CHARACTERS_PER_TOKEN: Final = 4
+_HASH_MASK: Final = (1 << 63) - 1
+
+# The body of a chat request is the caller's and the engine's affair: only the
+# fields below are read here, and all others go on unchanged.
+JsonObject = dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChatRequest:
+    """What the system reads of a chat request.
+
+    :param model: name of the model service
+    :param stream: whether the caller wants the answer as a stream
+    :param prompt_tokens: estimated length of the prompt
+    :param max_tokens: most output tokens; zero means unknown
+    :param prefix_hash: hash of the first message, for cache affinity
+    :param engine_body: body for the engine, always streamed
+    """
+
+    model: str
+    stream: bool
+    prompt_tokens: int
+    max_tokens: int
+    prefix_hash: int
+    engine_body: bytes
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[JsonObject] | None = None
+
+
+class _Body(msgspec.Struct):
+    model: str
+    messages: list[_Message]
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None  # noqa: WPS111 - the interface's own name
+
+
+class _Delta(msgspec.Struct):
+    role: str | None = None
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    created: int = 0
+    model: str = ''
+    choices: list[_Choice] = msgspec.field(default_factory=list)
+    usage: JsonObject | None = None
+
+
+def parse_chat(body: bytes) -> ChatRequest:
+    """Return what matters of a caller's request.
+
+    :param body: JSON as received
+    :raises MastichatchError: with ``bad_request`` naming what is wrong
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=_Body)
+    except msgspec.MsgspecError as error:
+        raise _bad(str(error)) from None
+    if not parsed.messages:
+        raise _bad('messages is empty')
+    if parsed.n not in {None, 1}:
+        raise _bad('n must be 1: a stream carries one generation')
+    max_tokens = parsed.max_completion_tokens or parsed.max_tokens or 0
+    if max_tokens < 0:
+        raise _bad('max_tokens is negative')
+    raw: JsonObject = msgspec.json.decode(body)
+    raw['stream'] = True
+    return ChatRequest(
+        model=parsed.model,
+        stream=parsed.stream,
+        prompt_tokens=max(len(body) // _CHARACTERS_PER_TOKEN, 1),
+        max_tokens=max_tokens,
+        prefix_hash=_prefix_hash(parsed),
+        engine_body=msgspec.json.encode(raw),
+    )
+
+
+def whole_answer(handle: str, events: Iterable[TokenEvent]) -> bytes:
+    """Return the answer to a request that is not streamed, as JSON.
+
+    :param handle: handle of the generation, for the answer's id
+    :param events: all events of one generation
+    """
+    chunks = [
+        msgspec.json.decode(event.line.removeprefix(b'data:'), type=_Chunk)
+        for event in events
+    ]
+    choices = [choice for chunk in chunks for choice in chunk.choices]
+    finishes = [choice.finish_reason for choice in choices]
+    answer: JsonObject = {
+        'id': f'chatcmpl-{handle}',
+        'object': 'chat.completion',
+        'created': chunks[0].created if chunks else 0,
+        'model': chunks[0].model if chunks else '',
+        'choices': [
+            {
+                'index': 0,
+                'message': {
+                    'role': 'assistant',
+                    'content': ''.join(
+                        choice.delta.content or '' for choice in choices
+                    ),
+                },
+                'finish_reason': finishes[-1] if finishes else 'stop',
+            },
+        ],
+    }
+    usages = [chunk.usage for chunk in chunks if chunk.usage is not None]
+    if usages:
+        answer['usage'] = usages[-1]
+    return msgspec.json.encode(answer)
+
+
+def _prefix_hash(body: _Body) -> int:
+    first = body.messages[0]
+    digest = xxhash.xxh3_64_intdigest(
+        msgspec.json.encode((body.model, first.role, first.content)),
+    )
+    return digest & _HASH_MASK
+
+
+def _bad(message: str) -> MastichatchError:
+    return MastichatchError(ErrorKind.bad_request, message)
--- /dev/null
+++ b/packages/node/mastichatch_node/engines.py
@@ -0,0 +1,286 @@
+"""The adapter for model engines: the only module that knows their protocol."""
+
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+from typing import Final, NoReturn
+
+import aiohttp
+import msgspec
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.events import EventParser, TokenEvent
+from mastichatch_core.generated.messages import EndpointObservation, ErrorKind
+
+_MS_PER_S: Final = 1000
+_REPORT_TIMEOUT_S: Final = 1.0
+_ERROR_LIMIT_BYTES: Final = 4096
+_HTTP_REDIRECT: Final = 300
+_HTTP_NOT_FOUND: Final = 404
+_HTTP_BUSY: Final = 429
+_HTTP_UNAVAILABLE: Final = 503
+_HTTP_SERVER_ERROR: Final = 500
+
+
+class EngineStream:
+    """One connection that carries one generation."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        """Keep the response whose head was read.
+
+        :param response: answer with the engine's headers
+        :raises MastichatchError: with ``endpoint_failed`` without them
+        """
+        try:
+            self._generation = response.headers['Generation-Id']
+            self._boot_id = response.headers['Boot-Id']
+        except KeyError as missing:
+            raise MastichatchError(
+                ErrorKind.endpoint_failed,
+                f'the engine left out the header {missing}',
+            ) from None
+        self._response = response
+
+    @property
+    def generation(self) -> str:
+        """Id of the generation, unique in one boot."""
+        return self._generation
+
+    @property
+    def boot_id(self) -> str:
+        """Boot of the engine."""
+        return self._boot_id
+
+    async def batches(self) -> AsyncIterator[list[TokenEvent]]:
+        """Yield the events of each read, until the stream is whole.
+
+        :raises MastichatchError: with ``endpoint_failed`` when the stream
+            ends early, is silent for too long or is malformed
+        """
+        parser = EventParser(self._generation)
+        with _translated_errors():
+            async for data in self._response.content.iter_any():
+                events = parser.feed(data)
+                if events:
+                    yield events
+        if not parser.done:
+            raise MastichatchError(
+                ErrorKind.endpoint_failed,
+                'the stream ended early',
+            )
+
+
+class Engines:
+    """Calls of model engines."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        connect_timeout_s: float,
+    ) -> None:
+        """Use a session that opens a connection for each request.
+
+        :param session: session whose connector closes after each answer
+        :param connect_timeout_s: time allowed for connecting, in seconds
+        """
+        self._session = session
+        self._connect_timeout_s = connect_timeout_s
+
+    @contextlib.asynccontextmanager
+    async def start(
+        self,
+        address: str,
+        body: bytes,
+        *,
+        request_id: str,
+        priority: int,
+        idle_timeout_ms: int,
+    ) -> AsyncIterator[EngineStream]:
+        """Start a generation and hold its connection.
+
+        :param address: IP address and port of the engine
+        :param body: the OpenAI body, with ``"stream": true``
+        :param request_id: id for the engine's log
+        :param priority: zero is served first
+        :param idle_timeout_ms: longest silence, in milliseconds
+        :raises MastichatchError: with ``endpoint_unreachable`` or
+            ``endpoint_refused`` where nothing was generated,
+            ``bad_request`` where the engine found the body wrong, and
+            ``endpoint_failed`` otherwise
+        """
+        headers = {
+            'Content-Type': 'application/json',
+            'Request-Id': request_id,
+            'Priority': str(priority),
+        }
+        with _translated_errors():
+            response = await self._session.post(
+                f'http://{address}/v1/chat/completions',
+                data=body,
+                headers=headers,
+                timeout=self._timeout(idle_timeout_ms),
+            )
+        async with _closing(response):
+            await _check(response)
+            yield EngineStream(response)
+
+    @contextlib.asynccontextmanager
+    async def resume(
+        self,
+        address: str,
+        generation: str,
+        *,
+        after: int,
+        idle_timeout_ms: int,
+    ) -> AsyncIterator[EngineStream]:
+        """Continue a generation on a new connection.
+
+        :param address: IP address and port of the engine
+        :param generation: id that the engine gave
+        :param after: index of the last event received; -1 for none
+        :param idle_timeout_ms: longest silence, in milliseconds
+        :raises MastichatchError: with ``not_found`` where the engine knows
+            no such generation, or as :meth:`start`
+        """
+        with _translated_errors():
+            response = await self._session.get(
+                f'http://{address}/v1/generations/{generation}/events',
+                params={'after': str(after)},
+                timeout=self._timeout(idle_timeout_ms),
+            )
+        async with _closing(response):
+            await _check(response)
+            yield EngineStream(response)
+
+    async def cancel(self, address: str, generation: str) -> None:
+        """Cancel a generation; a failure to do so is passed over.
+
+        :param address: IP address and port of the engine
+        :param generation: id that the engine gave
+        """
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self._session.delete(
+                f'http://{address}/v1/generations/{generation}',
+                timeout=aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S),
+            ):
+                return
+
+    async def load(self, endpoint: str, address: str) -> EndpointObservation:
+        """Return an engine's lagging report, or that it did not answer.
+
+        :param endpoint: name of the endpoint
+        :param address: IP address and port of the engine
+        """
+        try:
+            report = await self._read_report(address)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            return EndpointObservation(
+                endpoint=endpoint,
+                boot_id='',
+                reachable=False,
+            )
+        return report.observation(endpoint)
+
+    async def _read_report(self, address: str) -> '_LoadReport':
+        async with self._session.get(
+            f'http://{address}/v1/load',
+            timeout=aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S),
+        ) as response:
+            response.raise_for_status()
+            return msgspec.json.decode(
+                await response.read(),
+                type=_LoadReport,
+            )
+
+    def _timeout(self, idle_timeout_ms: int) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._connect_timeout_s,
+            sock_read=idle_timeout_ms / _MS_PER_S,
+        )
+
+
+class _LoadReport(msgspec.Struct, frozen=True):
+    """What an engine says of its load; see docs/design."""
+
+    boot_id: str
+    running: int = 0
+    waiting: int = 0
+    memory_used: int = 0
+    preemptions: int = 0
+    age_ms: float = 0
+
+    def observation(self, endpoint: str) -> EndpointObservation:
+        """Return the report as the scheduler takes it."""
+        return EndpointObservation(
+            endpoint=endpoint,
+            boot_id=self.boot_id,
+            running=self.running,
+            waiting=self.waiting,
+            memory_used=self.memory_used,
+            preemptions=self.preemptions,
+            age_ms=self.age_ms,
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_engines(connect_timeout_ms: int) -> AsyncIterator[Engines]:
+    """Hold the client session for engines.
+
+    Each request has a connection of its own: an idle pooled connection may
+    have gone silent, and one connect is little beside a stream.
+
+    :param connect_timeout_ms: time allowed for connecting, in milliseconds
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+    ) as session:
+        yield Engines(session, connect_timeout_ms / _MS_PER_S)
+
+
+@contextlib.asynccontextmanager
+async def _closing(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[None]:
+    try:
+        yield
+    finally:
+        response.close()
+
+
+@contextlib.contextmanager
+def _translated_errors() -> Iterator[None]:
+    try:
+        yield
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise MastichatchError(
+            ErrorKind.endpoint_unreachable,
+            f'no connection: {error}',
+        ) from error
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise MastichatchError(
+            ErrorKind.endpoint_failed,
+            f'the connection broke: {error!r}',
+        ) from error
+
+
+async def _check(response: aiohttp.ClientResponse) -> None:
+    if response.status < _HTTP_REDIRECT:
+        return
+    with _translated_errors():
+        detail = await response.content.read(_ERROR_LIMIT_BYTES)
+    _raise_refusal(response.status, detail.decode(errors='replace'))
+
+
+def _raise_refusal(status: int, detail: str) -> NoReturn:
+    if status == _HTTP_NOT_FOUND:
+        raise MastichatchError(ErrorKind.not_found, detail)
+    if status in {_HTTP_BUSY, _HTTP_UNAVAILABLE}:
+        raise MastichatchError(ErrorKind.endpoint_refused, detail)
+    if status >= _HTTP_SERVER_ERROR:
+        raise MastichatchError(ErrorKind.endpoint_failed, detail)
+    raise MastichatchError(ErrorKind.bad_request, detail)
--- /dev/null
+++ b/packages/node/mastichatch_node/hosting.py
@@ -0,0 +1,228 @@
+"""One scheduler that this node runs, and the nodes that use it."""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Final
+
+from mastichatch_core import scheduler as core
+from mastichatch_core.generated.messages import (
+    CandidateScore,
+    MessageKind,
+    PermitGrant,
+    PermitRecall,
+    PermitRefusal,
+    Registration,
+    SchedulerOpen,
+    ServiceLoad,
+    Term,
+)
+from mastichatch_node.decisions import DecisionLog
+from mastichatch_node.metrics import Metrics
+from mastichatch_node.peers import Peers
+
+GUEST_TIMEOUT_S: Final = 10.0
+
+_KINDS: Final[dict[type[object], MessageKind]] = {
+    PermitGrant: MessageKind.permit_grant,
+    PermitRefusal: MessageKind.permit_refusal,
+    PermitRecall: MessageKind.permit_recall,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tools:
+    """What every scheduler of a node uses.
+
+    :param peers: connections to other nodes
+    :param decisions: log of decisions
+    :param metrics: counters
+    :param node: name of this host
+    :param data_centre: name of its data centre
+    """
+
+    peers: Peers
+    decisions: DecisionLog
+    metrics: Metrics
+    node: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Client:
+    """A node that uses a scheduler.
+
+    :param address: where its answers go
+    :param sequence: newest registration under the scheduler's term
+    :param seen_at: when it last registered, in seconds
+    """
+
+    address: str
+    sequence: int
+    seen_at: float
+
+
+class Hosted:
+    """A scheduler's decisions on their way to the nodes that use it."""
+
+    def __init__(
+        self,
+        scheduler: core.Scheduler,
+        tools: Tools,
+        revision: int,
+    ) -> None:
+        """Keep the scheduler, which no node has registered with yet."""
+        self._scheduler = scheduler
+        self._tools = tools
+        self._revision = revision
+        self._clients: dict[str, _Client] = {}
+        self._last_announced = float('-inf')
+
+    @property
+    def scheduler(self) -> core.Scheduler:
+        """The scheduler's state."""
+        return self._scheduler
+
+    @property
+    def term(self) -> Term:
+        """The scheduler's term."""
+        return self._scheduler.term
+
+    @property
+    def last_announced(self) -> float:
+        """When it was last announced to every node, in seconds."""
+        return self._last_announced
+
+    def note_revision(self, revision: int) -> None:
+        """Note the configuration revision for the log.
+
+        :param revision: revision in force
+        """
+        self._revision = revision
+
+    def is_client(self, node: str) -> bool:
+        """Return whether a node has registered under this term.
+
+        :param node: name of the node
+        """
+        return node in self._clients
+
+    def add_client(
+        self,
+        registration: Registration,
+        address: str,
+        now: float,
+    ) -> None:
+        """Note a node that registered.
+
+        :param registration: what it sent
+        :param address: its peer address
+        :param now: current time, in seconds
+        """
+        self._clients[registration.node] = _Client(
+            address,
+            registration.sequence,
+            now,
+        )
+
+    def load(self, now: float) -> ServiceLoad:
+        """Return the scheduler's load for digests.
+
+        :param now: current time, in seconds
+        """
+        return ServiceLoad(
+            service=self._scheduler.service,
+            free=self._scheduler.free_count,
+            waiting=self._scheduler.waiting_count,
+            wait_ms=self._scheduler.oldest_wait_ms(now),
+        )
+
+    def announce(self, members: Iterable[str], now: float) -> None:
+        """Announce the scheduler to members and to other nodes that use it.
+
+        :param members: peer addresses of the data centre's nodes
+        :param now: current time, in seconds
+        """
+        self._last_announced = now
+        self._clients = {
+            name: client
+            for name, client in self._clients.items()
+            if now - client.seen_at < GUEST_TIMEOUT_S
+        }
+        addresses = {client.address for client in self._clients.values()}
+        addresses.update(members)
+        for address in addresses:
+            self.announce_to(address, now)
+
+    def announce_to(self, address: str, now: float) -> None:
+        """Announce the scheduler to one node.
+
+        :param address: peer address of the node
+        :param now: current time, in seconds
+        """
+        load = self.load(now)
+        message = SchedulerOpen(
+            service=load.service,
+            term=self.term,
+            node=self._tools.node,
+            data_centre=self._tools.data_centre,
+            free=load.free,
+            waiting=load.waiting,
+            wait_ms=load.wait_ms,
+        )
+        self._tools.peers.send(address, MessageKind.scheduler_open, message)
+
+    def send(self, outgoing: Iterable[core.Outgoing]) -> None:
+        """Log decisions and send them.
+
+        :param outgoing: what the scheduler decided
+        """
+        for item in outgoing:
+            client = self._clients.get(item.node)
+            if client is None:
+                continue
+            message = item.message
+            if isinstance(message, PermitGrant):
+                message = dataclasses.replace(
+                    message,
+                    registration=client.sequence,
+                )
+            self._note(message)
+            self._tools.peers.send(
+                client.address,
+                _KINDS[type(message)],
+                message,
+            )
+
+    def _note(
+        self,
+        message: PermitGrant | PermitRefusal | PermitRecall,
+    ) -> None:
+        kind = _KINDS[type(message)]
+        self._tools.metrics.count(f'scheduler.{kind}')
+        self._tools.decisions.note(
+            kind,
+            message.request_id,
+            choice=_choice(message),
+            reason=_reason(message),
+            term=self.term.number,
+            revision=self._revision,
+            candidates=_candidates(message),
+        )
+
+
+def _choice(message: PermitGrant | PermitRefusal | PermitRecall) -> str:
+    return message.endpoint if isinstance(message, PermitGrant) else ''
+
+
+def _candidates(
+    message: PermitGrant | PermitRefusal | PermitRecall,
+) -> tuple[CandidateScore, ...]:
+    return message.candidates if isinstance(message, PermitGrant) else ()
+
+
+def _reason(message: PermitGrant | PermitRefusal | PermitRecall) -> str:
+    if isinstance(message, PermitGrant):
+        return message.reason
+    if isinstance(message, PermitRefusal):
+        return message.kind
+    return 'recalled before use'
--- /dev/null
+++ b/packages/node/mastichatch_node/links.py
@@ -0,0 +1,192 @@
+"""What a node knows of the schedulers that it asks for permits."""
+
+import asyncio
+import dataclasses
+import itertools
+from typing import Final
+
+from mastichatch_core.generated.messages import (
+    MessageKind,
+    PermitCancel,
+    PermitGrant,
+    PermitRelease,
+    PermitRequest,
+    Registration,
+    SchedulerOpen,
+    ServiceLoad,
+    Term,
+)
+from mastichatch_node.membership import Membership
+from mastichatch_node.peers import Peers
+
+_MS_PER_S: Final = 1000
+_KEPT_REGISTRATIONS: Final = 64
+
+SchedulerMessage = PermitRequest | PermitRelease | PermitCancel | Registration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """What one scheduler is for.
+
+    :param service: name of the service
+    :param data_centre: name of the data centre
+    """
+
+    service: str
+    data_centre: str
+
+
+def place_of(request: PermitRequest) -> Place:
+    """Return the place whose scheduler a request asks.
+
+    :param request: a permit request
+    """
+    return Place(request.service, request.data_centre)
+
+
+def rank(term: Term) -> tuple[int, str]:
+    """Return what terms are compared by.
+
+    :param term: a scheduler's term
+    """
+    return term.number, term.incarnation
+
+
+@dataclasses.dataclass(slots=True)
+class SchedulerLink:
+    """A scheduler with the highest term that this node has seen.
+
+    :param term: its term
+    :param address: peer address of its host
+    :param load: load that it last announced
+    :param sequence: numbers of the registrations under this term
+    :param sent_at: when each of the newest was sent, in seconds
+    """
+
+    term: Term
+    address: str
+    load: ServiceLoad
+    sequence: 'itertools.count[int]' = dataclasses.field(
+        default_factory=lambda: itertools.count(1),
+    )
+    sent_at: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def next_sequence(self, now: float) -> int:
+        """Return the number of a registration that is sent now.
+
+        :param now: current time, in seconds
+        """
+        sequence = next(self.sequence)
+        self.sent_at[sequence] = now
+        self.sent_at.pop(sequence - _KEPT_REGISTRATIONS, None)
+        return sequence
+
+
+class SchedulerLinks:
+    """The schedulers that this node follows, by place."""
+
+    def __init__(self, peers: Peers, membership: Membership) -> None:
+        """Start knowing none.
+
+        :param peers: connections to other nodes
+        :param membership: nodes that may know a scheduler
+        """
+        self._peers = peers
+        self._membership = membership
+        self._links: dict[Place, SchedulerLink] = {}
+
+    def get(self, place: Place) -> SchedulerLink | None:
+        """Return the scheduler of a place, or None where none is known.
+
+        :param place: service and data centre
+        """
+        return self._links.get(place)
+
+    def follow(self, message: SchedulerOpen, sender: str) -> bool:
+        """Follow an announcement unless its term is lower than one seen.
+
+        :param message: the announcement
+        :param sender: peer address of the scheduler's host
+        :returns: whether it is followed
+        """
+        place = Place(message.service, message.data_centre)
+        link = self._links.get(place)
+        if link is not None and rank(message.term) < rank(link.term):
+            return False
+        if link is None or message.term != link.term:
+            link = SchedulerLink(message.term, sender, _load(message))
+            self._links[place] = link
+        link.address = sender
+        link.load = _load(message)
+        return True
+
+    def tell(
+        self,
+        place: Place,
+        kind: MessageKind,
+        message: SchedulerMessage,
+    ) -> None:
+        """Send a message to a scheduler; a request may ask for it first.
+
+        :param place: service and data centre
+        :param kind: kind of the message
+        :param message: what to send
+        """
+        link = self._links.get(place)
+        if link is not None:
+            self._peers.send(link.address, kind, message)
+        elif kind is MessageKind.permit_request:
+            self._ask_any_node(place, message)
+
+    def lease_end(
+        self,
+        request: PermitRequest,
+        grant: PermitGrant,
+    ) -> float | None:
+        """Return when an unused permit lapses, or None if it is not valid.
+
+        The lease counts from when this node sent the registration that the
+        grant names. The grant is younger than that, so a grant that lay unread
+        while this process was frozen is seen to have lapsed.
+
+        :param request: what was asked for
+        :param grant: what came
+        """
+        link = self._links.get(place_of(request))
+        if link is None or rank(grant.term) != rank(link.term):
+            return None
+        sent_at = link.sent_at.get(grant.registration)
+        if sent_at is None:
+            return None
+        lease_end = sent_at + grant.lease_ms / _MS_PER_S
+        now = asyncio.get_running_loop().time()
+        return lease_end if now < lease_end else None
+
+    def release_to(self, sender: str, release: PermitRelease) -> None:
+        """Give back a grant that nobody waits for.
+
+        :param sender: peer address of the scheduler's host
+        :param release: what gives it back
+        """
+        self._peers.send(sender, MessageKind.permit_release, release)
+
+    def _ask_any_node(self, place: Place, message: SchedulerMessage) -> None:
+        """Ask a node of a data centre whose scheduler is not known yet."""
+        for member in self._membership.all_known():
+            if member.data_centre == place.data_centre and not member.draining:
+                self._peers.send(
+                    member.peer_address,
+                    MessageKind.permit_request,
+                    message,
+                )
+                return
+
+
+def _load(message: SchedulerOpen) -> ServiceLoad:
+    return ServiceLoad(
+        service=message.service,
+        free=message.free,
+        waiting=message.waiting,
+        wait_ms=message.wait_ms,
+    )
--- /dev/null
+++ b/packages/node/mastichatch_node/permits.py
@@ -0,0 +1,398 @@
+"""Permits as a node sees them: asked for, held, renewed and given back.
+
+A permit allows one attempt at one endpoint. The scheduler of the endpoint's
+service and data centre grants it; this module keeps what this node waits for
+and holds, and tells it again to whichever scheduler has the highest term.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Callable
+from typing import Final
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import (
+    EndpointObservation,
+    Envelope,
+    ErrorKind,
+    HeldPermit,
+    MessageKind,
+    PermitCancel,
+    PermitGrant,
+    PermitOutcome,
+    PermitRecall,
+    PermitRefusal,
+    PermitRelease,
+    PermitRequest,
+    Registration,
+    SchedulerOpen,
+    ServiceLoad,
+    Term,
+)
+from mastichatch_node.links import Place, SchedulerLinks, place_of
+from mastichatch_node.membership import Membership
+from mastichatch_node.peers import Peers
+
+_MS_PER_S: Final = 1000
+_ANSWER_GRACE_S: Final = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Key:
+    request_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    request: PermitRequest
+    future: asyncio.Future[PermitGrant]
+    since: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Held:
+    request: PermitRequest
+    grant: PermitGrant
+    expires_at: float
+    used: bool = False
+    output_tokens: int = 0
+
+
+class Permits:
+    """What this node waits for and holds at every scheduler."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        membership: Membership,
+    ) -> None:
+        """Start with nothing waited for and nothing held.
+
+        :param peers: connections to other nodes
+        :param membership: who hosts a scheduler
+        """
+        self._membership = membership
+        self._waiting: dict[_Key, _Waiting] = {}
+        self._held: dict[_Key, _Held] = {}
+        self._links = SchedulerLinks(peers, membership)
+        self._observations: Callable[
+            [str],
+            tuple[EndpointObservation, ...],
+        ] = _no_observations
+
+    @property
+    def held_count(self) -> int:
+        """Number of permits that this node holds."""
+        return len(self._held)
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait for a permit."""
+        return len(self._waiting)
+
+    def provide_observations(
+        self,
+        observations: Callable[[str], tuple[EndpointObservation, ...]],
+    ) -> None:
+        """Set what registrations tell of a service's endpoints.
+
+        :param observations: gives what this node last saw, by service
+        """
+        self._observations = observations
+
+    def highest_term(self, service: str, data_centre: str) -> int:
+        """Return the number of the highest term seen, or zero.
+
+        :param service: name of the service
+        :param data_centre: data centre of the scheduler
+        """
+        known = self._links.get(Place(service, data_centre))
+        return 0 if known is None else known.term.number
+
+    def load(self, service: str, data_centre: str) -> ServiceLoad | None:
+        """Return the load that a scheduler last announced, or None.
+
+        :param service: name of the service
+        :param data_centre: data centre of the scheduler
+        """
+        known = self._links.get(Place(service, data_centre))
+        return None if known is None else known.load
+
+    async def acquire(self, request: PermitRequest) -> PermitGrant:
+        """Wait for a permit.
+
+        :param request: what is asked for; ``data_centre`` names whose
+            scheduler is asked
+        :raises MastichatchError: when the scheduler refuses, or none answers
+            within the request's deadline; nothing was run then
+        """
+        key = _Key(request.request_id, request.attempt)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[PermitGrant] = loop.create_future()
+        self._waiting[key] = _Waiting(request, future, loop.time())
+        self._links.tell(
+            place_of(request),
+            MessageKind.permit_request,
+            request,
+        )
+        allowed_s = request.deadline_ms / _MS_PER_S + _ANSWER_GRACE_S
+        try:
+            async with asyncio.timeout(allowed_s):
+                return await future
+        except TimeoutError:
+            raise MastichatchError(ErrorKind.queue_deadline) from None
+        finally:
+            del self._waiting[key]
+            self._withdraw_unless_granted(request, future)
+
+    def still_valid(self, grant: PermitGrant) -> bool:
+        """Return whether a permit may be used for the first time now.
+
+        :param grant: what :meth:`acquire` returned
+        """
+        held = self._held.get(_Key(grant.request_id, grant.attempt))
+        if held is None or held.grant is not grant:
+            return False
+        return held.used or _now() < held.expires_at
+
+    def mark_used(self, grant: PermitGrant) -> None:
+        """Note that the request goes to the endpoint now.
+
+        :param grant: what :meth:`acquire` returned
+        """
+        held = self._held.get(_Key(grant.request_id, grant.attempt))
+        if held is not None:
+            held.used = True
+
+    def note_progress(self, grant: PermitGrant, output_tokens: int) -> None:
+        """Note how far a generation has come.
+
+        :param grant: what :meth:`acquire` returned
+        :param output_tokens: tokens generated so far
+        """
+        held = self._held.get(_Key(grant.request_id, grant.attempt))
+        if held is not None:
+            held.output_tokens = output_tokens
+
+    def adopt(self, request: PermitRequest, endpoint: str) -> PermitGrant:
+        """Hold a permit for work that runs already, without being granted it.
+
+        The next registration tells the scheduler, which counts it.
+
+        :param request: the request that goes on
+        :param endpoint: name of the endpoint where it runs
+        """
+        grant = PermitGrant(
+            request_id=request.request_id,
+            attempt=request.attempt,
+            service=request.service,
+            endpoint=endpoint,
+            term=Term(number=0, incarnation=''),
+            lease_ms=0,
+            reason='adopted',
+        )
+        key = _Key(request.request_id, request.attempt)
+        self._held[key] = _Held(request, grant, _now(), used=True)
+        self._register(place_of(request))
+        return grant
+
+    def release(
+        self,
+        grant: PermitGrant,
+        outcome: PermitOutcome,
+        *,
+        output_tokens: int = 0,
+        first_token_ms: float = 0,
+        gap_ms: float = 0,
+    ) -> None:
+        """Give a permit back; a second release does nothing.
+
+        :param grant: what :meth:`acquire` returned
+        :param outcome: how the attempt ended
+        :param output_tokens: tokens generated
+        :param first_token_ms: time from send to first token
+        :param gap_ms: mean time between tokens
+        """
+        key = _Key(grant.request_id, grant.attempt)
+        held = self._held.get(key)
+        if held is None or held.grant is not grant:
+            return
+        del self._held[key]
+        release = dataclasses.replace(
+            _release(grant, outcome),
+            output_tokens=output_tokens,
+            first_token_ms=first_token_ms,
+            gap_ms=gap_ms,
+        )
+        self._links.tell(
+            place_of(held.request), MessageKind.permit_release, release
+        )
+
+    async def on_open(self, message: SchedulerOpen, envelope: Envelope) -> None:
+        """Follow a scheduler's announcement unless its term is lower.
+
+        :param message: the announcement
+        :param envelope: who sent it
+        """
+        if self._links.follow(message, envelope.sender):
+            self._register(Place(message.service, message.data_centre))
+
+    async def on_grant(self, message: PermitGrant, envelope: Envelope) -> None:
+        """Take a grant of the highest term, or give it back.
+
+        :param message: the grant
+        :param envelope: who sent it
+        """
+        key = _Key(message.request_id, message.attempt)
+        waiting = self._waiting.get(key)
+        if key in self._held:
+            return
+        if waiting is None or waiting.future.done():
+            release = _release(message, PermitOutcome.unused)
+            self._links.release_to(envelope.sender, release)
+            return
+        expires_at = self._links.lease_end(waiting.request, message)
+        if expires_at is None:
+            return
+        self._held[key] = _Held(waiting.request, message, expires_at)
+        waiting.future.set_result(message)
+
+    async def on_refusal(
+        self,
+        message: PermitRefusal,
+        envelope: Envelope,
+    ) -> None:
+        """End the wait of a refused request.
+
+        :param message: the refusal
+        :param envelope: who sent it
+        """
+        waiting = self._waiting.get(_Key(message.request_id, message.attempt))
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_exception(MastichatchError(message.kind))
+
+    async def on_recall(
+        self,
+        message: PermitRecall,
+        envelope: Envelope,
+    ) -> None:
+        """Give back a permit that was not used yet.
+
+        :param message: which permit
+        :param envelope: who sent it
+        """
+        held = self._held.get(_Key(message.request_id, message.attempt))
+        if held is not None and not held.used:
+            self.release(held.grant, PermitOutcome.unused)
+
+    def _withdraw_unless_granted(
+        self,
+        request: PermitRequest,
+        future: asyncio.Future[PermitGrant],
+    ) -> None:
+        key = _Key(request.request_id, request.attempt)
+        if not future.done() or future.cancelled():
+            cancel = PermitCancel(
+                request_id=request.request_id,
+                attempt=request.attempt,
+                service=request.service,
+            )
+            self._links.tell(
+                place_of(request), MessageKind.permit_cancel, cancel
+            )
+        elif future.exception() is None and _is_cancelling():
+            self.release(self._held[key].grant, PermitOutcome.unused)
+
+    def _register(self, place: Place) -> None:
+        link = self._links.get(place)
+        if link is None:
+            return
+        self._links.tell(
+            place,
+            MessageKind.registration,
+            Registration(
+                service=place.service,
+                node=self._membership.own.name,
+                term=link.term,
+                sequence=link.next_sequence(_now()),
+                held=self._held_at(place),
+                waiting=self._waiting_at(place),
+                observations=self._observations(place.service),
+            ),
+        )
+
+    def _held_at(self, place: Place) -> tuple[HeldPermit, ...]:
+        return tuple(
+            HeldPermit(
+                request_id=held.request.request_id,
+                attempt=held.request.attempt,
+                endpoint=held.grant.endpoint,
+                workspace=held.request.workspace,
+                request_class=held.request.request_class,
+                prompt_tokens=held.request.prompt_tokens,
+                output_tokens=held.output_tokens,
+                used=held.used,
+            )
+            for held in self._held.values()
+            if place_of(held.request) == place
+        )
+
+    def _waiting_at(self, place: Place) -> tuple[PermitRequest, ...]:
+        return tuple(
+            _aged(waiting)
+            for waiting in self._waiting.values()
+            if place_of(waiting.request) == place and not waiting.future.done()
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_permits(
+    peers: Peers,
+    membership: Membership,
+) -> AsyncIterator[Permits]:
+    """Hold this node's permits and answer the schedulers' messages.
+
+    :param peers: connections to other nodes
+    :param membership: who hosts a scheduler
+    """
+    permits = Permits(peers, membership)
+    peers.on(MessageKind.scheduler_open, SchedulerOpen, permits.on_open)
+    peers.on(MessageKind.permit_grant, PermitGrant, permits.on_grant)
+    peers.on(MessageKind.permit_refusal, PermitRefusal, permits.on_refusal)
+    peers.on(MessageKind.permit_recall, PermitRecall, permits.on_recall)
+    yield permits
+
+
+def _release(grant: PermitGrant, outcome: PermitOutcome) -> PermitRelease:
+    return PermitRelease(
+        request_id=grant.request_id,
+        attempt=grant.attempt,
+        service=grant.service,
+        endpoint=grant.endpoint,
+        outcome=outcome,
+    )
+
+
+def _aged(waiting: _Waiting) -> PermitRequest:
+    """Return a waiting request with the time that it has waited."""
+    waited_ms = (_now() - waiting.since) * _MS_PER_S
+    return dataclasses.replace(
+        waiting.request,
+        waited_ms=waiting.request.waited_ms + waited_ms,
+        deadline_ms=max(waiting.request.deadline_ms - waited_ms, 0),
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _is_cancelling() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+def _no_observations(service: str) -> tuple[EndpointObservation, ...]:
+    return ()
--- /dev/null
+++ b/packages/node/mastichatch_node/routing.py
@@ -0,0 +1,137 @@
+"""Finds a permit for a request, in this data centre or in another."""
+
+import asyncio
+import dataclasses
+from typing import Final
+
+from mastichatch_core.catalogue import Catalogue
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import (
+    CandidateScore,
+    ErrorKind,
+    PermitGrant,
+    PermitRequest,
+    ServiceLoad,
+)
+from mastichatch_core.routing import (
+    OVERFLOW_KINDS,
+    DataCentreLoad,
+    rank_data_centres,
+    usable_data_centres,
+)
+from mastichatch_node.configuration import Configuration
+from mastichatch_node.decisions import DecisionLog
+from mastichatch_node.membership import Membership
+from mastichatch_node.permits import Permits
+
+DATA_CENTRE_LIMIT: Final = 4
+_MS_PER_S: Final = 1000
+
+
+class Routing:
+    """The way from a request to a permit."""
+
+    def __init__(
+        self,
+        permits: Permits,
+        membership: Membership,
+        configuration: Configuration,
+        decisions: DecisionLog,
+    ) -> None:
+        """Use the node's permits and what it knows of data centres."""
+        self._permits = permits
+        self._membership = membership
+        self._configuration = configuration
+        self._decisions = decisions
+
+    async def acquire(self, request: PermitRequest) -> PermitGrant:
+        """Wait for a permit at the best data centre, then at the next ones.
+
+        :param request: what is asked for; its attempt number is the first
+            of up to ``DATA_CENTRE_LIMIT`` that this call may use
+        :raises MastichatchError: when every data centre refuses; nothing was
+            run then
+        """
+        catalogue = self._configuration.current
+        if catalogue is None:
+            raise MastichatchError(ErrorKind.not_ready)
+        deadline = _now() + request.deadline_ms / _MS_PER_S
+        ranked = self._ranked(catalogue, request.service)[:DATA_CENTRE_LIMIT]
+        refusal = MastichatchError(ErrorKind.no_endpoint)
+        for number, candidate in enumerate(ranked):
+            asked = dataclasses.replace(
+                request,
+                data_centre=candidate.endpoint,
+                attempt=request.attempt + number,
+                deadline_ms=max(deadline - _now(), 0) * _MS_PER_S,
+            )
+            self._note_choice(asked, candidate, ranked, catalogue)
+            try:
+                return await self._permits.acquire(asked)
+            except MastichatchError as error:
+                refusal = _overflowing(error)
+        raise refusal
+
+    def _ranked(
+        self,
+        catalogue: Catalogue,
+        service: str,
+    ) -> tuple[CandidateScore, ...]:
+        own = self._membership.own.data_centre
+        digests = {
+            digest.data_centre: digest.loads
+            for digest in self._membership.digests()
+        }
+        loads = [
+            DataCentreLoad(
+                data_centre=name,
+                load=_load_of(digests.get(name, ()), service),
+            )
+            for name in usable_data_centres(catalogue, service)
+            if name != own
+        ]
+        if own in usable_data_centres(catalogue, service):
+            own_load = self._permits.load(service, own)
+            loads.append(DataCentreLoad(data_centre=own, load=own_load))
+        return rank_data_centres(own, loads)
+
+    def _note_choice(
+        self,
+        request: PermitRequest,
+        choice: CandidateScore,
+        candidates: tuple[CandidateScore, ...],
+        catalogue: Catalogue,
+    ) -> None:
+        self._decisions.note(
+            'data_centre_chosen',
+            request.request_id,
+            choice=choice.endpoint,
+            reason=choice.reason,
+            term=self._permits.highest_term(
+                request.service,
+                choice.endpoint,
+            ),
+            revision=catalogue.revision,
+            candidates=candidates,
+        )
+
+
+def _overflowing(error: MastichatchError) -> MastichatchError:
+    """Return a refusal that may not hold elsewhere, or raise another one."""
+    if error.kind not in OVERFLOW_KINDS:
+        raise error
+    return error
+
+
+def _load_of(
+    loads: tuple[ServiceLoad, ...],
+    service: str,
+) -> ServiceLoad | None:
+    for load in loads:
+        if load.service == service:
+            return load
+    return None
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -0,0 +1,373 @@
+"""Runs the schedulers that fall to this node, and tells nodes of them.
+
+The decisions are made by ``mastichatch_core.scheduler``; this module feeds it
+with messages, members, reports and time, and sends what it decides.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final
+
+from mastichatch_core import scheduler as core
+from mastichatch_core.catalogue import Catalogue
+from mastichatch_core.generated.manifest import Endpoint
+from mastichatch_core.generated.messages import (
+    EndpointObservation,
+    Envelope,
+    MessageKind,
+    PermitCancel,
+    PermitRelease,
+    PermitRequest,
+    Registration,
+    SchedulerOpen,
+    ServiceLoad,
+    Term,
+)
+from mastichatch_node.configuration import Configuration
+from mastichatch_node.hosting import Hosted, Tools
+from mastichatch_node.links import rank
+from mastichatch_node.membership import Member, Membership
+from mastichatch_node.peers import Peers
+
+ANNOUNCE_INTERVAL_S: Final = 0.5
+ADVANCE_INTERVAL_S: Final = 0.05
+REPORT_INTERVAL_S: Final = 0.5
+
+Report = Callable[[Endpoint], Awaitable[EndpointObservation]]
+
+
+class Scheduling:
+    """The schedulers of this node's data centre that this node runs."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        membership: Membership,
+        configuration: Configuration,
+    ) -> None:
+        """Start with no scheduler."""
+        self._tools = tools
+        self._membership = membership
+        self._configuration = configuration
+        self._hosted: dict[str, Hosted] = {}
+        self._terms: dict[str, int] = {}
+        self._observations: dict[str, EndpointObservation] = {}
+
+    @property
+    def hosted(self) -> tuple[Hosted, ...]:
+        """The schedulers that this node runs now."""
+        return tuple(self._hosted.values())
+
+    def loads(self) -> tuple[ServiceLoad, ...]:
+        """Return the loads of the schedulers that this node runs."""
+        now = _now()
+        return tuple(hosted.load(now) for hosted in self.hosted)
+
+    def observations(self, service: str) -> tuple[EndpointObservation, ...]:
+        """Return what this node last saw of a service's endpoints.
+
+        :param service: name of the service
+        """
+        catalogue = self._configuration.current
+        if catalogue is None:
+            return ()
+        endpoints = catalogue.endpoints_of(service, self._tools.data_centre)
+        return tuple(
+            self._observations[endpoint.name]
+            for endpoint in endpoints
+            if endpoint.name in self._observations
+        )
+
+    def review(self) -> None:
+        """Open and close schedulers as members and services change."""
+        catalogue = self._configuration.current
+        if catalogue is None:
+            return
+        wanted = self._wanted_services(catalogue)
+        for service in tuple(self._hosted):
+            if service not in wanted:
+                self._close(service)
+        for service in wanted:
+            if service not in self._hosted:
+                self._open(service, catalogue)
+        for hosted in self.hosted:
+            self._update(hosted, catalogue)
+
+    def advance(self) -> None:
+        """Let time pass for every scheduler, and announce them."""
+        now = _now()
+        for hosted in self.hosted:
+            self._feed_members(hosted, now)
+            hosted.send(core.advance(hosted.scheduler, now))
+            if now - hosted.last_announced >= ANNOUNCE_INTERVAL_S:
+                self._announce(hosted, now)
+
+    def observe(self, service: str, observation: EndpointObservation) -> None:
+        """Feed a scheduler with a report on an endpoint.
+
+        :param service: name of the service
+        :param observation: the report
+        """
+        self._observations[observation.endpoint] = observation
+        hosted = self._hosted.get(service)
+        if hosted is not None:
+            hosted.send(
+                core.observe(hosted.scheduler, observation, _now()),
+            )
+
+    async def on_open(self, message: SchedulerOpen, envelope: Envelope) -> None:
+        """Learn another node's term, and give way to a higher one.
+
+        :param message: the announcement
+        :param envelope: who sent it
+        """
+        if message.data_centre != self._tools.data_centre:
+            return
+        known = self._terms.get(message.service, 0)
+        self._terms[message.service] = max(known, message.term.number)
+        hosted = self._hosted.get(message.service)
+        if hosted is None or message.term == hosted.term:
+            return
+        if rank(message.term) > rank(hosted.term):
+            self._close(message.service)
+            self.review()
+
+    async def on_request(
+        self,
+        message: PermitRequest,
+        envelope: Envelope,
+    ) -> None:
+        """Pass a request to the scheduler, here or at its host.
+
+        :param message: the request
+        :param envelope: who sent it
+        """
+        hosted = self._hosted.get(message.service)
+        if hosted is None:
+            self._forward(message)
+            return
+        if not hosted.is_client(message.node):
+            # The registration that answers carries the request.
+            self._announce_to_stranger(hosted, message.node)
+            return
+        hosted.send(
+            core.request(hosted.scheduler, message, _now()),
+        )
+
+    async def on_registration(
+        self,
+        message: Registration,
+        envelope: Envelope,
+    ) -> None:
+        """Take what a node holds and waits for.
+
+        :param message: the registration
+        :param envelope: who sent it
+        """
+        hosted = self._hosted.get(message.service)
+        if hosted is None or message.term != hosted.term:
+            return
+        now = _now()
+        hosted.add_client(message, envelope.sender, now)
+        hosted.send(core.register(hosted.scheduler, message, now))
+
+    async def on_release(
+        self,
+        message: PermitRelease,
+        envelope: Envelope,
+    ) -> None:
+        """End a permit.
+
+        :param message: which permit, and how it ended
+        :param envelope: who sent it
+        """
+        hosted = self._hosted.get(message.service)
+        if hosted is not None:
+            hosted.send(
+                core.release(hosted.scheduler, message, _now()),
+            )
+
+    async def on_cancel(
+        self,
+        message: PermitCancel,
+        envelope: Envelope,
+    ) -> None:
+        """Withdraw a waiting request.
+
+        :param message: which request
+        :param envelope: who sent it
+        """
+        hosted = self._hosted.get(message.service)
+        if hosted is not None:
+            hosted.send(
+                core.cancel(hosted.scheduler, message, _now()),
+            )
+
+    def _wanted_services(self, catalogue: Catalogue) -> frozenset[str]:
+        own = self._tools.node
+        return frozenset(
+            service
+            for service in catalogue.services
+            if catalogue.endpoints_of(service, self._tools.data_centre)
+            and _name(self._membership.scheduler_host(service)) == own
+        )
+
+    def _open(self, service: str, catalogue: Catalogue) -> None:
+        now = _now()
+        number = self._terms.get(service, 0) + 1
+        self._terms[service] = number
+        term = Term(number=number, incarnation=self._tools.peers.incarnation)
+        scheduler = core.open_scheduler(
+            term,
+            catalogue,
+            service,
+            self._tools.data_centre,
+            now,
+        )
+        hosted = Hosted(scheduler, self._tools, catalogue.revision)
+        self._hosted[service] = hosted
+        self._tools.decisions.note(
+            'scheduler_opened',
+            f'service/{service}',
+            choice=self._tools.node,
+            reason='first by rendezvous hashing among live nodes',
+            term=number,
+            revision=catalogue.revision,
+        )
+        self._feed_members(hosted, now)
+        self._announce(hosted, now)
+
+    def _close(self, service: str) -> None:
+        hosted = self._hosted.pop(service)
+        self._tools.decisions.note(
+            'scheduler_closed',
+            f'service/{service}',
+            reason='another node hosts it, or the service left',
+            term=hosted.term.number,
+        )
+
+    def _update(self, hosted: Hosted, catalogue: Catalogue) -> None:
+        now = _now()
+        hosted.note_revision(catalogue.revision)
+        scheduler = hosted.scheduler
+        hosted.send(core.set_catalogue(scheduler, catalogue, now))
+        leaving = self._membership.leaving_hosts
+        hosted.send(core.set_leaving(scheduler, leaving, now))
+
+    def _feed_members(self, hosted: Hosted, now: float) -> None:
+        hosted.send(
+            core.set_members(
+                hosted.scheduler,
+                self._membership.expected(),
+                self._membership.heard(),
+                now,
+            ),
+        )
+
+    def _announce(self, hosted: Hosted, now: float) -> None:
+        addresses = [
+            member.peer_address
+            for member in self._membership.all_known()
+            if member.data_centre == self._tools.data_centre
+        ]
+        hosted.announce((*addresses, self._tools.peers.address), now)
+
+    def _announce_to_stranger(self, hosted: Hosted, node: str) -> None:
+        for member in self._membership.all_known():
+            if member.name == node:
+                hosted.announce_to(member.peer_address, _now())
+
+    def _forward(self, request: PermitRequest) -> None:
+        host = self._membership.scheduler_host(request.service)
+        if host is not None and host.name != self._tools.node:
+            self._tools.peers.send(
+                host.peer_address,
+                MessageKind.permit_request,
+                request,
+            )
+
+
+@contextlib.asynccontextmanager
+async def open_scheduling(
+    scheduling: Scheduling,
+    peers: Peers,
+    membership: Membership,
+    configuration: Configuration,
+    report: Report,
+) -> AsyncIterator[None]:
+    """Run a node's schedulers until the end of the block.
+
+    :param scheduling: state of the schedulers
+    :param peers: connections to other nodes
+    :param membership: who is live
+    :param configuration: the configuration in force
+    :param report: reads the state of one endpoint
+    """
+    peers.on(
+        MessageKind.permit_request,
+        PermitRequest,
+        scheduling.on_request,
+    )
+    peers.on(
+        MessageKind.registration,
+        Registration,
+        scheduling.on_registration,
+    )
+    peers.on(MessageKind.permit_release, PermitRelease, scheduling.on_release)
+    peers.on(MessageKind.permit_cancel, PermitCancel, scheduling.on_cancel)
+    membership.subscribe(scheduling.review)
+    configuration.subscribe(lambda catalogue: scheduling.review())
+    scheduling.review()
+    async with asyncio.TaskGroup() as group:
+        tasks = (
+            group.create_task(_advance_regularly(scheduling)),
+            group.create_task(
+                _report_regularly(
+                    scheduling,
+                    configuration,
+                    membership,
+                    report,
+                ),
+            ),
+        )
+        yield
+        for task in tasks:
+            task.cancel()
+
+
+async def _advance_regularly(scheduling: Scheduling) -> None:
+    while True:
+        scheduling.advance()
+        await asyncio.sleep(ADVANCE_INTERVAL_S)
+
+
+async def _report_regularly(
+    scheduling: Scheduling,
+    configuration: Configuration,
+    membership: Membership,
+    report: Report,
+) -> None:
+    """Read the endpoints of the hosted schedulers at a fixed interval."""
+    while True:
+        catalogue = configuration.current
+        for hosted in scheduling.hosted:
+            service = hosted.scheduler.service
+            place = membership.own.data_centre
+            endpoints = (
+                ()
+                if catalogue is None
+                else catalogue.endpoints_of(service, place)
+            )
+            seen = await asyncio.gather(*map(report, endpoints))
+            for observation in seen:
+                scheduling.observe(service, observation)
+        await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+def _name(member: Member | None) -> str:
+    return '' if member is None else member.name
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
