--- /dev/null
+++ b/packages/core/mastichatch_core/claims.py
@@ -0,0 +1,183 @@
+"""Claimed keys: who may run a call, as the platform's service records it."""
+
+import dataclasses
+import hashlib
+from enum import StrEnum
+from typing import Final
+
+import msgspec
+
+from mastichatch_core.generated.messages import CallOutcome, Ran
+from mastichatch_core.generated.records import Claim, ClaimState
+
+CLAIM_PREFIX: Final = 'claims/'
+BUCKETS_PER_RETENTION: Final = 8
+# How far two clocks may drift apart while a claim is kept.
+CLOCK_DRIFT_RATIO: Final = 0.01
+RECORDED_ANSWER_LIMIT_BYTES: Final = 65536
+_MS_PER_SECOND: Final = 1000
+_DECODER: Final = msgspec.json.Decoder(Claim)
+
+
+class ClaimStep(StrEnum):
+    """What a node does about the claim that it found."""
+
+    create = 'create'
+    own = 'own'
+    refuse = 'refuse'
+    replay = 'replay'
+    take_over = 'take_over'
+    ask_self = 'ask_self'
+    ask_owner = 'ask_owner'
+
+
+_STEPS_OF_SETTLED: Final[dict[ClaimState, ClaimStep]] = {
+    ClaimState.answered: ClaimStep.replay,
+    ClaimState.released: ClaimStep.take_over,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimLease:
+    """The lease that holds the claims of one time bucket.
+
+    It is never renewed and belongs to no node's life: it lapses by itself
+    once the claims under it were kept for their retention.
+
+    :param lease: id of the lease
+    :param asked_at: when it was asked for, in seconds
+    :param retention_s: time for which its claims are kept, in seconds
+    """
+
+    lease: str
+    asked_at: float
+    retention_s: float
+
+    @property
+    def takes_claims_until(self) -> float:
+        """When the next bucket begins, in seconds."""
+        return self.asked_at + self.retention_s / BUCKETS_PER_RETENTION
+
+    @property
+    def covers_sends_until(self) -> float:
+        """Last moment at which a call claimed under it may be sent.
+
+        The claim then still lasts for the whole retention, in seconds.
+        """
+        lasts_s = lease_ttl_s(self.retention_s) * (1 - CLOCK_DRIFT_RATIO)
+        return self.asked_at + lasts_s - self.retention_s
+
+
+def lease_ttl_s(retention_s: float) -> float:
+    """Return the length of a bucket's lease, in seconds.
+
+    :param retention_s: time for which a claim is kept, in seconds
+    """
+    return retention_s * (1 + 2 / BUCKETS_PER_RETENTION)
+
+
+def lease_ttl_ms(retention_s: float) -> int:
+    """Return the length of a bucket's lease, in milliseconds.
+
+    :param retention_s: time for which a claim is kept, in seconds
+    """
+    return int(lease_ttl_s(retention_s) * _MS_PER_SECOND)
+
+
+def claim_key(workspace: str, service: str, operation: str, key: str) -> str:
+    """Return the platform key of a claim.
+
+    It holds no time, so that a retry in any later bucket finds the claim.
+
+    :param workspace: workspace of the caller
+    :param service: service that is called
+    :param operation: operation that is called
+    :param key: the caller's idempotency key
+    """
+    parts = msgspec.json.encode((workspace, service, operation, key))
+    return CLAIM_PREFIX + hashlib.sha256(parts).hexdigest()
+
+
+def body_digest(operation: str, body: bytes) -> str:
+    """Return the digest by which two calls count as the same.
+
+    :param operation: operation that is called
+    :param body: body of the call
+    """
+    return hashlib.sha256(b'\n'.join((operation.encode(), body))).hexdigest()
+
+
+def encode_claim(claim: Claim) -> bytes:
+    """Return the stored form of a claim.
+
+    :param claim: the claim
+    """
+    return msgspec.json.encode(claim)
+
+
+def decode_claim(stored: bytes) -> Claim:
+    """Return a claim from its stored form.
+
+    :param stored: the value under the claim's key
+    :raises msgspec.DecodeError: where it is no claim
+    """
+    return _DECODER.decode(stored)
+
+
+def next_step(found: Claim | None, wanted: Claim) -> ClaimStep:
+    """Return what to do about the claim that stands under a key.
+
+    :param found: the claim that stands; ``None`` where there is none
+    :param wanted: the claim of the node that decides
+    """
+    if found is None:
+        return ClaimStep.create
+    if found.attempt == wanted.attempt:
+        return ClaimStep.own
+    if found.body_digest != wanted.body_digest:
+        return ClaimStep.refuse
+    if found.state is ClaimState.claimed:
+        return _step_of_open(found, wanted)
+    return _STEPS_OF_SETTLED[found.state]
+
+
+def _step_of_open(found: Claim, wanted: Claim) -> ClaimStep:
+    if found.incarnation == wanted.incarnation:
+        return ClaimStep.ask_self
+    return ClaimStep.ask_owner
+
+
+def settled_claim(claim: Claim, outcome: CallOutcome) -> Claim | None:
+    """Return the claim that records an outcome.
+
+    :param claim: the claim as it stands
+    :param outcome: outcome of its attempt
+    :returns: the claim to write; ``None`` where the outcome is not recorded,
+        because it is unknown or too large
+    """
+    if outcome.ran is Ran.no:
+        return dataclasses.replace(claim, state=ClaimState.released)
+    if outcome.error is not None:
+        return None
+    if len(outcome.body) > RECORDED_ANSWER_LIMIT_BYTES:
+        return None
+    return dataclasses.replace(
+        claim,
+        state=ClaimState.answered,
+        status=outcome.status,
+        content_type=outcome.content_type,
+        answer=outcome.body,
+    )
+
+
+def recorded_outcome(claim: Claim) -> CallOutcome:
+    """Return the outcome that an answered claim records.
+
+    :param claim: a claim in the state ``answered``
+    """
+    return CallOutcome(
+        ran=Ran.yes,
+        status=claim.status,
+        content_type=claim.content_type,
+        body=claim.answer or b'',
+    )
