--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,88 @@
+"""Events of a generation are whole, in order and of one generation."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.events import (
+    EventParser,
+    TokenEvent,
+    in_order,
+    write_error,
+    write_events,
+)
+
+
+def stream_of(count: int, generation: str = 'g1') -> bytes:
+    events = ''.join(
+        f'id: {generation}:{index}\ndata: {{"n": {index}}}\n\n'
+        for index in range(count)
+    )
+    return f'{events}data: [DONE]\n\n'.encode()
+
+
+class TestParsing:
+    @given(count=st.integers(0, 8), cuts=st.lists(st.integers(0, 300)))
+    def test_gives_the_same_events_however_reads_are_cut(
+        self, count: int, cuts: list[int]
+    ) -> None:
+        data = stream_of(count)
+        places = sorted({min(cut, len(data)) for cut in cuts} | {len(data)})
+        parser = EventParser('g1')
+        events: list[TokenEvent] = []
+        start = 0
+        for place in places:
+            events.extend(parser.feed(data[start:place]))
+            start = place
+        assert [event.index for event in events] == list(range(count))
+        assert parser.done
+
+    def test_is_not_done_before_the_mark(self) -> None:
+        parser = EventParser('g1')
+        parser.feed(stream_of(2).removesuffix(b'data: [DONE]\n\n'))
+        assert not parser.done
+
+    @pytest.mark.parametrize(
+        'data',
+        [
+            stream_of(1, generation='g2'),
+            b'id: g1:x\ndata: {}\n\n',
+            b'data: {}\n\n',
+            b'id: g1:0\ndata: {}\ndata: {}\n\n',
+        ],
+    )
+    def test_refuses_what_is_not_of_this_generation(self, data: bytes) -> None:
+        with pytest.raises(MastichatchError):
+            EventParser('g1').feed(data)
+
+
+class TestOrder:
+    @given(
+        following=st.integers(0, 5),
+        indexes=st.lists(st.integers(0, 10), max_size=12),
+    )
+    def test_hands_out_each_index_once_and_misses_none(
+        self, following: int, indexes: list[int]
+    ) -> None:
+        events = [TokenEvent(index, b'data: {}') for index in indexes]
+        try:
+            fresh = in_order(events, following)
+        except MastichatchError:
+            assert any(index > following for index in indexes)
+            return
+        numbers = [event.index for event in fresh]
+        assert numbers == list(range(following, following + len(numbers)))
+
+    def test_refuses_a_missing_event(self) -> None:
+        with pytest.raises(MastichatchError):
+            in_order([TokenEvent(2, b'data: {}')], 1)
+
+
+class TestWriting:
+    def test_names_the_handle_and_the_index(self) -> None:
+        written = write_events([TokenEvent(7, b'data: {}')], b'h')
+        assert written == b'id: h:7\ndata: {}\n\n'
+
+    def test_ends_a_broken_stream_with_an_error(self) -> None:
+        assert write_error(b'{}') == b'data: {"error": {}}\n\n'
