Add the fault proxy

Cause: tests need links that are slow, cut, one-way or silently lost. Change: a TCP proxy with control calls. Bytes held by a blackhole pass once it ends, as TCP sends them again; a lost connection stays silent for good. A cut resets connections and closes the listener, so that new ones are refused.

--- /dev/null
+++ b/tests/standins/proxy.py
@@ -0,0 +1,223 @@
+"""TCP proxy that delays, cuts and silently blackholes connections.
+
+Faults act as a network's do. Bytes that a blackhole holds back pass once it
+ends, as TCP sends them again; only a connection that something has lost track
+of (`blackhole_existing`) stays silent for good.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator, Iterator
+from typing import Final, Literal
+
+from aiohttp import web
+
+from tests.standins.serving import Body, create_application, serve
+
+CHUNK_BYTES: Final = 65536
+LINGER_NONE: Final = struct.pack('ii', 1, 0)
+
+Direction = Literal['up', 'down']
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset, losing what was not yet sent."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE
+        )
+    writer.transport.abort()
+
+
+class Proxy:
+    """One listener, its connections and the faults in force."""
+
+    def __init__(self, target: str, port: int) -> None:
+        """Start without faults and not listening.
+
+        :param target: address, as IP:PORT
+        :param port: TCP port to listen on; 0 takes a free one
+        """
+        self._target = target
+        self._port = port
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._changed = asyncio.Event()
+        self._delay_s = 0.0
+        self._blackhole = False
+        self._one_way = ''
+        self._silent_since = 0
+        self._accepted = 0
+        self._passed_bytes = {'up': 0, 'down': 0}
+
+    @property
+    def address(self) -> str:
+        """Return the address that it listens on."""
+        return f'127.0.0.1:{self._port}'
+
+    @property
+    def counts(self) -> Body:
+        """Return the connections accepted and open, and the bytes passed."""
+        counts: Body = {'accepted': self._accepted, 'open': len(self._tasks)}
+        return counts | self._passed_bytes
+
+    async def listen(self) -> None:
+        """Accept connections, on the same port as before."""
+        if self._server is not None:
+            return
+        self._server = await asyncio.start_server(
+            self._accept, '127.0.0.1', self._port, backlog=4096
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def cut(self) -> None:
+        """Refuse new connections and reset all that are open."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in tuple(self._writers):
+            reset(writer)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def change(self, body: Body) -> None:
+        """Apply a control call.
+
+        :param body: `delay_ms`, `cut`, `blackhole`, `blackhole_existing`,
+            `one_way` (`up` or `down`) or `restore`, which ends all faults
+        """
+        if body.get('restore'):
+            body = {'delay_ms': 0, 'blackhole': False, 'one_way': ''}
+            await self.listen()
+        self._delay_s = body.get('delay_ms', self._delay_s * 1000) / 1000
+        self._blackhole = body.get('blackhole', self._blackhole)
+        self._one_way = body.get('one_way', self._one_way)
+        if body.get('blackhole_existing'):
+            self._silent_since = self._accepted
+        if body.get('cut'):
+            await self.cut()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._accepted += 1
+        task = asyncio.create_task(self._relay(self._accepted, reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _relay(
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        host, port = self._target.split(':')
+        async with contextlib.AsyncExitStack() as stack:
+            stack.enter_context(contextlib.suppress(OSError))
+            stack.enter_context(self._owning(writer))
+            up_reader, up_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+            stack.enter_context(self._owning(up_writer))
+            await asyncio.gather(
+                self._pump(number, 'up', reader, up_writer),
+                self._pump(number, 'down', up_reader, writer),
+            )
+
+    @contextlib.contextmanager
+    def _owning(self, writer: asyncio.StreamWriter) -> Iterator[None]:
+        self._writers.add(writer)
+        try:
+            yield
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _pump(
+        self,
+        number: int,
+        direction: Direction,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while data := await reader.read(CHUNK_BYTES):
+            await asyncio.sleep(self._delay_s)
+            await self._wait_passable(number, direction)
+            self._passed_bytes[direction] += len(data)
+            writer.write(data)
+            await writer.drain()
+        await self._wait_passable(number, direction)
+        writer.close()
+
+    async def _wait_passable(self, number: int, direction: Direction) -> None:
+        while (
+            self._blackhole
+            or self._one_way == direction
+            or number <= self._silent_since
+        ):
+            await self._changed.wait()
+
+
+@contextlib.asynccontextmanager
+async def open_proxy(
+    target: str, port: int = 0, control_port: int = 0
+) -> AsyncIterator[tuple[Proxy, str]]:
+    """Pass connections on to a target.
+
+    :param target: address, as IP:PORT
+    :param port: TCP port to listen on; 0 takes a free one
+    :param control_port: TCP port of the control calls
+    :returns: the proxy and the address of its control calls
+    """
+    proxy = Proxy(target, port)
+
+    async def change(request: web.Request) -> web.Response:
+        await proxy.change(await request.json())
+        return web.json_response({})
+
+    async def show_counts(_request: web.Request) -> web.Response:
+        return web.json_response(proxy.counts)
+
+    application = create_application()
+    application.add_routes(
+        [
+            web.post('/control', change),
+            web.get('/control/counts', show_counts),
+        ]
+    )
+    await proxy.listen()
+    try:
+        async with serve(application, control_port) as control_address:
+            yield proxy, control_address
+    finally:
+        await proxy.cut()
+
+
+def main() -> None:
+    """Run the proxy."""
+    parser = argparse.ArgumentParser(description='TCP fault proxy')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--control-port', type=int, default=0)
+    parser.add_argument('--target', required=True)
+    arguments = parser.parse_args()
+
+    async def wait() -> None:
+        async with open_proxy(
+            arguments.target, arguments.port, arguments.control_port
+        ) as (proxy, control_address):
+            print(f'ready {proxy.address} {control_address}', flush=True)
+            await asyncio.Event().wait()
+
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(wait())
+
+
+if __name__ == '__main__':
+    main()
