--- a/packages/core/mastichatch_core/admission.py
+++ b/packages/core/mastichatch_core/admission.py
@@ -1,99 +1,285 @@
 """Decides how much work one endpoint incarnation gets."""
 
 import dataclasses
+from collections import OrderedDict, deque
+from typing import Final
 
+from mastichatch_core.batching import Batching, forget_gaps, note_gap
+from mastichatch_core.breaker import Breaker, close, note_failure, passes
 from mastichatch_core.generated.manifest import Endpoint
 from mastichatch_core.generated.messages import (
     EndpointObservation,
+    PermitOutcome,
     PermitRelease,
 )
+from mastichatch_core.memory import Demand, Safety, note_preemptions
+from mastichatch_core.ramp import (
+    Ramp,
+    note_first_token,
+    note_success,
+    ramp_limit,
+    turn_cold,
+)
+
+HISTORY_S: Final = 10.0
+REPORTER_TIMEOUT_S: Final = 3.0
+PREFIXES_REMEMBERED: Final = 32
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class EndpointState:
-    """What is known of one endpoint.
+    """What a scheduler knows of one endpoint.
 
     :param described: the manifest's entry
     :param boot_id: incarnation last seen; empty when none was seen
-    :param cold_since: when the ramp began, in seconds
-    :param limit: number of permits allowed now
+    :param ramp: how warm the incarnation is
+    :param breaker: whether it fails
+    :param batching: limit by the time between tokens
+    :param safety: how much memory is kept free
+    :param foreign: requests at the endpoint that no known permit explains
+    :param in_service_since: when it last came into service, in seconds;
+        ``None`` while it is out
+    :param demand: memory that its permits want; ``None`` when not current
+    :param prefixes: prompt prefixes it was given last, newest last
+    :param reporters: by node, when it reported and whether it got through
+    :param counts: permits over time, as pairs of time and count
     """
 
     described: Endpoint
     boot_id: str = ''
-    cold_since: float
-    limit: float
+    ramp: Ramp
+    breaker: Breaker = dataclasses.field(default_factory=Breaker)
+    batching: Batching = dataclasses.field(default_factory=Batching)
+    safety: Safety = dataclasses.field(default_factory=Safety)
+    foreign: int = 0
+    in_service_since: float | None = None
+    demand: Demand | None = None
+    prefixes: OrderedDict[int, None] = dataclasses.field(
+        default_factory=OrderedDict
+    )
+    reporters: dict[str, tuple[float, bool]] = dataclasses.field(
+        default_factory=dict
+    )
+    counts: deque[tuple[float, int]] = dataclasses.field(default_factory=deque)
 
 
-def create_endpoint_state(
-    described: Endpoint, known: EndpointState | None, now: float
-) -> EndpointState:
-    """Return the state of an endpoint, kept across configurations.
+def create_endpoint_state(described: Endpoint, now: float) -> EndpointState:
+    """Return the state of an endpoint that was not seen before.
 
     :param described: the manifest's entry
-    :param known: state under the earlier configuration
     :param now: time in seconds
     """
-    if known is not None:
-        known.described = described
-        return known
-    return EndpointState(
-        described=described,
-        cold_since=now,
-        limit=float(described.cold_limit),
-    )
+    return EndpointState(described=described, ramp=Ramp(cold_since=now))
 
 
-def free_places(state: EndpointState, running: int) -> int:
-    """Return how many more permits the endpoint may get.
+def note_in_service(state: EndpointState, now: float, *, in_use: bool) -> None:
+    """Note whether the endpoint takes new work.
 
     :param state: the endpoint
-    :param running: permits that count against it
+    :param now: time in seconds
+    :param in_use: whether neither it nor its host or data centre is leaving
     """
-    return max(0, int(state.limit) - running)
+    if not in_use:
+        state.in_service_since = None
+    elif state.in_service_since is None:
+        state.in_service_since = now
 
 
-def admits(state: EndpointState, running: int, now: float) -> bool:
-    """Return whether the endpoint may get one more permit.
+def current_limit(
+    state: EndpointState, return_ramp: float, now: float
+) -> float:
+    """Return the number of permits that the endpoint bears now.
 
     :param state: the endpoint
-    :param running: permits that count against it
+    :param return_ramp: time of its data centre's return, in seconds
     :param now: time in seconds
     """
     described = state.described
-    warm = described.warm_after_ms / 1000
-    share = min(1.0, (now - state.cold_since) / warm)
-    state.limit = described.cold_limit + share * (
-        described.batch_limit - described.cold_limit
+    if state.in_service_since is None:
+        return 0
+    limit = ramp_limit(
+        state.ramp,
+        described.cold_limit,
+        described.batch_limit,
+        described.warm_after_ms / 1000,
+        now,
     )
-    return free_places(state, running) > 0
+    if state.batching.limit is not None:
+        limit = min(limit, state.batching.limit)
+    returned = (now - state.in_service_since) / return_ramp
+    if returned < 1:
+        most = max(described.cold_limit, described.batch_limit * returned)
+        limit = min(limit, most)
+    return limit
+
+
+def scaled_limit(limit: float, share: float, *, keeper: bool) -> int:
+    """Return the part of a limit that one scheduler may use.
+
+    What scales below one goes whole to the scheduler that all members obeyed
+    last, so that the parts never add up to more than the limit.
+
+    :param limit: number of permits that the endpoint bears
+    :param share: share of budgets of this scheduler
+    :param keeper: whether all members obeyed it last
+    """
+    scaled = int(int(limit) * share)
+    if scaled < 1 and limit >= 1 and keeper and share > 0:
+        return 1
+    return scaled
+
+
+def is_open(state: EndpointState, node: str, running: int, now: float) -> bool:
+    """Return whether the endpoint may be tried by a node at all.
+
+    :param state: the endpoint
+    :param node: name of the node
+    :param running: permits that count against the endpoint
+    :param now: time in seconds
+    """
+    reported_at, reached = state.reporters.get(node, (0, True))
+    if not reached and now - reported_at < REPORTER_TIMEOUT_S:
+        return False
+    return passes(state.breaker, running, now)
+
+
+def note_count(state: EndpointState, running: int, now: float) -> None:
+    """Note a change of the permits that count against the endpoint.
+
+    :param state: the endpoint
+    :param running: permits that count against it
+    :param now: time in seconds
+    """
+    state.demand = None
+    state.counts.append((now, running))
+    while len(state.counts) > 1 and state.counts[1][0] < now - HISTORY_S:
+        state.counts.popleft()
 
 
 def note_observation(
-    state: EndpointState, observation: EndpointObservation, now: float
+    state: EndpointState,
+    observation: EndpointObservation,
+    node: str,
+    now: float,
 ) -> None:
-    """Note a report on the endpoint.
+    """Note a node's report on the endpoint.
 
     :param state: the endpoint
     :param observation: the report
+    :param node: name of the node
     :param now: time in seconds
     """
-    rebooted = bool(state.boot_id) and observation.boot_id != state.boot_id
-    if rebooted or not observation.reachable:
-        state.cold_since = now
-        state.limit = float(state.described.cold_limit)
-    state.boot_id = observation.boot_id or state.boot_id
+    state.reporters[node] = (now, observation.reachable)
+    if not observation.reachable:
+        if not _reached_by_any(state, now):
+            _fail(state, now, reached=False)
+        return
+    if observation.boot_id and observation.boot_id != state.boot_id:
+        _note_boot(state, observation.boot_id, now)
+    note_preemptions(state.safety, observation.preemptions)
+    seen = observation.running + observation.waiting
+    own = _count_at(state, now - observation.age_ms / 1000)
+    state.foreign = max(0, seen - own)
+
+
+def note_limit(state: EndpointState, observation: EndpointObservation) -> None:
+    """Take over the limit that the scheduler before had reached.
+
+    :param state: the endpoint
+    :param observation: its last word on the same incarnation
+    """
+    if observation.boot_id == state.boot_id:
+        state.ramp.floor = max(state.ramp.floor, observation.limit)
+
+
+def note_progress(state: EndpointState, bearing: int) -> None:
+    """Note that the endpoint brings tokens for requests in progress.
+
+    :param state: the endpoint
+    :param bearing: requests that it brought tokens for since its start
+    """
+    state.ramp.floor = max(state.ramp.floor, bearing)
+
+
+def note_tokens(
+    state: EndpointState,
+    gap_ms: float,
+    target_ms: float,
+    running: int,
+    now: float,
+) -> None:
+    """Note the time between tokens of the requests in progress.
+
+    :param state: the endpoint
+    :param gap_ms: mean time between tokens, in milliseconds
+    :param target_ms: target of the service, in milliseconds
+    :param running: permits that count against the endpoint
+    :param now: time in seconds
+    """
+    note_gap(state.batching, gap_ms, target_ms, running, now)
 
 
 def note_release(
     state: EndpointState, release: PermitRelease, now: float
 ) -> None:
-    """Note the outcome of a permit.
+    """Learn from the outcome of a permit.
 
     :param state: the endpoint
     :param release: how it ended
     :param now: time in seconds
     """
-    if release.outcome.value == 'unreachable':
-        state.cold_since = now
-        state.limit = float(state.described.cold_limit)
+    if release.outcome == PermitOutcome.unreachable:
+        _fail(state, now, reached=False)
+    elif release.outcome == PermitOutcome.failed:
+        note_failure(state.breaker, reached=True, now=now)
+    elif release.outcome == PermitOutcome.completed:
+        close(state.breaker)
+        note_success(state.ramp)
+        if release.first_token_ms:
+            note_first_token(state.ramp, release.first_token_ms, now)
+
+
+def remember_prefix(state: EndpointState, prefix_hash: int) -> None:
+    """Remember a prefix that the endpoint's cache is likely to hold.
+
+    :param state: the endpoint
+    :param prefix_hash: hash of the prompt's prefix; zero means none
+    """
+    if not prefix_hash:
+        return
+    state.prefixes[prefix_hash] = None
+    state.prefixes.move_to_end(prefix_hash)
+    if len(state.prefixes) > PREFIXES_REMEMBERED:
+        state.prefixes.popitem(last=False)
+
+
+def _note_boot(state: EndpointState, boot_id: str, now: float) -> None:
+    if state.boot_id:
+        turn_cold(state.ramp, now)
+        close(state.breaker)
+        forget_gaps(state.batching)
+        state.safety.preemptions = None
+        state.prefixes.clear()
+    state.boot_id = boot_id
+
+
+def _fail(state: EndpointState, now: float, *, reached: bool) -> None:
+    note_failure(state.breaker, reached=reached, now=now)
+    turn_cold(state.ramp, now)
+
+
+def _reached_by_any(state: EndpointState, now: float) -> bool:
+    return any(
+        reached and now - reported_at < REPORTER_TIMEOUT_S
+        for reported_at, reached in state.reporters.values()
+    )
+
+
+def _count_at(state: EndpointState, time: float) -> int:
+    """Return the permits at an earlier time."""
+    count = 0
+    for changed_at, running in state.counts:
+        if changed_at > time:
+            break
+        count = running
+    return count
--- /dev/null
+++ b/packages/core/mastichatch_core/breaker.py
@@ -0,0 +1,61 @@
+"""Keeps work away from an endpoint that fails, and probes it again."""
+
+import dataclasses
+from typing import Final
+
+FAILURES_TO_OPEN: Final = 3
+FIRST_BACKOFF_S: Final = 0.5
+LONGEST_BACKOFF_S: Final = 15.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Breaker:
+    """State of one endpoint's circuit breaker.
+
+    :param failures: failures in a row
+    :param open_until: when a probe may go, in seconds; ``None`` when closed
+    :param backoff: time until the next probe after a failure, in seconds
+    """
+
+    failures: int = 0
+    open_until: float | None = None
+    backoff: float = FIRST_BACKOFF_S
+
+
+def passes(breaker: Breaker, running: int, now: float) -> bool:
+    """Return whether one more request may go to the endpoint.
+
+    :param breaker: the endpoint's breaker
+    :param running: requests in progress there
+    :param now: time in seconds
+    """
+    if breaker.open_until is None:
+        return True
+    return now >= breaker.open_until and running == 0
+
+
+def note_failure(breaker: Breaker, *, reached: bool, now: float) -> None:
+    """Count a failure.
+
+    :param breaker: the endpoint's breaker
+    :param reached: whether the endpoint answered at all
+    :param now: time in seconds
+    """
+    breaker.failures += 1
+    probing = breaker.open_until is not None
+    if probing and now < (breaker.open_until or now):
+        return
+    if probing:
+        breaker.backoff = min(breaker.backoff * 2, LONGEST_BACKOFF_S)
+    if probing or not reached or breaker.failures >= FAILURES_TO_OPEN:
+        breaker.open_until = now + breaker.backoff
+
+
+def close(breaker: Breaker) -> None:
+    """Close the breaker after a success or a new start of the endpoint.
+
+    :param breaker: the endpoint's breaker
+    """
+    breaker.failures = 0
+    breaker.open_until = None
+    breaker.backoff = FIRST_BACKOFF_S
--- /dev/null
+++ b/packages/core/mastichatch_core/endpoints.py
@@ -0,0 +1,150 @@
+"""The endpoints of one service in one data centre, and what runs there."""
+
+from collections.abc import Mapping
+
+from mastichatch_core.admission import (
+    EndpointState,
+    create_endpoint_state,
+    current_limit,
+    note_count,
+    note_in_service,
+)
+from mastichatch_core.catalogue import Catalogue
+from mastichatch_core.generated.manifest import Service, Workspace
+from mastichatch_core.ledger import Permit, PermitKey, PermitLedger
+
+
+class EndpointPool:
+    """Endpoints by name, as the configuration in force describes them."""
+
+    def __init__(
+        self, catalogue: Catalogue, service: str, data_centre: str, now: float
+    ) -> None:
+        """Start with cold endpoints.
+
+        :param catalogue: configuration in force
+        :param service: name of the service
+        :param data_centre: name of the data centre
+        :param now: time in seconds
+        """
+        self._service = service
+        self._data_centre = data_centre
+        self._states: dict[str, EndpointState] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._ledger = PermitLedger()
+        self.apply_catalogue(catalogue, now)
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Configuration in force."""
+        return self._catalogue
+
+    @property
+    def service(self) -> Service | None:
+        """The manifest's entry of the service; none once it is removed."""
+        return self._catalogue.services.get(self._service)
+
+    @property
+    def states(self) -> Mapping[str, EndpointState]:
+        """State of each endpoint in the manifest, by name."""
+        return self._states
+
+    @property
+    def ledger(self) -> PermitLedger:
+        """Permits that count against the endpoints."""
+        return self._ledger
+
+    def workspace(self, name: str) -> Workspace | None:
+        """Return the manifest's entry of a workspace.
+
+        :param name: name of the workspace
+        """
+        return self._catalogue.workspaces.get(name)
+
+    def load(self, name: str) -> int:
+        """Return the requests that count against an endpoint.
+
+        :param name: name of the endpoint
+        """
+        return self._ledger.running(name) + self._states[name].foreign
+
+    def limit(self, name: str, now: float) -> float:
+        """Return the requests that an endpoint bears.
+
+        :param name: name of the endpoint
+        :param now: time in seconds
+        """
+        home = self._catalogue.data_centres[self._data_centre]
+        return current_limit(
+            self._states[name], home.return_ramp_ms / 1000, now
+        )
+
+    def in_use(self, name: str) -> bool:
+        """Return whether an endpoint takes new work.
+
+        :param name: name of an endpoint, known or not
+        """
+        state = self._states.get(name)
+        return state is not None and state.in_service_since is not None
+
+    def apply_catalogue(self, catalogue: Catalogue, now: float) -> None:
+        """Take over a configuration.
+
+        :param catalogue: configuration in force
+        :param now: time in seconds
+        """
+        self._catalogue = catalogue
+        states: dict[str, EndpointState] = {}
+        for endpoint in catalogue.endpoints_of(
+            self._service, self._data_centre
+        ):
+            state = self._states.get(endpoint.name)
+            if state is None:
+                state = create_endpoint_state(endpoint, now)
+            state.described = endpoint
+            states[endpoint.name] = state
+        self._states = states
+        self._note_service(now)
+
+    def note_leaving(self, hosts: frozenset[str], now: float) -> None:
+        """Note the hosts that the host list calls leaving.
+
+        :param hosts: names of the hosts
+        :param now: time in seconds
+        """
+        self._leaving = hosts
+        self._note_service(now)
+
+    def add_permit(self, permit: Permit, now: float) -> None:
+        """Count a permit against its endpoint.
+
+        :param permit: the permit
+        :param now: time in seconds
+        """
+        self.pop_permit(permit.key, now)
+        self._ledger.add(permit)
+        self._note_count(permit.endpoint, now)
+
+    def pop_permit(self, key: PermitKey, now: float) -> Permit | None:
+        """Stop counting a permit.
+
+        :param key: request id and attempt
+        :param now: time in seconds
+        :returns: the permit, or ``None`` if there was none
+        """
+        permit = self._ledger.pop(key)
+        if permit is not None:
+            self._note_count(permit.endpoint, now)
+        return permit
+
+    def _note_count(self, name: str, now: float) -> None:
+        state = self._states.get(name)
+        if state is not None:
+            note_count(state, self._ledger.running(name), now)
+
+    def _note_service(self, now: float) -> None:
+        for state in self._states.values():
+            endpoint = state.described
+            leaving = endpoint.host in self._leaving
+            in_use = not leaving and not self._catalogue.is_drained(endpoint)
+            note_in_service(state, now, in_use=in_use)
--- a/packages/core/mastichatch_core/fairness.py
+++ b/packages/core/mastichatch_core/fairness.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from mastichatch_core.generated.messages import PermitRequest, RequestClass
+from mastichatch_core.ledger import PermitKey
 
 CLASS_WEIGHTS: Final[dict[RequestClass, float]] = {
     RequestClass.interactive: 8.0,
@@ -12,8 +13,6 @@
     RequestClass.batch: 1.0,
 }
 
-PermitKey = tuple[str, int]
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Waiting:
@@ -108,21 +107,39 @@
             self._counts.pop(request.workspace)
         return entry
 
-    def charge(self, entry: Waiting, weight: float) -> None:
-        """Advance the virtual times of a granted request.
-
-        :param entry: the granted request
-        :param weight: share of its workspace
+    def charge(
+        self,
+        workspace: str,
+        request_class: RequestClass,
+        cost: float,
+        weight: float,
+    ) -> None:
+        """Advance the virtual times by work that was granted.
+
+        :param workspace: workspace of the request
+        :param request_class: class of the request
+        :param cost: the work in tokens; negative takes back what was expected
+        :param weight: share of the workspace
         """
-        request = entry.request
-        self._class_times[request.request_class] = (
-            self._class_times.get(request.request_class, 0)
-            + entry.cost / CLASS_WEIGHTS[request.request_class]
+        self._class_times[request_class] = (
+            self._class_times.get(request_class, 0)
+            + cost / CLASS_WEIGHTS[request_class]
         )
-        self._workspace_times[request.workspace] = (
-            self._workspace_times.get(request.workspace, 0)
-            + entry.cost / weight
+        self._workspace_times[workspace] = (
+            self._workspace_times.get(workspace, 0) + cost / weight
+        )
+
+    def newest_of_largest(self) -> Waiting | None:
+        """Return the newest request of the workspace that waits most."""
+        if not self._counts:
+            return None
+        largest = max(self._counts, key=self.count)
+        entries = (
+            entry
+            for entry in reversed(self._entries.values())
+            if entry.request.workspace == largest
         )
+        return next(entries, None)
 
     def heads(self) -> Iterator[Waiting]:
         """Iterate over the oldest request of each lane, in order of grant."""
--- /dev/null
+++ b/packages/core/mastichatch_core/granting.py
@@ -0,0 +1,266 @@
+"""Places waiting requests on endpoints, in the queue's order."""
+
+import dataclasses
+from typing import Final
+
+from mastichatch_core.admission import is_open, remember_prefix
+from mastichatch_core.fairness import Waiting
+from mastichatch_core.generated.messages import (
+    CandidateScore,
+    PermitGrant,
+    PermitRequest,
+)
+from mastichatch_core.ledger import Permit
+from mastichatch_core.memory import Demand, demand, peak, total
+from mastichatch_core.placement_score import Candidate, score
+from mastichatch_core.prediction import remaining
+from mastichatch_core.scheduler_state import Scheduler
+
+RESERVE_AFTER_S: Final = 1.0
+PROMPT_TOKEN_COST: Final = 0.1
+LEAST_LEASE_SHARE: Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Grant:
+    """A permit that was just granted, with what led to it.
+
+    :param permit: the permit
+    :param candidates: the endpoints weighed
+    :param reason: why this one, in words
+    """
+
+    permit: Permit
+    candidates: tuple[CandidateScore, ...]
+    reason: str
+
+
+def expected_cost(scheduler: Scheduler, request: PermitRequest) -> float:
+    """Return the work to expect of a request, in tokens.
+
+    :param scheduler: the scheduler
+    :param request: the request
+    """
+    lengths = scheduler.lengths.lengths(
+        request.workspace, request.request_class
+    )
+    output = remaining(lengths, 0)
+    if request.max_tokens:
+        output = min(output, request.max_tokens)
+    return actual_cost(request.prompt_tokens, output)
+
+
+def actual_cost(prompt_tokens: int, output_tokens: float) -> float:
+    """Return the work of a request, in tokens of output.
+
+    :param prompt_tokens: length of its prompt
+    :param output_tokens: length of its output
+    """
+    return 1 + PROMPT_TOKEN_COST * prompt_tokens + output_tokens
+
+
+def grant_ready(scheduler: Scheduler, now: float) -> tuple[Grant, ...]:
+    """Grant what can be granted now.
+
+    :param scheduler: the scheduler
+    :param now: time in seconds
+    """
+    if scheduler.superseded or not scheduler.reach.ready(now):
+        return ()
+    free = scheduler.free_places(now)
+    grants: list[Grant] = []
+    while any(places > 0 for places in free.values()):
+        grant = _grant_next(scheduler, free, now)
+        if grant is None:
+            break
+        free[grant.permit.endpoint] -= 1
+        grants.append(grant)
+    return tuple(grants)
+
+
+def grant_message(scheduler: Scheduler, grant: Grant) -> PermitGrant:
+    """Return the message that tells a node of its permit.
+
+    :param scheduler: the scheduler
+    :param grant: the permit
+    """
+    return PermitGrant(
+        request_id=grant.permit.key[0],
+        attempt=grant.permit.key[1],
+        service=scheduler.service,
+        endpoint=grant.permit.endpoint,
+        term=scheduler.term,
+        lease_ms=scheduler.timing.permit_lease * 1000,
+        registration=grant.permit.registration,
+        candidates=grant.candidates,
+        reason=grant.reason,
+    )
+
+
+def renew_lease(scheduler: Scheduler, permit: Permit, now: float) -> bool:
+    """Let a permit's lease run from its node's newest registration.
+
+    :param scheduler: the scheduler
+    :param permit: the permit
+    :param now: time in seconds
+    :returns: whether enough of the lease is left for it to be used
+    """
+    registration = scheduler.reach.registration(permit.node)
+    if registration is None:
+        return False
+    lease = scheduler.timing.permit_lease
+    sequence, registered_at = registration
+    if registered_at + lease * (1 - LEAST_LEASE_SHARE) < now:
+        return False
+    permit.registration = sequence
+    permit.expires_at = registered_at + lease
+    return True
+
+
+def _grant_next(
+    scheduler: Scheduler, free: dict[str, int], now: float
+) -> Grant | None:
+    """Grant to the first request in the queue's order that fits."""
+    reserved: set[str] = set()
+    for entry in scheduler.queue.heads():
+        permit = _draft(scheduler, entry, now)
+        if permit is None:
+            continue
+        candidates = _candidates(
+            scheduler,
+            entry.request,
+            {
+                name
+                for name, places in free.items()
+                if places > 0 and name not in reserved
+            },
+            now,
+        )
+        fitting = [one for one in candidates if one.peak_share <= 1]
+        if fitting:
+            return _place(scheduler, entry, permit, fitting, now)
+        if candidates and now - entry.queued_at > RESERVE_AFTER_S:
+            # Younger requests must not take the room that it waits for.
+            best = min(candidates, key=lambda one: one.peak_share)
+            reserved.add(best.endpoint)
+    return None
+
+
+def _draft(scheduler: Scheduler, entry: Waiting, now: float) -> Permit | None:
+    """Return a permit without an endpoint, if the request may have one."""
+    request = entry.request
+    workspace = scheduler.pool.workspace(request.workspace)
+    if workspace is None:
+        return None
+    if scheduler.ledger.held_by(workspace.name) >= workspace.running_limit:
+        return None
+    permit = Permit(
+        key=entry.key,
+        node=request.node,
+        endpoint='',
+        workspace=request.workspace,
+        request_class=request.request_class,
+        prompt_tokens=request.prompt_tokens,
+        max_tokens=request.max_tokens,
+        cost=entry.cost,
+        granted_at=now,
+        renewed_at=now,
+        expires_at=now,
+    )
+    return permit if renew_lease(scheduler, permit, now) else None
+
+
+def _place(
+    scheduler: Scheduler,
+    entry: Waiting,
+    permit: Permit,
+    fitting: list[Candidate],
+    now: float,
+) -> Grant:
+    scores = tuple(score(one) for one in fitting)
+    choice = max(scores, key=lambda one: one.score)
+    permit.endpoint = choice.endpoint
+    scheduler.queue.remove(entry.key)
+    workspace = scheduler.pool.workspace(permit.workspace)
+    scheduler.queue.charge(
+        permit.workspace,
+        permit.request_class,
+        permit.cost,
+        workspace.weight if workspace else 1,
+    )
+    scheduler.pool.add_permit(permit, now)
+    remember_prefix(
+        scheduler.pool.states[choice.endpoint], entry.request.prefix_hash
+    )
+    return Grant(
+        permit=permit,
+        candidates=scores,
+        reason=choice.reason or 'most room',
+    )
+
+
+def _candidates(
+    scheduler: Scheduler,
+    request: PermitRequest,
+    names: set[str],
+    now: float,
+) -> tuple[Candidate, ...]:
+    wanted = demand(
+        scheduler.lengths.lengths(request.workspace, request.request_class),
+        request.prompt_tokens,
+        0,
+        request.max_tokens,
+    )
+    return tuple(
+        _candidate(scheduler, request, name, wanted, now)
+        for name in sorted(names)
+        if name not in request.excluded
+        and is_open(
+            scheduler.pool.states[name],
+            request.node,
+            scheduler.ledger.running(name),
+            now,
+        )
+    )
+
+
+def _candidate(
+    scheduler: Scheduler,
+    request: PermitRequest,
+    name: str,
+    wanted: Demand,
+    now: float,
+) -> Candidate:
+    state = scheduler.pool.states[name]
+    running = scheduler.pool.load(name)
+    together = total((_demand_at(scheduler, name), wanted))
+    memory = peak(together, state.safety.deviations)
+    if state.foreign:
+        memory *= running / max(1, running - state.foreign)
+    budget = state.described.memory_tokens * scheduler.reach.share(now)
+    share = memory / max(1.0, budget)
+    return Candidate(
+        endpoint=name,
+        running=running,
+        limit=int(scheduler.pool.limit(name, now)),
+        peak_share=share if running else min(share, 1.0),
+        prefix_known=request.prefix_hash in state.prefixes,
+    )
+
+
+def _demand_at(scheduler: Scheduler, name: str) -> Demand:
+    """Return what an endpoint's permits want, worked out when they change."""
+    state = scheduler.pool.states[name]
+    if state.demand is None:
+        state.demand = total(
+            demand(
+                scheduler.lengths.lengths(
+                    permit.workspace, permit.request_class
+                ),
+                permit.prompt_tokens,
+                permit.output_tokens,
+                permit.max_tokens,
+            )
+            for permit in scheduler.ledger.at_endpoint(name)
+        )
+    return state.demand
--- /dev/null
+++ b/packages/core/mastichatch_core/ledger.py
@@ -0,0 +1,116 @@
+"""The permits that count against a service's endpoints."""
+
+import dataclasses
+from collections import Counter
+from collections.abc import Iterator
+
+from mastichatch_core.generated.messages import RequestClass
+
+PermitKey = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Permit:
+    """A permit that counts against an endpoint.
+
+    :param key: request id and attempt
+    :param node: node that holds it
+    :param endpoint: endpoint that it allows
+    :param workspace: workspace of the request
+    :param request_class: class of the request
+    :param prompt_tokens: length of the prompt
+    :param max_tokens: most output tokens; zero means unknown
+    :param output_tokens: tokens generated so far
+    :param used: whether the request is known to be at the endpoint
+    :param registration: sequence of the registration that its lease runs from
+    :param inherited: whether a scheduler before granted it
+    :param cost: work that its workspace was charged, in tokens
+    :param granted_at: when it was granted or first registered, in seconds
+    :param renewed_at: when its node last named it, in seconds
+    :param expires_at: when it lapses unless it is renewed, in seconds
+    """
+
+    key: PermitKey
+    node: str
+    endpoint: str
+    workspace: str
+    request_class: RequestClass = RequestClass.standard
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    output_tokens: int = 0
+    used: bool = False
+    registration: int = 0
+    inherited: bool = False
+    cost: float = 0
+    granted_at: float
+    renewed_at: float = 0
+    expires_at: float
+
+
+class PermitLedger:
+    """Permits by key, with counts by endpoint and by workspace."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._permits: dict[PermitKey, Permit] = {}
+        self._by_endpoint: dict[str, dict[PermitKey, Permit]] = {}
+        self._by_workspace: Counter[str] = Counter()
+
+    def __len__(self) -> int:
+        """Return the number of permits."""
+        return len(self._permits)
+
+    def __iter__(self) -> Iterator[Permit]:
+        """Iterate over a copy, oldest permit first."""
+        return iter(tuple(self._permits.values()))
+
+    def get(self, key: PermitKey) -> Permit | None:
+        """Return a permit.
+
+        :param key: request id and attempt
+        """
+        return self._permits.get(key)
+
+    def at_endpoint(self, endpoint: str) -> tuple[Permit, ...]:
+        """Return the permits for an endpoint.
+
+        :param endpoint: name of the endpoint
+        """
+        return tuple(self._by_endpoint.get(endpoint, {}).values())
+
+    def running(self, endpoint: str) -> int:
+        """Return how many permits count against an endpoint.
+
+        :param endpoint: name of the endpoint
+        """
+        return len(self._by_endpoint.get(endpoint, ()))
+
+    def held_by(self, workspace: str) -> int:
+        """Return how many permits a workspace holds.
+
+        :param workspace: name of the workspace
+        """
+        return self._by_workspace[workspace]
+
+    def add(self, permit: Permit) -> None:
+        """Count a permit, in place of one with the same key.
+
+        :param permit: the permit
+        """
+        self.pop(permit.key)
+        self._permits[permit.key] = permit
+        self._by_endpoint.setdefault(permit.endpoint, {})[permit.key] = permit
+        self._by_workspace[permit.workspace] += 1
+
+    def pop(self, key: PermitKey) -> Permit | None:
+        """Stop counting a permit.
+
+        :param key: request id and attempt
+        :returns: the permit, or ``None`` if there was none
+        """
+        permit = self._permits.pop(key, None)
+        if permit is None:
+            return None
+        self._by_endpoint[permit.endpoint].pop(key)
+        self._by_workspace[permit.workspace] -= 1
+        return permit
--- /dev/null
+++ b/packages/core/mastichatch_core/memory.py
@@ -0,0 +1,114 @@
+"""Predicts the peak of an engine's memory over the outputs still to come.
+
+All generations of an engine grow by one token a step, so the memory after
+``u`` more steps is the sum over those that are then still running. Lengths are
+known as distributions only; the peak is taken over the mean and a number of
+standard deviations above it.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+from typing import Final
+
+from mastichatch_core.prediction import Lengths, survival
+
+STEPS_AHEAD: Final = (0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192)
+FIRST_DEVIATIONS: Final = 1.0
+MOST_DEVIATIONS: Final = 4.0
+DEVIATIONS_A_PREEMPTION: Final = 0.25
+DEVIATIONS_FORGOTTEN: Final = 0.01
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Memory wanted after each of the steps ahead.
+
+    :param means: expected memory, in tokens
+    :param variances: variance of the memory, in tokens squared
+    """
+
+    means: tuple[float, ...]
+    variances: tuple[float, ...]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Safety:
+    """How far above the mean memory is kept free.
+
+    :param deviations: standard deviations above the mean
+    :param preemptions: preemptions that the endpoint last reported
+    """
+
+    deviations: float = FIRST_DEVIATIONS
+    preemptions: int | None = None
+
+
+def demand(
+    lengths: Lengths, prompt_tokens: int, output_tokens: int, max_tokens: int
+) -> Demand:
+    """Return the memory that one generation will want.
+
+    :param lengths: distribution of output lengths
+    :param prompt_tokens: length of the prompt
+    :param output_tokens: tokens generated so far
+    :param max_tokens: most output tokens; zero means unknown
+    """
+    alive = survival(lengths, output_tokens)
+    means: list[float] = []
+    variances: list[float] = []
+    for steps in STEPS_AHEAD:
+        output = output_tokens + steps
+        share = survival(lengths, output) / alive
+        if max_tokens and output > max_tokens:
+            share = 0
+        size = prompt_tokens + output
+        means.append(share * size)
+        variances.append(share * (1 - share) * size * size)
+    return Demand(tuple(means), tuple(variances))
+
+
+def total(demands: Iterable[Demand]) -> Demand:
+    """Return the memory that generations want together.
+
+    :param demands: one for each generation
+    """
+    each = tuple(demands)
+    if not each:
+        nothing = tuple(float() for _ in STEPS_AHEAD)
+        return Demand(nothing, nothing)
+    return Demand(
+        tuple(map(sum, zip(*(one.means for one in each), strict=True))),
+        tuple(map(sum, zip(*(one.variances for one in each), strict=True))),
+    )
+
+
+def peak(together: Demand, deviations: float) -> float:
+    """Return the highest memory to expect, in tokens.
+
+    :param together: memory wanted by all generations
+    :param deviations: standard deviations above the mean
+    """
+    return max(
+        mean + deviations * math.sqrt(variance)
+        for mean, variance in zip(
+            together.means, together.variances, strict=True
+        )
+    )
+
+
+def note_preemptions(safety: Safety, preemptions: int) -> None:
+    """Keep more memory free after preemptions, and slowly less without.
+
+    :param safety: the endpoint's safety
+    :param preemptions: preemptions since the endpoint's start, as reported
+    """
+    before = safety.preemptions
+    safety.preemptions = preemptions
+    if before is None or preemptions < before:
+        return
+    change = (preemptions - before) * DEVIATIONS_A_PREEMPTION
+    change = change or -DEVIATIONS_FORGOTTEN
+    safety.deviations = min(
+        MOST_DEVIATIONS, max(FIRST_DEVIATIONS, safety.deviations + change)
+    )
--- /dev/null
+++ b/packages/core/mastichatch_core/prediction.py
@@ -0,0 +1,147 @@
+"""Learns the length of outputs per workspace and request class."""
+
+import bisect
+import math
+from typing import Final
+
+from ddsketch import DDSketch
+
+from mastichatch_core.generated.messages import RequestClass
+
+RELATIVE_ACCURACY: Final = 0.02
+QUANTILE_COUNT: Final = 48
+SAMPLES_OF_OWN: Final = 24
+SAMPLES_A_WINDOW: Final = 2000
+UNKNOWN_MEDIAN_TOKENS: Final = 256.0
+UNKNOWN_SPREAD: Final = 1.2
+
+Lengths = tuple[float, ...]
+
+
+def survival(lengths: Lengths, tokens: float) -> float:
+    """Return the share of outputs that are longer.
+
+    Beyond the longest length known, the share falls with the square of the
+    length.
+
+    :param lengths: evenly spaced quantiles, ascending
+    :param tokens: a length in tokens
+    """
+    longest = lengths[-1]
+    size = len(lengths)
+    if tokens >= longest:
+        return (longest / max(tokens, 1.0)) ** 2 / (2 * size)
+    above = bisect.bisect_right(lengths, tokens)
+    lower = lengths[above - 1] if above else 0
+    upper = lengths[above]
+    between = (tokens - lower) / max(upper - lower, 1e-9)
+    rank = above - 0.5 + between if above else between / 2
+    return max(1.0 - rank / size, 1 / (2 * size))
+
+
+def remaining(lengths: Lengths, so_far: int) -> float:
+    """Return the expected number of tokens still to come.
+
+    :param lengths: evenly spaced quantiles, ascending
+    :param so_far: tokens generated
+    """
+    longer = lengths[bisect.bisect_right(lengths, so_far) :]
+    if not longer:
+        return float(max(so_far, 1))
+    return sum(longer) / len(longer) - so_far
+
+
+def unknown_lengths() -> Lengths:
+    """Return the lengths assumed while none was seen."""
+    # Quantiles of a log-logistic distribution need no error function.
+    return tuple(
+        UNKNOWN_MEDIAN_TOKENS * math.pow(rank / (1 - rank), UNKNOWN_SPREAD / 2)
+        for rank in _ranks()
+    )
+
+
+class LengthModel:
+    """Sketches of the output lengths of one service."""
+
+    def __init__(self) -> None:
+        """Start without samples."""
+        self._sketches: dict[tuple[str, str], _Sketch] = {}
+        self._unknown = unknown_lengths()
+
+    def note(
+        self, workspace: str, request_class: RequestClass, tokens: int
+    ) -> None:
+        """Learn from a finished output.
+
+        :param workspace: workspace of the request
+        :param request_class: class of the request
+        :param tokens: length of the output
+        """
+        for key in _levels(workspace, request_class):
+            self._sketches.setdefault(key, _Sketch()).add(float(max(1, tokens)))
+
+    def lengths(self, workspace: str, request_class: RequestClass) -> Lengths:
+        """Return the lengths to expect.
+
+        A workspace with few samples gets those of its class over the service,
+        and then those of the service.
+
+        :param workspace: workspace of the request
+        :param request_class: class of the request
+        :returns: evenly spaced quantiles, ascending
+        """
+        for key in _levels(workspace, request_class):
+            sketch = self._sketches.get(key)
+            if sketch is not None and sketch.count >= SAMPLES_OF_OWN:
+                return sketch.lengths()
+        return self._unknown
+
+
+class _Sketch:
+    """A quantile sketch over a sliding pair of windows."""
+
+    def __init__(self) -> None:
+        self._current = DDSketch(RELATIVE_ACCURACY)
+        self._earlier: DDSketch | None = None
+        self._lengths: Lengths = ()
+        self._fresh_until = 0
+        self._added = 0
+
+    @property
+    def count(self) -> int:
+        return self._added
+
+    def add(self, tokens: float) -> None:
+        self._current.add(tokens)
+        self._added += 1
+        if self._current.count >= SAMPLES_A_WINDOW:
+            self._earlier = self._current
+            self._current = DDSketch(RELATIVE_ACCURACY)
+
+    def lengths(self) -> Lengths:
+        if self._added >= self._fresh_until:
+            merged = DDSketch(RELATIVE_ACCURACY)
+            merged.merge(self._current)
+            if self._earlier is not None:
+                merged.merge(self._earlier)
+            self._lengths = tuple(
+                merged.get_quantile_value(rank) or 1.0 for rank in _ranks()
+            )
+            self._fresh_until = self._added + max(4, self._added // 10)
+        return self._lengths
+
+
+def _ranks() -> tuple[float, ...]:
+    return tuple(
+        (number + 0.5) / QUANTILE_COUNT for number in range(QUANTILE_COUNT)
+    )
+
+
+def _levels(
+    workspace: str, request_class: RequestClass
+) -> tuple[tuple[str, str], ...]:
+    return (
+        (workspace, request_class.value),
+        ('', request_class.value),
+        ('', ''),
+    )
--- /dev/null
+++ b/packages/core/mastichatch_core/reach.py
@@ -0,0 +1,123 @@
+"""Which members of a data centre obey a scheduler, and its share of budgets.
+
+A member obeys the highest term that it has seen and registers there. Of two
+schedulers that are open at once, each therefore counts other members, and the
+shares of both add up to one at most. See docs/design/03-scheduler.md.
+"""
+
+import dataclasses
+from typing import Final
+
+JOIN_DELAY_S: Final = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Member:
+    joined_at: float
+    registered_at: float
+    sequence: int
+
+
+class Reach:
+    """The members expected, heard and registered under one term."""
+
+    def __init__(self, timeout: float, now: float) -> None:
+        """Start with nobody registered.
+
+        :param timeout: silence after which a member is not counted, in seconds
+        :param now: time in seconds
+        """
+        self._timeout = timeout
+        self._opened_at = now
+        self._expected: frozenset[str] = frozenset()
+        self._heard: frozenset[str] = frozenset()
+        self._members: dict[str, _Member] = {}
+        self._keeper = False
+
+    @property
+    def keeper(self) -> bool:
+        """Whether every expected member has obeyed this term at one time."""
+        return self._keeper
+
+    def restart(self, now: float) -> None:
+        """Forget all registrations, at the start of a new term.
+
+        :param now: time in seconds
+        """
+        self._opened_at = now
+        self._members.clear()
+        self._keeper = False
+
+    def note_members(
+        self, expected: frozenset[str], heard: frozenset[str]
+    ) -> None:
+        """Note the nodes of the data centre.
+
+        :param expected: names of the nodes that are not known to be gone
+        :param heard: names of the nodes that answered within the timeout
+        """
+        self._expected = expected
+        self._heard = heard
+
+    def note_registration(self, node: str, sequence: int, now: float) -> bool:
+        """Note that a node obeys this term.
+
+        :param node: name of the node
+        :param sequence: sequence of its registration
+        :param now: time in seconds
+        :returns: whether the registration is newer than the last one
+        """
+        member = self._members.get(node)
+        if member is None or now - member.registered_at > self._timeout:
+            self._members[node] = _Member(now, now, sequence)
+            return True
+        if sequence < member.sequence:
+            return False
+        member.registered_at = now
+        member.sequence = sequence
+        return True
+
+    def registration(self, node: str) -> tuple[int, float] | None:
+        """Return a node's newest registration.
+
+        :param node: name of the node
+        :returns: its sequence and its arrival in seconds
+        """
+        member = self._members.get(node)
+        if member is None:
+            return None
+        return (member.sequence, member.registered_at)
+
+    def ready(self, now: float) -> bool:
+        """Return whether the registrations are in, or waited for enough.
+
+        :param now: time in seconds
+        """
+        if self._heard and self._heard <= self._obeying(now):
+            return True
+        return now - self._opened_at >= self._timeout
+
+    def share(self, now: float) -> float:
+        """Return the share of every budget that this scheduler may use.
+
+        :param now: time in seconds
+        :returns: from zero to one
+        """
+        obeying = self._obeying(now)
+        if self._expected and self._expected <= obeying:
+            self._keeper = True
+            return 1.0
+        counted = {
+            node
+            for node in obeying & self._expected
+            if now - self._members[node].joined_at >= JOIN_DELAY_S
+        }
+        return len(counted) / max(1, len(self._expected))
+
+    def _obeying(self, now: float) -> set[str]:
+        return {
+            node
+            for node, member in self._members.items()
+            if node in self._heard
+            and now - member.registered_at <= self._timeout
+        }
--- a/packages/core/mastichatch_core/scheduler.py
+++ b/packages/core/mastichatch_core/scheduler.py
@@ -1,34 +1,54 @@
-"""Grants permits for the endpoints of one service in one data centre."""
+"""Grants permits for the endpoints of one service in one data centre.
+
+Every function takes an event and returns the messages to send. The state is
+soft: the nodes register what they hold and wait for, at short intervals and
+whenever a scheduler opens. See docs/design/03-scheduler.md.
+"""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from typing import Final
 
 from mastichatch_core.admission import (
     EndpointState,
-    admits,
-    create_endpoint_state,
-    free_places,
+    note_limit,
     note_observation,
+    note_progress,
     note_release,
+    note_tokens,
 )
 from mastichatch_core.catalogue import Catalogue
+from mastichatch_core.endpoints import EndpointPool
 from mastichatch_core.errors import MastichatchError
-from mastichatch_core.fairness import FairQueue, PermitKey, Waiting
+from mastichatch_core.fairness import Waiting
 from mastichatch_core.generated.messages import (
-    CandidateScore,
     EndpointObservation,
     ErrorKind,
     HeldPermit,
     PermitCancel,
     PermitGrant,
+    PermitOutcome,
     PermitRecall,
     PermitRefusal,
     PermitRelease,
     PermitRequest,
     Registration,
-    RequestClass,
     Term,
 )
+from mastichatch_core.granting import (
+    Grant,
+    actual_cost,
+    expected_cost,
+    grant_message,
+    grant_ready,
+    renew_lease,
+)
+from mastichatch_core.ledger import Permit, PermitKey
+from mastichatch_core.prediction import LengthModel
+from mastichatch_core.ramp import note_success
+from mastichatch_core.scheduler_state import Scheduler, Timing
+
+GRANT_REPEAT_S: Final = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,129 +63,6 @@
     message: PermitGrant | PermitRefusal | PermitRecall
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Timing:
-    """Times that the scheduler keeps to, in seconds.
-
-    :param permit_lease: time within which a granted permit must be used
-    :param member_timeout: silence after which a node counts as unreachable
-    """
-
-    permit_lease: float = 2.0
-    member_timeout: float = 1.5
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Permit:
-    """A permit that counts against an endpoint.
-
-    :param key: request id and attempt
-    :param node: node that holds it
-    :param endpoint: endpoint that it allows
-    :param workspace: workspace of the request
-    :param request_class: class of the request
-    :param prompt_tokens: length of the prompt
-    :param output_tokens: tokens generated so far
-    :param used: whether the request was sent to the endpoint
-    :param granted_at: when it was granted, in seconds
-    :param expires_at: when it lapses unless it is renewed, in seconds
-    """
-
-    key: PermitKey
-    node: str
-    endpoint: str
-    workspace: str
-    request_class: RequestClass
-    prompt_tokens: int
-    output_tokens: int = 0
-    used: bool = False
-    granted_at: float
-    expires_at: float
-
-
-class Scheduler:
-    """All that one scheduler knows; changed by this module's functions."""
-
-    def __init__(
-        self,
-        term: Term,
-        catalogue: Catalogue,
-        service: str,
-        data_centre: str,
-        timing: Timing,
-        now: float,
-    ) -> None:
-        """Start without members, permits or requests."""
-        self._term = term
-        self._catalogue = catalogue
-        self._service = service
-        self._data_centre = data_centre
-        self._timing = timing
-        self._opened_at = now
-        self._queue = FairQueue()
-        self._permits: dict[PermitKey, Permit] = {}
-        self._endpoints: dict[str, EndpointState] = {}
-        self._leaving: frozenset[str] = frozenset()
-        self._expected: frozenset[str] = frozenset()
-        self._heard: frozenset[str] = frozenset()
-        self._registered: dict[str, float] = {}
-
-    @property
-    def service(self) -> str:
-        """Name of the service."""
-        return self._service
-
-    @property
-    def data_centre(self) -> str:
-        """Name of the data centre."""
-        return self._data_centre
-
-    @property
-    def term(self) -> Term:
-        """Term that grants carry."""
-        return self._term
-
-    @property
-    def waiting_count(self) -> int:
-        """Number of waiting requests."""
-        return len(self._queue)
-
-    @property
-    def permit_count(self) -> int:
-        """Number of permits that count against endpoints."""
-        return len(self._permits)
-
-    @property
-    def free_count(self) -> int:
-        """Number of permits that could be granted now."""
-        return sum(
-            free_places(state, self._running(name))
-            for name, state in self._endpoints.items()
-            if self._in_use(name)
-        )
-
-    def oldest_wait_ms(self, now: float) -> float:
-        """Return the wait of the oldest request.
-
-        :param now: time in seconds
-        :returns: the wait in milliseconds; zero without a request
-        """
-        oldest = min((entry.queued_at for entry in self._queue), default=now)
-        return (now - oldest) * 1000
-
-    def _running(self, endpoint: str) -> int:
-        return sum(
-            permit.endpoint == endpoint for permit in self._permits.values()
-        )
-
-    def _in_use(self, endpoint: str) -> bool:
-        described = self._catalogue.endpoints[endpoint]
-        return (
-            not self._catalogue.is_drained(described)
-            and described.host not in self._leaving
-        )
-
-
 def open_scheduler(
     term: Term,
     catalogue: Catalogue,
@@ -174,21 +71,26 @@
     now: float,
     *,
     timing: Timing | None = None,
+    lengths: LengthModel | None = None,
 ) -> Scheduler:
     """Return a scheduler that waits for registrations.
 
-    :param term: term that is higher than any seen
+    :param term: term that is higher than any seen, by one
     :param catalogue: configuration in force
     :param service: name of the service
     :param data_centre: name of the data centre
     :param now: time in seconds
     :param timing: times that it keeps to
+    :param lengths: lengths of outputs that its node has learned so far
     """
-    scheduler = Scheduler(
-        term, catalogue, service, data_centre, timing or Timing(), now
+    return Scheduler(
+        term,
+        service,
+        EndpointPool(catalogue, service, data_centre, now),
+        timing or Timing(),
+        lengths or LengthModel(),
+        now,
     )
-    set_catalogue(scheduler, catalogue, now)
-    return scheduler
 
 
 def set_catalogue(
@@ -199,19 +101,10 @@
     :param scheduler: the scheduler
     :param catalogue: configuration in force
     :param now: time in seconds
-    :returns: recalls of unused permits for endpoints out of service, grants
+    :returns: recalls of unused permits for endpoints out of service, and more
     """
-    scheduler._catalogue = catalogue
-    described = catalogue.endpoints_of(
-        scheduler._service, scheduler._data_centre
-    )
-    scheduler._endpoints = {
-        endpoint.name: create_endpoint_state(
-            endpoint, scheduler._endpoints.get(endpoint.name), now
-        )
-        for endpoint in described
-    }
-    return (*_recall(scheduler), *advance(scheduler, now))
+    scheduler.pool.apply_catalogue(catalogue, now)
+    return _then_advance(scheduler, _recall(scheduler), now)
 
 
 def set_leaving(
@@ -222,10 +115,10 @@
     :param scheduler: the scheduler
     :param hosts: names of the hosts
     :param now: time in seconds
-    :returns: recalls of unused permits for endpoints on them, grants
+    :returns: recalls of unused permits for endpoints on them, and more
     """
-    scheduler._leaving = hosts
-    return (*_recall(scheduler), *advance(scheduler, now))
+    scheduler.pool.note_leaving(hosts, now)
+    return _then_advance(scheduler, _recall(scheduler), now)
 
 
 def set_members(
@@ -237,13 +130,12 @@
     """Note the nodes of the data centre.
 
     :param scheduler: the scheduler
-    :param expected: names of the nodes that should be there
-    :param heard: names of the nodes that answer
+    :param expected: names of the nodes that are not known to be gone
+    :param heard: names of the nodes that lately answered a heartbeat
     :param now: time in seconds
     """
-    scheduler._expected = expected
-    scheduler._heard = heard
-    return _grant_ready(scheduler, now)
+    scheduler.reach.note_members(expected, heard)
+    return advance(scheduler, now)
 
 
 def register(
@@ -251,41 +143,51 @@
 ) -> tuple[Outgoing, ...]:
     """Take over what a node holds and waits for, and renew its permits.
 
+    Only a registration under the scheduler's own term shows that the node
+    obeys it. One under a lower term still tells what runs.
+
     :param scheduler: the scheduler
-    :param registration: all that the node holds
+    :param registration: all that the node holds and waits for
     :param now: time in seconds
     """
-    scheduler._registered[registration.node] = now
-    for held in registration.held:
-        _hold(scheduler, registration.node, held, now)
-    kept = {(item.request_id, item.attempt) for item in registration.held}
-    kept.update(
-        (asked.request_id, asked.attempt) for asked in registration.waiting
-    )
-    for key, permit in tuple(scheduler._permits.items()):
-        gone = permit.node == registration.node and key not in kept
-        if gone and permit.used:
-            scheduler._permits.pop(key)
-    outgoing: list[Outgoing] = []
-    for item in registration.waiting:
-        outgoing.extend(_enqueue(scheduler, item, now))
+    outgoing = advance(scheduler, now)
+    if _compared(registration.term) > _compared(scheduler.term):
+        scheduler.note_higher_term()
+        return outgoing
+    obeys = registration.term == scheduler.term
+    if obeys and not scheduler.reach.note_registration(
+        registration.node, registration.sequence, now
+    ):
+        return outgoing
     for observation in registration.observations:
-        _observe(scheduler, observation, now)
-    outgoing.extend(advance(scheduler, now))
-    return tuple(outgoing)
+        _observe(scheduler, observation, registration.node, now)
+    _hold_all(scheduler, registration, now)
+    if not obeys:
+        return outgoing
+    _drop_unnamed(scheduler, registration, now)
+    answers = [
+        answer
+        for asked in registration.waiting
+        for answer in _enqueue(scheduler, asked, now)
+    ]
+    return (*outgoing, *_then_advance(scheduler, answers, now))
 
 
 def request(
     scheduler: Scheduler, request: PermitRequest, now: float
 ) -> tuple[Outgoing, ...]:
-    """Queue a request, or refuse it.
+    """Queue a request, refuse it, or repeat its grant.
 
     :param scheduler: the scheduler
     :param request: what a node asks for
     :param now: time in seconds
     """
-    refusals = _enqueue(scheduler, request, now)
-    return (*refusals, *advance(scheduler, now))
+    outgoing = advance(scheduler, now)
+    kind = _spend_retry(scheduler, request)
+    if kind is not None:
+        return (*outgoing, _refuse(scheduler, request, kind))
+    answers = tuple(_enqueue(scheduler, request, now))
+    return (*outgoing, *_then_advance(scheduler, answers, now))
 
 
 def release(
@@ -297,40 +199,43 @@
     :param release: how the permit ended
     :param now: time in seconds
     """
-    scheduler._permits.pop((release.request_id, release.attempt), None)
-    state = scheduler._endpoints.get(release.endpoint)
-    if state is not None:
+    permit = scheduler.pool.pop_permit(
+        (release.request_id, release.attempt), now
+    )
+    state = scheduler.pool.states.get(release.endpoint)
+    if permit is not None and state is not None:
         note_release(state, release, now)
+        _learn(scheduler, permit, release)
     return advance(scheduler, now)
 
 
 def cancel(
     scheduler: Scheduler, cancel: PermitCancel, now: float
 ) -> tuple[Outgoing, ...]:
-    """Withdraw a request, waiting or granted.
+    """Withdraw a request that waits or whose grant may be on its way.
 
     :param scheduler: the scheduler
     :param cancel: which request
     :param now: time in seconds
     """
     key = (cancel.request_id, cancel.attempt)
-    scheduler._queue.remove(key)
-    permit = scheduler._permits.get(key)
+    scheduler.queue.remove(key)
+    permit = scheduler.ledger.get(key)
     if permit is not None and not permit.used:
-        scheduler._permits.pop(key)
+        scheduler.pool.pop_permit(key, now)
     return advance(scheduler, now)
 
 
 def observe(
     scheduler: Scheduler, observation: EndpointObservation, now: float
 ) -> tuple[Outgoing, ...]:
-    """Note what a node saw of an endpoint.
+    """Note what this node saw of an endpoint.
 
     :param scheduler: the scheduler
     :param observation: the report
     :param now: time in seconds
     """
-    _observe(scheduler, observation, now)
+    _observe(scheduler, observation, '', now)
     return advance(scheduler, now)
 
 
@@ -340,218 +245,357 @@
     :param scheduler: the scheduler
     :param now: time in seconds
     """
-    for key, permit in tuple(scheduler._permits.items()):
-        if permit.expires_at <= now:
-            scheduler._permits.pop(key)
-    refusals = tuple(
-        _refuse(scheduler, entry.request, ErrorKind.queue_deadline)
-        for entry in scheduler._queue
-        if entry.deadline_at <= now
+    if scheduler.note_time(now):
+        return ()
+    _expire(scheduler, now)
+    refusals = tuple(_refuse_hopeless(scheduler, now))
+    grants = grant_ready(scheduler, now)
+    return (*refusals, *(_send_grant(scheduler, grant) for grant in grants))
+
+
+def reached_limits(
+    scheduler: Scheduler, now: float
+) -> tuple[EndpointObservation, ...]:
+    """Return the limits reached, for the registration with the next scheduler.
+
+    :param scheduler: the scheduler
+    :param now: time in seconds
+    """
+    return tuple(
+        EndpointObservation(
+            endpoint=name,
+            boot_id=state.boot_id,
+            limit=scheduler.pool.limit(name, now),
+            limit_term=scheduler.term.number,
+        )
+        for name, state in scheduler.pool.states.items()
+        if state.boot_id and scheduler.reach.keeper
     )
-    return (*refusals, *_grant_ready(scheduler, now))
 
 
-def _grant_ready(scheduler: Scheduler, now: float) -> tuple[Outgoing, ...]:
-    return tuple(_grant_all(scheduler, now)) if _ready(scheduler, now) else ()
+def _then_advance(
+    scheduler: Scheduler, answers: Iterable[Outgoing], now: float
+) -> tuple[Outgoing, ...]:
+    return (*answers, *advance(scheduler, now))
 
 
-def _ready(scheduler: Scheduler, now: float) -> bool:
-    """Return whether every heard member has registered, or time is up."""
-    if now - scheduler._opened_at >= scheduler._timing.member_timeout:
-        return True
-    members = scheduler._heard
-    return bool(members) and members <= scheduler._registered.keys()
+def _compared(term: Term) -> tuple[int, str]:
+    return (term.number, term.incarnation)
 
 
 def _observe(
-    scheduler: Scheduler, observation: EndpointObservation, now: float
+    scheduler: Scheduler,
+    observation: EndpointObservation,
+    node: str,
+    now: float,
 ) -> None:
-    state = scheduler._endpoints.get(observation.endpoint)
-    if state is not None:
-        note_observation(state, observation, now)
+    state = scheduler.pool.states.get(observation.endpoint)
+    if state is None:
+        return
+    # Only the scheduler just before knew the limit for certain.
+    follows = observation.limit_term == scheduler.term.number - 1
+    if observation.limit_term and follows:
+        note_limit(state, observation)
+    elif not observation.limit_term:
+        note_observation(state, observation, node, now)
+
+
+def _hold_all(
+    scheduler: Scheduler, registration: Registration, now: float
+) -> None:
+    """Count the permits that a node says it holds."""
+    for held in registration.held:
+        if held.endpoint in scheduler.pool.states:
+            _hold(scheduler, registration.node, held, now)
+    for name, state in scheduler.pool.states.items():
+        _note_bearing(scheduler, name, state)
 
 
 def _hold(
     scheduler: Scheduler, node: str, held: HeldPermit, now: float
 ) -> None:
-    """Count a permit that a node says it holds."""
     key = (held.request_id, held.attempt)
-    scheduler._queue.remove(key)
-    known = scheduler._permits.get(key)
-    scheduler._permits[key] = Permit(
-        key=key,
-        node=node,
-        endpoint=held.endpoint,
-        workspace=held.workspace,
-        request_class=held.request_class,
-        prompt_tokens=held.prompt_tokens,
-        output_tokens=held.output_tokens,
-        used=held.used,
-        granted_at=now if known is None else known.granted_at,
-        expires_at=now + scheduler._timing.permit_lease,
+    scheduler.queue.remove(key)
+    permit = scheduler.ledger.get(key)
+    if permit is None or permit.endpoint != held.endpoint:
+        permit = Permit(
+            key=key,
+            node=node,
+            endpoint=held.endpoint,
+            workspace=held.workspace,
+            request_class=held.request_class,
+            prompt_tokens=held.prompt_tokens,
+            output_tokens=held.output_tokens,
+            inherited=True,
+            granted_at=now,
+            renewed_at=now,
+            expires_at=now,
+        )
+        scheduler.pool.add_permit(permit, now)
+    _note_tokens(scheduler, permit, held, now)
+    permit.used = held.used or permit.used
+    permit.renewed_at = now
+    permit.expires_at = now + scheduler.timing.permit_lease
+    if permit.used:
+        permit.expires_at += scheduler.timing.linger
+
+
+def _note_tokens(
+    scheduler: Scheduler, permit: Permit, held: HeldPermit, now: float
+) -> None:
+    """Learn from the tokens since the node last named a permit."""
+    fresh = held.output_tokens - permit.output_tokens
+    state = scheduler.pool.states[permit.endpoint]
+    service = scheduler.pool.service
+    if fresh <= 0 or service is None:
+        return
+    state.demand = None
+    if permit.output_tokens:
+        note_tokens(
+            state,
+            (now - permit.renewed_at) * 1000 / fresh,
+            service.token_gap_target_ms,
+            scheduler.ledger.running(permit.endpoint),
+            now,
+        )
+    else:
+        note_success(state.ramp)
+    permit.output_tokens = held.output_tokens
+
+
+def _note_bearing(
+    scheduler: Scheduler, name: str, state: EndpointState
+) -> None:
+    """Let an endpoint keep what it bore under the scheduler before."""
+    if scheduler.reach.keeper:
+        return
+    note_progress(
+        state,
+        sum(
+            permit.inherited and permit.output_tokens > 0
+            for permit in scheduler.ledger.at_endpoint(name)
+        ),
     )
 
 
+def _drop_unnamed(
+    scheduler: Scheduler, registration: Registration, now: float
+) -> None:
+    """Forget what a node no longer names: its releases were lost.
+
+    A permit not known to be used stays until its lease is over, since the
+    grant may have crossed the registration.
+    """
+    held = {(one.request_id, one.attempt) for one in registration.held}
+    waiting = {(one.request_id, one.attempt) for one in registration.waiting}
+    for permit in scheduler.ledger:
+        theirs = permit.node == registration.node and permit.used
+        if theirs and permit.key not in held:
+            scheduler.pool.pop_permit(permit.key, now)
+    for entry in scheduler.queue:
+        theirs = entry.request.node == registration.node
+        if theirs and entry.key not in waiting:
+            scheduler.queue.remove(entry.key)
+
+
 def _enqueue(
     scheduler: Scheduler, request: PermitRequest, now: float
-) -> Iterable[Outgoing]:
+) -> Iterator[Outgoing]:
     """Queue a request unless it is known or over a limit."""
     key = (request.request_id, request.attempt)
-    permit = scheduler._permits.get(key)
+    permit = scheduler.ledger.get(key)
     if permit is not None:
-        return (_grant_again(scheduler, permit, now),)
-    if key in scheduler._queue:
-        return ()
+        yield from _repeat_grant(scheduler, permit, now)
+        return
+    if key in scheduler.queue:
+        return
     kind = _limit_reached(scheduler, request)
     if kind is not None:
-        return (_refuse(scheduler, request, kind),)
-    scheduler._queue.add(
+        yield _refuse(scheduler, request, kind)
+        return
+    yield from _make_place(scheduler)
+    scheduler.queue.add(
         Waiting(
             request=request,
             queued_at=now - request.waited_ms / 1000,
             deadline_at=now + request.deadline_ms / 1000,
-            cost=1.0,
+            cost=expected_cost(scheduler, request),
         )
     )
-    return ()
 
 
 def _limit_reached(
     scheduler: Scheduler, request: PermitRequest
 ) -> ErrorKind | None:
     try:
-        workspace = scheduler._catalogue.workspace(
-            request.workspace, scheduler._service
+        workspace = scheduler.pool.catalogue.workspace(
+            request.workspace, scheduler.service
         )
     except MastichatchError as error:
         return error.kind
-    service = scheduler._catalogue.services.get(scheduler._service)
-    if service is None or not scheduler._endpoints:
+    service = scheduler.pool.service
+    if service is None or not _placeable(scheduler, request):
         return ErrorKind.no_endpoint
-    if scheduler._queue.count(workspace.name) >= workspace.waiting_limit:
+    waiting = scheduler.queue.count(workspace.name)
+    if waiting >= workspace.waiting_limit:
         return ErrorKind.workspace_limit
-    if len(scheduler._queue) >= service.queue_limit:
-        return ErrorKind.queue_full
+    if _full(scheduler):
+        largest = scheduler.queue.newest_of_largest()
+        most = largest and scheduler.queue.count(largest.request.workspace)
+        if waiting + 1 >= (most or 0):
+            return ErrorKind.queue_full
     return None
 
 
-def _grant_all(scheduler: Scheduler, now: float) -> Iterable[Outgoing]:
-    outgoing: list[Outgoing] = []
-    granted = True
-    while granted:
-        granted = False
-        for entry in scheduler._queue.heads():
-            grant = _grant(scheduler, entry, now)
-            if grant is not None:
-                outgoing.append(grant)
-                granted = True
-                break
-    return outgoing
-
-
-def _grant(scheduler: Scheduler, entry: Waiting, now: float) -> Outgoing | None:
-    request = entry.request
-    workspace = scheduler._catalogue.workspaces.get(request.workspace)
-    if workspace is None:
-        return None
-    held = sum(
-        permit.workspace == workspace.name
-        for permit in scheduler._permits.values()
-    )
-    if held >= workspace.running_limit:
-        return None
-    candidates = _candidates(scheduler, request, now)
-    if not candidates:
+def _spend_retry(
+    scheduler: Scheduler, request: PermitRequest
+) -> ErrorKind | None:
+    """Refuse a retry that the service's budget does not cover."""
+    service = scheduler.pool.service
+    key = (request.request_id, request.attempt)
+    known = key in scheduler.queue or scheduler.ledger.get(key) is not None
+    if service is None or known:
         return None
-    choice = max(candidates, key=lambda candidate: candidate.score)
-    scheduler._queue.remove(entry.key)
-    scheduler._queue.charge(entry, workspace.weight)
-    permit = Permit(
-        key=entry.key,
-        node=request.node,
-        endpoint=choice.endpoint,
-        workspace=request.workspace,
-        request_class=request.request_class,
-        prompt_tokens=request.prompt_tokens,
-        granted_at=now,
-        expires_at=now + scheduler._timing.permit_lease,
-    )
-    scheduler._permits[entry.key] = permit
-    return _outgoing_grant(scheduler, permit, candidates)
+    if not request.attempt:
+        scheduler.earn_retry(service.retry_budget_percent)
+    elif not scheduler.spend_retry(service.retry_budget_percent):
+        return ErrorKind.queue_full
+    return None
 
 
-def _candidates(
-    scheduler: Scheduler, request: PermitRequest, now: float
-) -> tuple[CandidateScore, ...]:
-    return tuple(
-        CandidateScore(
-            endpoint=name,
-            score=float(free_places(state, scheduler._running(name))),
-        )
-        for name, state in scheduler._endpoints.items()
-        if name not in request.excluded
-        and scheduler._in_use(name)
-        and admits(state, scheduler._running(name), now)
-    )
+def _full(scheduler: Scheduler) -> bool:
+    service = scheduler.pool.service
+    return service is not None and len(scheduler.queue) >= service.queue_limit
 
 
-def _grant_again(scheduler: Scheduler, permit: Permit, now: float) -> Outgoing:
-    """Repeat a grant that the node may not have received."""
-    permit.expires_at = now + scheduler._timing.permit_lease
-    return _outgoing_grant(scheduler, permit, ())
+def _make_place(scheduler: Scheduler) -> Iterator[Outgoing]:
+    """Refuse the newest request of the workspace that fills the queue."""
+    largest = scheduler.queue.newest_of_largest()
+    if largest is not None and _full(scheduler):
+        yield _refuse(scheduler, largest.request, ErrorKind.queue_full)
 
 
-def _outgoing_grant(
-    scheduler: Scheduler,
-    permit: Permit,
-    candidates: tuple[CandidateScore, ...],
-) -> Outgoing:
-    return Outgoing(
-        node=permit.node,
-        message=PermitGrant(
-            request_id=permit.key[0],
-            attempt=permit.key[1],
-            service=scheduler._service,
-            endpoint=permit.endpoint,
-            term=scheduler._term,
-            lease_ms=scheduler._timing.permit_lease * 1000,
-            candidates=candidates,
-            reason='most free places',
-        ),
+def _placeable(scheduler: Scheduler, request: PermitRequest) -> bool:
+    return any(
+        scheduler.pool.in_use(name) and name not in request.excluded
+        for name in scheduler.pool.states
     )
 
 
+def _refuse_hopeless(scheduler: Scheduler, now: float) -> Iterator[Outgoing]:
+    """Refuse what is past its deadline or has no endpoint in service."""
+    for entry in scheduler.queue:
+        if entry.deadline_at <= now:
+            yield _refuse(scheduler, entry.request, ErrorKind.queue_deadline)
+        elif not _placeable(scheduler, entry.request):
+            yield _refuse(scheduler, entry.request, ErrorKind.no_endpoint)
+
+
 def _refuse(
     scheduler: Scheduler, request: PermitRequest, kind: ErrorKind
 ) -> Outgoing:
-    scheduler._queue.remove((request.request_id, request.attempt))
+    scheduler.queue.remove((request.request_id, request.attempt))
     return Outgoing(
         node=request.node,
         message=PermitRefusal(
             request_id=request.request_id,
             attempt=request.attempt,
-            service=scheduler._service,
+            service=scheduler.service,
             kind=kind,
         ),
     )
 
 
+def _repeat_grant(
+    scheduler: Scheduler, permit: Permit, now: float
+) -> Iterator[Outgoing]:
+    """Repeat a grant that its node seems not to have received."""
+    if permit.used or now - permit.granted_at < GRANT_REPEAT_S:
+        return
+    if scheduler.pool.in_use(permit.endpoint) and renew_lease(
+        scheduler, permit, now
+    ):
+        yield _send_grant(
+            scheduler, Grant(permit=permit, candidates=(), reason='repeated')
+        )
+
+
+def _send_grant(scheduler: Scheduler, grant: Grant) -> Outgoing:
+    return Outgoing(
+        node=grant.permit.node, message=grant_message(scheduler, grant)
+    )
+
+
+def _expire(scheduler: Scheduler, now: float) -> None:
+    """Stop counting permits whose leases are over.
+
+    A node that went silent after a grant may have used it, so its permit
+    counts for as long as an engine goes on without its node.
+    """
+    for permit in scheduler.ledger:
+        if permit.expires_at > now:
+            continue
+        newest = scheduler.reach.registration(permit.node)
+        silent = newest is None or newest[0] <= permit.registration
+        if silent and not permit.used:
+            permit.used = True
+            permit.expires_at = now + scheduler.timing.linger
+        else:
+            scheduler.pool.pop_permit(permit.key, now)
+
+
+def _learn(
+    scheduler: Scheduler, permit: Permit, release: PermitRelease
+) -> None:
+    """Learn an output's length, and charge what it really took."""
+    if release.outcome != PermitOutcome.completed:
+        return
+    scheduler.lengths.note(
+        permit.workspace, permit.request_class, release.output_tokens
+    )
+    workspace = scheduler.pool.workspace(permit.workspace)
+    if workspace is None or permit.inherited:
+        return
+    cost = actual_cost(permit.prompt_tokens, release.output_tokens)
+    scheduler.queue.charge(
+        permit.workspace,
+        permit.request_class,
+        cost - permit.cost,
+        workspace.weight,
+    )
+
+
 def _recall(scheduler: Scheduler) -> Iterable[Outgoing]:
     """Recall unused permits for endpoints that are out of service."""
-    outgoing: list[Outgoing] = []
-    for permit in scheduler._permits.values():
-        known = permit.endpoint in scheduler._endpoints
-        if permit.used or (known and scheduler._in_use(permit.endpoint)):
-            continue
-        outgoing.append(
-            Outgoing(
-                node=permit.node,
-                message=PermitRecall(
-                    request_id=permit.key[0],
-                    attempt=permit.key[1],
-                    service=scheduler._service,
-                    term=scheduler._term,
-                ),
-            )
+    return tuple(
+        Outgoing(
+            node=permit.node,
+            message=PermitRecall(
+                request_id=permit.key[0],
+                attempt=permit.key[1],
+                service=scheduler.service,
+                term=scheduler.term,
+            ),
         )
-    return outgoing
+        for permit in scheduler.ledger
+        if not permit.used and not scheduler.pool.in_use(permit.endpoint)
+    )
+
+
+__all__ = [
+    'Outgoing',
+    'PermitKey',
+    'Scheduler',
+    'Timing',
+    'advance',
+    'cancel',
+    'observe',
+    'open_scheduler',
+    'reached_limits',
+    'register',
+    'release',
+    'request',
+    'set_catalogue',
+    'set_leaving',
+    'set_members',
+]
--- /dev/null
+++ b/packages/core/mastichatch_core/scheduler_state.py
@@ -0,0 +1,193 @@
+"""The state of a scheduler: what it knows of one service's endpoints."""
+
+import dataclasses
+
+from mastichatch_core.admission import scaled_limit
+from mastichatch_core.endpoints import EndpointPool
+from mastichatch_core.fairness import FairQueue
+from mastichatch_core.generated.messages import Term
+from mastichatch_core.ledger import PermitLedger
+from mastichatch_core.prediction import LengthModel
+from mastichatch_core.reach import Reach
+from mastichatch_core.retries import RetryBudget, deposit, withdraw
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Timing:
+    """Times that a scheduler keeps to, in seconds.
+
+    :param permit_lease: time within which a granted permit must be used
+    :param member_timeout: silence after which a node counts as unreachable
+    :param linger: time that an engine goes on for a node that is gone
+    """
+
+    permit_lease: float = 2.0
+    member_timeout: float = 1.5
+    linger: float = 4.0
+
+
+class Scheduler:
+    """All that one scheduler knows; soft, and changed by one loop only."""
+
+    def __init__(
+        self,
+        term: Term,
+        service: str,
+        pool: EndpointPool,
+        timing: Timing,
+        lengths: LengthModel,
+        now: float,
+    ) -> None:
+        """Start without members, permits or requests.
+
+        :param term: term that is higher than any seen
+        :param service: name of the service
+        :param pool: endpoints of the service in the data centre
+        :param timing: times that it keeps to
+        :param lengths: lengths of outputs learned so far
+        :param now: time in seconds
+        """
+        self._term = term
+        self._service = service
+        self._pool = pool
+        self._timing = timing
+        self._lengths = lengths
+        self._queue = FairQueue()
+        self._retries = RetryBudget(percent=0)
+        self._reach = Reach(timing.member_timeout, now)
+        self._superseded = False
+        self._advanced_at = now
+
+    @property
+    def service(self) -> str:
+        """Name of the service."""
+        return self._service
+
+    @property
+    def term(self) -> Term:
+        """Term that grants carry; rises when the scheduler starts over."""
+        return self._term
+
+    @property
+    def superseded(self) -> bool:
+        """Whether a member was seen that obeys a higher term."""
+        return self._superseded
+
+    @property
+    def timing(self) -> Timing:
+        """Times that it keeps to."""
+        return self._timing
+
+    @property
+    def pool(self) -> EndpointPool:
+        """Endpoints, and the permits that count against them."""
+        return self._pool
+
+    @property
+    def ledger(self) -> PermitLedger:
+        """Permits that count against endpoints."""
+        return self._pool.ledger
+
+    @property
+    def queue(self) -> FairQueue:
+        """Requests that wait."""
+        return self._queue
+
+    @property
+    def reach(self) -> Reach:
+        """Members that obey."""
+        return self._reach
+
+    @property
+    def lengths(self) -> LengthModel:
+        """Lengths of outputs learned so far."""
+        return self._lengths
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of waiting requests."""
+        return len(self._queue)
+
+    @property
+    def permit_count(self) -> int:
+        """Number of permits that count against endpoints."""
+        return len(self.ledger)
+
+    @property
+    def free_count(self) -> int:
+        """Number of permits that could be granted now, memory aside."""
+        return sum(
+            max(0, places)
+            for places in self.free_places(self._advanced_at).values()
+        )
+
+    def oldest_wait_ms(self, now: float) -> float:
+        """Return the wait of the oldest request.
+
+        :param now: time in seconds
+        :returns: the wait in milliseconds; zero without a request
+        """
+        oldest = min((entry.queued_at for entry in self._queue), default=now)
+        return (now - oldest) * 1000
+
+    def free_places(self, now: float) -> dict[str, int]:
+        """Return how many more permits each endpoint may get, memory aside.
+
+        :param now: time in seconds
+        :returns: by endpoint; negative where more run than may
+        """
+        share = self._reach.share(now)
+        keeper = self._reach.keeper
+        pool = self._pool
+        return {
+            name: scaled_limit(pool.limit(name, now), share, keeper=keeper)
+            - pool.load(name)
+            for name in pool.states
+        }
+
+    def note_time(self, now: float) -> bool:
+        """Note that time has passed, and start over after a freeze.
+
+        What a frozen scheduler knew may have lapsed: members obey another by
+        now. It forgets who obeys and who waits, raises its term and counts
+        every permit for another lease, until the members registered again.
+
+        :param now: time in seconds
+        :returns: whether it started over
+        """
+        gap = now - self._advanced_at
+        self._advanced_at = max(now, self._advanced_at)
+        if gap <= self._timing.member_timeout:
+            return False
+        self._term = Term(
+            number=self._term.number + 1, incarnation=self._term.incarnation
+        )
+        self._reach.restart(now)
+        self._queue = FairQueue()
+        for permit in self.ledger:
+            permit.expires_at = now + self._timing.permit_lease
+        return True
+
+    def note_higher_term(self) -> None:
+        """Stop granting for good, since members obey a higher term."""
+        self._superseded = True
+
+    def spend_retry(self, percent: int) -> bool:
+        """Take one retry from the service's budget.
+
+        :param percent: retries allowed, in percent of first attempts
+        :returns: whether one was left
+        """
+        budget = dataclasses.replace(self._retries, percent=percent)
+        left = withdraw(budget)
+        self._retries = left or budget
+        return left is not None
+
+    def earn_retry(self, percent: int) -> None:
+        """Let a first attempt add to the service's budget of retries.
+
+        :param percent: retries allowed, in percent of first attempts
+        """
+        self._retries = deposit(
+            dataclasses.replace(self._retries, percent=percent)
+        )
