--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,9 +1,13 @@
 """Metrics go to the statsd server with the project's prefix."""
 
+import pathlib
+import re
 import socket
 
 from mastichatch_node.metrics import create_metrics
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
 
 def test_sends_counts_timings_and_gauges() -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
@@ -24,3 +28,16 @@
 
 def test_sends_nothing_without_an_address() -> None:
     create_metrics('').count('requests')
+
+
+def test_every_metric_in_the_code_is_documented() -> None:
+    sources = (ROOT / 'packages').rglob('*.py')
+    call = re.compile(r"metrics\.(?:count|timing|gauge)\(\s*f?'([^']+)'")
+    sent = {
+        re.sub(r'{(?:\w+\.)?(\w+)}', r'{\1}', name)
+        for source in sources
+        for name in call.findall(source.read_text())
+    }
+    page = (ROOT / 'docs/METRICS.md').read_text()
+    documented = set(re.findall(r'^\| `([^`]+)`', page, re.MULTILINE))
+    assert sent == documented
