--- a/tests/processes.py
+++ b/tests/processes.py
@@ -352,9 +352,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_processes(
-    directory: pathlib.Path,
-) -> AsyncIterator[Processes]:
+async def open_processes(directory: pathlib.Path) -> AsyncIterator[Processes]:
     """Start processes and end them with the context.
 
     :param directory: for logs and manifests, such as pytest's `tmp_path`
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -21,15 +21,8 @@
 import xxhash
 from aiohttp import web
 
+from tests.standins import serving
 from tests.standins.engine_model import EngineModel, EngineParameters
-from tests.standins.serving import (
-    Body,
-    control,
-    create_application,
-    create_parser,
-    cut,
-    run,
-)
 
 CHARACTERS_PER_TOKEN: Final = 4
 DEFAULT_LENGTH: Final = 16
@@ -55,7 +48,7 @@
     on_loss: Callable[[], None] | None = None
 
 
-def find_text(messages: list[Body]) -> str:
+def find_text(messages: list[serving.Body]) -> str:
     """Return the text of all messages."""
     return '\n'.join(str(message['content']) for message in messages)
 
@@ -65,7 +58,7 @@
     return hashlib.sha256(text.encode()).hexdigest()[:6]
 
 
-def expected_answer(messages: list[Body], length: int) -> str:
+def expected_answer(messages: list[serving.Body], length: int) -> str:
     """Return the whole answer to some messages.
 
     :param messages: messages of the request
@@ -75,7 +68,7 @@
     return ''.join(f'{digest}-{index} ' for index in range(length))
 
 
-def find_length(body: Body) -> int:
+def find_length(body: serving.Body) -> int:
     """Return the number of tokens that a request leads to."""
     named = LENGTH.search(str(body['messages'][-1]['content']))
     limit = body.get('max_completion_tokens') or body.get('max_tokens')
@@ -83,7 +76,7 @@
     return max(min(length, limit or length), 1)
 
 
-def hash_prefix(body: Body) -> str:
+def hash_prefix(body: serving.Body) -> str:
     """Return the hash of the model's name and the first message."""
     first = body['messages'][0]
     digest = xxhash.xxh3_64_intdigest(
@@ -95,7 +88,7 @@
 class Output:
     """The tokens of one generation, as far as produced."""
 
-    def __init__(self, name: str, body: Body) -> None:
+    def __init__(self, name: str, body: serving.Body) -> None:
         """Start before the first token."""
         self.name = name
         self.model = body['model']
@@ -116,23 +109,21 @@
 
     def event(self, index: int) -> bytes:
         """Return one token as a server-sent event."""
-        last = self.finished and index == self.produced - 1
-        chunk: Body = {
+        choice: serving.Body = {
+            'index': 0,
+            'delta': {'content': f'{self.digest}-{index} '},
+            'finish_reason': None,
+        }
+        chunk: serving.Body = {
             'id': f'chatcmpl-{self.name}',
             'object': 'chat.completion.chunk',
             'created': 0,
             'model': self.model,
-            'choices': [
-                {
-                    'index': 0,
-                    'delta': {'content': f'{self.digest}-{index} '},
-                    'finish_reason': None,
-                }
-            ],
+            'choices': [choice],
         }
-        if last:
+        if self.finished and index == self.produced - 1:
             whole = self.produced == self.length
-            chunk['choices'][0]['finish_reason'] = 'stop' if whole else 'length'
+            choice['finish_reason'] = 'stop' if whole else 'length'
             chunk['usage'] = {
                 'prompt_tokens': self.prompt_tokens,
                 'completion_tokens': self.produced,
@@ -153,14 +144,13 @@
         self.options = options
         self.counts: collections.Counter[str] = collections.Counter()
         self.request_ids: list[str] = []
-        self.peak = 0
-        self.peak_cold = 0
-        self.faults: Body = {'refuse': False, 'stall': False}
+        self.peaks = {'peak': 0, 'peak_cold': 0}
+        self.faults: serving.Body = {'refuse': False, 'stall': False}
         self.flowing = asyncio.Event()
         self.flowing.set()
         self.silent_since = 0
         self.connection_count = 0
-        self.orders: list[Body] = []
+        self.orders: list[serving.Body] = []
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self.outputs: dict[str, Output] = {}
@@ -186,7 +176,7 @@
             self.options.on_loss()
         self.boot()
 
-    def change(self, body: Body) -> None:
+    def change(self, body: serving.Body) -> None:
         """Apply a control call."""
         self.faults.update(body)
         if self.faults['stall']:
@@ -203,7 +193,7 @@
             self.lose()
 
     def start(
-        self, body: Body, request_id: str, priority: int
+        self, body: serving.Body, request_id: str, priority: int
     ) -> Output | None:
         """Start a generation, or return none when overloaded."""
         now = self._loop.time()
@@ -234,6 +224,14 @@
         """Return the number of generations in progress, waiting ones too."""
         return sum(not output.finished for output in self.outputs.values())
 
+    def show_generations(self) -> serving.Body:
+        """Return what was started and how it ended."""
+        names = ('started', 'cancelled', 'finished', 'falls')
+        return {name: self.counts[name] for name in names} | {
+            'running': self.count_running(),
+            'request_ids': self.request_ids,
+        }
+
     def cancel(self, output: Output) -> None:
         """Drop a generation and cut its connections."""
         if self.outputs.get(output.name) is not output:
@@ -245,10 +243,6 @@
         output.lost = True
         output.wake()
 
-    def attach(self, output: Output) -> None:
-        """Count a connection."""
-        output.connections += 1
-
     def detach(self, output: Output) -> None:
         """Drop a generation some time after its last connection went."""
         output.connections -= 1
@@ -259,7 +253,7 @@
 
         self._loop.call_later(self.options.keep_ms / 1000, drop)
 
-    def order(self, body: Body) -> bool:
+    def order(self, body: serving.Body) -> bool:
         """Take an order, or refuse its fencing number."""
         stale = body['fence'] < self.fence
         accepted = not (stale and self.options.checks_fencing)
@@ -297,10 +291,9 @@
             self.loaded.add(name)
 
     def _note_peak(self, now: float) -> None:
-        running = self.count_running()
-        self.peak = max(self.peak, running)
-        if self.model.is_cold(now):
-            self.peak_cold = max(self.peak_cold, running)
+        for name, peak in self.peaks.items():
+            if name == 'peak' or self.model.is_cold(now):
+                self.peaks[name] = max(peak, self.count_running())
 
     def _schedule(self) -> None:
         due = self.model.next_event_at
@@ -344,7 +337,7 @@
     )
     engine.connection_count += 1
     number = engine.connection_count
-    engine.attach(output)
+    output.connections += 1
     try:
         await response.prepare(request)
         await response.write(b'')
@@ -366,7 +359,7 @@
         return response
     finally:
         engine.detach(output)
-    cut(request)
+    serving.cut(request)
     return response
 
 
@@ -415,48 +408,40 @@
     def now() -> float:
         return asyncio.get_running_loop().time()
 
-    async def load(_request: web.Request) -> web.Response:
+    def load() -> serving.Body:
         report = dataclasses.asdict(engine.model.report(now()))
-        return web.json_response({'boot_id': engine.boot_id} | report)
+        return {'boot_id': engine.boot_id} | report
 
     async def cache_events(request: web.Request) -> web.Response:
         after = int(request.query.get('after', '0'))
-        events = engine.model.cache_events(after, now())
-        return web.json_response(
+        events = [
             {
-                'next': max(
-                    (event.sequence for event in events), default=after
-                ),
-                'events': [
-                    {
-                        'sequence': event.sequence,
-                        'kind': event.kind,
-                        'prefix_hash': event.prefix_hash,
-                    }
-                    for event in events
-                ],
+                'sequence': event.sequence,
+                'kind': event.kind,
+                'prefix_hash': event.prefix_hash,
             }
-        )
+            for event in engine.model.cache_events(after, now())
+        ]
+        following = events[-1]['sequence'] if events else after
+        return web.json_response({'next': following, 'events': events})
 
     async def order(request: web.Request) -> web.Response:
         accepted = engine.order(await request.json())
         return web.json_response({}, status=202 if accepted else 409)
 
-    async def show_orders(_request: web.Request) -> web.Response:
-        return web.json_response(
-            {
-                'loaded': sorted(engine.loaded),
-                'loading': sorted(engine.loading),
-                'role': engine.role,
-                'fence': engine.fence,
-            }
-        )
+    def orders() -> serving.Body:
+        return {
+            'loaded': sorted(engine.loaded),
+            'loading': sorted(engine.loading),
+            'role': engine.role,
+            'fence': engine.fence,
+        }
 
     return [
-        web.get('/v1/load', load),
+        serving.show('/v1/load', load),
         web.get('/v1/cache/events', cache_events),
         web.post('/v1/orders', order),
-        web.get('/v1/orders', show_orders),
+        serving.show('/v1/orders', orders),
     ]
 
 
@@ -469,42 +454,19 @@
     :param options: the rest
     """
     engine = Engine(parameters, options)
-
-    async def show_generations(_request: web.Request) -> web.Response:
-        names = ('started', 'cancelled', 'finished', 'falls')
-        return web.json_response(
-            {name: engine.counts[name] for name in names}
-            | {
-                'running': engine.count_running(),
-                'request_ids': engine.request_ids,
-            }
-        )
-
-    async def show_peak(_request: web.Request) -> web.Response:
-        return web.json_response(
-            {'peak': engine.peak, 'peak_cold': engine.peak_cold}
-        )
-
-    async def show_orders(_request: web.Request) -> web.Response:
-        return web.json_response({'orders': engine.orders})
-
-    application = create_application()
-    application.add_routes(
-        [
-            *create_generation_routes(engine),
-            *create_report_routes(engine),
-            web.post('/control', control(engine.change)),
-            web.get('/control/generations', show_generations),
-            web.get('/control/peak', show_peak),
-            web.get('/control/orders', show_orders),
-        ]
+    return serving.create_application(
+        *create_generation_routes(engine),
+        *create_report_routes(engine),
+        serving.control(engine.change),
+        serving.show('/control/generations', engine.show_generations),
+        serving.show('/control/peak', lambda: engine.peaks),
+        serving.show('/control/orders', lambda: {'orders': engine.orders}),
     )
-    return application
 
 
 def main() -> None:
     """Run the stand-in."""
-    parser = create_parser('Model engine stand-in')
+    parser = serving.create_parser('Model engine stand-in')
     fields = dataclasses.fields(EngineParameters)
     for field in fields:
         parser.add_argument(
@@ -532,7 +494,7 @@
         keep_ms=arguments.keep_ms,
         on_loss=None if arguments.restarts else die,
     )
-    run(lambda: create_engine(parameters, options), arguments.port)
+    serving.run(lambda: create_engine(parameters, options), arguments.port)
 
 
 if __name__ == '__main__':
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -5,7 +5,6 @@
 of (`blackhole_existing`) stays silent for good.
 """
 
-import argparse
 import asyncio
 import contextlib
 import socket
@@ -15,7 +14,7 @@
 
 from aiohttp import web
 
-from tests.standins.serving import Body, create_application, serve
+from tests.standins import serving
 
 CHUNK_BYTES: Final = 65536
 LINGER_NONE: Final = struct.pack('ii', 1, 0)
@@ -60,9 +59,12 @@
         return f'127.0.0.1:{self._port}'
 
     @property
-    def counts(self) -> Body:
+    def counts(self) -> serving.Body:
         """Return the connections accepted and open, and the bytes passed."""
-        counts: Body = {'accepted': self._accepted, 'open': len(self._tasks)}
+        counts: serving.Body = {
+            'accepted': self._accepted,
+            'open': len(self._tasks),
+        }
         return counts | self._passed_bytes
 
     async def listen(self) -> None:
@@ -85,7 +87,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def change(self, body: Body) -> None:
+    async def change(self, body: serving.Body) -> None:
         """Apply a control call.
 
         :param body: `delay_ms`, `cut`, `blackhole`, `blackhole_existing`,
@@ -182,19 +184,13 @@
         await proxy.change(await request.json())
         return web.json_response({})
 
-    async def show_counts(_request: web.Request) -> web.Response:
-        return web.json_response(proxy.counts)
-
-    application = create_application()
-    application.add_routes(
-        [
-            web.post('/control', change),
-            web.get('/control/counts', show_counts),
-        ]
+    application = serving.create_application(
+        web.post('/control', change),
+        serving.show('/control/counts', lambda: proxy.counts),
     )
     await proxy.listen()
     try:
-        async with serve(application, control_port) as control_address:
+        async with serving.serve(application, control_port) as control_address:
             yield proxy, control_address
     finally:
         await proxy.cut()
@@ -202,8 +198,7 @@
 
 def main() -> None:
     """Run the proxy."""
-    parser = argparse.ArgumentParser(description='TCP fault proxy')
-    parser.add_argument('--port', type=int, default=0)
+    parser = serving.create_parser('TCP fault proxy')
     parser.add_argument('--control-port', type=int, default=0)
     parser.add_argument('--target', required=True)
     arguments = parser.parse_args()
@@ -215,8 +210,7 @@
             print(f'ready {proxy.address} {control_address}', flush=True)
             await asyncio.Event().wait()
 
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(wait())
+    asyncio.run(wait())
 
 
 if __name__ == '__main__':
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -6,14 +6,7 @@
 
 from aiohttp import web
 
-from tests.standins.serving import (
-    Body,
-    control,
-    create_application,
-    create_parser,
-    cut,
-    run,
-)
+from tests.standins import serving
 
 
 class Record:
@@ -23,25 +16,17 @@
         """Start a new boot, cold for a while."""
         self.boot_id = uuid.uuid4().hex
         self.cold_until = time.monotonic() + cold_s
-        self.executions: list[Body] = []
+        self.executions: list[serving.Body] = []
         self.running = 0
-        self.peak = 0
-        self.peak_cold = 0
+        self.peaks = {'peak': 0, 'peak_cold': 0}
         self.thawed = asyncio.Event()
-        self.thawed.set()
-        self.faults: Body = {
-            'delay_ms': 0,
-            'answer_delay_ms': 0,
-            'refuse_status': 0,
-            'fail_after_run': False,
-            'cut_after_run': False,
-            'freeze': False,
-        }
+        self.faults: serving.Body = {}
+        self.change({})
 
-    def change(self, body: Body) -> None:
+    def change(self, body: serving.Body) -> None:
         """Apply a control call."""
         self.faults.update(body)
-        if self.faults['freeze']:
+        if self.faults.get('freeze'):
             self.thawed.clear()
         else:
             self.thawed.set()
@@ -49,15 +34,20 @@
     def enter(self) -> None:
         """Count a call that came in."""
         self.running += 1
-        self.peak = max(self.peak, self.running)
-        if time.monotonic() < self.cold_until:
-            self.peak_cold = max(self.peak_cold, self.running)
+        for name, peak in self.peaks.items():
+            if name == 'peak' or time.monotonic() < self.cold_until:
+                self.peaks[name] = max(peak, self.running)
+
+    async def pause(self, name: str) -> None:
+        """Wait for a delay that tests set, and while frozen."""
+        await asyncio.sleep(self.faults.get(name, 0) / 1000)
+        await self.thawed.wait()
 
-    def execute(self, request_id: str, operation: str, body: object) -> Body:
+    def execute(self, request: web.Request, body: object) -> serving.Body:
         """Note an execution and return its result, which names the call."""
         execution = {
-            'request_id': request_id,
-            'operation': operation,
+            'request_id': request.headers.get('Request-Id', ''),
+            'operation': request.match_info['operation'],
             'body': body,
             'order': len(self.executions),
         }
@@ -71,6 +61,7 @@
     :param cold_ms: time after the start in which calls count as cold
     """
     record = Record(cold_ms / 1000)
+    faults = record.faults
 
     async def operate(request: web.Request) -> web.Response:
         body = await request.json()
@@ -85,54 +76,37 @@
             record.running -= 1
 
     async def handle(request: web.Request, body: object) -> web.Response:
-        faults = record.faults
-        await record.thawed.wait()
-        await asyncio.sleep(faults['delay_ms'] / 1000)
-        if faults['refuse_status']:
+        await record.pause('delay_ms')
+        if faults.get('refuse_status'):
             return web.json_response({}, status=faults['refuse_status'])
-        result = record.execute(
-            request.headers.get('Request-Id', ''),
-            request.match_info['operation'],
-            body,
-        )
-        await asyncio.sleep(faults['answer_delay_ms'] / 1000)
-        await record.thawed.wait()
-        if faults['cut_after_run']:
-            cut(request)
-        status = 500 if faults['fail_after_run'] else 200
+        result = record.execute(request, body)
+        await record.pause('answer_delay_ms')
+        if faults.get('cut_after_run'):
+            serving.cut(request)
+        status = 500 if faults.get('fail_after_run') else 200
         return web.json_response(result, status=status)
 
     async def health(_request: web.Request) -> web.Response:
         await record.thawed.wait()
         return web.json_response({'boot_id': record.boot_id})
 
-    async def list_executions(_request: web.Request) -> web.Response:
-        return web.json_response({'executions': record.executions})
-
-    async def show_peak(_request: web.Request) -> web.Response:
-        return web.json_response(
-            {'peak': record.peak, 'peak_cold': record.peak_cold}
-        )
-
-    application = create_application()
-    application.add_routes(
-        [
-            web.post('/v1/operations/{operation}', operate),
-            web.get('/v1/health', health),
-            web.post('/control', control(record.change)),
-            web.get('/control/executions', list_executions),
-            web.get('/control/peak', show_peak),
-        ]
+    return serving.create_application(
+        web.post('/v1/operations/{operation}', operate),
+        web.get('/v1/health', health),
+        serving.control(record.change),
+        serving.show(
+            '/control/executions', lambda: {'executions': record.executions}
+        ),
+        serving.show('/control/peak', lambda: record.peaks),
     )
-    return application
 
 
 def main() -> None:
     """Run the stand-in."""
-    parser = create_parser('Plain service stand-in')
+    parser = serving.create_parser('Plain service stand-in')
     parser.add_argument('--cold-ms', type=float, default=0)
     arguments = parser.parse_args()
-    run(lambda: create_service(arguments.cold_ms), arguments.port)
+    serving.run(lambda: create_service(arguments.cold_ms), arguments.port)
 
 
 if __name__ == '__main__':
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -9,21 +9,12 @@
 from aiohttp import web
 
 Body = dict[str, Any]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 SHUTDOWN_S: Final = 0.1
 BODY_LIMIT_BYTES: Final = 64 * 1024 * 1024
 
 
-def create_application(*middlewares: Any) -> web.Application:
-    """Return an empty application that accepts large bodies.
-
-    :param middlewares: aiohttp middlewares, outermost first
-    """
-    return web.Application(
-        middlewares=middlewares, client_max_size=BODY_LIMIT_BYTES
-    )
-
-
 @contextlib.asynccontextmanager
 async def serve(application: web.Application, port: int) -> AsyncIterator[str]:
     """Serve an application on loopback.
@@ -42,56 +33,65 @@
     )
     await runner.setup()
     try:
-        site = web.TCPSite(runner, '127.0.0.1', port, backlog=4096)
-        await site.start()
+        await web.TCPSite(runner, '127.0.0.1', port, backlog=4096).start()
         yield f'127.0.0.1:{runner.addresses[0][1]}'
     finally:
         await runner.cleanup()
 
 
-def control(change: Callable[[Body], None]) -> Callable[..., Awaitable[Any]]:
-    """Return a handler of `POST /control` that passes on the JSON body.
+def create_application(
+    *routes: web.RouteDef, middlewares: Any = ()
+) -> web.Application:
+    """Return an application that accepts large bodies."""
+    application = web.Application(
+        middlewares=middlewares, client_max_size=BODY_LIMIT_BYTES
+    )
+    application.add_routes(routes)
+    return application
 
-    :param change: what applies the body
-    """
+
+def control(change: Callable[[Body], None]) -> web.RouteDef:
+    """Return the route that sets faults, given what applies them."""
 
     async def handle(request: web.Request) -> web.Response:
         change(await request.json())
         return web.json_response({})
 
-    return handle
+    return web.post('/control', handle)
 
 
-def cut(request: web.Request) -> None:
-    """Close the connection of a request without an answer.
+def show(path: str, build: Callable[[], Body]) -> web.RouteDef:
+    """Return a route that answers with what a function builds."""
 
-    :param request: request whose connection is closed
-    """
+    async def handle(_request: web.Request) -> web.Response:
+        return web.json_response(build())
+
+    return web.get(path, handle)
+
+
+def cut(request: web.Request) -> None:
+    """Close the connection of a request without an answer."""
     if request.transport is not None:
         request.transport.abort()
 
 
 def create_parser(description: str) -> argparse.ArgumentParser:
-    """Return a parser with the flag that all stand-ins have.
-
-    :param description: what the stand-in is
-    """
+    """Return a parser with the flag that all stand-ins have."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument('--port', type=int, default=0, help='0 takes any')
     return parser
 
 
-def run(application: Callable[[], web.Application], port: int) -> None:
-    """Serve until the process is ended.
+def run(create: Callable[[], web.Application], port: int) -> None:
+    """Serve until the process is ended; the loop runs when `create` is called.
 
-    :param application: builds what to serve, inside the loop
+    :param create: builds what to serve
     :param port: TCP port; 0 takes a free one
     """
 
     async def wait() -> None:
-        async with serve(application(), port) as address:
+        async with serve(create(), port) as address:
             print(f'ready {address}', flush=True)
             await asyncio.Event().wait()
 
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(wait())
+    asyncio.run(wait())
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -26,8 +26,7 @@
     async with (
         serving.serve(platform.create_platform(), 0) as address,
         aiohttp.ClientSession(
-            f'http://{address}',
-            middlewares=(send_once,),
+            f'http://{address}', middlewares=(send_once,)
         ) as session,
     ):
         yield session
