Let a node advertise another peer address, and cut pairs of nodes

Cause: a proxy before a node's peer address needs the others to dial the proxy, and a cut between some nodes has to leave other pairs alone. An engine answers the control call that kills it, and can start again with a new boot in the same process. Conclusion: takes effect once the node opens its peers with the setting.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -376,8 +376,9 @@
     :param services: number of plain services in each data centre
     :param engine_flags: flags of the engine stand-ins
     :param node_flags: flags of all nodes
-    :param proxied: whether proxies stand before endpoints, and before the
-        platform one for each node
+    :param proxied: whether proxies stand before endpoints and, one for each
+        node, before the platform
+    :param proxied_peers: whether proxies stand before nodes, for other nodes
     :param endpoint: further fields of each endpoint in the manifest
     :param manifest: parts of the manifest that replace the usual ones
     """
@@ -389,6 +390,7 @@
     engine_flags: tuple[str, ...] = ('--cold-ms', '0', '--step-ms', '5')
     node_flags: tuple[str, ...] = ()
     proxied: bool = False
+    proxied_peers: bool = False
     endpoint: Json = dataclasses.field(default_factory=dict)
     manifest: Json = dataclasses.field(default_factory=dict)
 
@@ -490,6 +492,21 @@
             for number in range(self.plan.nodes)
         ]
 
+    async def cut_off(self, *names: str) -> None:
+        """Hold all messages between some nodes and all others.
+
+        Needs `proxied_peers`; without names, everything passes again.
+
+        :param names: nodes on one side of the cut
+        """
+        for name in self.nodes:
+            senders = [
+                self.links[f'peer-{other}'].address
+                for other in self.nodes
+                if names and (other in names) != (name in names)
+            ]
+            await self.links[f'peer-{name}'].control(block_senders=senders)
+
     async def restart(self, name: str) -> Node:
         """Start a node that has ended again, with the same settings.
 
@@ -526,15 +543,28 @@
                     name=name,
                     data_centre=name.partition('-')[0],
                     platform=await self._platform_for(name),
-                    peer_address=address,
                     seeds=tuple(set(peers.values()) - {address}),
-                    flags=self.plan.node_flags,
+                    flags=(
+                        '--advertised-peer-address',
+                        address,
+                        *self.plan.node_flags,
+                    ),
+                    peer_address=await self._listen_address(name, address),
                 )
             )
         await asyncio.gather(
             *(node.wait_ready() for node in self.nodes.values())
         )
 
+    async def _listen_address(self, name: str, advertised: str) -> str:
+        if not self.plan.proxied_peers:
+            return advertised
+        address = free_address()
+        self.links[f'peer-{name}'] = await self.processes.proxy(
+            f'link-peer-{name}', address, advertised
+        )
+        return address
+
     async def _platform_for(self, name: str) -> str:
         if not self.plan.proxied:
             return self.platform.address
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -27,6 +27,7 @@
 CHARACTERS_PER_TOKEN: Final = 4
 DEFAULT_LENGTH: Final = 16
 HASH_MASK: Final = (1 << 63) - 1
+DEATH_DELAY_S: Final = 0.02
 EXIT_FALLEN: Final = 3
 LENGTH: Final = re.compile(r'length=(\d+)')
 
@@ -189,8 +190,11 @@
             self.silent_since = self.connection_count
         if body.get('turn_cold'):
             self.model.turn_cold(self._loop.time())
+        if body.get('restart'):
+            self.boot()
         if body.get('die'):
-            self.lose()
+            # The control call is answered first.
+            self._loop.call_later(DEATH_DELAY_S, self.lose)
 
     def start(
         self, body: serving.Body, request_id: str, priority: int
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import struct
 from collections.abc import AsyncIterator, Iterator
@@ -19,6 +20,8 @@
 CHUNK_BYTES: Final = 65536
 LINGER_NONE: Final = struct.pack('ii', 1, 0)
 
+ADDRESS: Final = re.compile(rb'127\.0\.0\.1:\d+')
+
 Direction = Literal['up', 'down']
 
 
@@ -49,6 +52,8 @@
         self._delay_s = 0.0
         self._blackhole = False
         self._one_way = ''
+        self._blocked: frozenset[str] = frozenset()
+        self._senders: dict[int, str] = {}
         self._silent_since = 0
         self._accepted = 0
         self._passed_bytes = {'up': 0, 'down': 0}
@@ -91,14 +96,21 @@
         """Apply a control call.
 
         :param body: `delay_ms`, `cut`, `blackhole`, `blackhole_existing`,
-            `one_way` (`up` or `down`) or `restore`, which ends all faults
+            `one_way` (`up` or `down`), `block_senders` (a blackhole for the
+            nodes with these peer addresses) or `restore`, which ends them all
         """
         if body.get('restore'):
-            body = {'delay_ms': 0, 'blackhole': False, 'one_way': ''}
+            body = {
+                'delay_ms': 0,
+                'blackhole': False,
+                'one_way': '',
+                'block_senders': (),
+            }
             await self.listen()
         self._delay_s = body.get('delay_ms', self._delay_s * 1000) / 1000
         self._blackhole = body.get('blackhole', self._blackhole)
         self._one_way = body.get('one_way', self._one_way)
+        self._blocked = frozenset(body.get('block_senders', self._blocked))
         if body.get('blackhole_existing'):
             self._silent_since = self._accepted
         if body.get('cut'):
@@ -150,6 +162,8 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
+            if direction == 'up' and number not in self._senders:
+                self._note_sender(number, data)
             await asyncio.sleep(self._delay_s)
             await self._wait_passable(number, direction)
             self._passed_bytes[direction] += len(data)
@@ -158,11 +172,18 @@
         await self._wait_passable(number, direction)
         writer.close()
 
+    def _note_sender(self, number: int, data: bytes) -> None:
+        """Tell whose connection it is: a node's messages begin with that."""
+        found = ADDRESS.search(data)
+        if found is not None:
+            self._senders[number] = found.group().decode()
+
     async def _wait_passable(self, number: int, direction: Direction) -> None:
         while (
             self._blackhole
             or self._one_way == direction
             or number <= self._silent_since
+            or self._senders.get(number) in self._blocked
         ):
             await self._changed.wait()
 
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -89,7 +89,7 @@
                     '/v1/chat/completions', json=BODY
                 ) as answer:
                     seen.append(answer.headers)
-                    await session.post('/control', json={'die': True})
+                    await session.post('/control', json={'restart': True})
                     with pytest.raises(aiohttp.ClientError):
                         await answer.read()
             assert seen[0]['Generation-Id'] == seen[1]['Generation-Id']
--- a/tests/test_standins_proxy.py
+++ b/tests/test_standins_proxy.py
@@ -85,6 +85,16 @@
             await opened.change({'restore': True})
             assert await old[0].readexactly(1) == b'?'
 
+    async def test_blocked_sender_is_held_while_others_pass(self) -> None:
+        async with open_echo() as opened:
+            await opened.change({'block_senders': ['127.0.0.1:5001']})
+            blocked, other = await connect(opened), await connect(opened)
+            blocked[1].write(b'from 127.0.0.1:5001 to 127.0.0.1:5002')
+            assert await is_silent(blocked)
+            assert await ask(other, b'127.0.0.1:5002') == b'127.0.0.1:5002'
+            await opened.change({'restore': True})
+            assert await blocked[0].readexactly(4) == b'from'
+
     async def test_cut_resets_and_refuses_until_restored(self) -> None:
         async with open_echo() as opened:
             old = await connect(opened)
