Admit in the engine model without sorting all that waits

Cause: each step sorted every waiting generation. Change: take the most urgent one while it fits. Conclusion: same order of service.

--- a/tests/standins/engine_model.py
+++ b/tests/standins/engine_model.py
@@ -363,21 +363,16 @@
     def _admit(self) -> None:
         """Move waiting generations into the batch while they fit."""
         limits = self._parameters
-        if not self._waiting or len(self._running) >= limits.batch_limit:
-            return
-        for generation in sorted(
-            self._waiting.values(), key=lambda one: one.rank
-        ):
+        while self._waiting and len(self._running) < limits.batch_limit:
+            generation = min(self._waiting.values(), key=lambda one: one.rank)
             needed = generation.tokens + len(self._running) + 1
-            fits = self._memory_used + needed <= limits.memory_tokens
-            if not fits or len(self._running) >= limits.batch_limit:
+            if self._memory_used + needed > limits.memory_tokens:
                 return
             del self._waiting[generation.name]
             self._running[generation.name] = generation
             self._memory_used += generation.tokens
-            generation.prefill_left = generation.tokens - self._use_cache(
-                generation
-            )
+            cached = self._use_cache(generation)
+            generation.prefill_left = max(generation.tokens - cached, 0)
 
     def _prefill(self) -> float:
         """Prefill one chunk and return the time that it takes, in ms."""
