Keep what a node learned of output lengths across its schedulers

Cause: a scheduler that moves or starts over forgot the lengths it had seen, and a superseded one was not closed. Change: the shell keeps one length model a service, passes the settings' times on, notes every term it sees and closes a superseded scheduler. Conclusion: follows the scheduler's interface.

--- a/packages/node/mastichatch_node/main.py
+++ b/packages/node/mastichatch_node/main.py
@@ -13,6 +13,7 @@
 
 from mastichatch_core.generated.messages import ServiceLoad
 from mastichatch_core.generated.settings import Settings
+from mastichatch_core.scheduler_state import Timing
 from mastichatch_node.admin import Admin
 from mastichatch_node.calls import Calls, open_calls
 from mastichatch_node.chat import Chat
@@ -128,7 +129,11 @@
         node=base.settings.name,
         data_centre=base.settings.data_centre,
     )
-    scheduling = Scheduling(tools, membership, base.configuration)
+    timing = Timing(
+        permit_lease=base.settings.permit_lease_ms / _MS_PER_S,
+        member_timeout=base.settings.member_timeout_ms / _MS_PER_S,
+    )
+    scheduling = Scheduling(tools, membership, base.configuration, timing)
     report = await stack.enter_async_context(
         open_reports(engines, base.configuration),
     )
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -24,6 +24,8 @@
     ServiceLoad,
     Term,
 )
+from mastichatch_core.prediction import LengthModel
+from mastichatch_core.scheduler_state import Timing
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.hosting import Hosted, Tools
 from mastichatch_node.links import rank
@@ -45,11 +47,20 @@
         tools: Tools,
         membership: Membership,
         configuration: Configuration,
+        timing: Timing,
     ) -> None:
-        """Start with no scheduler."""
+        """Start with no scheduler.
+
+        :param tools: what every scheduler uses
+        :param membership: who is live
+        :param configuration: the configuration in force
+        :param timing: times that the schedulers keep to
+        """
         self._tools = tools
         self._membership = membership
         self._configuration = configuration
+        self._timing = timing
+        self._lengths: dict[str, LengthModel] = {}
         self._hosted: dict[str, Hosted] = {}
         self._terms: dict[str, int] = {}
         self._observations: dict[str, EndpointObservation] = {}
@@ -92,7 +103,7 @@
             if service not in self._hosted:
                 self._open(service, catalogue)
         for hosted in self.hosted:
-            self._update(hosted, catalogue)
+            _update(hosted, catalogue, self._membership.leaving_hosts)
 
     def advance(self) -> None:
         """Let time pass for every scheduler, and announce them."""
@@ -100,6 +111,10 @@
         for hosted in self.hosted:
             self._feed_members(hosted, now)
             hosted.send(core.advance(hosted.scheduler, now))
+            if hosted.scheduler.superseded:
+                self._close(hosted.scheduler.service)
+                self.review()
+                continue
             if now - hosted.last_announced >= ANNOUNCE_INTERVAL_S:
                 self._announce(hosted, now)
 
@@ -124,8 +139,7 @@
         """
         if message.data_centre != self._tools.data_centre:
             return
-        known = self._terms.get(message.service, 0)
-        self._terms[message.service] = max(known, message.term.number)
+        self._note_term(message.service, message.term)
         hosted = self._hosted.get(message.service)
         if hosted is None or message.term == hosted.term:
             return
@@ -165,11 +179,13 @@
         :param message: the registration
         :param envelope: who sent it
         """
+        self._note_term(message.service, message.term)
         hosted = self._hosted.get(message.service)
-        if hosted is None or message.term != hosted.term:
+        if hosted is None:
             return
         now = _now()
-        hosted.add_client(message, envelope.sender, now)
+        if message.term == hosted.term:
+            hosted.add_client(message, envelope.sender, now)
         hosted.send(core.register(hosted.scheduler, message, now))
 
     async def on_release(
@@ -204,6 +220,10 @@
                 core.cancel(hosted.scheduler, message, _now()),
             )
 
+    def _note_term(self, service: str, term: Term) -> None:
+        known = self._terms.get(service, 0)
+        self._terms[service] = max(known, term.number)
+
     def _wanted_services(self, catalogue: Catalogue) -> frozenset[str]:
         own = self._tools.node
         return frozenset(
@@ -224,6 +244,8 @@
             service,
             self._tools.data_centre,
             now,
+            timing=self._timing,
+            lengths=self._lengths.setdefault(service, LengthModel()),
         )
         hosted = Hosted(scheduler, self._tools, catalogue.revision)
         self._hosted[service] = hosted
@@ -247,14 +269,6 @@
             term=hosted.term.number,
         )
 
-    def _update(self, hosted: Hosted, catalogue: Catalogue) -> None:
-        now = _now()
-        hosted.note_revision(catalogue.revision)
-        scheduler = hosted.scheduler
-        hosted.send(core.set_catalogue(scheduler, catalogue, now))
-        leaving = self._membership.leaving_hosts
-        hosted.send(core.set_leaving(scheduler, leaving, now))
-
     def _feed_members(self, hosted: Hosted, now: float) -> None:
         hosted.send(
             core.set_members(
@@ -365,6 +379,17 @@
         await asyncio.sleep(REPORT_INTERVAL_S)
 
 
+def _update(
+    hosted: Hosted,
+    catalogue: Catalogue,
+    leaving: frozenset[str],
+) -> None:
+    now = _now()
+    hosted.note_revision(catalogue.revision)
+    hosted.send(core.set_catalogue(hosted.scheduler, catalogue, now))
+    hosted.send(core.set_leaving(hosted.scheduler, leaving, now))
+
+
 def _name(member: Member | None) -> str:
     return '' if member is None else member.name
 
