Run calls of plain services at most once

Cause: bookings must not run twice, whichever node a caller retries at. Ruled out: ran=no when the platform is away before the key could be read. An earlier try may have run elsewhere, so the answer is platform_unavailable with ran=unknown.

--- /dev/null
+++ b/packages/node/mastichatch_node/claiming.py
@@ -0,0 +1,249 @@
+"""Claims keys in the platform and records there what became of them."""
+
+import asyncio
+import collections
+import dataclasses
+from typing import Final
+
+import msgspec
+from absl import logging
+
+from mastichatch_core.claims import (
+    ClaimLease,
+    decode_claim,
+    encode_claim,
+    lease_ttl_ms,
+    settled_claim,
+)
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import CallOutcome, ErrorKind
+from mastichatch_core.generated.records import Claim
+from mastichatch_node.metrics import Metrics
+from mastichatch_node.platform import (
+    LeaseGoneError,
+    Platform,
+    RevisionMismatchError,
+)
+
+RECORDS_PER_SECOND: Final = 20
+RECORDS_LIMIT: Final = 2000
+RECORD_TRIES: Final = 3
+CLAIM_WRITE_TRIES: Final = 2
+_ABSENT: Final = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FoundClaim:
+    """A claim as the platform holds it.
+
+    :param claim: the claim
+    :param revision: its revision
+    """
+
+    claim: Claim
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TakenClaim:
+    """A key that this node's attempt owns.
+
+    :param name: key of the claim
+    :param claim: the claim
+    :param revision: its revision
+    :param covers_sends_until: last moment at which the call may be sent, in
+        loop seconds; the claim then still lasts for the retention
+    """
+
+    name: str
+    claim: Claim
+    revision: int
+    covers_sends_until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    name: str
+    claim: Claim
+    revision: int
+    retention_s: float
+
+
+class Claims:
+    """The platform's claims, as one node reads and writes them.
+
+    :param platform: the platform
+    :param metrics: metrics of this node
+    """
+
+    def __init__(self, platform: Platform, metrics: Metrics) -> None:
+        """Start without leases."""
+        self._platform = platform
+        self._metrics = metrics
+        self._leases: dict[float, ClaimLease] = {}
+        self._lease_lock = asyncio.Lock()
+        self._records: collections.deque[_Record] = collections.deque(
+            maxlen=RECORDS_LIMIT,
+        )
+        self._has_records = asyncio.Event()
+
+    async def find(self, name: str) -> FoundClaim | None:
+        """Return the claim that stands under a key.
+
+        :param name: key of the claim
+        :raises MastichatchError: with ``platform_unavailable``
+        """
+        stored = await self._platform.read(name)
+        if stored is None:
+            return None
+        try:
+            claim = decode_claim(stored.value)
+        except msgspec.DecodeError as error:
+            raise MastichatchError(
+                ErrorKind.internal,
+                f'{name} holds no claim: {error}',
+            ) from error
+        return FoundClaim(claim=claim, revision=stored.revision)
+
+    async def take(
+        self,
+        name: str,
+        wanted: Claim,
+        found: FoundClaim | None,
+        retention_s: float,
+    ) -> TakenClaim | None:
+        """Write a claim in place of what was found.
+
+        A lost answer is settled by reading the claim back.
+
+        :param name: key of the claim
+        :param wanted: the claim to write
+        :param found: what it replaces; ``None`` where there was none
+        :param retention_s: time for which it is kept, in seconds
+        :returns: the claim; ``None`` where another attempt was faster
+        :raises MastichatchError: with ``platform_unavailable``; the write may
+            still take effect, so the attempt must be closed
+        """
+        expect = _revision(found)
+        covers_until = float('inf')
+        for _ in range(CLAIM_WRITE_TRIES):
+            lease = await self._lease(retention_s)
+            covers_until = min(covers_until, lease.covers_sends_until)
+            standing = await self._write(name, wanted, expect, lease)
+            if standing and standing.claim.attempt == wanted.attempt:
+                return TakenClaim(
+                    name=name,
+                    claim=wanted,
+                    revision=standing.revision,
+                    covers_sends_until=covers_until,
+                )
+            if _revision(standing) != expect:
+                return None
+        raise MastichatchError(ErrorKind.platform_unavailable)
+
+    def record(
+        self,
+        taken: TakenClaim,
+        outcome: CallOutcome,
+        retention_s: float,
+    ) -> None:
+        """Record an outcome with its claim, soon and if the platform allows.
+
+        Any node can then answer a retry, also when this one is gone. Nothing
+        depends on it: what is not recorded, this node answers for.
+
+        :param taken: the claim
+        :param outcome: outcome of its attempt
+        :param retention_s: time for which it is kept, in seconds
+        """
+        claim = settled_claim(taken.claim, outcome)
+        if claim is None:
+            return
+        record = _Record(taken.name, claim, taken.revision, retention_s)
+        self._records.append(record)
+        self._has_records.set()
+
+    async def run_recorder(self) -> None:
+        """Write records at a bounded rate until cancelled."""
+        while True:
+            await self._has_records.wait()
+            await self.flush()
+            self._has_records.clear()
+
+    async def flush(self) -> None:
+        """Write all records that wait."""
+        while self._records:
+            await self._write_record(self._records.popleft())
+            await asyncio.sleep(1 / RECORDS_PER_SECOND)
+
+    async def _write(
+        self,
+        name: str,
+        wanted: Claim,
+        expect: int,
+        lease: ClaimLease,
+    ) -> FoundClaim | None:
+        try:
+            revision = await self._platform.write(
+                name,
+                encode_claim(wanted),
+                expect=expect,
+                lease=lease.lease,
+            )
+        except LeaseGoneError:
+            self._leases.pop(lease.retention_s, None)
+        except RevisionMismatchError:
+            self._metrics.count('claims.conflict')
+        except MastichatchError as error:
+            if error.kind is not ErrorKind.platform_unavailable:
+                raise
+            self._metrics.count('claims.read_back')
+        else:
+            return FoundClaim(claim=wanted, revision=revision)
+        return await self.find(name)
+
+    async def _lease(self, retention_s: float) -> ClaimLease:
+        async with self._lease_lock:
+            known = self._leases.get(retention_s)
+            if known is not None and _now() < known.takes_claims_until:
+                return known
+            asked_at = _now()
+            lease = ClaimLease(
+                lease=await self._platform.grant_lease(
+                    lease_ttl_ms(retention_s),
+                ),
+                asked_at=asked_at,
+                retention_s=retention_s,
+            )
+            self._leases[retention_s] = lease
+            return lease
+
+    async def _write_record(self, record: _Record) -> None:
+        for _ in range(RECORD_TRIES):
+            try:
+                await self._try_record(record)
+            except (RevisionMismatchError, LeaseGoneError):
+                return
+            except MastichatchError as error:
+                logging.info('record not written: %s', error)
+                await asyncio.sleep(1)
+            else:
+                self._metrics.count('claims.recorded')
+                return
+
+    async def _try_record(self, record: _Record) -> None:
+        lease = await self._lease(record.retention_s)
+        await self._platform.write(
+            record.name,
+            encode_claim(record.claim),
+            expect=record.revision,
+            lease=lease.lease,
+        )
+
+
+def _revision(found: FoundClaim | None) -> int:
+    return _ABSENT if found is None else found.revision
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/node/mastichatch_node/keyed.py
@@ -0,0 +1,255 @@
+"""Runs a call whose key is claimed in the platform."""
+
+import asyncio
+from typing import Final
+
+from mastichatch_core.attempts import Attempt
+from mastichatch_core.claims import (
+    ClaimStep,
+    lease_ttl_s,
+    next_step,
+    recorded_outcome,
+)
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import (
+    CallOutcome,
+    Envelope,
+    ErrorKind,
+    MessageKind,
+    OutcomeQuery,
+    Ran,
+)
+from mastichatch_core.generated.records import Claim
+from mastichatch_node.claiming import Claims, FoundClaim, TakenClaim
+from mastichatch_node.decisions import DecisionLog
+from mastichatch_node.outcomes import Run, Runs
+from mastichatch_node.peers import Peers, Reply
+from mastichatch_node.retrying import (
+    MS_PER_SECOND,
+    AttemptRunner,
+    PlainCall,
+    RightToRun,
+)
+
+_ROUNDS_LIMIT: Final = 4
+_ANSWER_GRACE_S: Final = 0.5
+
+
+class _FreeKey:
+    """A key found free, which an attempt may take."""
+
+    def __init__(
+        self,
+        claims: Claims,
+        run: Run,
+        wanted: Claim,
+        found: FoundClaim | None,
+    ) -> None:
+        self._claims = claims
+        self._run = run
+        self._wanted = wanted
+        self._found = found
+        self._taken: TakenClaim | None = None
+
+    @property
+    def taken(self) -> TakenClaim | None:
+        """The claim, once it is taken."""
+        return self._taken
+
+    def right(self, call: PlainCall) -> RightToRun:
+        """Return the right to run a call, which claims the key."""
+
+        async def acquire() -> bool:
+            if self._taken is None:
+                # From here on another node may find the claim.
+                self._run.may_stand = True
+                self._taken = await self._claims.take(
+                    self._run.name,
+                    self._wanted,
+                    self._found,
+                    call.retention_s,
+                )
+            return self._taken is not None
+
+        def is_valid(now: float) -> bool:
+            return (
+                self._taken is not None and now < self._taken.covers_sends_until
+            )
+
+        return RightToRun(acquire=acquire, is_valid=is_valid)
+
+
+class KeyedCalls:
+    """Calls with claimed keys, and what other nodes ask about them."""
+
+    def __init__(
+        self,
+        claims: Claims,
+        runs: Runs,
+        runner: AttemptRunner,
+        peers: Peers,
+        log: DecisionLog,
+    ) -> None:
+        """Answer other nodes from now on."""
+        self._claims = claims
+        self._runs = runs
+        self._runner = runner
+        self._peers = peers
+        self._log = log
+        peers.on(MessageKind.outcome_query, OutcomeQuery, self._on_query)
+
+    async def run(self, call: PlainCall, run: Run) -> CallOutcome:
+        """Settle a claimed key: run the call, join it, or replay it.
+
+        :param call: the call
+        :param run: this node's run of it
+        """
+        for _ in range(_ROUNDS_LIMIT):
+            found = await self._claims.find(run.name)
+            run.is_key_known = True
+            settled = await self._settle(call, run, found)
+            if settled is None:
+                settled = await self._run_free(call, run, found)
+            if settled is not None:
+                return settled
+        raise MastichatchError(ErrorKind.in_progress)
+
+    async def _run_free(
+        self,
+        call: PlainCall,
+        run: Run,
+        found: FoundClaim | None,
+    ) -> CallOutcome | None:
+        if not self._runs.has_room:
+            raise MastichatchError(ErrorKind.queue_full)
+        key = _FreeKey(self._claims, run, self._wanted(run), found)
+        self._runner.note_first_attempt(call.service)
+        try:
+            return await self._runner.run(call, run.attempt, key.right(call))
+        finally:
+            self._record(call, run.attempt, key.taken)
+
+    def _record(
+        self,
+        call: PlainCall,
+        attempt: Attempt,
+        taken: TakenClaim | None,
+    ) -> None:
+        if taken is None:
+            return
+        # A task that is cancelled here has not closed its attempt yet.
+        outcome = attempt.close(ErrorKind.cancelled)
+        self._claims.record(taken, outcome, call.retention_s)
+
+    async def _settle(
+        self,
+        call: PlainCall,
+        run: Run,
+        found: FoundClaim | None,
+    ) -> CallOutcome | None:
+        """Return the outcome of an earlier attempt; ``None`` if none ran."""
+        step = next_step(found.claim if found else None, self._wanted(run))
+        self._note(call, run, step, found)
+        if found is None or step in {ClaimStep.own, ClaimStep.take_over}:
+            return None
+        if step is ClaimStep.refuse:
+            raise MastichatchError(ErrorKind.key_reused)
+        if step is ClaimStep.replay:
+            return recorded_outcome(found.claim)
+        outcome = await self._ask(call, found.claim, step)
+        return None if outcome.ran is Ran.no else outcome
+
+    async def _ask(
+        self,
+        call: PlainCall,
+        claim: Claim,
+        step: ClaimStep,
+    ) -> CallOutcome:
+        wait_s = max(0, call.deadline - _now())
+        wait_s += call.operation.timeout_ms / MS_PER_SECOND
+        query = OutcomeQuery(
+            attempt=claim.attempt,
+            body_digest=claim.body_digest,
+            wait_ms=wait_s * MS_PER_SECOND,
+        )
+        if step is ClaimStep.ask_self:
+            return await self._answer(query)
+        try:
+            return await self._peers.ask(
+                claim.peer_address,
+                MessageKind.outcome_query,
+                query,
+                CallOutcome,
+                timeout_ms=(wait_s + _ANSWER_GRACE_S) * MS_PER_SECOND,
+                recipient=claim.incarnation,
+            )
+        except MastichatchError as error:
+            return _unknown(f'its owner does not answer: {error}')
+
+    async def _on_query(
+        self,
+        query: OutcomeQuery,
+        _envelope: Envelope,
+    ) -> Reply:
+        outcome = await self._answer(query)
+        return Reply(kind=MessageKind.call_outcome, message=outcome)
+
+    async def _answer(self, query: OutcomeQuery) -> CallOutcome:
+        """Return what became of an attempt of this node."""
+        run = self._runs.by_attempt(query.attempt)
+        if run is None or run.digest != query.body_digest:
+            return _unknown('its owner does not know it')
+        try:
+            async with asyncio.timeout(query.wait_ms / MS_PER_SECOND):
+                await self._runs.join(run)
+        except TimeoutError:
+            return _unknown('it is in progress', ErrorKind.in_progress)
+        # Only what this very attempt did counts for its claim.
+        return run.attempt.close(ErrorKind.cancelled)
+
+    def _wanted(self, run: Run) -> Claim:
+        return Claim(
+            incarnation=self._peers.incarnation,
+            attempt=run.attempt.attempt_id,
+            body_digest=run.digest,
+            peer_address=self._peers.address,
+        )
+
+    def _note(
+        self,
+        call: PlainCall,
+        run: Run,
+        step: ClaimStep,
+        found: FoundClaim | None,
+    ) -> None:
+        owner = f' of {found.claim.attempt}' if found else ''
+        self._log.note(
+            'claim_read',
+            call.request_id,
+            choice=str(step),
+            reason=f'{run.name}{owner}',
+        )
+
+
+def claim_keep_s(call: PlainCall) -> float:
+    """Return how long this node answers for a claimed call, in seconds.
+
+    :param call: the call
+    """
+    return lease_ttl_s(call.retention_s)
+
+
+def _unknown(
+    message: str,
+    kind: ErrorKind = ErrorKind.outcome_unknown,
+) -> CallOutcome:
+    return CallOutcome(
+        ran=Ran.unknown,
+        body=b'',
+        error=kind,
+        message=message,
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/node/mastichatch_node/plain.py
@@ -0,0 +1,157 @@
+"""Adapter of the plain services: sends one call to one endpoint.
+
+No other module knows the services' protocol.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Awaitable, Callable
+from types import SimpleNamespace
+from typing import Final
+
+import aiohttp
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import ErrorKind
+
+ANSWER_LIMIT_BYTES: Final = 1048576
+_MS_PER_SECOND: Final = 1000
+_READ_SIZE_BYTES: Final = 65536
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlainRequest:
+    """One call as it goes to an endpoint.
+
+    :param request_id: id of the caller's request
+    :param operation: operation that is called
+    :param body: JSON body
+    :param timeout_s: time allowed from connecting to the last byte of the
+        answer, in seconds
+    """
+
+    request_id: str
+    operation: str
+    body: bytes
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlainAnswer:
+    """An endpoint's whole answer.
+
+    :param status: HTTP status
+    :param content_type: content type of the body
+    :param body: the whole body
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+Guard = Callable[[], None]
+SendPlain = Callable[[str, PlainRequest, Guard], Awaitable[PlainAnswer]]
+
+
+@contextlib.asynccontextmanager
+async def open_plain(
+    connect_timeout_ms: int,
+    answer_limit_bytes: int = ANSWER_LIMIT_BYTES,
+) -> AsyncIterator[SendPlain]:
+    """Open the adapter and give the function that sends a call.
+
+    Each call takes a new connection: one that was kept open may be dead by
+    now, which would leave the outcome unknown. The request is written at most
+    once and no redirect is followed.
+
+    The given function takes the endpoint's address, the request, and a guard.
+    The guard runs once the connection stands, after the last wait before the
+    first byte; nothing is sent where it raises. The function raises
+    ``endpoint_unreachable`` where no whole answer came; whether the guard ran
+    tells whether the call was sent.
+
+    :param connect_timeout_ms: time allowed for connecting, in milliseconds
+    :param answer_limit_bytes: largest body of an answer
+    """
+    async with _open_session(connect_timeout_ms) as session:
+
+        async def send(
+            address: str,
+            request: PlainRequest,
+            guard: Guard,
+        ) -> PlainAnswer:
+            url = f'http://{address}/v1/operations/{request.operation}'
+            try:
+                async with (
+                    asyncio.timeout(request.timeout_s),
+                    session.post(
+                        url,
+                        data=request.body,
+                        headers=_headers(request),
+                        allow_redirects=False,
+                        trace_request_ctx=guard,
+                    ) as response,
+                ):
+                    return await _read_answer(response, answer_limit_bytes)
+            except (aiohttp.ClientError, OSError, ValueError) as error:
+                raise _no_answer(address, error) from error
+
+        yield send
+
+
+def _open_session(connect_timeout_ms: int) -> aiohttp.ClientSession:
+    connect_timeout_s = connect_timeout_ms / _MS_PER_SECOND
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(_run_guard)
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(force_close=True, limit=0),
+        # The cookies of one workspace must not reach another one's calls.
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=connect_timeout_s,
+        ),
+        trace_configs=[trace],
+    )
+
+
+async def _run_guard(
+    _session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    _params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    # aiohttp calls this when the connection stands, before it writes.
+    context.trace_request_ctx()
+
+
+def _headers(request: PlainRequest) -> dict[str, str]:
+    return {
+        'Content-Type': 'application/json',
+        'Request-Id': request.request_id,
+    }
+
+
+async def _read_answer(
+    response: aiohttp.ClientResponse,
+    limit_bytes: int,
+) -> PlainAnswer:
+    body = bytearray()
+    async for chunk in response.content.iter_chunked(_READ_SIZE_BYTES):
+        body += chunk
+        if len(body) > limit_bytes:
+            raise ValueError(f'the answer is over {limit_bytes} bytes')
+    return PlainAnswer(
+        status=response.status,
+        content_type=response.content_type,
+        body=bytes(body),
+    )
+
+
+def _no_answer(address: str, error: Exception) -> MastichatchError:
+    reason = str(error) or type(error).__name__
+    return MastichatchError(
+        ErrorKind.endpoint_unreachable,
+        f'no answer from {address}: {reason}',
+    )
--- /dev/null
+++ b/packages/node/mastichatch_node/retrying.py
@@ -0,0 +1,325 @@
+"""Runs one attempt: a permit, a connection, and the send that cannot repeat."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from mastichatch_core.attempts import (
+    SERVER_ERROR_STATUS,
+    Attempt,
+    AttemptState,
+)
+from mastichatch_core.catalogue import Catalogue
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.manifest import Operation, Service
+from mastichatch_core.generated.messages import (
+    CallOutcome,
+    ErrorKind,
+    PermitGrant,
+    PermitOutcome,
+    PermitRequest,
+)
+from mastichatch_core.retries import RetryBudget, deposit, withdraw
+from mastichatch_node.configuration import Configuration
+from mastichatch_node.decisions import DecisionLog
+from mastichatch_node.metrics import Metrics
+from mastichatch_node.permits import Permits
+from mastichatch_node.plain import PlainAnswer, PlainRequest, SendPlain
+from mastichatch_node.routing import DATA_CENTRE_LIMIT
+
+MS_PER_SECOND: Final = 1000
+_PERMIT_TRIES_LIMIT: Final = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlainCall:
+    """One checked call of a plain service.
+
+    :param request_id: id of the caller's request
+    :param workspace: workspace of the caller
+    :param service: service that is called
+    :param operation: operation that is called
+    :param body: JSON body
+    :param deadline: last moment at which it may be sent, in loop seconds
+    """
+
+    request_id: str
+    workspace: str
+    service: Service
+    operation: Operation
+    body: bytes
+    deadline: float
+
+    @property
+    def retention_s(self) -> float:
+        """Time for which the call's key is kept, in seconds."""
+        return self.operation.key_retention_ms / MS_PER_SECOND
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RightToRun:
+    """What gives this node alone the right to run a call.
+
+    :param acquire: takes the right, once a permit is held; false where another
+        node has it
+    :param is_valid: whether the right still covers a send at this moment
+    """
+
+    acquire: Callable[[], Awaitable[bool]]
+    is_valid: Callable[[float], bool]
+
+
+class PermitLapsedError(MastichatchError):
+    """A permit or the right to run lapsed before the first byte."""
+
+    def __init__(self) -> None:
+        """Say that nothing was sent."""
+        super().__init__(
+            ErrorKind.queue_deadline,
+            'the permit lapsed before the call was sent',
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class _Tries:
+    excluded: tuple[str, ...] = ()
+    permits: int = 0
+
+
+AcquirePermit = Callable[[PermitRequest], Awaitable[PermitGrant]]
+
+
+class AttemptRunner:
+    """Runs attempts, under one retry budget for each service."""
+
+    def __init__(
+        self,
+        node: str,
+        permits: Permits,
+        acquire: AcquirePermit,
+        configuration: Configuration,
+        send: SendPlain,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        """Keep what attempts need."""
+        self._node = node
+        self._permits = permits
+        self._acquire = acquire
+        self._configuration = configuration
+        self._send = send
+        self._log = log
+        self._metrics = metrics
+        self._budgets: dict[str, RetryBudget] = {}
+        self._permit_count = 0
+
+    def note_first_attempt(self, service: Service) -> None:
+        """Add a first attempt to the service's retry budget.
+
+        :param service: service that is called
+        """
+        self._budgets[service.name] = deposit(self._budget(service))
+
+    def may_retry(self, service: Service) -> bool:
+        """Take one retry from the service's budget, if one is left.
+
+        :param service: service that is called
+        """
+        left = withdraw(self._budget(service))
+        if left is None:
+            self._metrics.count('calls.retry_budget_empty')
+            return False
+        self._budgets[service.name] = left
+        return True
+
+    async def run(
+        self,
+        call: PlainCall,
+        attempt: Attempt,
+        right: RightToRun,
+        excluded: tuple[str, ...] = (),
+    ) -> CallOutcome | None:
+        """Run an attempt to its end.
+
+        While nothing was sent, another endpoint is tried under the retry
+        budget. From the first byte on there is no second try.
+
+        :param call: the call
+        :param attempt: its attempt, open and not sent
+        :param right: what gives this node the right to run it
+        :param excluded: endpoints that are not tried
+        :returns: the outcome; ``None`` where another node has the right, and
+            nothing was sent
+        """
+        tries = _Tries(excluded=excluded)
+        while attempt.is_open:
+            try:
+                if not await self._try_endpoint(call, attempt, right, tries):
+                    return None
+            except MastichatchError as error:
+                if not self._goes_on(call, attempt, tries, error):
+                    attempt.close(error.kind, str(error))
+        self._note_outcome(call, attempt)
+        return attempt.outcome
+
+    async def _try_endpoint(
+        self,
+        call: PlainCall,
+        attempt: Attempt,
+        right: RightToRun,
+        tries: _Tries,
+    ) -> bool:
+        grant = await self._acquire(self._permit_request(call, tries))
+        outcome = PermitOutcome.unused
+        try:
+            if not await right.acquire():
+                return False
+            answer = await self._send_under(grant, call, attempt, right)
+            outcome = _permit_outcome(answer)
+            attempt.answer(answer.status, answer.content_type, answer.body)
+        except MastichatchError as error:
+            if error.kind is ErrorKind.endpoint_unreachable:
+                outcome = PermitOutcome.unreachable
+                tries.excluded = (*tries.excluded, grant.endpoint)
+            raise
+        finally:
+            if attempt.was_sent and outcome is PermitOutcome.unused:
+                outcome = PermitOutcome.failed
+            self._permits.release(grant, outcome)
+        return True
+
+    async def _send_under(
+        self,
+        grant: PermitGrant,
+        call: PlainCall,
+        attempt: Attempt,
+        right: RightToRun,
+    ) -> PlainAnswer:
+        def guard() -> None:
+            now = asyncio.get_running_loop().time()
+            if now > call.deadline:
+                raise MastichatchError(ErrorKind.queue_deadline)
+            if not self._permits.still_valid(grant) or not right.is_valid(now):
+                raise PermitLapsedError
+            attempt.mark_sent()
+            self._permits.mark_used(grant)
+            self._note_send(call, attempt, grant)
+
+        return await self._send(
+            self._address(grant.endpoint),
+            PlainRequest(
+                request_id=call.request_id,
+                operation=call.operation.name,
+                body=call.body,
+                timeout_s=call.operation.timeout_ms / MS_PER_SECOND,
+            ),
+            guard,
+        )
+
+    def _goes_on(
+        self,
+        call: PlainCall,
+        attempt: Attempt,
+        tries: _Tries,
+        error: MastichatchError,
+    ) -> bool:
+        if attempt.state is not AttemptState.not_sent:
+            return False
+        if _now() > call.deadline or tries.permits >= _PERMIT_TRIES_LIMIT:
+            return False
+        if isinstance(error, PermitLapsedError):
+            return True
+        if error.kind is not ErrorKind.endpoint_unreachable:
+            return False
+        return self.may_retry(call.service)
+
+    def _permit_request(self, call: PlainCall, tries: _Tries) -> PermitRequest:
+        tries.permits += 1
+        self._permit_count += 1
+        return PermitRequest(
+            request_id=call.request_id,
+            # Two tries of one request never share a permit's name.
+            attempt=self._permit_count * DATA_CENTRE_LIMIT,
+            service=call.service.name,
+            workspace=call.workspace,
+            node=self._node,
+            deadline_ms=max(0, call.deadline - _now()) * MS_PER_SECOND,
+            excluded=tries.excluded,
+        )
+
+    def _address(self, endpoint: str) -> str:
+        catalogue = self._configuration.current
+        if catalogue is None or endpoint not in catalogue.endpoints:
+            raise MastichatchError(
+                ErrorKind.no_endpoint,
+                f'there is no endpoint {endpoint!r}',
+            )
+        return catalogue.endpoints[endpoint].address
+
+    def _budget(self, service: Service) -> RetryBudget:
+        known = self._budgets.get(service.name)
+        if known is None or known.percent != service.retry_budget_percent:
+            return RetryBudget(percent=service.retry_budget_percent)
+        return known
+
+    def _note_send(
+        self,
+        call: PlainCall,
+        attempt: Attempt,
+        grant: PermitGrant,
+    ) -> None:
+        self._metrics.count('calls.sent')
+        self._log.note(
+            'call_sent',
+            call.request_id,
+            choice=grant.endpoint,
+            reason=f'attempt {attempt.attempt_id}',
+            term=grant.term.number,
+            revision=self._configuration.revision,
+            candidates=grant.candidates,
+        )
+
+    def _note_outcome(self, call: PlainCall, attempt: Attempt) -> None:
+        outcome = attempt.outcome
+        if outcome is None:
+            return
+        self._metrics.count(f'calls.ran_{outcome.ran}')
+        self._log.note(
+            'call_ended',
+            call.request_id,
+            choice=str(outcome.error or outcome.status),
+            reason=f'{attempt.state}; {outcome.message}',
+            revision=self._configuration.revision,
+        )
+
+
+def find_operation(
+    configuration: Configuration,
+    workspace: str,
+    service: str,
+    operation: str,
+) -> tuple[Catalogue, Operation]:
+    """Return the operation that a workspace may call.
+
+    :param configuration: the configuration
+    :param workspace: name of the workspace
+    :param service: name of the service
+    :param operation: name of the operation
+    :raises MastichatchError: where the manifest does not allow the call
+    """
+    catalogue = configuration.current
+    if catalogue is None:
+        raise MastichatchError(ErrorKind.not_ready)
+    catalogue.workspace(workspace, service)
+    return catalogue, catalogue.operation(service, operation)
+
+
+def _permit_outcome(answer: PlainAnswer) -> PermitOutcome:
+    if answer.status >= SERVER_ERROR_STATUS:
+        return PermitOutcome.failed
+    return PermitOutcome.completed
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/node/mastichatch_node/ticketing.py
@@ -0,0 +1,203 @@
+"""Mints tickets, runs this node's own, and forwards all others."""
+
+import asyncio
+import itertools
+from typing import Final
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import (
+    CallOutcome,
+    ErrorKind,
+    ForwardCall,
+    MessageKind,
+    Ran,
+)
+from mastichatch_core.generated.settings import Settings
+from mastichatch_core.tickets import Ticket, check_use, read_ticket, sign_ticket
+from mastichatch_node.outcomes import Run, Runs
+from mastichatch_node.peers import Peers
+from mastichatch_node.retrying import (
+    MS_PER_SECOND,
+    AttemptRunner,
+    PlainCall,
+    RightToRun,
+)
+
+TICKETS_LIMIT: Final = 1000
+_ANSWER_GRACE_S: Final = 0.5
+
+
+class TicketCalls:
+    """The tickets of this incarnation, and calls that carry any ticket."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        runs: Runs,
+        runner: AttemptRunner,
+        peers: Peers,
+    ) -> None:
+        """Start with the first counter."""
+        self._settings = settings
+        self._runs = runs
+        self._runner = runner
+        self._peers = peers
+        self._counter = itertools.count(1)
+
+    def mint(
+        self,
+        workspace: str,
+        service: str,
+        operation: str,
+        count: int,
+    ) -> tuple[str, ...]:
+        """Return new tickets.
+
+        :param workspace: workspace that may use them
+        :param service: service that they call
+        :param operation: operation that they call
+        :param count: how many, at most ``TICKETS_LIMIT``
+        :raises MastichatchError: with ``bad_request`` for another count
+        """
+        if not 1 <= count <= TICKETS_LIMIT:
+            raise MastichatchError(
+                ErrorKind.bad_request,
+                f'the count must be from 1 to {TICKETS_LIMIT}',
+            )
+        lifetime_s = self._settings.ticket_lifetime_ms / MS_PER_SECOND
+        return tuple(
+            sign_ticket(
+                Ticket(
+                    incarnation=self._peers.incarnation,
+                    peer_address=self._peers.address,
+                    counter=next(self._counter),
+                    expires_at=_now() + lifetime_s,
+                    workspace=workspace,
+                    service=service,
+                    operation=operation,
+                ),
+                self._settings.ticket_secret,
+            )
+            for _ in range(count)
+        )
+
+    def read(self, text: str, call: PlainCall) -> Ticket:
+        """Return a ticket that is good for a call.
+
+        :param text: the ticket as the caller sent it
+        :param call: the call that it is used for
+        :raises MastichatchError: with ``ticket_invalid``
+        """
+        ticket = read_ticket(text, self._settings.ticket_secret)
+        check_use(
+            ticket,
+            call.workspace,
+            call.service.name,
+            call.operation.name,
+        )
+        return ticket
+
+    def is_own(self, ticket: Ticket) -> bool:
+        """Return whether this incarnation may run a ticket.
+
+        :param ticket: the ticket
+        """
+        return ticket.incarnation == self._peers.incarnation
+
+    def check_new(self, ticket: Ticket, call: PlainCall) -> None:
+        """Check that a ticket of this node that no run stands for may run.
+
+        :param ticket: a ticket of this incarnation
+        :param call: the call that it is used for
+        :raises MastichatchError: where it expired, or nothing more may run
+        """
+        now = _now()
+        if now >= ticket.expires_at + call.retention_s:
+            raise MastichatchError(
+                ErrorKind.outcome_unknown,
+                'the ticket expired, and its outcome is kept no longer',
+            )
+        if now >= ticket.expires_at:
+            raise MastichatchError(ErrorKind.ticket_expired)
+        if not self._runs.has_room:
+            raise MastichatchError(ErrorKind.queue_full)
+
+    async def run(self, call: PlainCall, run: Run) -> CallOutcome:
+        """Run a call whose ticket is this incarnation's.
+
+        :param call: the call
+        :param run: this node's run of it
+        """
+        run.is_key_known = True
+        self._runner.note_first_attempt(call.service)
+        outcome = await self._runner.run(call, run.attempt, _own_right())
+        return outcome or run.attempt.close(ErrorKind.internal)
+
+    async def forward(
+        self,
+        call: PlainCall,
+        text: str,
+        ticket: Ticket,
+    ) -> CallOutcome:
+        """Hand a call to the only incarnation that may run it.
+
+        :param call: the call
+        :param text: the ticket as the caller sent it
+        :param ticket: what it says
+        """
+        wait_ms = max(0, call.deadline - _now()) * MS_PER_SECOND
+        message = ForwardCall(
+            request_id=call.request_id,
+            service=call.service.name,
+            operation=call.operation.name,
+            workspace=call.workspace,
+            key=text,
+            body=call.body,
+            deadline_ms=wait_ms,
+        )
+        wait_ms += call.operation.timeout_ms + _ANSWER_GRACE_S * MS_PER_SECOND
+        try:
+            return await self._peers.ask(
+                ticket.peer_address,
+                MessageKind.forward_call,
+                message,
+                CallOutcome,
+                timeout_ms=wait_ms,
+                recipient=ticket.incarnation,
+            )
+        except MastichatchError as error:
+            return CallOutcome(
+                ran=Ran.unknown,
+                body=b'',
+                error=ErrorKind.outcome_unknown,
+                message=f'the node of the ticket does not answer: {error}',
+            )
+
+
+def ticket_keep_s(ticket: Ticket, call: PlainCall) -> float:
+    """Return how long the outcome of a ticket is kept, in seconds.
+
+    :param ticket: the ticket
+    :param call: the call that it is used for
+    """
+    unexpired_s = max(0, ticket.expires_at - _now())
+    return unexpired_s + call.retention_s + _longest_run_s(call)
+
+
+def _longest_run_s(call: PlainCall) -> float:
+    timeouts_ms = call.service.queue_deadline_ms + call.operation.timeout_ms
+    return timeouts_ms / MS_PER_SECOND
+
+
+def _own_right() -> RightToRun:
+    async def acquire() -> bool:
+        return True
+
+    def is_valid(_now_s: float) -> bool:
+        return True
+
+    return RightToRun(acquire=acquire, is_valid=is_valid)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
