Check every setting that the schema describes as an address

Cause: the check of ports and IPs named its settings by hand and missed the advertised peer address. Change: the addresses are found by their pattern in the schema. Conclusion: a new address in the schema is checked without further code.

--- a/packages/core/mastichatch_core/settings.py
+++ b/packages/core/mastichatch_core/settings.py
@@ -17,6 +17,7 @@
 VARIABLE_PREFIX: Final = 'MASTICHATCH_'
 HIGHEST_PORT: Final = 65535
 _UNSPECIFIED_HOST: Final = '0.0.0.0:'
+_ADDRESS_PATTERN: Final = '[0-9.]+:[0-9]+'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -188,8 +189,7 @@
         name: value for name, value in complete.items() if name not in wrong
     }
     wrong |= _address_faults(sound)
-    if sound.get('peer_address', '').startswith(_UNSPECIFIED_HOST):
-        wrong.setdefault('peer_address', 'must name one IP for other nodes')
+    wrong |= _advertised_fault(sound)
     wrong |= _rule_faults(sound.keys() - wrong.keys(), sound)
     if wrong:
         raise SettingsError(
@@ -245,7 +245,7 @@
 def _reason(error: jsonschema.ValidationError) -> str:
     bound: Any = error.validator_value
     match error.validator:
-        case 'pattern' if '[0-9.]+' in bound:
+        case 'pattern' if _ADDRESS_PATTERN in bound:
             return f'{error.instance!r} is not an address of the form IP:PORT'
         case 'minimum':
             return f'{error.instance} is less than {bound}'
@@ -271,13 +271,22 @@
 
 def _address_faults(values: Mapping[str, Any]) -> dict[str, str]:
     wrong: dict[str, str] = {}
-    for name in ('platform', 'http_address', 'peer_address', 'statsd', 'seeds'):
+    for name in _address_names():
         reason = _wrong_address(_as_list(values.get(name, '')))
         if reason:
             wrong[name] = reason
     return wrong
 
 
+def _address_names() -> tuple[str, ...]:
+    return tuple(
+        name
+        for name, described in schema()['properties'].items()
+        if _ADDRESS_PATTERN
+        in described.get('items', described).get('pattern', '')
+    )
+
+
 def _as_list(value: str | list[str]) -> list[str]:
     return [value] if isinstance(value, str) else value
 
@@ -294,6 +303,16 @@
     return ''
 
 
+def _advertised_fault(values: Mapping[str, Any]) -> dict[str, str]:
+    for name in ('advertised_peer_address', 'peer_address'):
+        address = values.get(name, '')
+        if address.startswith(_UNSPECIFIED_HOST):
+            return {name: 'must name one IP for other nodes'}
+        if address:
+            break
+    return {}
+
+
 def _rule_faults(
     names: Iterable[str],
     values: Mapping[str, Any],
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -77,6 +77,8 @@
             ('--http-address=127.0.0.1:0', '--http-address'),
             ('--statsd=300.0.0.1:8125', '--statsd'),
             ('--peer-address=0.0.0.0:8081', '--peer-address'),
+            ('--advertised-peer-address=0.0.0.0:1', '--advertised-peer'),
+            ('--advertised-peer-address=127.0.0.1:0', '--advertised-peer'),
         ],
     )
     def test_settings_that_do_not_fit_together(
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -37,7 +37,8 @@
 - `--node-lease-ms` is longer than `--member-timeout-ms` and than
   `--platform-timeout-ms`;
 - `--peer-address` differs from `--http-address`, and neither port is zero;
-- `--peer-address` names one IP, since other nodes connect to it.
+- `--advertised-peer-address`, or else `--peer-address`, names one IP, since
+  other nodes connect to it.
 
 ## Error kinds
 
