--- /dev/null
+++ b/packages/node/mastichatch_node/codec.py
@@ -0,0 +1,72 @@
+"""Turns generated messages into bytes and back."""
+
+import functools
+from collections.abc import Hashable
+from typing import Any, TypeVar, cast
+
+import msgspec
+
+_Message = TypeVar('_Message')
+
+
+class DecodeError(Exception):
+    """Bytes are not a message of the expected type."""
+
+
+def encode(message: object) -> bytes:
+    """Return a message as msgpack.
+
+    :param message: instance of a generated data class
+    """
+    return msgspec.msgpack.encode(message)
+
+
+def decode(content: bytes, message_type: type[_Message]) -> _Message:
+    """Return the message that msgpack bytes hold.
+
+    :param content: bytes as ``encode`` made them
+    :param message_type: generated data class
+    :raises DecodeError: for anything else than such a message
+    """
+    return cast(
+        _Message,
+        _decoded(_msgpack_decoder(cast(Hashable, message_type)), content),
+    )
+
+
+def encode_json(message: object) -> bytes:
+    """Return a message as JSON, for values that people read too.
+
+    :param message: instance of a generated data class
+    """
+    return msgspec.json.encode(message)
+
+
+def decode_json(content: bytes, message_type: type[_Message]) -> _Message:
+    """Return the message that JSON bytes hold.
+
+    :param content: JSON text in UTF-8
+    :param message_type: generated data class
+    :raises DecodeError: for anything else than such a message
+    """
+    return cast(
+        _Message,
+        _decoded(_json_decoder(cast(Hashable, message_type)), content),
+    )
+
+
+def _decoded(decoder: Any, content: bytes) -> Any:
+    try:
+        return decoder.decode(content)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise DecodeError(str(error)) from error
+
+
+@functools.cache
+def _msgpack_decoder(message_type: Any) -> Any:
+    return msgspec.msgpack.Decoder(message_type)
+
+
+@functools.cache
+def _json_decoder(message_type: Any) -> Any:
+    return msgspec.json.Decoder(message_type)
--- /dev/null
+++ b/packages/node/mastichatch_node/peers.py
@@ -0,0 +1,377 @@
+"""One-way messages between nodes, and questions with answers on top.
+
+Each node listens with one Pull0 socket and dials one Push0 socket for each
+peer. A message that cannot be queued at once is dropped, and a connection
+that is reset loses what it had queued: nothing is ever sent twice.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from typing import Any, Final, TypeVar
+
+import pynng
+from absl import logging
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import (
+    Envelope,
+    ErrorKind,
+    Failure,
+    MessageKind,
+)
+from mastichatch_node import codec
+from mastichatch_node.connections import Connections
+
+FRAME_LIMIT_BYTES: Final = 4 * 1024 * 1024
+RECEIVE_BATCH: Final = 64
+TASK_LIMIT: Final = 20_000
+IDLE_CONNECTION_S: Final = 60.0
+MS_PER_S: Final = 1000
+
+_Message = TypeVar('_Message')
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What a handler answers.
+
+    :param kind: kind of the answer
+    :param message: the answer
+    """
+
+    kind: MessageKind
+    message: object
+
+
+Handler = Callable[[Any, Envelope], Awaitable[Reply | None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerCounts:
+    """How many messages were handled, for metrics.
+
+    :param sent: messages queued for sending
+    :param dropped: messages that found a full queue
+    :param received: well-formed messages
+    :param bad: frames that are no message, or none for this incarnation
+    :param resets: connections dropped because they were silent
+    :param sent_bytes: bytes queued for sending
+    """
+
+    sent: int = 0
+    dropped: int = 0
+    received: int = 0
+    bad: int = 0
+    resets: int = 0
+    sent_bytes: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Route:
+    message_type: type[Any]
+    handler: Handler
+
+
+class Peers:
+    """The node's connections to other nodes."""
+
+    def __init__(
+        self,
+        address: str,
+        incarnation: str,
+        listener: pynng.Pull0,
+    ) -> None:
+        """Keep the listener; ``open_peers`` is the way to create one."""
+        self._address = address
+        self._incarnation = incarnation
+        self._listener = listener
+        self._loop = asyncio.get_running_loop()
+        self._routes: dict[MessageKind, _Route] = {}
+        self._connections = Connections()
+        self._waiting: dict[int, asyncio.Future[Envelope]] = {}
+        self._heard_at: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._correlation = 0
+        self._counts: dict[str, int] = {}
+
+    @property
+    def address(self) -> str:
+        """IP address and port at which this node listens."""
+        return self._address
+
+    @property
+    def incarnation(self) -> str:
+        """Unique id of this run of the process."""
+        return self._incarnation
+
+    @property
+    def counts(self) -> PeerCounts:
+        """Numbers of messages since the start."""
+        return PeerCounts(**self._counts)
+
+    def on(
+        self,
+        kind: MessageKind,
+        message_type: type[_Message],
+        handler: Callable[[_Message, Envelope], Awaitable[Reply | None]],
+    ) -> None:
+        """Set what handles one kind of message.
+
+        :param kind: kind of the message
+        :param message_type: generated data class of its body
+        :param handler: is given the body and the envelope; its answer goes
+            back if the message was a question
+        """
+        self._routes[kind] = _Route(message_type=message_type, handler=handler)
+
+    def send(self, address: str, kind: MessageKind, message: object) -> None:
+        """Queue a one-way message, or drop it if the queue is full.
+
+        :param address: peer address of the receiver
+        :param kind: kind of the message
+        :param message: generated data class
+        """
+        self._transmit(address, self._wrap(kind, message))
+
+    async def ask(
+        self,
+        address: str,
+        kind: MessageKind,
+        message: object,
+        answer_type: type[_Message],
+        *,
+        timeout_ms: float,
+        recipient: str = '',
+    ) -> _Message:
+        """Send a question and wait for its answer.
+
+        :param address: peer address of the receiver
+        :param kind: kind of the question
+        :param message: generated data class
+        :param answer_type: generated data class of the answer
+        :param timeout_ms: longest wait, in milliseconds
+        :param recipient: incarnation that may answer; empty for any
+        :returns: the answer
+        :raises MastichatchError: with ``peer_unreachable`` without an answer
+            in time, or with the kind of the failure that was answered
+        """
+        self._correlation += 1
+        correlation = self._correlation
+        question = dataclasses.replace(
+            self._wrap(kind, message),
+            correlation=correlation,
+            recipient=recipient,
+        )
+        asked_at = self._loop.time()
+        future = self._loop.create_future()
+        self._waiting[correlation] = future
+        try:
+            self._transmit(address, question)
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                answer = await future
+        except TimeoutError:
+            # An open connection may carry nothing while new ones do.
+            if self._heard_at.get(address, -1) < asked_at:
+                self.reset(address)
+            raise _unreachable(address) from None
+        finally:
+            self._waiting.pop(correlation, None)
+        return _answer_body(answer, answer_type, address)
+
+    def reset(self, address: str) -> None:
+        """Drop the connection to a peer; the next message dials a new one.
+
+        :param address: peer address
+        """
+        if self._connections.reset(address):
+            self._count('resets')
+
+    def receive(self) -> None:
+        """Handle what has arrived, at most one batch of it."""
+        for _ in range(RECEIVE_BATCH):
+            try:
+                frame = self._listener.recv(block=False)
+            except pynng.TryAgain:
+                return
+            except pynng.NNGException as error:
+                logging.warning('receiving from peers failed: %s', error)
+                return
+            except RuntimeError:
+                # pynng cannot unpack an empty frame.
+                self._count('bad')
+                continue
+            self._handle_frame(frame)
+
+    def close_idle(self) -> None:
+        """Close connections that carried nothing for a while."""
+        oldest = self._loop.time() - IDLE_CONNECTION_S
+        self._connections.close_unused_since(oldest)
+        for address, heard_at in tuple(self._heard_at.items()):
+            if heard_at < oldest:
+                self._heard_at.pop(address)
+
+    def close(self) -> None:
+        """Close all connections and end the handlers in progress."""
+        for task in self._tasks:
+            task.cancel()
+        self._connections.close()
+        self._listener.close()
+
+    def _wrap(self, kind: MessageKind, message: object) -> Envelope:
+        return Envelope(
+            kind=kind,
+            sender=self._address,
+            incarnation=self._incarnation,
+            body=codec.encode(message),
+        )
+
+    def _transmit(self, address: str, envelope: Envelope) -> None:
+        frame = codec.encode(envelope)
+        if self._connections.transmit(address, frame):
+            self._count('sent')
+            self._count('sent_bytes', len(frame))
+        else:
+            self._count('dropped')
+
+    def _handle_frame(self, frame: bytes) -> None:
+        try:
+            envelope = codec.decode(frame, Envelope)
+        except codec.DecodeError:
+            self._count('bad')
+            return
+        self._heard_at[envelope.sender] = self._loop.time()
+        if envelope.recipient not in {'', self._incarnation}:
+            self._count('bad')
+            self._answer_failure(envelope, _not_here(envelope.recipient))
+        elif envelope.answer:
+            self._settle(envelope)
+        else:
+            self._dispatch(envelope)
+
+    def _settle(self, envelope: Envelope) -> None:
+        future = self._waiting.get(envelope.correlation)
+        if future is None or future.done():
+            return
+        self._count('received')
+        future.set_result(envelope)
+
+    def _dispatch(self, envelope: Envelope) -> None:
+        route = self._routes.get(envelope.kind)
+        if route is None or len(self._tasks) >= TASK_LIMIT:
+            self._count('bad')
+            return
+        try:
+            message = codec.decode(envelope.body, route.message_type)
+        except codec.DecodeError:
+            self._count('bad')
+            return
+        self._count('received')
+        task = self._loop.create_task(
+            self._run_handler(route.handler, message, envelope),
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run_handler(
+        self,
+        handler: Handler,
+        message: object,
+        envelope: Envelope,
+    ) -> None:
+        try:
+            reply = await handler(message, envelope)
+        except MastichatchError as error:
+            self._answer_failure(envelope, error)
+        except Exception:
+            logging.exception('handling %s failed', envelope.kind)
+            self._answer_failure(envelope, MastichatchError(ErrorKind.internal))
+        else:
+            if reply is not None:
+                self._answer(envelope, reply)
+
+    def _answer_failure(
+        self,
+        question: Envelope,
+        error: MastichatchError,
+    ) -> None:
+        failure = Failure(kind=error.kind, message=str(error))
+        self._answer(
+            question,
+            Reply(kind=MessageKind.failure, message=failure),
+        )
+
+    def _answer(self, question: Envelope, reply: Reply) -> None:
+        if question.answer or not question.correlation:
+            return
+        answer = dataclasses.replace(
+            self._wrap(reply.kind, reply.message),
+            correlation=question.correlation,
+            recipient=question.incarnation,
+            answer=True,
+        )
+        self._transmit(question.sender, answer)
+
+    def _count(self, name: str, amount: int = 1) -> None:
+        self._counts[name] = self._counts.get(name, 0) + amount
+
+
+@contextlib.asynccontextmanager
+async def open_peers(address: str, incarnation: str) -> AsyncIterator[Peers]:
+    """Listen for other nodes.
+
+    :param address: IP address and port to listen at; port 0 takes a free one
+    :param incarnation: unique id of this run of the process
+    """
+    listener = pynng.Pull0(recv_max_size=FRAME_LIMIT_BYTES)
+    bound = listener.listen(f'tcp://{address}')
+    peers = Peers(str(bound.local_address), incarnation, listener)
+    with contextlib.closing(peers), _reading(listener.recv_fd, peers):
+        yield peers
+
+
+@contextlib.contextmanager
+def _reading(descriptor: int, peers: Peers) -> Iterator[None]:
+    loop = asyncio.get_running_loop()
+    loop.add_reader(descriptor, peers.receive)
+    cleaner = loop.create_task(_close_idle_regularly(peers))
+    try:
+        yield
+    finally:
+        cleaner.cancel()
+        loop.remove_reader(descriptor)
+
+
+async def _close_idle_regularly(peers: Peers) -> None:
+    while True:
+        await asyncio.sleep(IDLE_CONNECTION_S / 2)
+        peers.close_idle()
+
+
+def _not_here(incarnation: str) -> MastichatchError:
+    return MastichatchError(
+        ErrorKind.peer_unreachable,
+        f'incarnation {incarnation} is not here',
+    )
+
+
+def _unreachable(address: str) -> MastichatchError:
+    return MastichatchError(
+        ErrorKind.peer_unreachable,
+        f'no answer from {address}',
+    )
+
+
+def _answer_body(
+    answer: Envelope,
+    answer_type: type[_Message],
+    address: str,
+) -> _Message:
+    try:
+        if answer.kind is MessageKind.failure:
+            failure = codec.decode(answer.body, Failure)
+            raise MastichatchError(failure.kind, failure.message)
+        return codec.decode(answer.body, answer_type)
+    except codec.DecodeError:
+        raise _unreachable(address) from None
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,34 @@
+"""Bytes of messages."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mastichatch_core.generated.messages import Envelope, Heartbeat
+from mastichatch_core.generated.records import Change, ConfigurationRoot
+from mastichatch_node import codec
+
+INTEGERS = st.integers(min_value=-(2**63), max_value=2**63 - 1)
+ENVELOPES = st.builds(Envelope, correlation=INTEGERS)
+CHANGES = st.builds(Change, revision=INTEGERS, at_epoch_ms=INTEGERS)
+ROOTS = st.builds(
+    ConfigurationRoot,
+    revision=INTEGERS,
+    history=st.lists(CHANGES).map(tuple),
+)
+
+
+class TestCodec:
+    @given(ENVELOPES)
+    def test_msgpack_brings_a_message_back(self, envelope: Envelope) -> None:
+        assert codec.decode(codec.encode(envelope), Envelope) == envelope
+
+    @given(ROOTS)
+    def test_json_brings_a_record_back(self, root: ConfigurationRoot) -> None:
+        assert codec.decode_json(codec.encode_json(root), type(root)) == root
+
+    @given(st.binary())
+    def test_noise_is_an_error_of_one_type(self, noise: bytes) -> None:
+        for decode in (codec.decode, codec.decode_json):
+            with pytest.raises(codec.DecodeError):
+                decode(noise, Heartbeat)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,195 @@
+"""Messages between nodes over real sockets on loopback."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterator
+
+import pynng
+import pytest
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import (
+    ChunkAnswer,
+    ChunkQuery,
+    Envelope,
+    ErrorKind,
+    MessageKind,
+)
+from mastichatch_node.connections import SEND_BUFFER_MESSAGES
+from mastichatch_node.peers import Peers, Reply, open_peers
+
+ASK_MS = 2000
+
+
+@contextlib.asynccontextmanager
+async def open_pair() -> AsyncIterator[tuple[Peers, Peers]]:
+    """Open two nodes' peers."""
+    async with open_peers('127.0.0.1:0', 'one') as one:
+        async with open_peers('127.0.0.1:0', 'two') as two:
+            yield one, two
+
+
+async def echo(query: ChunkQuery, envelope: Envelope) -> Reply:
+    """Answer with the question's digest."""
+    return Reply(
+        kind=MessageKind.chunk_answer,
+        message=ChunkAnswer(found=True, body=query.digest.encode()),
+    )
+
+
+async def ask(
+    peers: Peers,
+    address: str,
+    digest: str,
+    timeout_ms: float = ASK_MS,
+    recipient: str = '',
+) -> ChunkAnswer:
+    """Ask for a chunk."""
+    return await peers.ask(
+        address,
+        MessageKind.chunk_query,
+        ChunkQuery(digest=digest),
+        ChunkAnswer,
+        timeout_ms=timeout_ms,
+        recipient=recipient,
+    )
+
+
+@contextlib.contextmanager
+def listen_silently() -> Iterator[str]:
+    """Accept connections and never read from them."""
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        yield f'127.0.0.1:{server.getsockname()[1]}'
+
+
+class TestAsk:
+    async def test_each_answer_reaches_its_own_question(self) -> None:
+        async with open_pair() as (one, two):
+
+            async def answer_late(
+                query: ChunkQuery, envelope: Envelope
+            ) -> Reply:
+                await asyncio.sleep(0.05 / (1 + int(query.digest)))
+                return await echo(query, envelope)
+
+            two.on(MessageKind.chunk_query, ChunkQuery, answer_late)
+            answers = await asyncio.gather(
+                *(ask(one, two.address, str(index)) for index in range(300))
+            )
+            assert [int(answer.body) for answer in answers] == list(range(300))
+
+    async def test_both_ends_may_ask_with_the_same_correlation(self) -> None:
+        async with open_pair() as (one, two):
+            one.on(MessageKind.chunk_query, ChunkQuery, echo)
+            two.on(MessageKind.chunk_query, ChunkQuery, echo)
+            answers = await asyncio.gather(
+                ask(one, two.address, 'from-one'),
+                ask(two, one.address, 'from-two'),
+            )
+            assert [answer.body for answer in answers] == [
+                b'from-one',
+                b'from-two',
+            ]
+
+    async def test_a_refusal_raises_its_kind(self) -> None:
+        async with open_pair() as (one, two):
+
+            async def refuse(query: ChunkQuery, envelope: Envelope) -> None:
+                raise MastichatchError(ErrorKind.not_found, 'no chunk')
+
+            two.on(MessageKind.chunk_query, ChunkQuery, refuse)
+            with pytest.raises(MastichatchError, match='no chunk') as caught:
+                await ask(one, two.address, 'x')
+            assert caught.value.kind is ErrorKind.not_found
+
+    async def test_a_failing_handler_answers_internal(self) -> None:
+        async with open_pair() as (one, two):
+
+            async def fail(query: ChunkQuery, envelope: Envelope) -> None:
+                raise ValueError
+
+            two.on(MessageKind.chunk_query, ChunkQuery, fail)
+            with pytest.raises(MastichatchError) as caught:
+                await ask(one, two.address, 'x')
+            assert caught.value.kind is ErrorKind.internal
+
+    async def test_another_incarnation_at_the_address_refuses(self) -> None:
+        async with open_pair() as (one, two):
+            two.on(MessageKind.chunk_query, ChunkQuery, echo)
+            with pytest.raises(MastichatchError, match='old is not here'):
+                await ask(one, two.address, 'x', recipient='old')
+            assert (await ask(one, two.address, 'x', recipient='two')).found
+
+    async def test_an_absent_peer_is_unreachable_and_recovers(self) -> None:
+        async with open_peers('127.0.0.1:0', 'one') as one:
+            with listen_silently() as address:
+                pass
+            with pytest.raises(MastichatchError) as caught:
+                await ask(one, address, 'x', 50)
+            assert caught.value.kind is ErrorKind.peer_unreachable
+            async with open_peers(address, 'two') as two:
+                two.on(MessageKind.chunk_query, ChunkQuery, echo)
+                assert (await ask(one, address, 'x')).found
+
+
+class TestSilence:
+    async def test_a_silent_peer_never_blocks_the_sender(self) -> None:
+        async with open_peers('127.0.0.1:0', 'one') as one:
+            with listen_silently() as address:
+                message = ChunkAnswer(found=True, body=b'x' * 100_000)
+                for _ in range(2 * SEND_BUFFER_MESSAGES):
+                    one.send(address, MessageKind.chunk_answer, message)
+                assert one.counts.dropped > 0
+
+    async def test_a_silent_connection_is_dialled_again(self) -> None:
+        async with open_peers('127.0.0.1:0', 'one') as one:
+            with listen_silently() as address:
+                with pytest.raises(MastichatchError):
+                    await ask(one, address, 'x', 50)
+            assert one.counts.resets == 1
+
+    async def test_a_reset_connection_loses_what_it_had_queued(self) -> None:
+        async with open_peers('127.0.0.1:0', 'one') as one:
+            with listen_silently() as address:
+                pass
+            seen: list[str] = []
+
+            async def keep(query: ChunkQuery, envelope: Envelope) -> None:
+                seen.append(query.digest)
+
+            one.send(address, MessageKind.chunk_query, ChunkQuery(digest='a'))
+            one.reset(address)
+            one.send(address, MessageKind.chunk_query, ChunkQuery(digest='b'))
+            async with open_peers(address, 'two') as two:
+                two.on(MessageKind.chunk_query, ChunkQuery, keep)
+                while not seen:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.1)
+            assert seen == ['b']
+
+
+class TestBadFrames:
+    async def test_bad_frames_are_counted_and_the_loop_goes_on(self) -> None:
+        async with open_pair() as (one, two):
+            two.on(MessageKind.chunk_query, ChunkQuery, echo)
+            frames = (b'', b'\xc1', b'\xff' * 64, b'\x91' * 5000, b'\x80')
+            with pynng.Push0() as push:
+                push.dial(f'tcp://{two.address}', block=True)
+                for frame in frames:
+                    push.send(frame)
+                while two.counts.bad < len(frames):
+                    await asyncio.sleep(0.01)
+            assert (await ask(one, two.address, 'x')).found
+
+    async def test_an_unknown_kind_and_a_wrong_body_are_dropped(self) -> None:
+        async with open_pair() as (one, two):
+            two.on(MessageKind.chunk_query, ChunkQuery, echo)
+            one.send(two.address, MessageKind.heartbeat, ChunkQuery(digest=''))
+            one.send(
+                two.address,
+                MessageKind.chunk_query,
+                ChunkAnswer(found=True, body=b''),
+            )
+            assert (await ask(one, two.address, 'x')).found
+            assert two.counts.bad == 2
