Name the boot in every cancel

Cause: a late cancel could end another caller's generation, for an engine that restarts gives the same ids again. Change: the adapter sends the boot id, and the stand-in passes over a cancel of another boot. Conclusion: a cancel ends the generation that it names or none.

--- a/packages/node/mastichatch_node/engines.py
+++ b/packages/node/mastichatch_node/engines.py
@@ -151,15 +151,25 @@
             await _check(response)
             yield EngineStream(response)
 
-    async def cancel(self, address: str, generation: str) -> None:
+    async def cancel(
+        self,
+        address: str,
+        generation: str,
+        boot_id: str,
+    ) -> None:
         """Cancel a generation; a failure to do so is passed over.
 
+        The boot id keeps a late cancel from ending a generation of a later
+        boot that has the same id.
+
         :param address: IP address and port of the engine
         :param generation: id that the engine gave
+        :param boot_id: boot in which it gave it
         """
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with self._session.delete(
                 f'http://{address}/v1/generations/{generation}',
+                headers={'Boot-Id': boot_id},
                 timeout=aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S),
             ):
                 return
--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -209,7 +209,11 @@
         """
         endpoint = catalogue.endpoints.get(handle.endpoint)
         if endpoint is not None:
-            await self._engines.cancel(endpoint.address, handle.generation)
+            await self._engines.cancel(
+                endpoint.address,
+                handle.generation,
+                handle.boot_id,
+            )
 
     async def _run(
         self,
@@ -324,7 +328,8 @@
         progress.failures += 1
         is_gone = error.kind is ErrorKind.not_found
         if is_gone or progress.failures >= RESUME_LIMIT:
-            self._cancel_later(endpoint, handle)
+            if not is_gone:
+                self._cancel_later(endpoint, handle)
             raise _lost(error, progress) from error
 
     async def _pass_on(
@@ -431,7 +436,11 @@
         handle: GenerationHandle,
     ) -> None:
         task = asyncio.get_running_loop().create_task(
-            self._engines.cancel(endpoint.address, handle.generation),
+            self._engines.cancel(
+                endpoint.address,
+                handle.generation,
+                handle.boot_id,
+            ),
         )
         self._clean_ups.add(task)
         task.add_done_callback(self._clean_ups.discard)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -394,7 +394,8 @@
 
     async def cancel(request: web.Request) -> web.Response:
         output = engine.outputs.get(request.match_info['name'])
-        if output is None:
+        boot_id = request.headers.get('Boot-Id', engine.boot_id)
+        if output is None or boot_id != engine.boot_id:
             return web.json_response({}, status=404)
         engine.cancel(output)
         return web.json_response({})
