Prove that a plain call is written at most once

Cause: a stale connection, a redirect or a library's own repeat would send a call twice or leave its outcome unknown. Conclusion: the adapter needed no change.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -413,7 +413,9 @@
             assert not world.executions
 
 
-KEYS = ('a', 'b')
+KEYS = ('a', 'b', 'c')
+# Virtual times that end between every two steps of a call.
+STEPS_MS = tuple(range(1, 40, 2))
 NODES = st.sampled_from(range(len(ADDRESSES)))
 ENDPOINTS = (
     'healthy',
@@ -486,10 +488,25 @@
         self.answers.append((node, answer, task))
 
     @rule(
-        duration_ms=st.sampled_from(
-            (1, 2, 3, 4, 5, 7, 9, 11, 13, 17, 500, 1500, 3000, 40000)
-        )
+        node=NODES,
+        other=NODES,
+        key=st.sampled_from(KEYS),
+        after_ms=st.sampled_from(STEPS_MS),
+        fault=st.sampled_from(('kill', 'freeze', 'none')),
     )
+    def call_and_retry(
+        self, node: int, other: int, key: str, after_ms: int, fault: str
+    ) -> None:
+        """Break a node in the middle of a call, and retry at another."""
+        self._call(self.nodes[node], key)
+        self.advance(after_ms)
+        if fault == 'kill':
+            self.restart(node)
+        elif fault == 'freeze':
+            self.freeze(node)
+        self._call(self.nodes[other], key)
+
+    @rule(duration_ms=st.sampled_from((*STEPS_MS, 500, 1500, 3000, 40000)))
     def advance(self, duration_ms: int) -> None:
         """Let time pass: a few steps, or past deadlines."""
         self.finish(asyncio.sleep(duration_ms / 1000))
@@ -591,5 +608,5 @@
 
 TestFleet = FleetMachine.TestCase
 TestFleet.settings = settings(
-    max_examples=150, stateful_step_count=30, deadline=None
+    max_examples=200, stateful_step_count=25, deadline=None
 )
