Release a permit as failed once its call was sent

Cause: a call without an answer released its permit as unreachable although it was sent. The fakes asserted so, but the assertion ended as an internal error inside the run and no test saw it. Change: the attempt's state decides; the fakes collect violations and every test checks them; an abandoned attempt is closed at once, not with its task.

--- a/packages/node/mastichatch_node/outcomes.py
+++ b/packages/node/mastichatch_node/outcomes.py
@@ -180,4 +180,6 @@
     if task.done() or run.attempt.state is not AttemptState.not_sent:
         return
     run.is_abandoned = True
+    # From here on it can't be sent, whatever its task is about to do.
+    run.attempt.close(ErrorKind.cancelled)
     task.cancel()
--- a/packages/node/mastichatch_node/retrying.py
+++ b/packages/node/mastichatch_node/retrying.py
@@ -184,7 +184,7 @@
                 tries.excluded = (*tries.excluded, grant.endpoint)
             raise
         finally:
-            if attempt.was_sent and outcome is PermitOutcome.unused:
+            if attempt.state is AttemptState.sent:
                 outcome = PermitOutcome.failed
             self._permits.release(grant, outcome)
         return True
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -148,6 +148,7 @@
     permit_delay_s: float = 0
     permit_refused: bool = False
     doubled_messages: bool = False
+    violations: list[str] = dataclasses.field(default_factory=list)
     cut_peers: bool = False
 
     def spawn(self, work: Any) -> asyncio.Task[Any]:
@@ -318,13 +319,15 @@
 
     def mark_used(self, grant: PermitGrant) -> None:
         """Note the first use."""
-        assert grant.attempt not in self.used
+        if grant.attempt in self.used:
+            self.world.violations.append('a permit was used twice')
         self.used.add(grant.attempt)
 
     def release(self, grant: PermitGrant, outcome: PermitOutcome) -> None:
         """Note how the permit ended."""
         unused = {PermitOutcome.unused, PermitOutcome.unreachable}
-        assert (grant.attempt in self.used) == (outcome not in unused)
+        if (grant.attempt in self.used) != (outcome not in unused):
+            self.world.violations.append(f'released as {outcome}')
         self.outcomes.append(outcome)
 
     def highest_term(self, service: str, data_centre: str) -> int:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -56,6 +56,7 @@
             await node.stack.aclose()
         for task in world.tasks:
             task.cancel()
+    assert not world.violations
 
 
 async def ask(
@@ -577,8 +578,10 @@
         self.finish(asyncio.sleep(SETTLE_S))
         self.no_key_runs_twice()
         self.every_not_run_is_true()
+        assert not self.world.violations
         for node, answer, task in self.answers:
             assert task.done() or node.killed.is_set()
+            assert answer.error is not ErrorKind.internal
             if answer.ran is Ran.yes:
                 assert answer.outcome is not None
                 assert answer.outcome.body == answer.body
