--- /dev/null
+++ b/packages/core/mastichatch_core/manifest.py
@@ -0,0 +1,222 @@
+"""Checks an operators' manifest and reads it."""
+
+import collections
+import dataclasses
+import functools
+import json
+from collections.abc import Iterable, Iterator
+from importlib import resources
+from typing import Any, Final
+
+import jsonschema
+import msgspec
+
+from mastichatch_core import chunks
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.manifest import (
+    Manifest,
+    Service,
+    ServiceKind,
+)
+from mastichatch_core.generated.messages import ErrorKind
+
+VALUE_LIMIT_BYTES: Final = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ManifestFault:
+    """One fault of a manifest.
+
+    :param place: path into the document, such as ``endpoints[2].service``
+    :param reason: what is wrong there
+    """
+
+    place: str
+    reason: str
+
+
+class ManifestError(MastichatchError):
+    """A manifest that must not come into force.
+
+    :param faults: every fault found
+    """
+
+    def __init__(self, faults: tuple[ManifestFault, ...]) -> None:
+        """Keep the faults and name them all in the message."""
+        lines = (f'{fault.place}: {fault.reason}' for fault in faults)
+        super().__init__(ErrorKind.manifest_invalid, '\n'.join(lines))
+        self.faults = faults
+
+
+def validate(manifest_bytes: bytes) -> Manifest:
+    """Return the manifest that JSON text describes.
+
+    :param manifest_bytes: JSON in UTF-8
+    :raises ManifestError: naming every fault with its place
+    """
+    document = _parsed(manifest_bytes)
+    _raise_any(_shape_faults(document))
+    try:
+        manifest = msgspec.convert(document, Manifest)
+    except (msgspec.ValidationError, OverflowError) as error:
+        raise _single('$', str(error)) from error
+    _raise_any(
+        (
+            *_duplicates(manifest),
+            *_service_faults(manifest),
+            *_reference_faults(manifest),
+        ),
+    )
+    _raise_any(_size_faults(manifest))
+    return manifest
+
+
+def _parsed(content: bytes) -> Any:
+    try:
+        return json.loads(
+            content,
+            object_pairs_hook=_without_repeats,
+            parse_constant=_refuse_constant,
+        )
+    except RecursionError:
+        raise _single('$', 'the document is nested too deeply') from None
+    except ValueError as error:
+        raise _single('$', f'not JSON: {error}') from error
+
+
+def _without_repeats(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    counts = collections.Counter(name for name, _ in pairs)
+    repeated = sorted(name for name, count in counts.items() if count > 1)
+    if repeated:
+        raise ValueError(f'repeated fields {repeated}')
+    return dict(pairs)
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f'{name} is not a number')
+
+
+@functools.cache
+def _validator() -> jsonschema.Draft202012Validator:
+    folder = resources.files('mastichatch_core')
+    schema = folder.joinpath('schemas', 'manifest.json').read_text('utf-8')
+    return jsonschema.Draft202012Validator(json.loads(schema))
+
+
+def _shape_faults(document: Any) -> Iterator[ManifestFault]:
+    for error in _validator().iter_errors(document):
+        yield ManifestFault(
+            place=_place(error.absolute_path),
+            reason=error.message,
+        )
+
+
+def _place(path: Iterable[str | int]) -> str:
+    place = ''.join(
+        f'[{step}]' if isinstance(step, int) else f'.{step}' for step in path
+    )
+    return place.removeprefix('.') or '$'
+
+
+def _duplicates(manifest: Manifest) -> Iterator[ManifestFault]:
+    for section in dataclasses.fields(Manifest):
+        names = [each.name for each in getattr(manifest, section.name)]
+        yield from _repeated(section.name, names)
+    for index, service in enumerate(manifest.services):
+        names = [operation.name for operation in service.operations]
+        yield from _repeated(f'services[{index}].operations', names)
+    addresses: dict[str, int] = {}
+    for index, endpoint in enumerate(manifest.endpoints):
+        first = addresses.setdefault(endpoint.address, index)
+        if first != index:
+            yield ManifestFault(
+                place=f'endpoints[{index}].address',
+                reason=f'same address as endpoints[{first}]',
+            )
+
+
+def _repeated(section: str, names: list[str]) -> Iterator[ManifestFault]:
+    seen: dict[str, int] = {}
+    for index, name in enumerate(names):
+        first = seen.setdefault(name, index)
+        if first != index:
+            yield ManifestFault(
+                place=f'{section}[{index}].name',
+                reason=f'{name!r} is already used by {section}[{first}]',
+            )
+
+
+def _service_faults(manifest: Manifest) -> Iterator[ManifestFault]:
+    for index, service in enumerate(manifest.services):
+        reason = _operations_fault(service)
+        if reason:
+            yield ManifestFault(
+                place=f'services[{index}].operations',
+                reason=reason,
+            )
+
+
+def _operations_fault(service: Service) -> str:
+    if service.kind is ServiceKind.model and service.operations:
+        return 'a model service has no operations'
+    if service.kind is ServiceKind.plain and not service.operations:
+        return 'a plain service needs an operation'
+    return ''
+
+
+def _reference_faults(manifest: Manifest) -> Iterator[ManifestFault]:
+    services = {service.name for service in manifest.services}
+    places = {place.name for place in manifest.data_centres}
+    for index, endpoint in enumerate(manifest.endpoints):
+        section = f'endpoints[{index}]'
+        if endpoint.service not in services:
+            yield _unknown(f'{section}.service', 'service', endpoint.service)
+        if endpoint.data_centre not in places:
+            yield _unknown(
+                f'{section}.data_centre',
+                'data centre',
+                endpoint.data_centre,
+            )
+        if endpoint.cold_limit > endpoint.batch_limit:
+            yield ManifestFault(
+                place=f'{section}.cold_limit',
+                reason='over the batch limit',
+            )
+    for index, workspace in enumerate(manifest.workspaces):
+        for position, name in enumerate(workspace.services):
+            if name not in services:
+                yield _unknown(
+                    f'workspaces[{index}].services[{position}]',
+                    'service',
+                    name,
+                )
+
+
+def _unknown(place: str, kind: str, name: str) -> ManifestFault:
+    return ManifestFault(place=place, reason=f'there is no {kind} {name!r}')
+
+
+def _size_faults(manifest: Manifest) -> Iterator[ManifestFault]:
+    try:
+        parts = chunks.split(manifest)
+    except OverflowError as error:
+        raise _single('$', f'a number is too large: {error}') from error
+    for chunk in parts:
+        if len(chunk.content) > VALUE_LIMIT_BYTES:
+            yield ManifestFault(
+                place='$',
+                reason=(
+                    f'part {chunk.name} takes {len(chunk.content)} bytes, '
+                    f'over the limit of {VALUE_LIMIT_BYTES}'
+                ),
+            )
+
+
+def _single(place: str, reason: str) -> ManifestError:
+    return ManifestError((ManifestFault(place=place, reason=reason),))
+
+
+def _raise_any(faults: Iterable[ManifestFault]) -> None:
+    found = tuple(faults)
+    if found:
+        raise ManifestError(found)
