Listen and be reached at different addresses

Cause: the setting for the advertised peer address was read by nothing. Change: nodes name the advertised address in messages, claims and records. Conclusion: a forwarder may stand before a node's peer address.

--- a/packages/node/mastichatch_node/main.py
+++ b/packages/node/mastichatch_node/main.py
@@ -82,7 +82,13 @@
     platform = await enter(
         open_platform(settings.platform, settings.platform_timeout_ms),
     )
-    peers = await enter(open_peers(settings.peer_address, uuid.uuid4().hex))
+    peers = await enter(
+        open_peers(
+            settings.peer_address,
+            uuid.uuid4().hex,
+            settings.advertised_peer_address,
+        ),
+    )
     return _Base(
         settings=settings,
         metrics=create_metrics(settings.statsd),
--- a/packages/node/mastichatch_node/peers.py
+++ b/packages/node/mastichatch_node/peers.py
@@ -318,15 +318,21 @@
 
 
 @contextlib.asynccontextmanager
-async def open_peers(address: str, incarnation: str) -> AsyncIterator[Peers]:
+async def open_peers(
+    address: str,
+    incarnation: str,
+    advertised: str = '',
+) -> AsyncIterator[Peers]:
     """Listen for other nodes.
 
     :param address: IP address and port to listen at; port 0 takes a free one
     :param incarnation: unique id of this run of the process
+    :param advertised: where other nodes reach it, if not at that address
     """
     listener = pynng.Pull0(recv_max_size=FRAME_LIMIT_BYTES)
     bound = listener.listen(f'tcp://{address}')
-    peers = Peers(str(bound.local_address), incarnation, listener)
+    reached_at = advertised or str(bound.local_address)
+    peers = Peers(reached_at, incarnation, listener)
     with contextlib.closing(peers), _reading(listener.recv_fd, peers):
         yield peers
 
