Try a failed lookup at another endpoint, and hand out no late answer

Cause: a repeated lookup went to the endpoint that had just failed it, and a node that was frozen handed out the answer it held when it woke. Change: endpoints that failed a request are left out of its next permit; an idempotent call's answer is refused after its deadline. Conclusion: mended.

--- a/packages/node/mastichatch_node/calls.py
+++ b/packages/node/mastichatch_node/calls.py
@@ -36,9 +36,11 @@
 from mastichatch_node.platform import Platform
 from mastichatch_node.retrying import (
     MS_PER_SECOND,
+    PERMIT_TRIES_LIMIT,
     AttemptRunner,
     PlainCall,
     RightToRun,
+    Tries,
     find_operation,
 )
 from mastichatch_node.routing import Routing
@@ -240,18 +242,24 @@
     async def _run_idempotent(self, call: PlainCall) -> CallOutcome:
         """Run a call that may be repeated, under the retry budget."""
         self._runner.note_first_attempt(call.service)
-        outcome = await self._try_idempotent(call)
-        while outcome.error in _REPEATED_AFTER and _now() < call.deadline:
+        tries = Tries()
+        outcome = await self._try_idempotent(call, tries)
+        while _is_repeated(call, outcome, tries):
             if not self._runner.may_retry(call.service):
                 break
-            outcome = await self._try_idempotent(call)
+            outcome = await self._try_idempotent(call, tries)
+        _check_fresh(call)
         return outcome
 
-    async def _try_idempotent(self, call: PlainCall) -> CallOutcome:
+    async def _try_idempotent(
+        self,
+        call: PlainCall,
+        tries: Tries,
+    ) -> CallOutcome:
         attempt = self._new_attempt(call.operation)
         right = RightToRun(acquire=_granted, is_valid=lambda _now_s: True)
         try:
-            outcome = await self._runner.run(call, attempt, right)
+            outcome = await self._runner.run(call, attempt, right, tries)
         finally:
             attempt.close(ErrorKind.cancelled)
         return outcome or attempt.close(ErrorKind.internal)
@@ -369,6 +377,25 @@
     return body_digest(call.operation.name, call.body)
 
 
+def _is_repeated(
+    call: PlainCall,
+    outcome: CallOutcome,
+    tries: Tries,
+) -> bool:
+    if tries.permits >= PERMIT_TRIES_LIMIT or _now() > call.deadline:
+        return False
+    return outcome.error in _REPEATED_AFTER
+
+
+def _check_fresh(call: PlainCall) -> None:
+    # A node that was frozen may hold an answer that is long out of date.
+    if _now() > call.deadline + call.operation.timeout_ms / MS_PER_SECOND:
+        raise MastichatchError(
+            ErrorKind.endpoint_failed,
+            'the answer came after the deadline',
+        )
+
+
 async def _granted() -> bool:
     return True
 
--- a/packages/node/mastichatch_node/keyed.py
+++ b/packages/node/mastichatch_node/keyed.py
@@ -29,6 +29,7 @@
     AttemptRunner,
     PlainCall,
     RightToRun,
+    Tries,
 )
 
 _ROUNDS_LIMIT: Final = 4
@@ -125,7 +126,12 @@
         key = _FreeKey(self._claims, run, self._wanted(run), found)
         self._runner.note_first_attempt(call.service)
         try:
-            return await self._runner.run(call, run.attempt, key.right(call))
+            return await self._runner.run(
+                call,
+                run.attempt,
+                key.right(call),
+                Tries(),
+            )
         finally:
             self._record(call, run.attempt, key.taken)
 
--- a/packages/node/mastichatch_node/retrying.py
+++ b/packages/node/mastichatch_node/retrying.py
@@ -29,7 +29,8 @@
 from mastichatch_node.routing import DATA_CENTRE_LIMIT
 
 MS_PER_SECOND: Final = 1000
-_PERMIT_TRIES_LIMIT: Final = 4
+PERMIT_TRIES_LIMIT: Final = 4
+_FAILED: Final = frozenset((PermitOutcome.failed, PermitOutcome.unreachable))
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,8 +82,14 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
-class _Tries:
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Tries:
+    """What one request has tried so far.
+
+    :param excluded: endpoints that failed it
+    :param permits: permits that it asked for
+    """
+
     excluded: tuple[str, ...] = ()
     permits: int = 0
 
@@ -138,7 +145,7 @@
         call: PlainCall,
         attempt: Attempt,
         right: RightToRun,
-        excluded: tuple[str, ...] = (),
+        tries: Tries,
     ) -> CallOutcome | None:
         """Run an attempt to its end.
 
@@ -148,11 +155,10 @@
         :param call: the call
         :param attempt: its attempt, open and not sent
         :param right: what gives this node the right to run it
-        :param excluded: endpoints that are not tried
+        :param tries: what the request has tried, which grows
         :returns: the outcome; ``None`` where another node has the right, and
             nothing was sent
         """
-        tries = _Tries(excluded=excluded)
         while attempt.is_open:
             try:
                 if not await self._try_endpoint(call, attempt, right, tries):
@@ -168,7 +174,7 @@
         call: PlainCall,
         attempt: Attempt,
         right: RightToRun,
-        tries: _Tries,
+        tries: Tries,
     ) -> bool:
         grant = await self._acquire(self._permit_request(call, tries))
         outcome = PermitOutcome.unused
@@ -181,14 +187,23 @@
         except MastichatchError as error:
             if error.kind is ErrorKind.endpoint_unreachable:
                 outcome = PermitOutcome.unreachable
-                tries.excluded = (*tries.excluded, grant.endpoint)
             raise
         finally:
             if attempt.state is AttemptState.sent:
                 outcome = PermitOutcome.failed
-            self._permits.release(grant, outcome)
+            self._end_try(grant, outcome, tries)
         return True
 
+    def _end_try(
+        self,
+        grant: PermitGrant,
+        outcome: PermitOutcome,
+        tries: Tries,
+    ) -> None:
+        if outcome in _FAILED:
+            tries.excluded = (*tries.excluded, grant.endpoint)
+        self._permits.release(grant, outcome)
+
     async def _send_under(
         self,
         grant: PermitGrant,
@@ -221,12 +236,12 @@
         self,
         call: PlainCall,
         attempt: Attempt,
-        tries: _Tries,
+        tries: Tries,
         error: MastichatchError,
     ) -> bool:
         if attempt.state is not AttemptState.not_sent:
             return False
-        if _now() > call.deadline or tries.permits >= _PERMIT_TRIES_LIMIT:
+        if _now() > call.deadline or tries.permits >= PERMIT_TRIES_LIMIT:
             return False
         if isinstance(error, PermitLapsedError):
             return True
@@ -234,7 +249,7 @@
             return False
         return self.may_retry(call.service)
 
-    def _permit_request(self, call: PlainCall, tries: _Tries) -> PermitRequest:
+    def _permit_request(self, call: PlainCall, tries: Tries) -> PermitRequest:
         tries.permits += 1
         self._permit_count += 1
         return PermitRequest(
--- a/packages/node/mastichatch_node/ticketing.py
+++ b/packages/node/mastichatch_node/ticketing.py
@@ -21,6 +21,7 @@
     AttemptRunner,
     PlainCall,
     RightToRun,
+    Tries,
 )
 
 TICKETS_LIMIT: Final = 1000
@@ -130,7 +131,12 @@
         """
         run.is_key_known = True
         self._runner.note_first_attempt(call.service)
-        outcome = await self._runner.run(call, run.attempt, _own_right())
+        outcome = await self._runner.run(
+            call,
+            run.attempt,
+            _own_right(),
+            Tries(),
+        )
         return outcome or run.attempt.close(ErrorKind.internal)
 
     async def forward(
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -381,6 +381,24 @@
                 assert answer.error is ErrorKind.endpoint_failed
             assert 100 < len(world.executions) <= 121
 
+    async def test_failed_lookup_goes_to_another_endpoint(self) -> None:
+        async with fleet(1) as (world, nodes):
+            world.endpoint = 'silent'
+            await ask(nodes[0], key='', operation='status')
+            assert nodes[0].excluded[:2] == [(), ('dispatch-1',)]
+
+    async def test_answer_that_a_frozen_node_held_is_not_handed_out(
+        self,
+    ) -> None:
+        async with fleet(1) as (world, nodes):
+            caller = asyncio.create_task(ask(nodes[0], '', b'1', 'status'))
+            while not world.executions:
+                await asyncio.sleep(0.0005)
+            nodes[0].thawed.clear()
+            await asyncio.sleep(60)
+            nodes[0].thawed.set()
+            assert (await caller).error is ErrorKind.endpoint_failed
+
     async def test_lookup_needs_no_platform(self) -> None:
         async with fleet(1) as (world, nodes):
             world.platform.away = True
