Add the operators command line

Cause: the configuration could be changed by code only. Change: mastichatchctl over an API of its own: changes of the configuration, drains, the state of nodes, the story of a request; text or JSON, documented exit codes. Conclusion: a faulty manifest is refused with every place of a kind and nothing is written. Faults of shape hide faults of reference until they are mended.

--- /dev/null
+++ b/packages/ctl/mastichatch_ctl/configuration.py
@@ -0,0 +1,170 @@
+"""Changes and reads the configuration that the platform holds."""
+
+from typing import Final
+
+import msgspec
+
+from mastichatch_core import manifest as manifests
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.manifest import Manifest
+from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.generated.records import (
+    ConfigurationRoot,
+    Drain,
+    DrainKind,
+    NodeRecord,
+)
+from mastichatch_ctl.differences import EMPTY_MANIFEST, compare
+from mastichatch_ctl.results import Accepted, Comparison, History, Validated
+from mastichatch_node import changes
+from mastichatch_node.platform import Platform
+
+NODE_PREFIX: Final = 'nodes/'
+
+
+def validate(content: bytes) -> Validated:
+    """Check a manifest without asking the platform.
+
+    :param content: the manifest as JSON
+    :raises ManifestError: naming every fault with its place
+    """
+    checked = manifests.validate(content)
+    return Validated(
+        data_centres=len(checked.data_centres),
+        services=len(checked.services),
+        endpoints=len(checked.endpoints),
+        workspaces=len(checked.workspaces),
+    )
+
+
+async def apply(
+    platform: Platform,
+    content: bytes,
+    operator: str,
+    base_revision: int | None = None,
+) -> Accepted:
+    """Put a manifest into force.
+
+    :param platform: where the configuration is kept
+    :param content: the manifest as JSON
+    :param operator: who makes the change
+    :param base_revision: revision that the change was made from; without it
+        the revision now in force
+    :raises ManifestError: naming every fault; nothing is written
+    :raises MastichatchError: with ``conflict`` where another change was
+        accepted first
+    """
+    manifests.validate(content)
+    root = await changes.apply_manifest(
+        platform,
+        content,
+        operator,
+        base_revision=base_revision,
+    )
+    return _accepted(root)
+
+
+async def compare_with_current(
+    platform: Platform,
+    content: bytes,
+) -> Comparison:
+    """Return how a manifest differs from the one in force.
+
+    :param platform: where the configuration is kept
+    :param content: the manifest as JSON
+    :raises ManifestError: naming every fault with its place
+    """
+    new = manifests.validate(content)
+    root = await changes.read_root(platform)
+    if root is None:
+        return Comparison(revision=0, differences=compare(EMPTY_MANIFEST, new))
+    old = await changes.read_manifest(platform, root)
+    return Comparison(revision=root.revision, differences=compare(old, new))
+
+
+async def read_history(platform: Platform) -> History:
+    """Return the newest changes.
+
+    :param platform: where the configuration is kept
+    """
+    root = await changes.read_root(platform)
+    if root is None:
+        return History(revision=0)
+    return History(
+        revision=root.revision,
+        changes=root.history,
+        drains=root.drains,
+    )
+
+
+async def drain(platform: Platform, target: Drain, operator: str) -> Accepted:
+    """Take a data centre or endpoint out of service.
+
+    :param platform: where the configuration is kept
+    :param target: what is taken out
+    :param operator: who makes the change
+    :raises MastichatchError: with ``not_found`` where the manifest does not
+        name the target
+    """
+    root = await _read_existing_root(platform)
+    current = await changes.read_manifest(platform, root)
+    if target.name not in _names(current, target.kind):
+        raise MastichatchError(
+            ErrorKind.not_found,
+            f'the manifest has no {target.kind} {target.name!r}',
+        )
+    return _accepted(
+        await changes.set_drain(platform, target, True, operator),
+    )
+
+
+async def restore(platform: Platform, target: Drain, operator: str) -> Accepted:
+    """Bring a data centre or endpoint back into service.
+
+    :param platform: where the configuration is kept
+    :param target: what is brought back
+    :param operator: who makes the change
+    :raises MastichatchError: with ``not_found`` where it was not taken out
+    """
+    root = await _read_existing_root(platform)
+    if target not in root.drains:
+        raise MastichatchError(
+            ErrorKind.not_found,
+            f'{target.kind} {target.name!r} is in service',
+        )
+    return _accepted(
+        await changes.set_drain(platform, target, False, operator),
+    )
+
+
+async def _read_existing_root(platform: Platform) -> ConfigurationRoot:
+    root = await changes.read_root(platform)
+    if root is None:
+        raise MastichatchError(
+            ErrorKind.not_found,
+            'there is no configuration yet',
+        )
+    return root
+
+
+def _names(manifest: Manifest, kind: DrainKind) -> set[str]:
+    if kind is DrainKind.data_centre:
+        return {centre.name for centre in manifest.data_centres}
+    return {endpoint.name for endpoint in manifest.endpoints}
+
+
+def _accepted(root: ConfigurationRoot) -> Accepted:
+    return Accepted(revision=root.revision, change_id=root.change_id)
+
+
+async def read_nodes(platform: Platform) -> tuple[NodeRecord, ...]:
+    """Return the nodes that are registered with the platform, by name.
+
+    :param platform: where the nodes register
+    """
+    listing = await platform.list_entries(NODE_PREFIX)
+    records = (
+        msgspec.json.decode(entry.value, type=NodeRecord)
+        for entry in listing.entries
+    )
+    return tuple(sorted(records, key=lambda record: record.name))
--- a/packages/ctl/mastichatch_ctl/options.py
+++ b/packages/ctl/mastichatch_ctl/options.py
@@ -23,7 +23,8 @@
   1  failed: nothing known of the name or request, or a wait timed out
   2  wrong usage, or an invalid manifest; nothing was written
   3  conflict: another change was accepted first; nothing was written
-  4  the platform or the node did not answer
+  4  the platform or the node did not answer; nothing was changed
+  5  the change may have been accepted: see the history
 
 environment variables, over which flags win:
   MASTICHATCH_PLATFORM   as --platform
--- a/packages/ctl/mastichatch_ctl/results.py
+++ b/packages/ctl/mastichatch_ctl/results.py
@@ -1,12 +1,9 @@
 """What the commands return: typed results, rendered as text or JSON."""
 
 import dataclasses
-from typing import Final
-
-from mastichatch_core.generated.messages import Decision, NodeStatus
+from mastichatch_core.generated.messages import Decision, ErrorKind, NodeStatus
 from mastichatch_core.generated.records import Change, Drain
-
-UNCHANGED: Final = 'unchanged'
+from mastichatch_core.manifest import ManifestFault
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -129,6 +126,20 @@
     decisions: tuple[Decision, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Failure:
+    """Why a command failed.
+
+    :param kind: one of the closed list
+    :param message: what happened, for a person
+    :param faults: every fault of a manifest
+    """
+
+    kind: ErrorKind
+    message: str
+    faults: tuple[ManifestFault, ...] = ()
+
+
 Result = (
     Validated
     | Accepted
