Number the tries of a call from zero

Cause: the scheduler takes a permit request with any other number for a retry; calls counted over the whole node, so bookings were refused as queue_full once the scheduler's retry budget was spent. Change: tries are numbered in each request.

--- a/packages/node/mastichatch_node/keyed.py
+++ b/packages/node/mastichatch_node/keyed.py
@@ -105,12 +105,13 @@
         :param call: the call
         :param run: this node's run of it
         """
+        tries = Tries()
         for _ in range(_ROUNDS_LIMIT):
             found = await self._claims.find(run.name)
             run.is_key_known = True
             settled = await self._settle(call, run, found)
             if settled is None:
-                settled = await self._run_free(call, run, found)
+                settled = await self._run_free(call, run, found, tries)
             if settled is not None:
                 return settled
         raise MastichatchError(ErrorKind.in_progress)
@@ -120,6 +121,7 @@
         call: PlainCall,
         run: Run,
         found: FoundClaim | None,
+        tries: Tries,
     ) -> CallOutcome | None:
         if not self._runs.has_room:
             raise MastichatchError(ErrorKind.queue_full)
@@ -130,7 +132,7 @@
                 call,
                 run.attempt,
                 key.right(call),
-                Tries(),
+                tries,
             )
         finally:
             self._record(call, run.attempt, key.taken)
--- a/packages/node/mastichatch_node/retrying.py
+++ b/packages/node/mastichatch_node/retrying.py
@@ -119,7 +119,6 @@
         self._log = log
         self._metrics = metrics
         self._budgets: dict[str, RetryBudget] = {}
-        self._permit_count = 0
 
     def note_first_attempt(self, service: Service) -> None:
         """Add a first attempt to the service's retry budget.
@@ -250,12 +249,12 @@
         return self.may_retry(call.service)
 
     def _permit_request(self, call: PlainCall, tries: Tries) -> PermitRequest:
+        # The scheduler takes only number zero for a first attempt.
+        number = tries.permits * DATA_CENTRE_LIMIT
         tries.permits += 1
-        self._permit_count += 1
         return PermitRequest(
             request_id=call.request_id,
-            # Two tries of one request never share a permit's name.
-            attempt=self._permit_count * DATA_CENTRE_LIMIT,
+            attempt=number,
             service=call.service.name,
             workspace=call.workspace,
             node=self._node,
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -174,8 +174,8 @@
         self.thawed.set()
         self.killed = asyncio.Event()
         self.handlers: dict[MessageKind, tuple[Any, Any]] = {}
-        self.expiries: dict[int, float] = {}
-        self.used: set[int] = set()
+        self.expiries: dict[tuple[str, int], float] = {}
+        self.used: set[tuple[str, int]] = set()
         self.outcomes: list[PermitOutcome] = []
         self.excluded: list[tuple[str, ...]] = []
         self.stack = contextlib.AsyncExitStack()
@@ -300,7 +300,9 @@
         if self.world.permit_refused:
             raise MastichatchError(ErrorKind.queue_full)
         self.excluded.append(request.excluded)
-        self.expiries[request.attempt] = now() + PERMIT_LEASE_S
+        self.expiries[request.request_id, request.attempt] = (
+            now() + PERMIT_LEASE_S
+        )
         await self.step()
         names = [f'dispatch-{number}' for number in range(1, 4)]
         free = [name for name in names if name not in request.excluded]
@@ -315,18 +317,20 @@
 
     def still_valid(self, grant: PermitGrant) -> bool:
         """Return whether the permit has not lapsed."""
-        return now() < self.expiries[grant.attempt]
+        return now() < self.expiries[grant.request_id, grant.attempt]
 
     def mark_used(self, grant: PermitGrant) -> None:
         """Note the first use."""
-        if grant.attempt in self.used:
+        if (grant.request_id, grant.attempt) in self.used:
             self.world.violations.append('a permit was used twice')
-        self.used.add(grant.attempt)
+        self.used.add((grant.request_id, grant.attempt))
 
     def release(self, grant: PermitGrant, outcome: PermitOutcome) -> None:
         """Note how the permit ended."""
         unused = {PermitOutcome.unused, PermitOutcome.unreachable}
-        if (grant.attempt in self.used) != (outcome not in unused):
+        if ((grant.request_id, grant.attempt) in self.used) != (
+            outcome not in unused
+        ):
             self.world.violations.append(f'released as {outcome}')
         self.outcomes.append(outcome)
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any
 
@@ -36,6 +37,7 @@
 
 pytestmark = pytest.mark.looptime
 ADDRESSES = ('127.0.0.1:11', '127.0.0.1:12', '127.0.0.1:13')
+NUMBERS = itertools.count()
 SETTLE_S = 120
 MINUTES_S = 600
 
@@ -63,7 +65,9 @@
     node: Node, key: str = 'k', body: bytes = b'1', operation: str = 'book'
 ) -> Answer:
     """Call and return what the caller was told."""
-    answer = Answer(request_id='r', key=key, body=body, began_at=now())
+    answer = Answer(
+        request_id=f'r{next(NUMBERS)}', key=key, body=body, began_at=now()
+    )
     await ask_node(node, answer, operation)
     return answer
 
