Add membership: heartbeats, digests, registrations and proofs of absence

Cause: the scheduler counts budgets by the nodes that are expected and heard, and a node must not count as gone while it may still act. Change: rules as pure functions over one table; heartbeats name whom their sender hears, in place of acknowledgements, so one-way cuts show at both ends; digests go by relays; a node lists the others only once it is registered, since two nodes that listed first missed each other; a node removed as gone is not retired, since one that was cut off comes back with its incarnation. Conclusion: 25 tests pass; the last two points were found by them.

--- /dev/null
+++ b/packages/core/mastichatch_core/remotes.py
@@ -0,0 +1,178 @@
+"""What one node knows of the other data centres."""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from mastichatch_core import rendezvous
+from mastichatch_core.generated.messages import Digest, ServiceLoad
+from mastichatch_core.generated.records import NodeRecord
+from mastichatch_core.membership import Member
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Remote:
+    digest: Digest | None = None
+    received_at: float = -math.inf
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    # When each node was last heard directly, by name.
+    heard_at: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+class RemoteTable:
+    """The other data centres, by name."""
+
+    def __init__(self, own_data_centre: str, timeout: float) -> None:
+        """Start without any.
+
+        :param own_data_centre: data centre of this node
+        :param timeout: age at which a digest is no longer used, in seconds
+        """
+        self._own = own_data_centre
+        self._timeout = timeout
+        self._remotes: dict[str, _Remote] = {}
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the data centres known."""
+        return tuple(sorted(self._remotes))
+
+    def note_digest(self, digest: Digest, sender: str, now: float) -> bool:
+        """Keep a data centre's newest digest.
+
+        :param digest: what the data centre tells of itself
+        :param sender: peer address that it came from
+        :param now: time in seconds
+        :returns: whether it came from that data centre itself
+        """
+        if digest.data_centre == self._own:
+            return False
+        remote = self._remotes.setdefault(digest.data_centre, _Remote())
+        remote.digest = digest
+        remote.received_at = now
+        if sender not in digest.nodes:
+            return False
+        remote.heard_at[digest.node] = now
+        return True
+
+    def note_records(
+        self,
+        data_centre: str,
+        records: Iterable[NodeRecord],
+    ) -> None:
+        """Replace what is known of a data centre's nodes.
+
+        :param data_centre: name of the data centre
+        :param records: all its registrations
+        """
+        if data_centre == self._own:
+            return
+        remote = self._remotes.setdefault(data_centre, _Remote())
+        remote.members = {
+            record.peer_address: Member(
+                name=record.name,
+                data_centre=record.data_centre,
+                incarnation=record.incarnation,
+                peer_address=record.peer_address,
+                http_address=record.http_address,
+            )
+            for record in records
+        }
+
+    def digests(self, now: float) -> tuple[Digest, ...]:
+        """Return the digests that are not too old.
+
+        :param now: time in seconds
+        """
+        return tuple(
+            remote.digest
+            for _, remote in sorted(self._remotes.items())
+            if remote.digest is not None
+            and now - remote.received_at < self._timeout
+        )
+
+    def members(self, now: float) -> tuple[Member, ...]:
+        """Return the nodes of the other data centres.
+
+        Where a digest names the live nodes, the others are left out.
+
+        :param now: time in seconds
+        """
+        found: list[Member] = []
+        for remote in self._remotes.values():
+            addresses = self._addresses(remote, now)
+            found += [
+                remote.members[address]
+                for address in addresses
+                if address in remote.members
+            ]
+        return tuple(found)
+
+    def unknown(self, now: float) -> tuple[str, ...]:
+        """Return the data centres with live nodes that are not known yet.
+
+        :param now: time in seconds
+        """
+        return tuple(
+            name
+            for name, remote in self._remotes.items()
+            if set(self._addresses(remote, now)) - remote.members.keys()
+        )
+
+    def unheard(self, now: float) -> tuple[str, ...]:
+        """Return the data centres without a digest that is young enough.
+
+        :param now: time in seconds
+        """
+        return tuple(
+            name
+            for name, remote in self._remotes.items()
+            if now - remote.received_at >= self._timeout
+        )
+
+    def targets(self, data_centre: str, now: float) -> tuple[str, ...]:
+        """Return a data centre's addresses in the order to be tried.
+
+        :param data_centre: name of the data centre
+        :param now: time in seconds
+        """
+        remote = self._remotes.get(data_centre, _Remote())
+        return rendezvous.ranked(self._addresses(remote, now), self._own)
+
+    def heard_names(self, data_centre: str, now: float) -> tuple[str, ...]:
+        """Return the names of a data centre's nodes heard directly.
+
+        :param data_centre: name of the data centre
+        :param now: time in seconds
+        """
+        remote = self._remotes.get(data_centre, _Remote())
+        return tuple(
+            name
+            for name, heard_at in remote.heard_at.items()
+            if now - heard_at < self._timeout
+        )
+
+    def _addresses(self, remote: _Remote, now: float) -> tuple[str, ...]:
+        fresh = now - remote.received_at < self._timeout
+        if fresh and remote.digest is not None and remote.digest.nodes:
+            return remote.digest.nodes
+        return tuple(remote.members)
+
+
+def merge_loads(loads: Iterable[ServiceLoad]) -> tuple[ServiceLoad, ...]:
+    """Return one load for each service, the sum of what schedulers report.
+
+    :param loads: loads of all schedulers of a data centre
+    """
+    merged: dict[str, ServiceLoad] = {}
+    for load in loads:
+        known = merged.get(load.service)
+        if known is not None:
+            load = ServiceLoad(
+                service=load.service,
+                free=known.free + load.free,
+                waiting=known.waiting + load.waiting,
+                wait_ms=max(known.wait_ms, load.wait_ms),
+            )
+        merged[load.service] = load
+    return tuple(merged[name] for name in sorted(merged))
--- /dev/null
+++ b/packages/node/mastichatch_node/discovery.py
@@ -0,0 +1,205 @@
+"""What membership asks of the platform: registrations and the host list."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
+from typing import Final
+
+from absl import logging
+
+from mastichatch_core import membership as rules
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.records import NodeRecord
+from mastichatch_core.generated.settings import Settings
+from mastichatch_node import codec
+from mastichatch_node.configuration import Configuration
+from mastichatch_node.leases import Lease, keep_under_lease
+from mastichatch_node.members import Membership
+from mastichatch_node.platform import Listing, Platform
+
+NODE_PREFIX: Final = 'nodes/'
+STEP_S: Final = 1.0
+IDLE_STEPS: Final = 30
+# A listing may come from a replica that lags, so it is soon repeated.
+EARLY_STEPS: Final = (2, 5)
+REMOTE_STEPS: Final = 10
+
+
+@contextlib.asynccontextmanager
+async def open_discovery(
+    settings: Settings,
+    platform: Platform,
+    membership: Membership,
+    configuration: Configuration,
+) -> AsyncIterator[None]:
+    """Register this node and look for others until the context ends.
+
+    :param settings: settings of the node
+    :param platform: where nodes are registered
+    :param membership: is told what is found
+    :param configuration: names the data centres that should be known
+    """
+
+    registered = asyncio.Event()
+
+    async def register(lease: str) -> None:
+        own = membership.own
+        record = NodeRecord(
+            name=own.name,
+            incarnation=own.incarnation,
+            data_centre=own.data_centre,
+            peer_address=own.peer_address,
+            http_address=own.http_address,
+        )
+        key = f'{_prefix(own.data_centre)}{own.name}'
+        await platform.write(key, codec.encode_json(record), lease=lease)
+        registered.set()
+
+    def note(lease: Lease) -> None:
+        now = asyncio.get_running_loop().time()
+        membership.table.lease_until = lease.ends_at
+        rules.note_platform(membership.table, now)
+
+    tasks = (
+        asyncio.create_task(
+            _list_nodes_regularly(
+                platform,
+                membership,
+                configuration,
+                registered,
+            ),
+        ),
+        asyncio.create_task(_list_hosts_regularly(platform, membership)),
+    )
+    try:
+        async with keep_under_lease(
+            platform,
+            settings.node_lease_ms,
+            register,
+            note,
+        ):
+            yield
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def _prefix(data_centre: str) -> str:
+    return f'{NODE_PREFIX}{data_centre}/'
+
+
+async def _list_nodes_regularly(
+    platform: Platform,
+    membership: Membership,
+    configuration: Configuration,
+    registered: asyncio.Event,
+) -> None:
+    """List all nodes at first, and later only where something is unclear.
+
+    A node lists the others once it is registered itself, so that of any two
+    nodes the later one finds the earlier.
+    """
+    await registered.wait()
+    while not await _list_nodes(platform, membership, ''):
+        await asyncio.sleep(STEP_S)
+    for step in itertools.count(1):
+        await asyncio.sleep(STEP_S)
+        for place in _places_to_list(membership, configuration, step):
+            await _list_nodes(platform, membership, place)
+
+
+def _places_to_list(
+    membership: Membership,
+    configuration: Configuration,
+    step: int,
+) -> tuple[str, ...]:
+    now = asyncio.get_running_loop().time()
+    own = membership.own.data_centre
+    places = set(membership.remotes.unknown(now))
+    if step % REMOTE_STEPS == 0:
+        places.update(membership.remotes.unheard(now))
+        if configuration.current is not None:
+            places.update(configuration.current.data_centres)
+        places.difference_update(_heard_places(membership))
+    is_due = step in EARLY_STEPS or step % IDLE_STEPS == 0
+    if is_due or not membership.is_complete:
+        places.add(own)
+    return tuple(sorted(places))
+
+
+def _heard_places(membership: Membership) -> set[str]:
+    heard = {digest.data_centre for digest in membership.digests()}
+    return {membership.own.data_centre, *heard}
+
+
+async def _list_nodes(
+    platform: Platform,
+    membership: Membership,
+    data_centre: str,
+) -> bool:
+    """List the nodes of one data centre, or of all.
+
+    :returns: whether the platform answered
+    """
+    loop = asyncio.get_running_loop()
+    asked_at = loop.time()
+    prefix = _prefix(data_centre) if data_centre else NODE_PREFIX
+    try:
+        listing = await platform.list_entries(prefix)
+    except MastichatchError as error:
+        logging.warning('nodes were not listed: %s', error)
+        return False
+    places = _by_data_centre(listing)
+    if data_centre:
+        places.setdefault(data_centre, ())
+    own = membership.own.data_centre
+    if data_centre in {'', own}:
+        rules.note_records(
+            membership.table,
+            places.pop(own, ()),
+            asked_at,
+            loop.time(),
+        )
+    for place, records in places.items():
+        membership.remotes.note_records(place, records)
+    membership.notify()
+    return True
+
+
+def _by_data_centre(listing: Listing) -> dict[str, tuple[NodeRecord, ...]]:
+    places: dict[str, tuple[NodeRecord, ...]] = {}
+    for entry in listing.entries:
+        with contextlib.suppress(codec.DecodeError):
+            record = codec.decode_json(entry.value, NodeRecord)
+            known = places.get(record.data_centre, ())
+            places[record.data_centre] = (*known, record)
+    return places
+
+
+async def _list_hosts_regularly(
+    platform: Platform,
+    membership: Membership,
+) -> None:
+    """Read the host list for all nodes of the data centre, or on suspicion."""
+    own = membership.own.name
+    while True:
+        reads = membership.relays()[:1] == (own,)
+        if reads or not membership.is_complete:
+            await _list_hosts(platform, membership)
+        await asyncio.sleep(STEP_S)
+
+
+async def _list_hosts(platform: Platform, membership: Membership) -> None:
+    try:
+        entries = await platform.hosts()
+    except MastichatchError as error:
+        logging.warning('the host list was not read: %s', error)
+        return
+    now = asyncio.get_running_loop().time()
+    rules.note_platform(membership.table, now)
+    rules.note_hosts(membership.table, (entry.host for entry in entries))
+    membership.note_leaving(
+        frozenset(entry.host for entry in entries if entry.state == 'leaving'),
+    )
+    membership.notify()
--- /dev/null
+++ b/packages/node/mastichatch_node/heartbeats.py
@@ -0,0 +1,301 @@
+"""Heartbeats within a data centre and digests between data centres.
+
+A heartbeat names whom its sender hears, which tells each receiver whether its
+own connection to the sender carries. A digest goes from the relays of one data
+centre to a node of each other one, which passes it on to its neighbours.
+"""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from absl import logging
+
+from mastichatch_core import membership as rules
+from mastichatch_core.generated.messages import (
+    Digest,
+    Envelope,
+    Heartbeat,
+    MessageKind,
+    ServiceLoad,
+)
+from mastichatch_core.generated.settings import Settings
+from mastichatch_core.membership import Member
+from mastichatch_core.remotes import merge_loads
+from mastichatch_node.configuration import Configuration
+from mastichatch_node.members import Membership
+from mastichatch_node.peers import Peers
+
+MS_PER_S: Final = 1000
+PROBE_LIMIT_S: Final = 30.0
+# Up to this many nodes hear each other at the full rate; more nodes send less
+# often, up to a third of the member timeout.
+FULL_RATE_NODES: Final = 8
+INTERVALS_PER_TIMEOUT: Final = 3
+DIGEST_INTERVALS: Final = 2
+FULL_RATE_DATA_CENTRES: Final = 8
+
+
+class Heartbeats:
+    """Sends and takes heartbeats and digests for one node."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        peers: Peers,
+        configuration: Configuration,
+        membership: Membership,
+        loads: Callable[[], tuple[ServiceLoad, ...]],
+    ) -> None:
+        """Keep what is needed; nothing is sent yet."""
+        self._settings = settings
+        self._peers = peers
+        self._configuration = configuration
+        self._membership = membership
+        self._loads = loads
+        self._loop = asyncio.get_running_loop()
+        self._loads_of: dict[str, tuple[ServiceLoad, ...]] = {}
+        self._probes: dict[str, float] = {}
+        self._reset_at: dict[str, float] = {}
+        self._sequence = 0
+        self._said_draining = False
+
+    async def take_heartbeat(
+        self,
+        heartbeat: Heartbeat,
+        envelope: Envelope,
+    ) -> None:
+        """Note a heartbeat.
+
+        :param heartbeat: what its sender tells of itself
+        :param envelope: says where it came from
+        """
+        self._configuration.learn(heartbeat.revision, envelope.sender)
+        if heartbeat.data_centre != self._settings.data_centre:
+            # A node that only knows this one as its seed.
+            self._send_digest(envelope.sender, heartbeat.data_centre)
+            return
+        is_new = rules.note_heartbeat(
+            self._membership.table,
+            _member(heartbeat, envelope),
+            heartbeat.heard,
+            self._loop.time(),
+        )
+        self._loads_of[heartbeat.node] = heartbeat.loads
+        if heartbeat.leaving is not None and not self._reads_hosts():
+            self._membership.note_leaving(frozenset(heartbeat.leaving))
+        if is_new:
+            # What the connection has queued was for an earlier incarnation.
+            self._peers.reset(envelope.sender)
+            self._send_digest(envelope.sender, heartbeat.data_centre)
+            self._send_heartbeat(envelope.sender)
+        self._membership.notify()
+
+    async def take_digest(self, digest: Digest, envelope: Envelope) -> None:
+        """Note a digest, and pass it on if it came from its data centre.
+
+        :param digest: state of a data centre
+        :param envelope: says where it came from
+        """
+        if digest.data_centre == self._settings.data_centre:
+            self._probe(digest.nodes)
+            return
+        now = self._loop.time()
+        remotes = self._membership.remotes
+        is_direct = remotes.note_digest(digest, envelope.sender, now)
+        rules.note_elsewhere(self._membership.table, digest.heard, now)
+        source = envelope.sender if is_direct else ''.join(digest.nodes[:1])
+        self._configuration.learn(digest.revision, source)
+        if is_direct:
+            self._pass_on(digest)
+
+    def beat(self) -> None:
+        """Do what is due once in each heartbeat interval."""
+        self._membership.remove_gone()
+        self._reset_silent()
+        self._send_heartbeats()
+        self._membership.notify()
+
+    def send_digests(self) -> None:
+        """Send this data centre's state to the others, if this is a relay."""
+        relays = self._membership.relays()
+        if self._settings.name not in relays:
+            return
+        rank = relays.index(self._settings.name)
+        remotes = self._membership.remotes
+        for data_centre in remotes.names:
+            targets = remotes.targets(data_centre, self._loop.time())
+            if targets:
+                self._send_digest(targets[rank % len(targets)], data_centre)
+
+    def announce_draining(self) -> None:
+        """Send heartbeats at once when this node begins to drain."""
+        draining = self._membership.own.draining
+        if draining != self._said_draining:
+            self._said_draining = draining
+            self._send_heartbeats()
+
+    def note_freeze(self, deaf_s: float) -> None:
+        """Note that this process was not running for a while.
+
+        :param deaf_s: time for which messages may be old, in seconds
+        """
+        rules.note_freeze(
+            self._membership.table,
+            self._loop.time() + deaf_s,
+        )
+
+    def interval_s(self) -> float:
+        """Return the time between heartbeats, in seconds."""
+        table = self._membership.table
+        scale = max(1.0, len(table.tracks) / FULL_RATE_NODES)
+        interval = scale * self._settings.heartbeat_interval_ms / MS_PER_S
+        return min(interval, table.timing.timeout / INTERVALS_PER_TIMEOUT)
+
+    def digest_interval_s(self) -> float:
+        """Return the time between digests, in seconds."""
+        count = len(self._membership.remotes.names)
+        scale = max(1.0, count / FULL_RATE_DATA_CENTRES)
+        interval = self._settings.heartbeat_interval_ms / MS_PER_S
+        return interval * DIGEST_INTERVALS * scale
+
+    def _reads_hosts(self) -> bool:
+        return self._membership.relays()[:1] == (self._settings.name,)
+
+    def _send_heartbeats(self) -> None:
+        self._sequence += 1
+        now = self._loop.time()
+        tracks = self._membership.table.tracks.values()
+        known = {track.member.peer_address for track in tracks}
+        self._probes = {
+            address: until
+            for address, until in self._probes.items()
+            if until > now and address not in known
+        }
+        addresses = known | self._probes.keys()
+        if not known:
+            addresses.update(self._settings.seeds)
+        for address in addresses - {self._peers.address}:
+            self._send_heartbeat(address)
+
+    def _send_heartbeat(self, address: str) -> None:
+        own = self._membership.own
+        leaving = tuple(self._membership.leaving_hosts)
+        heartbeat = Heartbeat(
+            node=own.name,
+            data_centre=own.data_centre,
+            sequence=self._sequence,
+            revision=own.revision,
+            http_address=own.http_address,
+            draining=own.draining,
+            ready=self._configuration.current is not None,
+            heard=rules.received_from(
+                self._membership.table,
+                self._loop.time(),
+            ),
+            loads=self._loads(),
+            leaving=leaving if self._reads_hosts() else None,
+        )
+        self._peers.send(address, MessageKind.heartbeat, heartbeat)
+
+    def _send_digest(self, address: str, data_centre: str) -> None:
+        now = self._loop.time()
+        live = self._membership.live()
+        loads = itertools.chain(
+            self._loads(),
+            *(self._loads_of.get(member.name, ()) for member in live),
+        )
+        digest = Digest(
+            data_centre=self._settings.data_centre,
+            revision=self._configuration.revision,
+            loads=merge_loads(loads),
+            nodes=tuple(member.peer_address for member in live),
+            heard=self._membership.remotes.heard_names(data_centre, now),
+            node=self._settings.name,
+        )
+        self._peers.send(address, MessageKind.digest, digest)
+
+    def _pass_on(self, digest: Digest) -> None:
+        for member in self._membership.live():
+            if member.name != self._settings.name:
+                self._peers.send(
+                    member.peer_address,
+                    MessageKind.digest,
+                    digest,
+                )
+
+    def _probe(self, addresses: tuple[str, ...]) -> None:
+        until = self._loop.time() + PROBE_LIMIT_S
+        for address in addresses:
+            if address not in self._probes and address != self._peers.address:
+                self._probes[address] = until
+                self._send_heartbeat(address)
+
+    def _reset_silent(self) -> None:
+        now = self._loop.time()
+        table = self._membership.table
+        for member in rules.unacknowledged(table, now):
+            address = member.peer_address
+            if self._reset_at.get(address, 0) <= now:
+                self._reset_at[address] = now + table.timing.timeout
+                self._peers.reset(address)
+
+
+@contextlib.contextmanager
+def run_heartbeats(heartbeats: Heartbeats, timeout_s: float) -> Iterator[None]:
+    """Send heartbeats and digests until the context ends.
+
+    :param heartbeats: what is sent
+    :param timeout_s: silence after which a node counts as unreachable
+    """
+    tasks = (
+        asyncio.create_task(_beat_regularly(heartbeats, timeout_s)),
+        asyncio.create_task(_send_digests_regularly(heartbeats)),
+    )
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+async def _beat_regularly(heartbeats: Heartbeats, timeout_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        interval = heartbeats.interval_s()
+        began_at = loop.time()
+        with _logged_exceptions():
+            heartbeats.beat()
+        await asyncio.sleep(interval)
+        if loop.time() - began_at > interval + timeout_s:
+            heartbeats.note_freeze(interval)
+
+
+async def _send_digests_regularly(heartbeats: Heartbeats) -> None:
+    while True:
+        with _logged_exceptions():
+            heartbeats.send_digests()
+        await asyncio.sleep(heartbeats.digest_interval_s())
+
+
+@contextlib.contextmanager
+def _logged_exceptions() -> Iterator[None]:
+    # A fault in a subscriber must not silence the heartbeats.
+    try:
+        yield
+    except Exception:
+        logging.exception('a membership step failed')
+
+
+def _member(heartbeat: Heartbeat, envelope: Envelope) -> Member:
+    return Member(
+        name=heartbeat.node,
+        data_centre=heartbeat.data_centre,
+        incarnation=envelope.incarnation,
+        peer_address=envelope.sender,
+        http_address=heartbeat.http_address,
+        draining=heartbeat.draining,
+        revision=heartbeat.revision,
+    )
--- /dev/null
+++ b/packages/node/mastichatch_node/leases.py
@@ -0,0 +1,121 @@
+"""Keeps a key of the platform for as long as this process can renew it."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final
+
+from absl import logging
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_node.platform import Platform
+
+MS_PER_S: Final = 1000
+# Two renewals fit into a lease, so that one may fail.
+RENEWALS_PER_LEASE: Final = 3
+REVOKE_TIMEOUT_S: Final = 1.0
+
+
+class Lease:
+    """A platform lease, by the holder's own clock.
+
+    The holder's view ends before the platform's does: it counts from the
+    moment at which the last renewal was sent.
+    """
+
+    def __init__(self, ttl_ms: int) -> None:
+        """Start without a lease.
+
+        :param ttl_ms: length of the lease, in milliseconds
+        """
+        self._ttl_ms = ttl_ms
+        self._name = ''
+        self._ends_at: float = 0
+
+    @property
+    def name(self) -> str:
+        """Name that the platform gave to the lease; empty without one."""
+        return self._name
+
+    @property
+    def ends_at(self) -> float:
+        """Loop time until which the lease is surely held, in seconds."""
+        return self._ends_at
+
+    @property
+    def interval_s(self) -> float:
+        """Time between renewals, in seconds."""
+        return self._ttl_ms / MS_PER_S / RENEWALS_PER_LEASE
+
+    async def renew(self, platform: Platform) -> bool:
+        """Renew the lease, or ask for a new one where it has lapsed.
+
+        :param platform: who grants it
+        :returns: whether the lease is a new one, under which nothing is kept
+        :raises MastichatchError: with ``platform_unavailable``
+        """
+        sent_at = asyncio.get_running_loop().time()
+        is_kept = self._name and await platform.renew_lease(self._name)
+        if not is_kept:
+            self._name = ''
+            sent_at = asyncio.get_running_loop().time()
+            self._name = await platform.grant_lease(self._ttl_ms)
+        self._ends_at = sent_at + self._ttl_ms / MS_PER_S
+        return not is_kept
+
+    async def revoke(self, platform: Platform) -> None:
+        """Give the lease back; its keys go with it.
+
+        :param platform: who granted it
+        """
+        name = self._name
+        self._name = ''
+        self._ends_at = 0
+        if not name:
+            return
+        with contextlib.suppress(MastichatchError, TimeoutError):
+            async with asyncio.timeout(REVOKE_TIMEOUT_S):
+                await platform.revoke_lease(name)
+
+
+@contextlib.asynccontextmanager
+async def keep_under_lease(
+    platform: Platform,
+    ttl_ms: int,
+    write: Callable[[str], Awaitable[None]],
+    note: Callable[[Lease], None],
+) -> AsyncIterator[Lease]:
+    """Keep something written under a lease until the context ends.
+
+    :param platform: who grants the lease
+    :param ttl_ms: length of the lease, in milliseconds
+    :param write: writes under the lease that it is given
+    :param note: is told of each renewal
+    """
+    lease = Lease(ttl_ms)
+    task = asyncio.create_task(_keep(platform, lease, write, note))
+    try:
+        yield lease
+    finally:
+        task.cancel()
+        await lease.revoke(platform)
+
+
+async def _keep(
+    platform: Platform,
+    lease: Lease,
+    write: Callable[[str], Awaitable[None]],
+    note: Callable[[Lease], None],
+) -> None:
+    is_written = False
+    while True:
+        try:
+            is_new = await lease.renew(platform)
+            if is_new or not is_written:
+                is_written = False
+                await write(lease.name)
+                is_written = True
+            note(lease)
+        except MastichatchError as error:
+            logging.warning('a lease was not renewed: %s', error)
+        await asyncio.sleep(lease.interval_s)
--- /dev/null
+++ b/packages/node/mastichatch_node/members.py
@@ -0,0 +1,197 @@
+"""The nodes that this one knows, for all other parts to ask."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Final
+
+from absl import logging
+
+from mastichatch_core import membership as rules
+from mastichatch_core import remotes, rendezvous
+from mastichatch_core.generated.messages import Digest
+from mastichatch_core.generated.settings import Settings
+from mastichatch_core.membership import Member
+from mastichatch_node.configuration import Configuration
+from mastichatch_node.peers import Peers
+
+MS_PER_S: Final = 1000
+RELAY_COUNT: Final = 2
+DIGEST_TIMEOUTS: Final = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _View:
+    """What subscribers are told the change of."""
+
+    live: tuple[tuple[str, str], ...]
+    expected: frozenset[str]
+    heard: frozenset[str]
+    leaving: frozenset[str]
+
+
+class Membership:
+    """The nodes that this one knows."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        peers: Peers,
+        configuration: Configuration,
+    ) -> None:
+        """Start alone; ``open_membership`` is the way to create one."""
+        self._name = settings.name
+        self._configuration = configuration
+        self._loop = asyncio.get_running_loop()
+        timing = rules.MemberTiming(
+            timeout=settings.member_timeout_ms / MS_PER_S,
+            lease=settings.node_lease_ms / MS_PER_S,
+        )
+        own = Member(
+            name=settings.name,
+            data_centre=settings.data_centre,
+            incarnation=peers.incarnation,
+            peer_address=peers.address,
+            http_address=settings.http_address,
+        )
+        self._table = rules.MemberTable(own, timing, self._loop.time())
+        self._remotes = remotes.RemoteTable(
+            settings.data_centre,
+            DIGEST_TIMEOUTS * timing.timeout,
+        )
+        self._leaving: frozenset[str] = frozenset()
+        self._subscribers: list[Callable[[], None]] = []
+        self._view = self._create_view()
+
+    @property
+    def own(self) -> Member:
+        """This node."""
+        return dataclasses.replace(
+            self._table.own,
+            revision=self._configuration.revision,
+        )
+
+    @property
+    def leaving_hosts(self) -> frozenset[str]:
+        """Hosts that the platform's host list calls leaving."""
+        return self._leaving
+
+    @property
+    def table(self) -> rules.MemberTable:
+        """What is known of this data centre."""
+        return self._table
+
+    @property
+    def remotes(self) -> remotes.RemoteTable:
+        """What is known of the other data centres."""
+        return self._remotes
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all expected nodes are in contact."""
+        return self.expected() == self.heard()
+
+    def live(self) -> tuple[Member, ...]:
+        """Return the nodes of this data centre that take new work."""
+        members = rules.live(self._table, self._loop.time())
+        return tuple(
+            self.own if member == self._table.own else member
+            for member in members
+        )
+
+    def relays(self) -> tuple[str, ...]:
+        """Return the nodes that speak for this data centre, by rank."""
+        names = (member.name for member in self.live())
+        return rendezvous.ranked(names, 'relay')[:RELAY_COUNT]
+
+    def all_known(self) -> tuple[Member, ...]:
+        """Return the nodes of every data centre that are not known gone."""
+        neighbours = (track.member for track in self._table.tracks.values())
+        others = self._remotes.members(self._loop.time())
+        return (self.own, *neighbours, *others)
+
+    def expected(self) -> frozenset[str]:
+        """Return the names of this data centre's nodes not proved gone."""
+        return rules.expected(self._table)
+
+    def heard(self) -> frozenset[str]:
+        """Return the names of this data centre's nodes in contact.
+
+        Empty if the others may hold that this node is gone.
+        """
+        return rules.heard(self._table, self._loop.time())
+
+    def by_incarnation(self, incarnation: str) -> Member | None:
+        """Return a node by the id of its run.
+
+        :param incarnation: unique id of the run
+        """
+        for member in self.all_known():
+            if member.incarnation == incarnation:
+                return member
+        return None
+
+    def scheduler_host(self, service: str) -> Member | None:
+        """Return the node that hosts the scheduler of a service.
+
+        :param service: name of the service
+        """
+        members = {member.name: member for member in self.live()}
+        if not members:
+            return None
+        return members[rendezvous.pick(members, service)]
+
+    def digests(self) -> tuple[Digest, ...]:
+        """Return the latest digest of each other data centre in contact."""
+        return self._remotes.digests(self._loop.time())
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change of the nodes in contact.
+
+        :param callback: called without arguments
+        """
+        self._subscribers.append(callback)
+
+    def set_draining(self) -> None:
+        """Take no new work from now on; all nodes are told at once."""
+        self._table.own = dataclasses.replace(self._table.own, draining=True)
+        self.notify()
+
+    def note_leaving(self, hosts: frozenset[str]) -> None:
+        """Note the hosts that are leaving.
+
+        :param hosts: names of the hosts
+        """
+        self._leaving = hosts
+
+    def remove_gone(self) -> None:
+        """Forget the nodes that are proved to be gone."""
+        gone = rules.remove_gone(self._table, self._loop.time())
+        for name, reason in gone.items():
+            logging.info(
+                'node gone',
+                extra={
+                    'event': 'member_gone',
+                    'choice': name,
+                    'reason': str(reason),
+                },
+            )
+
+    def notify(self) -> None:
+        """Call the subscribers if the nodes in contact have changed."""
+        view = self._create_view()
+        if view == self._view:
+            return
+        self._view = view
+        for subscriber in self._subscribers:
+            subscriber()
+
+    def _create_view(self) -> _View:
+        return _View(
+            live=tuple(
+                (member.name, member.incarnation) for member in self.live()
+            ),
+            expected=self.expected(),
+            heard=self.heard(),
+            leaving=self._leaving,
+        )
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,361 @@
+"""Rules of membership, and nodes that find and lose each other."""
+
+import contextlib
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mastichatch_core import membership as rules
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.generated.records import NodeRecord
+from mastichatch_core.membership import GoneReason, Member
+from mastichatch_node.peers import Peers
+from mastichatch_node.platform import Platform
+from tests.membership_nodes import Node, control, open_node, open_standin, until
+
+TIMING = rules.MemberTiming(timeout=1.5, lease=6.0)
+
+
+def member(name: str, incarnation: str = '', **fields: object) -> Member:
+    """Return a node of the data centre of the tests."""
+    known: dict[str, object] = {
+        'name': name,
+        'data_centre': 'north',
+        'incarnation': incarnation or f'{name}-1',
+        'peer_address': f'{name}:1',
+        'http_address': '',
+    }
+    return Member(**(known | fields))  # type: ignore[arg-type]
+
+
+def create_table() -> rules.MemberTable:
+    """Return the table of node a, which has heard node b at 10 s."""
+    table = rules.MemberTable(member('a'), TIMING, 0)
+    table.lease_until = 16
+    rules.note_platform(table, 10)
+    rules.note_heartbeat(table, member('b'), ['a'], 10)
+    return table
+
+
+def record(name: str, incarnation: str = '') -> NodeRecord:
+    """Return a node's registration."""
+    return NodeRecord(
+        name=name,
+        incarnation=incarnation or f'{name}-1',
+        data_centre='north',
+        peer_address=f'{name}:1',
+        http_address='',
+    )
+
+
+def names(found: tuple[Member, ...]) -> list[str]:
+    """Return the names of nodes."""
+    return [each.name for each in found]
+
+
+class TestProofs:
+    def test_a_silent_node_stays_expected_without_proof(self) -> None:
+        table = create_table()
+        assert not rules.remove_gone(table, 1000)
+        assert rules.expected(table) == {'a', 'b'}
+        assert rules.heard(table, 12) == {'a'}
+
+    def test_a_lapsed_lease_proves_it_only_of_a_silent_node(self) -> None:
+        table = create_table()
+        rules.note_records(table, [record('a')], 10.5, 10.6)
+        assert not rules.remove_gone(table, 11)
+        assert rules.remove_gone(table, 12) == {'b': GoneReason.lease_lapsed}
+
+    def test_a_listing_asked_for_before_it_was_heard_proves_nothing(
+        self,
+    ) -> None:
+        table = create_table()
+        rules.note_records(table, [record('a')], 9.9, 10.6)
+        assert not rules.remove_gone(table, 12)
+
+    def test_a_registration_that_is_back_withdraws_the_proof(self) -> None:
+        table = create_table()
+        rules.note_records(table, [record('a')], 10.5, 10.6)
+        rules.note_records(table, [record('a'), record('b')], 11, 11)
+        assert not rules.remove_gone(table, 12)
+
+    def test_word_of_another_data_centre_outweighs_a_lapsed_lease(self) -> None:
+        table = create_table()
+        rules.note_records(table, [record('a')], 10.5, 10.6)
+        rules.note_elsewhere(table, ['b'], 11)
+        assert not rules.remove_gone(table, 12)
+        assert rules.remove_gone(table, 16)
+
+    def test_a_removed_host_proves_it_where_it_was_on_the_list(self) -> None:
+        table = create_table()
+        rules.note_hosts(table, ['a'])
+        assert not rules.remove_gone(table, 12)
+        rules.note_hosts(table, ['a', 'b'])
+        rules.note_hosts(table, ['a'])
+        assert rules.remove_gone(table, 12) == {'b': GoneReason.host_removed}
+
+    def test_a_draining_node_that_fell_silent_has_left(self) -> None:
+        table = create_table()
+        rules.note_heartbeat(table, member('b', draining=True), ['a'], 11)
+        assert names(rules.live(table, 11)) == ['a']
+        assert rules.heard(table, 11) == {'a', 'b'}
+        assert rules.remove_gone(table, 13) == {'b': GoneReason.drained}
+
+    def test_silence_elsewhere_proves_it_while_the_platform_is_away(
+        self,
+    ) -> None:
+        table = create_table()
+        rules.note_elsewhere(table, [], 14)
+        assert not rules.remove_gone(table, 15)
+        rules.note_elsewhere(table, [], 17)
+        assert rules.remove_gone(table, 17)
+
+    def test_silence_elsewhere_proves_nothing_of_a_node_heard_there(
+        self,
+    ) -> None:
+        table = create_table()
+        rules.note_elsewhere(table, ['b'], 16)
+        rules.note_elsewhere(table, [], 17)
+        assert not rules.remove_gone(table, 17)
+
+
+class TestIncarnations:
+    def test_a_new_incarnation_replaces_the_old_at_once(self) -> None:
+        table = create_table()
+        assert rules.note_heartbeat(table, member('b', 'b-2'), [], 10.1)
+        assert rules.live(table, 10.1)[1].incarnation == 'b-2'
+
+    def test_a_late_heartbeat_of_a_replaced_one_is_ignored(self) -> None:
+        table = create_table()
+        rules.note_heartbeat(table, member('b', 'b-2'), [], 10.1)
+        rules.note_heartbeat(table, member('b', 'b-1'), ['a'], 10.2)
+        assert rules.live(table, 10.2)[1].incarnation == 'b-2'
+
+    def test_a_registration_left_over_does_not_bring_back_the_old(
+        self,
+    ) -> None:
+        table = create_table()
+        rules.note_heartbeat(table, member('b', 'b-2'), [], 10.1)
+        rules.note_records(table, [record('b', 'b-1')], 10.2, 10.2)
+        assert rules.live(table, 10.2)[1].incarnation == 'b-2'
+
+
+class TestContact:
+    def test_a_one_way_cut_counts_as_silence_at_both_ends(self) -> None:
+        table = create_table()
+        rules.note_heartbeat(table, member('b'), [], 12)
+        assert rules.heard(table, 12) == {'a'}
+        assert names(rules.unacknowledged(table, 12)) == ['b']
+        assert rules.received_from(table, 12) == ('b',)
+
+    def test_after_a_freeze_nobody_counts_until_heard_again(self) -> None:
+        table = create_table()
+        rules.note_freeze(table, 10.5)
+        rules.note_heartbeat(table, member('b'), ['a'], 10.4)
+        assert rules.heard(table, 10.4) == {'a'}
+        rules.note_heartbeat(table, member('b'), ['a'], 10.6)
+        assert rules.heard(table, 10.6) == {'a', 'b'}
+
+
+class TestOwnStop:
+    def test_a_node_cut_off_from_all_at_once_stops_with_its_lease(
+        self,
+    ) -> None:
+        table = create_table()
+        assert rules.heard(table, 15.9) == {'a'}
+        assert rules.heard(table, 16.1) == frozenset()
+
+    def test_one_that_lost_the_platform_long_before_goes_on(self) -> None:
+        table = create_table()
+        rules.note_heartbeat(table, member('b'), ['a'], 100)
+        assert rules.heard(table, 110) == {'a'}
+
+    def test_one_that_still_hears_a_neighbour_goes_on(self) -> None:
+        table = create_table()
+        rules.note_heartbeat(table, member('c'), ['a'], 17)
+        assert rules.heard(table, 17) == {'a', 'c'}
+
+    @given(
+        lapse=st.floats(0, 30),
+        cut=st.floats(0, 30),
+        at=st.floats(0, 100),
+    )
+    def test_both_sides_of_a_cut_never_count_as_whole(
+        self, lapse: float, cut: float, at: float
+    ) -> None:
+        # Node b loses everybody at one moment. Its lease lapses by its own
+        # clock at most a lease later, and by the platform's no earlier. The
+        # platform answers node a all the time.
+        a = rules.MemberTable(member('a'), TIMING, 0)
+        b = rules.MemberTable(member('b'), TIMING, 0)
+        rules.note_heartbeat(a, member('b'), ['a'], cut)
+        rules.note_heartbeat(b, member('a'), ['b'], cut)
+        renewed = max(0, cut - TIMING.lease / 3)
+        rules.note_platform(b, renewed)
+        b.lease_until = renewed + TIMING.lease
+        now = cut + at
+        lapsed = now >= b.lease_until + lapse
+        present = [record('a')] if lapsed else [record('a'), record('b')]
+        rules.note_records(a, present, now, now)
+        rules.remove_gone(a, now)
+        if rules.expected(a) == {'a'}:
+            assert not rules.heard(b, now)
+
+
+class TestNodes:
+    async def test_nodes_find_each_other_and_choose_the_same_host(
+        self,
+    ) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            address = await enter(open_standin())
+            nodes = [
+                await enter(open_node(f'n{index}', 'north', address))
+                for index in range(4)
+            ]
+            everyone = ['n0', 'n1', 'n2', 'n3']
+            await until(lambda: all(node.live() == everyone for node in nodes))
+            hosts = [node.membership.scheduler_host('rota') for node in nodes]
+            assert len({host.name for host in hosts if host}) == 1
+
+    async def test_a_node_that_leaves_is_not_expected_any_more(self) -> None:
+        async with open_standin() as address:
+            async with open_node('n0', 'north', address) as first:
+                async with open_node('n1', 'north', address) as second:
+                    await until(lambda: first.live() == ['n0', 'n1'])
+                    second.membership.set_draining()
+                    await until(lambda: first.live() == ['n0'])
+                    assert first.membership.heard() == {'n0', 'n1'}
+                await until(lambda: first.membership.expected() == {'n0'})
+
+    async def test_a_silent_node_is_removed_once_its_lease_has_lapsed(
+        self,
+    ) -> None:
+        async with open_standin() as address:
+            async with open_node('n0', 'north', address) as first:
+                async with open_node('n1', 'north', address) as second:
+                    await until(lambda: first.live() == ['n0', 'n1'])
+                    with unreachable(second.platform, second.peers):
+                        await until(lambda: first.live() == ['n0'])
+                        assert first.membership.expected() == {'n0', 'n1'}
+                        await until(
+                            lambda: first.membership.expected() == {'n0'}
+                        )
+                        await until(lambda: not second.membership.heard())
+                    # It comes back as it was.
+                    await until(lambda: first.live() == ['n0', 'n1'])
+
+    async def test_digests_reach_every_node_of_another_data_centre(
+        self,
+    ) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            address = await enter(open_standin())
+            nodes = [
+                await enter(open_node(f'{place}{index}', place, address))
+                for place in ('north', 'south')
+                for index in range(3)
+            ]
+
+            def summary(node: Node) -> list[tuple[str, int, int]]:
+                return [
+                    (each.data_centre, len(each.nodes), each.loads[0].free)
+                    for each in node.membership.digests()
+                    if each.loads
+                ]
+
+            await until(
+                lambda: all(
+                    summary(node) == [('south', 3, 3)] for node in nodes[:3]
+                )
+            )
+            await until(
+                lambda: all(
+                    summary(node) == [('north', 3, 3)] for node in nodes[3:]
+                )
+            )
+            known = [each.name for each in nodes[0].membership.all_known()]
+            assert sorted(known) == sorted(
+                f'{place}{index}'
+                for place in ('north', 'south')
+                for index in range(3)
+            )
+
+    async def test_seeds_join_the_nodes_while_the_platform_is_away(
+        self,
+    ) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            address = await enter(open_standin())
+            await control(address, available=False)
+            first = await enter(open_node('n0', 'north', address))
+            seeds = (first.peers.address,)
+            nodes = [
+                await enter(open_node(f'n{i}', 'north', address, seeds=seeds))
+                for i in (1, 2)
+            ]
+            south = await enter(open_node('s', 'south', address, seeds=seeds))
+            everyone = ['n0', 'n1', 'n2']
+            await until(
+                lambda: all(node.live() == everyone for node in [first, *nodes])
+            )
+            await until(lambda: len(south.membership.digests()) == 1)
+
+    async def test_a_restart_at_the_same_address_is_met_at_once(self) -> None:
+        async with open_standin() as address:
+            async with open_node('n0', 'north', address) as first:
+                async with open_node('n1', 'north', address) as second:
+                    await until(lambda: first.live() == ['n0', 'n1'])
+                    place = second.peers.address
+                async with open_node(
+                    'n1',
+                    'north',
+                    address,
+                    peer_address=place,
+                    incarnation='again',
+                ):
+                    await until(
+                        lambda: (
+                            first.membership.by_incarnation('again') is not None
+                        )
+                    )
+                    await until(lambda: first.live() == ['n0', 'n1'])
+
+    async def test_leaving_hosts_are_known_to_every_node(self) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            address = await enter(open_standin())
+            nodes = [
+                await enter(open_node(f'n{index}', 'north', address))
+                for index in range(3)
+            ]
+            host = {'host': 'e1', 'data_centre': 'north', 'state': 'leaving'}
+            await control(address, hosts=[host])
+            await until(
+                lambda: all(
+                    node.membership.leaving_hosts == {'e1'} for node in nodes
+                ),
+                5,
+            )
+            await control(address, hosts=[host | {'state': 'live'}])
+            await until(
+                lambda: not any(node.membership.leaving_hosts for node in nodes)
+            )
+
+
+@contextlib.contextmanager
+def unreachable(platform: Platform, peers: Peers) -> Iterator[None]:
+    """Cut a node off from everything while the context lasts."""
+    patch = pytest.MonkeyPatch()
+
+    async def fail(*_arguments: object, **_options: object) -> object:
+        raise MastichatchError(ErrorKind.platform_unavailable)
+
+    with patch.context() as patched:
+        patched.setattr(platform, '_call', fail)
+        patched.setattr(peers, '_transmit', lambda *_: None)
+        patched.setattr(peers, '_handle_frame', lambda *_: None)
+        yield
