--- a/packages/core/mastichatch_core/admission.py
+++ b/packages/core/mastichatch_core/admission.py
@@ -1,11 +1,18 @@
 """Decides how much work one endpoint incarnation gets."""
 
 import dataclasses
+import math
 from collections import OrderedDict, deque
 from typing import Final
 
 from mastichatch_core.batching import Batching, forget_gaps, note_gap
-from mastichatch_core.breaker import Breaker, close, note_failure, passes
+from mastichatch_core.breaker import (
+    Breaker,
+    close,
+    note_failure,
+    note_reachable,
+    passes,
+)
 from mastichatch_core.generated.manifest import Endpoint
 from mastichatch_core.generated.messages import (
     EndpointObservation,
@@ -42,7 +49,9 @@
     :param demand: memory that its permits want; ``None`` when not current
     :param prefixes: prompt prefixes it was given last, newest last
     :param reporters: by node, when it reported and whether it got through
-    :param counts: permits over time, as pairs of time and count
+    :param reported_at: when its newest report was taken, in seconds
+    :param handed_over: whether the scheduler before told of it
+    :param released: permits given back, as pairs of grant and release time
     """
 
     described: Endpoint
@@ -60,7 +69,11 @@
     reporters: dict[str, tuple[float, bool]] = dataclasses.field(
         default_factory=dict
     )
-    counts: deque[tuple[float, int]] = dataclasses.field(default_factory=deque)
+    reported_at: float = -math.inf
+    handed_over: bool = False
+    released: deque[tuple[float, float]] = dataclasses.field(
+        default_factory=deque
+    )
 
 
 def create_endpoint_state(described: Endpoint, now: float) -> EndpointState:
@@ -143,30 +156,36 @@
     return passes(state.breaker, running, now)
 
 
-def note_count(state: EndpointState, running: int, now: float) -> None:
-    """Note a change of the permits that count against the endpoint.
+def note_given_back(
+    state: EndpointState, granted_at: float, now: float
+) -> None:
+    """Note that a node gave a permit back, so the endpoint is rid of it.
 
     :param state: the endpoint
-    :param running: permits that count against it
+    :param granted_at: when the permit was granted, in seconds
     :param now: time in seconds
     """
-    state.demand = None
-    state.counts.append((now, running))
-    while len(state.counts) > 1 and state.counts[1][0] < now - HISTORY_S:
-        state.counts.popleft()
+    state.released.append((granted_at, now))
+    while state.released[0][1] < now - HISTORY_S:
+        state.released.popleft()
 
 
 def note_observation(
     state: EndpointState,
     observation: EndpointObservation,
     node: str,
+    granted: tuple[float, ...],
     now: float,
 ) -> None:
     """Note a node's report on the endpoint.
 
+    What it runs beyond the permits of the time of the report is foreign: it
+    belongs to nodes or schedulers that this scheduler does not know.
+
     :param state: the endpoint
     :param observation: the report
     :param node: name of the node
+    :param granted: when each permit that counts against it was granted
     :param now: time in seconds
     """
     state.reporters[node] = (now, observation.reachable)
@@ -176,10 +195,17 @@
         return
     if observation.boot_id and observation.boot_id != state.boot_id:
         _note_boot(state, observation.boot_id, now)
+    note_reachable(state.breaker, now)
     note_preemptions(state.safety, observation.preemptions)
+    taken_at = now - observation.age_ms / 1000
+    state.reported_at = max(state.reported_at, taken_at)
+    explained = sum(granted_at <= taken_at for granted_at in granted)
+    explained += sum(
+        granted_at <= taken_at < released_at
+        for granted_at, released_at in state.released
+    )
     seen = observation.running + observation.waiting
-    own = _count_at(state, now - observation.age_ms / 1000)
-    state.foreign = max(0, seen - own)
+    state.foreign = max(0, seen - explained)
 
 
 def note_limit(state: EndpointState, observation: EndpointObservation) -> None:
@@ -188,8 +214,9 @@
     :param state: the endpoint
     :param observation: its last word on the same incarnation
     """
-    if observation.boot_id == state.boot_id:
+    if observation.boot_id in {state.boot_id, ''}:
         state.ramp.floor = max(state.ramp.floor, observation.limit)
+        state.handed_over = True
 
 
 def note_progress(state: EndpointState, bearing: int) -> None:
@@ -273,13 +300,3 @@
         reached and now - reported_at < REPORTER_TIMEOUT_S
         for reported_at, reached in state.reporters.values()
     )
-
-
-def _count_at(state: EndpointState, time: float) -> int:
-    """Return the permits at an earlier time."""
-    count = 0
-    for changed_at, running in state.counts:
-        if changed_at > time:
-            break
-        count = running
-    return count
--- a/packages/core/mastichatch_core/breaker.py
+++ b/packages/core/mastichatch_core/breaker.py
@@ -14,11 +14,13 @@
 
     :param failures: failures in a row
     :param open_until: when a probe may go, in seconds; ``None`` when closed
+    :param reached: whether the endpoint answered at the last failure
     :param backoff: time until the next probe after a failure, in seconds
     """
 
     failures: int = 0
     open_until: float | None = None
+    reached: bool = True
     backoff: float = FIRST_BACKOFF_S
 
 
@@ -42,6 +44,7 @@
     :param now: time in seconds
     """
     breaker.failures += 1
+    breaker.reached = reached
     probing = breaker.open_until is not None
     if probing and now < (breaker.open_until or now):
         return
@@ -51,6 +54,16 @@
         breaker.open_until = now + breaker.backoff
 
 
+def note_reachable(breaker: Breaker, now: float) -> None:
+    """Allow a probe at once when an endpoint that was away answers again.
+
+    :param breaker: the endpoint's breaker
+    :param now: time in seconds
+    """
+    if breaker.open_until is not None and not breaker.reached:
+        breaker.open_until = min(breaker.open_until, now)
+
+
 def close(breaker: Breaker) -> None:
     """Close the breaker after a success or a new start of the endpoint.
 
--- a/packages/core/mastichatch_core/endpoints.py
+++ b/packages/core/mastichatch_core/endpoints.py
@@ -6,7 +6,7 @@
     EndpointState,
     create_endpoint_state,
     current_limit,
-    note_count,
+    note_given_back,
     note_in_service,
 )
 from mastichatch_core.catalogue import Catalogue
@@ -62,7 +62,7 @@
         return self._catalogue.workspaces.get(name)
 
     def load(self, name: str) -> int:
-        """Return the requests that count against an endpoint.
+        """Return the requests known to be at an endpoint, foreign ones too.
 
         :param name: name of the endpoint
         """
@@ -121,26 +121,38 @@
         :param permit: the permit
         :param now: time in seconds
         """
-        self.pop_permit(permit.key, now)
+        self.give_back(permit.key, now)
         self._ledger.add(permit)
-        self._note_count(permit.endpoint, now)
+        state = self._states.get(permit.endpoint)
+        if state is not None:
+            state.demand = None
 
-    def pop_permit(self, key: PermitKey, now: float) -> Permit | None:
-        """Stop counting a permit.
+    def give_back(self, key: PermitKey, now: float) -> Permit | None:
+        """Stop counting a permit that its node gave back.
 
         :param key: request id and attempt
         :param now: time in seconds
         :returns: the permit, or ``None`` if there was none
         """
         permit = self._ledger.pop(key)
-        if permit is not None:
-            self._note_count(permit.endpoint, now)
+        state = self._states.get(permit.endpoint) if permit else None
+        if permit is not None and state is not None:
+            state.demand = None
+            note_given_back(state, permit.granted_at, now)
         return permit
 
-    def _note_count(self, name: str, now: float) -> None:
-        state = self._states.get(name)
+    def drop(self, permit: Permit) -> None:
+        """Stop counting a permit whose lease is over.
+
+        Its request may still run there, until a report says otherwise.
+
+        :param permit: the permit
+        """
+        self._ledger.pop(permit.key)
+        state = self._states.get(permit.endpoint)
         if state is not None:
-            note_count(state, self._ledger.running(name), now)
+            state.demand = None
+            state.foreign += permit.used
 
     def _note_service(self, now: float) -> None:
         for state in self._states.values():
--- a/packages/core/mastichatch_core/fairness.py
+++ b/packages/core/mastichatch_core/fairness.py
@@ -47,6 +47,9 @@
         self._class_times: dict[RequestClass, float] = {}
         self._workspace_times: dict[str, float] = {}
         self._counts: dict[str, int] = {}
+        # The virtual times are those of the last request's start.
+        self._class_start: float = 0
+        self._workspace_start: float = 0
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -107,6 +110,15 @@
             self._counts.pop(request.workspace)
         return entry
 
+    def note_start(self, entry: Waiting) -> None:
+        """Move the virtual times on to the start of a granted request.
+
+        :param entry: the request, before it is charged
+        """
+        request = entry.request
+        self._class_start = self._class_times.get(request.request_class, 0)
+        self._workspace_start = self._workspace_times.get(request.workspace, 0)
+
     def charge(
         self,
         workspace: str,
@@ -154,21 +166,15 @@
             yield next(iter(self._lanes[lane].values()))
 
     def _rejoin(self, request: PermitRequest) -> None:
-        """Lift the virtual times of a class or workspace that was idle."""
+        """Bring a class or workspace that was idle up to the virtual time."""
         classes = {lane[0] for lane in self._lanes}
-        if request.request_class not in classes:
-            floor = min(
-                (self._class_times.get(name, 0) for name in classes),
-                default=0,
-            )
-            self._class_times[request.request_class] = max(
-                floor, self._class_times.get(request.request_class, 0)
-            )
-        if request.workspace not in self._counts:
-            floor = min(
-                (self._workspace_times.get(name, 0) for name in self._counts),
-                default=0,
+        request_class = request.request_class
+        if request_class not in classes:
+            self._class_times[request_class] = max(
+                self._class_start, self._class_times.get(request_class, 0)
             )
-            self._workspace_times[request.workspace] = max(
-                floor, self._workspace_times.get(request.workspace, 0)
+        workspace = request.workspace
+        if workspace not in self._counts:
+            self._workspace_times[workspace] = max(
+                self._workspace_start, self._workspace_times.get(workspace, 0)
             )
--- a/packages/core/mastichatch_core/granting.py
+++ b/packages/core/mastichatch_core/granting.py
@@ -181,6 +181,7 @@
     choice = max(scores, key=lambda one: one.score)
     permit.endpoint = choice.endpoint
     scheduler.queue.remove(entry.key)
+    scheduler.queue.note_start(entry)
     workspace = scheduler.pool.workspace(permit.workspace)
     scheduler.queue.charge(
         permit.workspace,
--- a/packages/core/mastichatch_core/reach.py
+++ b/packages/core/mastichatch_core/reach.py
@@ -33,6 +33,7 @@
         self._heard: frozenset[str] = frozenset()
         self._members: dict[str, _Member] = {}
         self._keeper = False
+        self._ever_expected: frozenset[str] = frozenset()
 
     @property
     def keeper(self) -> bool:
@@ -47,6 +48,7 @@
         self._opened_at = now
         self._members.clear()
         self._keeper = False
+        self._ever_expected = self._expected
 
     def note_members(
         self, expected: frozenset[str], heard: frozenset[str]
@@ -58,6 +60,7 @@
         """
         self._expected = expected
         self._heard = heard
+        self._ever_expected |= expected
 
     def note_registration(self, node: str, sequence: int, now: float) -> bool:
         """Note that a node obeys this term.
@@ -97,6 +100,19 @@
             return True
         return now - self._opened_at >= self._timeout
 
+    def covers(self, reported_at: float, *, handed_over: bool) -> bool:
+        """Return whether nothing unknown can run at an endpoint.
+
+        Members that are silent, or that restarted, do not tell what runs for
+        them; a report taken once they can no longer start anything does.
+
+        :param reported_at: when the endpoint's report was taken, in seconds
+        :param handed_over: whether the scheduler before told of the endpoint
+        """
+        if self._ever_expected <= self._members.keys():
+            return handed_over or reported_at >= self._opened_at
+        return reported_at >= self._opened_at + JOIN_DELAY_S
+
     def share(self, now: float) -> float:
         """Return the share of every budget that this scheduler may use.
 
--- a/packages/core/mastichatch_core/scheduler.py
+++ b/packages/core/mastichatch_core/scheduler.py
@@ -164,7 +164,7 @@
     _hold_all(scheduler, registration, now)
     if not obeys:
         return outgoing
-    _drop_unnamed(scheduler, registration, now)
+    _drop_withdrawn(scheduler, registration)
     answers = [
         answer
         for asked in registration.waiting
@@ -199,7 +199,7 @@
     :param release: how the permit ended
     :param now: time in seconds
     """
-    permit = scheduler.pool.pop_permit(
+    permit = scheduler.pool.give_back(
         (release.request_id, release.attempt), now
     )
     state = scheduler.pool.states.get(release.endpoint)
@@ -222,7 +222,7 @@
     scheduler.queue.remove(key)
     permit = scheduler.ledger.get(key)
     if permit is not None and not permit.used:
-        scheduler.pool.pop_permit(key, now)
+        scheduler.pool.give_back(key, now)
     return advance(scheduler, now)
 
 
@@ -297,7 +297,11 @@
     if observation.limit_term and follows:
         note_limit(state, observation)
     elif not observation.limit_term:
-        note_observation(state, observation, node, now)
+        granted = tuple(
+            permit.granted_at
+            for permit in scheduler.ledger.at_endpoint(observation.endpoint)
+        )
+        note_observation(state, observation, node, granted, now)
 
 
 def _hold_all(
@@ -378,20 +382,13 @@
     )
 
 
-def _drop_unnamed(
-    scheduler: Scheduler, registration: Registration, now: float
-) -> None:
-    """Forget what a node no longer names: its releases were lost.
+def _drop_withdrawn(scheduler: Scheduler, registration: Registration) -> None:
+    """Take what a node no longer waits for out of the queue.
 
-    A permit not known to be used stays until its lease is over, since the
-    grant may have crossed the registration.
+    Permits that it no longer names only lapse: the grant may have crossed the
+    registration, or the node restarted and its engine goes on for a while.
     """
-    held = {(one.request_id, one.attempt) for one in registration.held}
     waiting = {(one.request_id, one.attempt) for one in registration.waiting}
-    for permit in scheduler.ledger:
-        theirs = permit.node == registration.node and permit.used
-        if theirs and permit.key not in held:
-            scheduler.pool.pop_permit(permit.key, now)
     for entry in scheduler.queue:
         theirs = entry.request.node == registration.node
         if theirs and entry.key not in waiting:
@@ -541,7 +538,7 @@
             permit.used = True
             permit.expires_at = now + scheduler.timing.linger
         else:
-            scheduler.pool.pop_permit(permit.key, now)
+            scheduler.pool.drop(permit)
 
 
 def _learn(
--- a/packages/core/mastichatch_core/scheduler_state.py
+++ b/packages/core/mastichatch_core/scheduler_state.py
@@ -134,15 +134,16 @@
         """Return how many more permits each endpoint may get, memory aside.
 
         :param now: time in seconds
-        :returns: by endpoint; negative where more run than may
+        :returns: by endpoint whose load is known; negative where more run
+            than may
         """
         share = self._reach.share(now)
-        keeper = self._reach.keeper
-        pool = self._pool
         return {
-            name: scaled_limit(pool.limit(name, now), share, keeper=keeper)
-            - pool.load(name)
-            for name in pool.states
+            name: self._free_at(name, share, now)
+            for name, state in self._pool.states.items()
+            if self._reach.covers(
+                state.reported_at, handed_over=state.handed_over
+            )
         }
 
     def note_time(self, now: float) -> bool:
@@ -166,8 +167,16 @@
         self._queue = FairQueue()
         for permit in self.ledger:
             permit.expires_at = now + self._timing.permit_lease
+        for state in self._pool.states.values():
+            state.handed_over = False
         return True
 
+    def _free_at(self, name: str, share: float, now: float) -> int:
+        limit = self._pool.limit(name, now)
+        scaled = scaled_limit(limit, share, keeper=self._reach.keeper)
+        own = self.ledger.running(name)
+        return min(scaled - own, int(limit) - self._pool.load(name))
+
     def note_higher_term(self) -> None:
         """Stop granting for good, since members obey a higher term."""
         self._superseded = True
