Read the claim again before a refusal that came after a wait

Cause: with real processes, four tries of one key at one moment behind a silent endpoint gave outcome_unknown to one caller and "not run" to another, which had read the key as free and waited for a permit meanwhile. Change: a refusal before the claim reads the claim once more and settles by it. Conclusion: "not run" holds up to one read of the claim before the answer.

--- a/packages/node/mastichatch_node/keyed.py
+++ b/packages/node/mastichatch_node/keyed.py
@@ -113,9 +113,28 @@
             if settled is None:
                 settled = await self._run_free(call, run, found, tries)
             if settled is not None:
-                return settled
+                return await self._confirm(call, run, settled)
         raise MastichatchError(ErrorKind.in_progress)
 
+    async def _confirm(
+        self,
+        call: PlainCall,
+        run: Run,
+        outcome: CallOutcome,
+    ) -> CallOutcome:
+        """Return an outcome, or that of an attempt made in the meantime.
+
+        A refusal before the claim may come after a long wait, in which another
+        node may have claimed the key for the same caller.
+        """
+        if outcome.ran is not Ran.no or run.may_stand:
+            return outcome
+        try:
+            found = await self._claims.find(run.name)
+        except MastichatchError:
+            return outcome
+        return await self._settle(call, run, found) or outcome
+
     async def _run_free(
         self,
         call: PlainCall,
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -166,6 +166,20 @@
             assert (await ask(nodes[1])).ran is Ran.yes
             assert len(world.executions) == 1
 
+    async def test_refusal_after_a_wait_sees_a_claim_made_meanwhile(
+        self,
+    ) -> None:
+        async with fleet() as (world, nodes):
+            world.permit_refused = True
+            world.permit_delay_s = 1
+            late = asyncio.create_task(ask(nodes[1]))
+            await asyncio.sleep(0.5)
+            world.permit_refused = False
+            world.permit_delay_s = 0
+            assert (await ask(nodes[0])).ran is Ran.yes
+            world.permit_refused = True
+            assert (await late).ran is Ran.yes
+
     async def test_missing_key_is_refused(self) -> None:
         async with fleet(1) as (world, nodes):
             answer = await ask(nodes[0], key='')
