Encode a heartbeat once for all receivers, without defaults

Cause: each heartbeat was built and encoded for every receiver, and every heartbeat received rebuilt the view of the members. Change: one encoding for all receivers, fields at their default left out, and a new view only where a heartbeat changed the contact.

--- a/packages/core/mastichatch_core/membership.py
+++ b/packages/core/mastichatch_core/membership.py
@@ -28,6 +28,14 @@
     unheard_elsewhere = 'unheard_elsewhere'
 
 
+class Arrival(enum.Enum):
+    """What a heartbeat changed."""
+
+    usual = 'usual'
+    changed = 'changed'
+    new = 'new'
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
     """A node as the others know it.
@@ -98,7 +106,7 @@
     member: Member,
     heard: Iterable[str],
     now: float,
-) -> bool:
+) -> Arrival:
     """Note that a node was heard.
 
     An incarnation that is new takes the place of the one known by that name;
@@ -108,19 +116,23 @@
     :param member: the node, as it describes itself
     :param heard: names of the nodes that it hears
     :param now: time in seconds
-    :returns: whether the incarnation was not known before
+    :returns: whether the incarnation is new, or the contact changed
     """
     if _is_unwelcome(table, member) or now < table.deaf_until:
-        return False
+        return Arrival.usual
     track = _track(table, member, now)
     is_new = track.first_heard_at == math.inf
+    before = (_is_heard(table, track, now), track.member.draining)
     if is_new:
         track.first_heard_at = now
     track.member = member
     track.heard_at = now
     if table.own.name in heard:
         track.mutual_at = now
-    return is_new
+    if is_new:
+        return Arrival.new
+    after = (_is_heard(table, track, now), member.draining)
+    return Arrival.usual if before == after else Arrival.changed
 
 
 def note_records(
--- a/packages/node/mastichatch_node/codec.py
+++ b/packages/node/mastichatch_node/codec.py
@@ -1,5 +1,6 @@
 """Turns generated messages into bytes and back."""
 
+import dataclasses
 import functools
 from collections.abc import Hashable
 from typing import Any, TypeVar, cast
@@ -14,11 +15,16 @@
 
 
 def encode(message: object) -> bytes:
-    """Return a message as msgpack.
+    """Return a message as msgpack, without fields that have their default.
 
     :param message: instance of a generated data class
     """
-    return msgspec.msgpack.encode(message)
+    fields = {}
+    for name, default in _defaults(cast(Hashable, type(message))):
+        field = getattr(message, name)
+        if field != default:
+            fields[name] = field
+    return msgspec.msgpack.encode(fields)
 
 
 def decode(content: bytes, message_type: type[_Message]) -> _Message:
@@ -62,6 +68,14 @@
         raise DecodeError(str(error)) from error
 
 
+@functools.cache
+def _defaults(message_type: Any) -> tuple[tuple[str, object], ...]:
+    return tuple(
+        (field.name, field.default)
+        for field in dataclasses.fields(message_type)
+    )
+
+
 @functools.cache
 def _msgpack_decoder(message_type: Any) -> Any:
     return msgspec.msgpack.Decoder(message_type)
--- a/packages/node/mastichatch_node/heartbeats.py
+++ b/packages/node/mastichatch_node/heartbeats.py
@@ -77,7 +77,7 @@
             # A node that only knows this one as its seed.
             self._send_digest(envelope.sender, heartbeat.data_centre)
             return
-        is_new = rules.note_heartbeat(
+        arrival = rules.note_heartbeat(
             self._membership.table,
             _member(heartbeat, envelope),
             heartbeat.heard,
@@ -86,12 +86,14 @@
         self._loads_of[heartbeat.node] = heartbeat.loads
         if heartbeat.leaving is not None and not self._reads_hosts():
             self._membership.note_leaving(frozenset(heartbeat.leaving))
-        if is_new:
+            self._membership.notify()
+        if arrival is rules.Arrival.new:
             # What the connection has queued was for an earlier incarnation.
             self._peers.reset(envelope.sender)
             self._send_digest(envelope.sender, heartbeat.data_centre)
             self._send_heartbeat(envelope.sender)
-        self._membership.notify()
+        if arrival is not rules.Arrival.usual:
+            self._membership.notify()
 
     async def take_digest(self, digest: Digest, envelope: Envelope) -> None:
         """Note a digest, and pass it on if it came from its data centre.
@@ -177,10 +179,9 @@
         addresses = known | self._probes.keys()
         if not known:
             addresses.update(self._settings.seeds)
-        for address in addresses - {self._peers.address}:
-            self._send_heartbeat(address)
+        self._send_heartbeat(*(addresses - {self._peers.address}))
 
-    def _send_heartbeat(self, address: str) -> None:
+    def _send_heartbeat(self, *addresses: str) -> None:
         own = self._membership.own
         leaving = tuple(self._membership.leaving_hosts)
         heartbeat = Heartbeat(
@@ -198,7 +199,7 @@
             loads=self._loads(),
             leaving=leaving if self._reads_hosts() else None,
         )
-        self._peers.send(address, MessageKind.heartbeat, heartbeat)
+        self._peers.send_all(addresses, MessageKind.heartbeat, heartbeat)
 
     def _send_digest(self, address: str, data_centre: str) -> None:
         now = self._loop.time()
@@ -218,13 +219,12 @@
         self._peers.send(address, MessageKind.digest, digest)
 
     def _pass_on(self, digest: Digest) -> None:
-        for member in self._membership.live():
-            if member.name != self._settings.name:
-                self._peers.send(
-                    member.peer_address,
-                    MessageKind.digest,
-                    digest,
-                )
+        addresses = (
+            member.peer_address
+            for member in self._membership.live()
+            if member.name != self._settings.name
+        )
+        self._peers.send_all(addresses, MessageKind.digest, digest)
 
     def _probe(self, addresses: tuple[str, ...]) -> None:
         until = self._loop.time() + PROBE_LIMIT_S
--- a/packages/node/mastichatch_node/peers.py
+++ b/packages/node/mastichatch_node/peers.py
@@ -6,9 +6,16 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+)
 from typing import Any, Final, TypeVar
 
 import pynng
@@ -94,7 +101,7 @@
         self._heard_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._correlation = 0
-        self._counts: dict[str, int] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
 
     @property
     def address(self) -> str:
@@ -133,7 +140,23 @@
         :param kind: kind of the message
         :param message: generated data class
         """
-        self._transmit(address, self._wrap(kind, message))
+        self.send_all((address,), kind, message)
+
+    def send_all(
+        self,
+        addresses: Iterable[str],
+        kind: MessageKind,
+        message: object,
+    ) -> None:
+        """Queue one message for many receivers, encoded once.
+
+        :param addresses: peer addresses of the receivers
+        :param kind: kind of the message
+        :param message: generated data class
+        """
+        frame = codec.encode(self._wrap(kind, message))
+        for address in addresses:
+            self._transmit(address, frame)
 
     async def ask(
         self,
@@ -168,7 +191,7 @@
         future = self._loop.create_future()
         self._waiting[correlation] = future
         try:
-            self._transmit(address, question)
+            self._transmit(address, codec.encode(question))
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 answer = await future
         except TimeoutError:
@@ -186,7 +209,7 @@
         :param address: peer address
         """
         if self._connections.reset(address):
-            self._count('resets')
+            self._counts['resets'] += 1
 
     def receive(self) -> None:
         """Handle what has arrived, at most one batch of it."""
@@ -200,7 +223,7 @@
                 return
             except RuntimeError:
                 # pynng cannot unpack an empty frame.
-                self._count('bad')
+                self._counts['bad'] += 1
                 continue
             self._handle_frame(frame)
 
@@ -227,23 +250,22 @@
             body=codec.encode(message),
         )
 
-    def _transmit(self, address: str, envelope: Envelope) -> None:
-        frame = codec.encode(envelope)
+    def _transmit(self, address: str, frame: bytes) -> None:
         if self._connections.transmit(address, frame):
-            self._count('sent')
-            self._count('sent_bytes', len(frame))
+            self._counts['sent'] += 1
+            self._counts['sent_bytes'] += len(frame)
         else:
-            self._count('dropped')
+            self._counts['dropped'] += 1
 
     def _handle_frame(self, frame: bytes) -> None:
         try:
             envelope = codec.decode(frame, Envelope)
         except codec.DecodeError:
-            self._count('bad')
+            self._counts['bad'] += 1
             return
         self._heard_at[envelope.sender] = self._loop.time()
         if envelope.recipient not in {'', self._incarnation}:
-            self._count('bad')
+            self._counts['bad'] += 1
             self._answer_failure(envelope, _not_here(envelope.recipient))
         elif envelope.answer:
             self._settle(envelope)
@@ -254,20 +276,20 @@
         future = self._waiting.get(envelope.correlation)
         if future is None or future.done():
             return
-        self._count('received')
+        self._counts['received'] += 1
         future.set_result(envelope)
 
     def _dispatch(self, envelope: Envelope) -> None:
         route = self._routes.get(envelope.kind)
         if route is None or len(self._tasks) >= TASK_LIMIT:
-            self._count('bad')
+            self._counts['bad'] += 1
             return
         try:
             message = codec.decode(envelope.body, route.message_type)
         except codec.DecodeError:
-            self._count('bad')
+            self._counts['bad'] += 1
             return
-        self._count('received')
+        self._counts['received'] += 1
         task = self._loop.create_task(
             self._run_handler(route.handler, message, envelope),
         )
@@ -311,10 +333,7 @@
             recipient=question.incarnation,
             answer=True,
         )
-        self._transmit(question.sender, answer)
-
-    def _count(self, name: str, amount: int = 1) -> None:
-        self._counts[name] = self._counts.get(name, 0) + amount
+        self._transmit(question.sender, codec.encode(answer))
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -125,7 +125,8 @@
 class TestIncarnations:
     def test_a_new_incarnation_replaces_the_old_at_once(self) -> None:
         table = create_table()
-        assert rules.note_heartbeat(table, member('b', 'b-2'), [], 10.1)
+        arrival = rules.note_heartbeat(table, member('b', 'b-2'), [], 10.1)
+        assert arrival is rules.Arrival.new
         assert rules.live(table, 10.1)[1].incarnation == 'b-2'
 
     def test_a_late_heartbeat_of_a_replaced_one_is_ignored(self) -> None:
