Prove that streams are whole under broken links and dying engines

Cause: the promise on tokens had no proof against real processes. Change: tests with fault proxies: cut and silent links, engine death before and after the first token, reused ids, a node's death, abandonment, many callers. Conclusion: the whole path runs as separate processes.

--- /dev/null
+++ b/tests/test_fleet_streams.py
@@ -0,0 +1,222 @@
+"""Tokens come once, in order and from one generation, whatever fails.
+
+Real processes, with fault proxies between nodes and endpoints.
+"""
+
+import asyncio
+import pathlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from tests.callers import Caller, answer_of, text_of
+from tests.processes import Fleet, FleetPlan, Node, open_fleet
+
+PLAN = FleetPlan(
+    proxied=True,
+    engine_flags=('--cold-ms', '0', '--step-ms', '20'),
+    endpoint={'cold_limit': 16},
+    manifest={
+        'services': [
+            {'name': 'rota', 'kind': 'model', 'idle_timeout_ms': 500},
+            {
+                'name': 'bookings',
+                'kind': 'plain',
+                'operations': [{'name': 'book'}],
+            },
+        ],
+    },
+)
+
+
+@pytest.fixture
+async def fleet(tmp_path: pathlib.Path) -> AsyncIterator[Fleet]:
+    async with open_fleet(tmp_path, PLAN) as opened:
+        yield opened
+
+
+@pytest.fixture
+def node(fleet: Fleet) -> Node:
+    return fleet.nodes['north-node-0']
+
+
+async def running_engine(fleet: Fleet) -> str:
+    """Return the engine where something runs."""
+    while True:
+        for name, endpoint in fleet.endpoints.items():
+            if 'engine' in name:
+                shown = await endpoint.show('generations')
+                if shown['running']:
+                    return name
+        await asyncio.sleep(0.02)
+
+
+class TestWithoutFaults:
+    async def test_streams_and_whole_answers_are_the_callers_own(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        caller = Caller(fleet)
+        streamed = await caller.stream(node, 'plan', 30)
+        streamed.check_order()
+        assert streamed.done
+        assert streamed.text == answer_of('plan', 30)
+        assert text_of(await caller.whole(node, 'swap', 9)) == answer_of(
+            'swap', 9
+        )
+
+    async def test_bad_requests_are_refused_with_nothing_sent_on(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        caller = Caller(fleet)
+        path = '/v1/chat/completions'
+        unknown = {
+            'model': 'none',
+            'messages': [{'role': 'user', 'content': 'x'}],
+        }
+        for options, status in (
+            ({'data': b'{'}, 400),
+            ({'json': {'model': 'rota'}}, 400),
+            ({'json': unknown}, 404),
+            ({'json': unknown | {'model': 'rota'}, 'headers': {}}, 403),
+            ({'data': b' ' * 2_000_000}, 413),
+        ):
+            answer = await caller.post(node, path, **options)
+            assert answer['status'] == status
+            assert answer['body']['error']['ran'] == 'no'
+        for name, endpoint in fleet.endpoints.items():
+            if 'engine' in name:
+                assert (await endpoint.show('generations'))['started'] == 0
+
+
+class TestBrokenLinks:
+    async def test_cut_and_silent_connections_are_resumed_unseen(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        reading = asyncio.create_task(Caller(fleet).stream(node, 'long', 120))
+        name = await running_engine(fleet)
+        await asyncio.sleep(0.3)
+        await fleet.links[name].control(blackhole_existing=True)
+        await asyncio.sleep(1.2)
+        await fleet.links[name].control(cut=True)
+        await asyncio.sleep(0.15)
+        await fleet.links[name].control(restore=True)
+        streamed = await reading
+        streamed.check_order()
+        assert streamed.done, streamed.error
+        assert streamed.text == answer_of('long', 120)
+
+
+class TestEngineDeath:
+    async def test_before_the_first_token_another_engine_serves(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        for name, endpoint in fleet.endpoints.items():
+            if name.startswith('north-engine'):
+                await endpoint.control(stall=True)
+        reading = asyncio.create_task(Caller(fleet).stream(node, 'early', 10))
+        name = await running_engine(fleet)
+        fleet.endpoints[name].process.kill()
+        streamed = await reading
+        streamed.check_order()
+        assert streamed.done, streamed.error
+        assert streamed.text == answer_of('early', 10)
+
+    async def test_after_the_first_token_the_caller_is_told_how_many_came(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        reading = asyncio.create_task(Caller(fleet).stream(node, 'late', 200))
+        name = await running_engine(fleet)
+        await asyncio.sleep(0.5)
+        fleet.endpoints[name].process.kill()
+        streamed = await reading
+        streamed.check_order()
+        assert not streamed.done
+        assert streamed.error is not None
+        assert streamed.error['kind'] == 'generation_lost'
+        assert streamed.error['tokens_delivered'] == len(streamed.indexes)
+        assert answer_of('late', 200).startswith(streamed.text)
+
+    async def test_a_whole_answer_survives_it(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        asked = asyncio.create_task(Caller(fleet).whole(node, 'whole', 60))
+        name = await running_engine(fleet)
+        await asyncio.sleep(0.4)
+        fleet.endpoints[name].process.kill()
+        assert text_of(await asked) == answer_of('whole', 60)
+
+    async def test_an_engine_that_reuses_ids_is_not_taken_for_the_old_one(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        caller = Caller(fleet)
+        reading = asyncio.create_task(caller.stream(node, 'old', 200))
+        name = await running_engine(fleet)
+        await asyncio.sleep(0.4)
+        await fleet.endpoints[name].control(restart=True)
+        other = fleet.nodes['north-node-1']
+        fresh = await caller.stream(other, 'new', 20)
+        assert fresh.text == answer_of('new', 20)
+        streamed = await reading
+        streamed.check_order()
+        assert answer_of('old', 200).startswith(streamed.text)
+        assert streamed.error is not None
+
+
+class TestNodeDeath:
+    async def test_the_caller_resumes_at_another_node(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        caller = Caller(fleet)
+        reading = asyncio.create_task(caller.stream(node, 'moved', 100))
+        await running_engine(fleet)
+        await asyncio.sleep(0.5)
+        node.process.kill()
+        first = await reading
+        assert first.broken
+        other = fleet.nodes['south-node-0']
+        second = await caller.resume(other, first.last_event_id)
+        second.check_order(start=len(first.indexes))
+        assert second.done, second.error
+        assert first.text + second.text == answer_of('moved', 100)
+
+    async def test_another_workspace_cannot_read_the_rest(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        first = await Caller(fleet).stream(node, 'mine', 100, stop_at=5)
+        other = await Caller(fleet, 'large').resume(node, first.last_event_id)
+        assert other.status == 404
+
+
+class TestAbandonment:
+    async def test_an_abandoned_generation_is_cancelled_at_its_engine(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        await Caller(fleet).stream(node, 'gone', 2000, stop_at=3)
+        name = await running_engine(fleet)
+        for _ in range(100):
+            shown = await fleet.endpoints[name].show('generations')
+            if not shown['running']:
+                break
+            await asyncio.sleep(0.1)
+        assert shown['cancelled'] == 1
+
+
+class TestManyCallers:
+    async def test_each_of_two_thousand_gets_its_own_answer(
+        self, fleet: Fleet
+    ) -> None:
+        for link in fleet.links.values():
+            await link.control(delay_ms=3)
+        nodes = list(fleet.nodes.values())
+        caller = Caller(fleet)
+
+        async def ask(number: int) -> bool:
+            question = f'question {number}'
+            length = 1 + number % 5
+            place = nodes[number % len(nodes)]
+            body = await caller.whole(place, question, length)
+            return text_of(body) == answer_of(question, length)
+
+        async with asyncio.timeout(240):
+            kept = await asyncio.gather(*map(ask, range(2000)))
+        assert all(kept)
