Test the configuration, and refuse integers that readers cannot keep

Cause: the check let integers of any size through, which JSON readers and msgpack do not keep. Change: integers are bounded, and a manifest's chunks are read back before it is accepted; tests of the check, chunks, changes and followers.

--- a/packages/core/mastichatch_core/manifest.py
+++ b/packages/core/mastichatch_core/manifest.py
@@ -21,6 +21,8 @@
 from mastichatch_core.generated.messages import ErrorKind
 
 VALUE_LIMIT_BYTES: Final = 1024 * 1024
+# The largest integer that every JSON reader keeps exactly.
+INTEGER_LIMIT: Final = 2**53
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,7 +60,7 @@
     _raise_any(_shape_faults(document))
     try:
         manifest = msgspec.convert(document, Manifest)
-    except (msgspec.ValidationError, OverflowError) as error:
+    except msgspec.ValidationError as error:
         raise _single('$', str(error)) from error
     _raise_any(
         (
@@ -77,6 +79,7 @@
             content,
             object_pairs_hook=_without_repeats,
             parse_constant=_refuse_constant,
+            parse_int=_parse_integer,
         )
     except RecursionError:
         raise _single('$', 'the document is nested too deeply') from None
@@ -92,6 +95,13 @@
     return dict(pairs)
 
 
+def _parse_integer(digits: str) -> int:
+    number = int(digits)
+    if abs(number) > INTEGER_LIMIT:
+        raise ValueError(f'{digits} is over the limit of {INTEGER_LIMIT}')
+    return number
+
+
 def _refuse_constant(name: str) -> None:
     raise ValueError(f'{name} is not a number')
 
@@ -197,19 +207,24 @@
 
 
 def _size_faults(manifest: Manifest) -> Iterator[ManifestFault]:
-    try:
-        parts = chunks.split(manifest)
-    except OverflowError as error:
-        raise _single('$', f'a number is too large: {error}') from error
-    for chunk in parts:
-        if len(chunk.content) > VALUE_LIMIT_BYTES:
+    parts = chunks.split(manifest)
+    for part in parts:
+        size = len(part.content)
+        if size > VALUE_LIMIT_BYTES:
             yield ManifestFault(
                 place='$',
                 reason=(
-                    f'part {chunk.name} takes {len(chunk.content)} bytes, '
+                    f'part {part.name} takes {size} bytes, '
                     f'over the limit of {VALUE_LIMIT_BYTES}'
                 ),
             )
+    try:
+        chunks.assemble(
+            chunks.unpack(each.reference, each.content) for each in parts
+        )
+    except chunks.ChunkError as error:
+        # A number or text that no node could read back.
+        yield ManifestFault(place='$', reason=str(error))
 
 
 def _single(place: str, reason: str) -> ManifestError:
--- /dev/null
+++ b/tests/test_chunks.py
@@ -0,0 +1,78 @@
+"""Chunks of a manifest."""
+
+import dataclasses
+import zlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mastichatch_core import chunks
+from mastichatch_core.generated.manifest import (
+    DataCentre,
+    Manifest,
+    Workspace,
+)
+
+NAMES = st.text('abcdefghij-0123456789', min_size=1, max_size=8)
+WORKSPACES = st.lists(
+    st.builds(Workspace, name=NAMES, weight=st.integers(1, 99)),
+    max_size=200,
+    unique_by=lambda workspace: workspace.name,
+)
+
+
+def create_manifest(workspaces: list[Workspace]) -> Manifest:
+    """Return a manifest with these workspaces, by name."""
+    return Manifest(
+        data_centres=(DataCentre(name='north'),),
+        services=(),
+        endpoints=(),
+        workspaces=tuple(sorted(workspaces, key=lambda each: each.name)),
+    )
+
+
+class TestChunks:
+    @given(WORKSPACES)
+    def test_a_manifest_comes_back_from_its_chunks(
+        self, workspaces: list[Workspace]
+    ) -> None:
+        manifest = create_manifest(workspaces)
+        parts = [
+            chunks.unpack(chunk.reference, chunk.content)
+            for chunk in chunks.split(manifest)
+        ]
+        assert chunks.assemble(reversed(parts)) == manifest
+
+    @given(WORKSPACES.filter(bool), st.data())
+    def test_a_change_of_one_workspace_changes_one_chunk(
+        self, workspaces: list[Workspace], data: st.DataObject
+    ) -> None:
+        index = data.draw(st.integers(0, len(workspaces) - 1))
+        changed = list(workspaces)
+        changed[index] = dataclasses.replace(changed[index], weight=100)
+        before = chunks.split(create_manifest(workspaces))
+        after = chunks.split(create_manifest(changed))
+        assert len(set(after) - set(before)) == 1
+
+    @given(st.data())
+    def test_a_damaged_chunk_is_refused(self, data: st.DataObject) -> None:
+        chunk = chunks.split(create_manifest([Workspace(name='a')]))[0]
+        index = data.draw(st.integers(0, len(chunk.content) - 1))
+        content = bytearray(chunk.content)
+        content[index] ^= 1
+        with pytest.raises(chunks.ChunkError):
+            chunks.unpack(chunk.reference, bytes(content))
+
+    def test_noise_under_its_own_digest_is_refused(self) -> None:
+        for content in (b'noise', zlib.compress(b'{}'), zlib.compress(b'[[')):
+            reference = dataclasses.replace(
+                chunks.split(create_manifest([]))[0].reference,
+                digest=chunks.digest_of(content),
+            )
+            with pytest.raises(chunks.ChunkError):
+                chunks.unpack(reference, content)
+
+    def test_a_manifest_without_topology_is_refused(self) -> None:
+        with pytest.raises(chunks.ChunkError):
+            chunks.assemble([])
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,391 @@
+"""Changes of the configuration, and how nodes follow them."""
+
+import asyncio
+import contextlib
+import json
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mastichatch_core import configuration as rules
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.generated.records import (
+    ChunkReference,
+    ConfigurationRoot,
+    Drain,
+    DrainKind,
+)
+from mastichatch_core.generated.settings import Settings
+from mastichatch_core.manifest import ManifestError
+from mastichatch_node import changes
+from mastichatch_node.configuration import Configuration, open_configuration
+from mastichatch_node.peers import Peers, open_peers
+from mastichatch_node.platform import Platform, open_platform
+from tests.membership_nodes import control, open_standin, until
+
+NORTH = Drain(kind=DrainKind.data_centre, name='north')
+SOUTH = Drain(kind=DrainKind.data_centre, name='south')
+
+
+def manifest_bytes(weight: int = 1, workspaces: int = 20) -> bytes:
+    """Return a manifest whose workspace w0 has a weight."""
+    document: dict[str, Any] = {
+        'data_centres': [{'name': 'north'}, {'name': 'south'}],
+        'services': [{'name': 'rota', 'kind': 'model'}],
+        'endpoints': [],
+        'workspaces': [
+            {'name': f'w{index}', 'weight': weight if index == 0 else 1}
+            for index in range(workspaces)
+        ],
+    }
+    return json.dumps(document).encode()
+
+
+def intent(number: int) -> rules.Intent:
+    """Return a change by an operator."""
+    return rules.Intent(
+        change_id=f'change-{number}',
+        operator='operator',
+        summary='a change',
+        at_epoch_ms=0,
+    )
+
+
+STEPS = st.lists(
+    st.sampled_from(['manifest', 'drain-north', 'drain-south', 'restore']),
+    min_size=1,
+    max_size=3 * rules.HISTORY_LIMIT,
+)
+
+
+def create_roots(steps: list[str]) -> list[ConfigurationRoot]:
+    """Return the root after each step."""
+    roots = [rules.with_manifest(None, (), intent(0))]
+    for number, step in enumerate(steps, 1):
+        current = roots[-1]
+        if step == 'manifest':
+            root = rules.with_manifest(current, (), intent(number))
+        else:
+            drain = SOUTH if step == 'drain-south' else NORTH
+            drained = step != 'restore'
+            root = rules.with_drain(current, drain, drained, intent(number))
+        roots.append(root)
+    return roots
+
+
+class TestRules:
+    @given(STEPS)
+    def test_each_change_raises_the_revision_and_bounds_the_history(
+        self, steps: list[str]
+    ) -> None:
+        roots = create_roots(steps)
+        revisions = [root.revision for root in roots]
+        assert revisions == list(range(1, len(roots) + 1))
+        for root in roots:
+            assert len(root.history) <= rules.HISTORY_LIMIT
+            assert root.history[-1].change_id == root.change_id
+
+    @given(STEPS)
+    def test_drains_are_those_not_restored_since(
+        self, steps: list[str]
+    ) -> None:
+        wanted = set()
+        for step in steps:
+            if step == 'drain-north':
+                wanted.add(NORTH)
+            elif step == 'drain-south':
+                wanted.add(SOUTH)
+            elif step == 'restore':
+                wanted.discard(NORTH)
+        assert set(create_roots(steps)[-1].drains) == wanted
+
+    @given(STEPS, st.data())
+    def test_a_node_never_goes_back_in_any_order_of_roots(
+        self, steps: list[str], data: st.DataObject
+    ) -> None:
+        revision = 0
+        seen = []
+        for root in data.draw(st.permutations(create_roots(steps))):
+            if rules.accepts(revision, root):
+                revision = root.revision
+            seen.append(revision)
+        assert seen == sorted(seen)
+        assert revision == len(steps) + 1
+
+    @given(STEPS, st.data())
+    def test_a_lost_answer_is_settled_as_it_happened(
+        self, steps: list[str], data: st.DataObject
+    ) -> None:
+        roots = create_roots(steps)
+        proposed = data.draw(st.sampled_from(roots))
+        found = data.draw(st.sampled_from(roots))
+        settled = rules.settle(proposed, found)
+        if found.revision < proposed.revision:
+            assert settled is rules.Settlement.unknown
+        elif found.revision - proposed.revision < rules.HISTORY_LIMIT:
+            assert settled is rules.Settlement.accepted
+        else:
+            assert settled is rules.Settlement.unknown
+        lost = rules.with_manifest(None, (), intent(-1))
+        lost = ConfigurationRoot(
+            revision=proposed.revision, change_id='lost', chunks=lost.chunks
+        )
+        assert rules.settle(lost, found) is not rules.Settlement.accepted
+
+
+@contextlib.asynccontextmanager
+async def open_store() -> AsyncIterator[tuple[Platform, str]]:
+    """Serve the platform's stand-in and open the adapter."""
+    async with open_standin() as address:
+        async with open_platform(address, 300) as platform:
+            yield platform, address
+
+
+class TestChanges:
+    async def test_a_manifest_comes_back_as_it_was_applied(self) -> None:
+        async with open_store() as (platform, _):
+            assert await changes.read_root(platform) is None
+            root = await changes.apply_manifest(
+                platform, manifest_bytes(7), 'one'
+            )
+            assert root == await changes.read_root(platform)
+            manifest = await changes.read_manifest(platform, root)
+            assert manifest.workspaces[0].weight == 7
+
+    async def test_a_bad_manifest_writes_nothing(self) -> None:
+        async with open_store() as (platform, _):
+            with pytest.raises(ManifestError):
+                await changes.apply_manifest(platform, b'{}', 'one')
+            listing = await platform.list_entries('configuration/')
+            assert not listing.entries
+
+    async def test_a_change_of_an_older_revision_is_a_conflict(self) -> None:
+        async with open_store() as (platform, _):
+            await changes.apply_manifest(platform, manifest_bytes(), 'one')
+            await changes.set_drain(platform, NORTH, True, 'two')
+            with pytest.raises(MastichatchError) as caught:
+                await changes.apply_manifest(
+                    platform, manifest_bytes(9), 'one', base_revision=1
+                )
+            assert caught.value.kind is ErrorKind.conflict
+            root = await changes.read_root(platform)
+            assert root is not None
+            assert root.drains == (NORTH,)
+
+    async def test_of_racing_applies_each_is_kept_or_told(self) -> None:
+        async with open_store() as (platform, _):
+            outcomes = await asyncio.gather(
+                *(
+                    changes.apply_manifest(
+                        platform, manifest_bytes(weight), f'o{weight}'
+                    )
+                    for weight in range(1, 9)
+                ),
+                return_exceptions=True,
+            )
+            accepted = [
+                each for each in outcomes if isinstance(each, ConfigurationRoot)
+            ]
+            refused = [
+                each for each in outcomes if isinstance(each, MastichatchError)
+            ]
+            assert accepted
+            assert len(accepted) + len(refused) == 8
+            assert {each.kind for each in refused} <= {ErrorKind.conflict}
+            root = await changes.read_root(platform)
+            assert root is not None
+            assert [change.change_id for change in root.history] == [
+                each.change_id
+                for each in sorted(accepted, key=lambda each: each.revision)
+            ]
+
+    async def test_racing_drains_are_all_kept(self) -> None:
+        async with open_store() as (platform, _):
+            await changes.apply_manifest(platform, manifest_bytes(), 'one')
+            drains = [
+                Drain(kind=DrainKind.endpoint, name=f'e{index}')
+                for index in range(12)
+            ]
+            await asyncio.gather(
+                *(
+                    changes.set_drain(platform, drain, True, drain.name)
+                    for drain in drains
+                )
+            )
+            root = await changes.read_root(platform)
+            assert root is not None
+            assert set(root.drains) == set(drains)
+            assert root.revision == 13
+
+    async def test_a_repeated_drain_changes_nothing(self) -> None:
+        async with open_store() as (platform, _):
+            await changes.apply_manifest(platform, manifest_bytes(), 'one')
+            first = await changes.set_drain(platform, NORTH, True, 'one')
+            assert (
+                await changes.set_drain(platform, NORTH, True, 'two') == first
+            )
+
+    async def test_a_lost_answer_is_a_change_made_once(self) -> None:
+        async with open_store() as (platform, address):
+            await changes.apply_manifest(platform, manifest_bytes(), 'one')
+            await control(address, lose_answers=1)
+            root = await changes.set_drain(platform, NORTH, True, 'one')
+            assert root.revision == 2
+            assert await changes.read_root(platform) == root
+
+    async def test_a_lost_answer_followed_by_another_change_is_found(
+        self,
+    ) -> None:
+        async with open_store() as (platform, address):
+            await changes.apply_manifest(platform, manifest_bytes(), 'one')
+            await control(address, lose_answers=1)
+            one, two = await asyncio.gather(
+                changes.set_drain(platform, NORTH, True, 'one'),
+                changes.set_drain(platform, SOUTH, True, 'two'),
+            )
+            assert {one.revision, two.revision} == {2, 3}
+
+    async def test_an_outage_while_changing_leaves_it_settled(self) -> None:
+        async with open_store() as (platform, address):
+            await changes.apply_manifest(platform, manifest_bytes(), 'one')
+            await control(address, available=False)
+            with pytest.raises(MastichatchError) as caught:
+                await changes.set_drain(platform, NORTH, True, 'one')
+            assert caught.value.kind is ErrorKind.platform_unavailable
+
+    async def test_an_answer_that_never_comes_is_an_unknown_outcome(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(changes, 'RETRY_PAUSE_S', 0.001)
+        async with open_store() as (platform, address):
+            await changes.apply_manifest(platform, manifest_bytes(), 'one')
+            await control(address, lose_answers=1000)
+            with pytest.raises(MastichatchError) as caught:
+                await changes.set_drain(platform, NORTH, True, 'one')
+            assert caught.value.kind is ErrorKind.outcome_unknown
+
+    async def test_garbage_goes_and_named_chunks_stay_under_races(
+        self,
+    ) -> None:
+        # Few distinct manifests, so that chunks turn to garbage and come back.
+        choice = random.Random(1)
+
+        async with open_store() as (platform, _):
+
+            async def operate() -> None:
+                for _ in range(40):
+                    with contextlib.suppress(MastichatchError):
+                        await changes.apply_manifest(
+                            platform,
+                            manifest_bytes(choice.randrange(1, 6), 3),
+                            'one',
+                        )
+
+            await asyncio.gather(*(operate() for _ in range(4)))
+            root = await changes.read_root(platform)
+            assert root is not None
+            assert root.revision > changes.COLLECT_EVERY_REVISIONS
+            await changes.read_manifest(platform, root)
+            while root.revision % changes.COLLECT_EVERY_REVISIONS:
+                root = await changes.apply_manifest(
+                    platform, manifest_bytes(99, 3), 'one'
+                )
+            listing = await platform.list_entries(rules.CHUNK_PREFIX)
+            assert len(listing.entries) <= 2 * len(root.chunks)
+
+
+@contextlib.asynccontextmanager
+async def open_follower(
+    platform_address: str,
+) -> AsyncIterator[tuple[Configuration, Peers]]:
+    """Open a node's configuration."""
+    settings = Settings(
+        name='n',
+        data_centre='north',
+        platform=platform_address,
+        watch_wait_ms=1000,
+    )
+    async with (
+        open_platform(platform_address, 300) as platform,
+        open_peers('127.0.0.1:0', 'n') as peers,
+        open_configuration(settings, platform, peers) as configuration,
+    ):
+        yield configuration, peers
+
+
+class TestFollowing:
+    async def test_changes_come_into_force_and_the_revision_never_falls(
+        self,
+    ) -> None:
+        async with open_store() as (platform, address):
+            async with open_follower(address) as (configuration, _):
+                seen: list[int] = []
+                configuration.subscribe(lambda each: seen.append(each.revision))
+                assert configuration.current is None
+                await changes.apply_manifest(platform, manifest_bytes(), 'one')
+                await until(lambda: configuration.revision == 1)
+                stale = await platform.read(rules.ROOT_KEY)
+                assert stale is not None
+                await changes.apply_manifest(platform, manifest_bytes(5), 'one')
+                await until(lambda: configuration.revision == 2)
+                # The store itself goes back.
+                await platform.write(rules.ROOT_KEY, stale.value)
+                await asyncio.sleep(0.3)
+                assert configuration.current is not None
+                workspace = configuration.current.workspaces['w0']
+                assert (seen, workspace.weight) == ([1, 2], 5)
+
+    async def test_a_silent_watch_is_given_up(self) -> None:
+        async with open_store() as (platform, address):
+            async with open_follower(address) as (configuration, _):
+                await changes.apply_manifest(platform, manifest_bytes(), 'one')
+                await until(lambda: configuration.revision == 1)
+                await control(address, available=False, mode='hang')
+                await asyncio.sleep(1.5)
+                await control(address, available=True)
+                await changes.set_drain(platform, NORTH, True, 'one')
+                await until(lambda: configuration.revision == 2)
+
+    async def test_a_node_that_starts_in_an_outage_learns_from_a_peer(
+        self,
+    ) -> None:
+        async with open_store() as (platform, address):
+            await changes.apply_manifest(platform, manifest_bytes(3), 'one')
+            async with open_follower(address) as (first, first_peers):
+                await until(lambda: first.revision == 1)
+                await control(address, available=False)
+                async with open_follower(address) as (second, _):
+                    await asyncio.sleep(0.1)
+                    assert second.current is None
+                    second.learn(1, first_peers.address)
+                    await until(lambda: second.revision == 1)
+                    assert second.current == first.current
+
+    async def test_a_peer_that_lies_or_lacks_chunks_changes_nothing(
+        self,
+    ) -> None:
+        async with open_store() as (platform, address):
+            await changes.apply_manifest(platform, manifest_bytes(3), 'one')
+            async with open_follower(address) as (first, first_peers):
+                await until(lambda: first.revision == 1)
+                first.learn(9, first_peers.address)
+                first.learn(10, '127.0.0.1:1')
+                await asyncio.sleep(1)
+                assert first.revision == 1
+                assert not await first.adopt(
+                    ConfigurationRoot(
+                        revision=11,
+                        change_id='x',
+                        chunks=(
+                            ChunkReference(name='topology', digest='0' * 32),
+                        ),
+                    ),
+                    first_peers.address,
+                )
+                await changes.set_drain(platform, NORTH, True, 'one')
+                await until(lambda: first.revision == 2)
