Object to a scheduler of a lower term

Cause: at start a node opened a scheduler before it knew the other node, closed it again, and went on obeying its own higher term. The other node's scheduler never heard of that term, so the first node's 500 requests waited for good (seen in the test with two thousand callers; status showed them waiting nowhere). Ruled out: lost messages, and slow engines (the other 1,500 were done in 15 s). Change: a node that does not follow an announcement answers with the term that it obeys; the scheduler is superseded and opens again above it. Conclusion: terms can't part two nodes for good.

--- a/packages/node/mastichatch_node/links.py
+++ b/packages/node/mastichatch_node/links.py
@@ -21,6 +21,8 @@
 
 _MS_PER_S: Final = 1000
 _KEPT_REGISTRATIONS: Final = 64
+# A scheduler is announced twice in this time.
+SILENCE_S: Final = 1.0
 
 SchedulerMessage = PermitRequest | PermitRelease | PermitCancel | Registration
 
@@ -60,6 +62,7 @@
     :param term: its term
     :param address: peer address of its host
     :param load: load that it last announced
+    :param heard_at: when it was last announced, in seconds
     :param sequence: numbers of the registrations under this term
     :param sent_at: when each of the newest was sent, in seconds
     """
@@ -67,6 +70,7 @@
     term: Term
     address: str
     load: ServiceLoad
+    heard_at: float = 0
     sequence: 'itertools.count[int]' = dataclasses.field(
         default_factory=lambda: itertools.count(1),
     )
@@ -119,8 +123,44 @@
             self._links[place] = link
         link.address = sender
         link.load = _load(message)
+        link.heard_at = _now()
         return True
 
+    def silent(self, place: Place) -> SchedulerLink | None:
+        """Return the scheduler of a place if it was not announced lately.
+
+        :param place: service and data centre
+        """
+        link = self._links.get(place)
+        if link is None or _now() - link.heard_at < SILENCE_S:
+            return None
+        return link
+
+    def correct(self, sender: str, registration: Registration) -> None:
+        """Tell the host of a scheduler that its term is not the highest.
+
+        :param sender: peer address of the scheduler's host
+        :param registration: names the highest term seen
+        """
+        self._peers.send(sender, MessageKind.registration, registration)
+
+    def object_to(self, place: Place, sender: str) -> None:
+        """Tell a scheduler that this node obeys a higher term.
+
+        A scheduler that opened before its node heard of the higher term would
+        otherwise wait for this node's registration for good.
+
+        :param place: service and data centre
+        :param sender: peer address of the scheduler's host
+        """
+        link = self._links[place]
+        objection = Registration(
+            service=place.service,
+            node=self._membership.own.name,
+            term=link.term,
+        )
+        self._peers.send(sender, MessageKind.registration, objection)
+
     def tell(
         self,
         place: Place,
@@ -160,8 +200,7 @@
         if sent_at is None:
             return None
         lease_end = sent_at + grant.lease_ms / _MS_PER_S
-        now = asyncio.get_running_loop().time()
-        return lease_end if now < lease_end else None
+        return lease_end if _now() < lease_end else None
 
     def release_to(self, sender: str, release: PermitRelease) -> None:
         """Give back a grant that nobody waits for.
@@ -190,3 +229,7 @@
         waiting=message.waiting,
         wait_ms=message.wait_ms,
     )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/main.py
+++ b/packages/node/mastichatch_node/main.py
@@ -193,6 +193,7 @@
     scheduling = await _open_scheduling(stack, base, membership, engines)
     schedulings.append(scheduling)
     permits.provide_observations(scheduling.observations)
+    permits.listen(scheduling.note_announcement)
     parts = Parts(
         settings=settings,
         configuration=base.configuration,
--- a/packages/node/mastichatch_node/permits.py
+++ b/packages/node/mastichatch_node/permits.py
@@ -30,7 +30,12 @@
     ServiceLoad,
     Term,
 )
-from mastichatch_node.links import Place, SchedulerLinks, place_of
+from mastichatch_node.links import (
+    Place,
+    SchedulerLink,
+    SchedulerLinks,
+    place_of,
+)
 from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
 
@@ -77,21 +82,12 @@
         self._waiting: dict[_Key, _Waiting] = {}
         self._held: dict[_Key, _Held] = {}
         self._links = SchedulerLinks(peers, membership)
+        self._listeners: list[Callable[[SchedulerOpen], None]] = []
         self._observations: Callable[
             [str],
             tuple[EndpointObservation, ...],
         ] = _no_observations
 
-    @property
-    def held_count(self) -> int:
-        """Number of permits that this node holds."""
-        return len(self._held)
-
-    @property
-    def waiting_count(self) -> int:
-        """Number of requests that wait for a permit."""
-        return len(self._waiting)
-
     def provide_observations(
         self,
         observations: Callable[[str], tuple[EndpointObservation, ...]],
@@ -102,6 +98,13 @@
         """
         self._observations = observations
 
+    def listen(self, listener: Callable[[SchedulerOpen], None]) -> None:
+        """Call a listener with every announcement of a scheduler.
+
+        :param listener: called before the announcement is answered
+        """
+        self._listeners.append(listener)
+
     def highest_term(self, service: str, data_centre: str) -> int:
         """Return the number of the highest term seen, or zero.
 
@@ -231,13 +234,22 @@
         )
 
     async def on_open(self, message: SchedulerOpen, envelope: Envelope) -> None:
-        """Follow a scheduler's announcement unless its term is lower.
+        """Follow a scheduler's announcement, or object to its lower term.
 
         :param message: the announcement
         :param envelope: who sent it
         """
+        for listener in self._listeners:
+            listener(message)
+        place = Place(message.service, message.data_centre)
         if self._links.follow(message, envelope.sender):
-            self._register(Place(message.service, message.data_centre))
+            self._register(place)
+            return
+        silent = self._links.silent(place)
+        if silent is not None:
+            # A host that was restarted does not know how high terms are.
+            registration = self._report(place, silent)
+            self._links.correct(envelope.sender, registration)
 
     async def on_grant(self, message: PermitGrant, envelope: Envelope) -> None:
         """Take a grant of the highest term, or give it back.
@@ -307,20 +319,20 @@
 
     def _register(self, place: Place) -> None:
         link = self._links.get(place)
-        if link is None:
-            return
-        self._links.tell(
-            place,
-            MessageKind.registration,
-            Registration(
-                service=place.service,
-                node=self._membership.own.name,
-                term=link.term,
-                sequence=link.next_sequence(_now()),
-                held=self._held_at(place),
-                waiting=self._waiting_at(place),
-                observations=self._observations(place.service),
-            ),
+        if link is not None:
+            registration = self._report(place, link)
+            self._links.tell(place, MessageKind.registration, registration)
+
+    def _report(self, place: Place, link: SchedulerLink) -> Registration:
+        """Return all that this node holds and waits for at a place."""
+        return Registration(
+            service=place.service,
+            node=self._membership.own.name,
+            term=link.term,
+            sequence=link.next_sequence(_now()),
+            held=self._held_at(place),
+            waiting=self._waiting_at(place),
+            observations=self._observations(place.service),
         )
 
     def _held_at(self, place: Place) -> tuple[HeldPermit, ...]:
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Final
 
+from mastichatch_core import rendezvous
 from mastichatch_core import scheduler as core
 from mastichatch_core.catalogue import Catalogue
 from mastichatch_core.generated.manifest import Endpoint
@@ -29,7 +30,7 @@
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.hosting import Hosted, Tools
 from mastichatch_node.links import rank
-from mastichatch_node.membership import Member, Membership
+from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
 
 ANNOUNCE_INTERVAL_S: Final = 0.5
@@ -64,6 +65,7 @@
         self._hosted: dict[str, Hosted] = {}
         self._terms: dict[str, int] = {}
         self._observations: dict[str, EndpointObservation] = {}
+        self._handed_over: dict[str, tuple[EndpointObservation, ...]] = {}
 
     @property
     def hosted(self) -> tuple[Hosted, ...]:
@@ -84,11 +86,12 @@
         if catalogue is None:
             return ()
         endpoints = catalogue.endpoints_of(service, self._tools.data_centre)
-        return tuple(
+        seen = tuple(
             self._observations[endpoint.name]
             for endpoint in endpoints
             if endpoint.name in self._observations
         )
+        return (*seen, *self._handed_over.get(service, ()))
 
     def review(self) -> None:
         """Open and close schedulers as members and services change."""
@@ -131,11 +134,10 @@
                 core.observe(hosted.scheduler, observation, _now()),
             )
 
-    async def on_open(self, message: SchedulerOpen, envelope: Envelope) -> None:
+    def note_announcement(self, message: SchedulerOpen) -> None:
         """Learn another node's term, and give way to a higher one.
 
         :param message: the announcement
-        :param envelope: who sent it
         """
         if message.data_centre != self._tools.data_centre:
             return
@@ -230,9 +232,24 @@
             service
             for service in catalogue.services
             if catalogue.endpoints_of(service, self._tools.data_centre)
-            and _name(self._membership.scheduler_host(service)) == own
+            and self._host_name(service) == own
         )
 
+    def _host_name(self, service: str) -> str:
+        """Return the name of the node that is to host a scheduler.
+
+        Where all nodes of the data centre are draining, one of them goes on.
+        """
+        host = self._membership.scheduler_host(service)
+        if host is not None:
+            return host.name
+        names = [
+            member.name
+            for member in self._membership.all_known()
+            if member.data_centre == self._tools.data_centre
+        ]
+        return rendezvous.pick(names, service)
+
     def _open(self, service: str, catalogue: Catalogue) -> None:
         now = _now()
         number = self._terms.get(service, 0) + 1
@@ -247,6 +264,7 @@
             timing=self._timing,
             lengths=self._lengths.setdefault(service, LengthModel()),
         )
+        self._handed_over.pop(service, None)
         hosted = Hosted(scheduler, self._tools, catalogue.revision)
         self._hosted[service] = hosted
         self._tools.decisions.note(
@@ -262,6 +280,10 @@
 
     def _close(self, service: str) -> None:
         hosted = self._hosted.pop(service)
+        now = _now()
+        self._handed_over[service] = core.reached_limits(hosted.scheduler, now)
+        # The next host learns the term from this, however new it is.
+        self._announce(hosted, now)
         self._tools.decisions.note(
             'scheduler_closed',
             f'service/{service}',
@@ -390,9 +412,5 @@
     hosted.send(core.set_leaving(hosted.scheduler, leaving, now))
 
 
-def _name(member: Member | None) -> str:
-    return '' if member is None else member.name
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
