--- a/packages/node/mastichatch_node/configuration.py
+++ b/packages/node/mastichatch_node/configuration.py
@@ -34,6 +34,7 @@
 RETRY_MIN_S: Final = 0.1
 RETRY_MAX_S: Final = 2.0
 PEER_TIMEOUT_MS: Final = 1000
+WAIT_SHARES: Final = (0.4, 0.7)
 
 _Subscriber = Callable[[Catalogue], None]
 
@@ -284,7 +285,10 @@
 ) -> int:
     """Return the key's revision up to which the configuration is here."""
     if after >= 0:
-        answer = await platform.watch(ROOT_KEY, after, wait_ms)
+        # Uneven waits, so that of the nodes whose watches went silent at once
+        # one soon finds out and tells the others.
+        share = random.uniform(*WAIT_SHARES)  # noqa: S311
+        answer = await platform.watch(ROOT_KEY, after, int(share * wait_ms))
         if not answer.changes:
             return after
     stored = await platform.read(ROOT_KEY)
