Prove bookings with real processes behind fault proxies

Cause: calls had met faults only over fakes. Change: bookings through real nodes: tries at all nodes at once, owners killed and frozen at nine moments, planned stops, lost answers and outages of the platform, links to endpoints cut and silent; every test ends by holding all answers against the services' records.

--- /dev/null
+++ b/tests/test_fleet_calls.py
@@ -0,0 +1,359 @@
+"""Bookings run at most once, and "not run" is true, whatever fails.
+
+Real processes, with fault proxies between nodes, platform and endpoints. The
+service's own record says what ran.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import time
+from collections.abc import AsyncIterator, Iterable
+from typing import Any, Final
+
+import aiohttp
+import pytest
+
+from tests.processes import Fleet, FleetPlan, Node, open_fleet, poll_until
+
+TIMEOUT: Final = aiohttp.ClientTimeout(total=30)
+NORTH: Final = 'north-node-0'
+SOUTH: Final = 'south-node-0'
+STEPS_MS: Final = (0, 1, 2, 4, 6, 9, 13, 20, 40)
+PLAN = FleetPlan(
+    engines=0,
+    proxied=True,
+    node_flags=('--platform-timeout-ms', '400'),
+    endpoint={'cold_limit': 16},
+    manifest={
+        'services': [
+            {
+                'name': 'bookings',
+                'kind': 'plain',
+                'queue_deadline_ms': 4000,
+                'operations': [
+                    {
+                        'name': 'book',
+                        'timeout_ms': 1000,
+                        'not_run_statuses': [503],
+                    },
+                    {
+                        'name': 'lookup',
+                        'idempotent': True,
+                        'timeout_ms': 1000,
+                    },
+                ],
+            },
+        ],
+    },
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Told:
+    """What a caller was told; nothing where the connection broke."""
+
+    key: str
+    began_at: float
+    status: int = 0
+    ran: str = ''
+    kind: str = ''
+    body: Any = None
+
+
+class Ledger:
+    """Calls of one fleet, held against what its services recorded."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Start without calls."""
+        self._fleet = fleet
+        self.told: list[Told] = []
+
+    async def book(self, node: Node, key: str, operation: str = 'book') -> Told:
+        """Call once; the body names the key."""
+        began_at = time.monotonic()
+        told = Told(key=key, began_at=began_at)
+        try:
+            async with self._fleet.session.post(
+                f'{node.url}/v1/services/bookings/{operation}',
+                json={'booking': key},
+                headers={'Workspace': 'small', 'Idempotency-Key': key},
+                timeout=TIMEOUT,
+            ) as answer:
+                told = _told(key, began_at, answer.status, await answer.json())
+        except aiohttp.ClientError:
+            pass
+        self.told.append(told)
+        return told
+
+    async def mint(self, node: Node, count: int) -> list[str]:
+        """Return new tickets."""
+        async with self._fleet.session.post(
+            f'{node.url}/v1/tickets/bookings/book?count={count}',
+            headers={'Workspace': 'small'},
+            timeout=TIMEOUT,
+        ) as answer:
+            tickets: list[str] = (await answer.json())['tickets']
+            return tickets
+
+    async def runs(self) -> dict[str, list[float]]:
+        """Return when each key ran, from the services' records."""
+        runs: dict[str, list[float]] = {}
+        for endpoint in self._fleet.endpoints.values():
+            shown = await endpoint.show('executions')
+            for run in shown['executions']:
+                runs.setdefault(run['body']['booking'], []).append(run['at'])
+        return runs
+
+    async def check(self) -> dict[str, list[float]]:
+        """Assert that nothing ran twice and that all answers are true."""
+        runs = await self.runs()
+        for key, times in runs.items():
+            assert len(times) == 1, f'{key} ran {len(times)} times'
+        for told in self.told:
+            if told.ran == 'no':
+                assert all(
+                    ran_at >= told.began_at for ran_at in runs.get(told.key, ())
+                ), f'{told} is not true'
+            if told.ran == 'yes':
+                assert told.key in runs
+                assert told.body['body'] == {'booking': told.key}
+        return runs
+
+
+def _told(key: str, began_at: float, status: int, body: Any) -> Told:
+    if status == 200:
+        return Told(
+            key=key, began_at=began_at, status=status, ran='yes', body=body
+        )
+    error = body['error']
+    return Told(
+        key=key,
+        began_at=began_at,
+        status=status,
+        ran=error['ran'],
+        kind=error['kind'],
+    )
+
+
+@pytest.fixture
+async def fleet(tmp_path: pathlib.Path) -> AsyncIterator[Fleet]:
+    async with open_fleet(tmp_path, PLAN) as opened:
+        await settle(opened)
+        yield opened
+
+
+@pytest.fixture
+async def ledger(fleet: Fleet) -> AsyncIterator[Ledger]:
+    """Every test ends with the check."""
+    opened = Ledger(fleet)
+    yield opened
+    await opened.check()
+
+
+async def settle(fleet: Fleet) -> None:
+    """Wait until every node has a scheduler that grants permits."""
+    ledger = Ledger(fleet)
+    for name, node in fleet.nodes.items():
+
+        async def served(node: Node = node, name: str = name) -> bool:
+            told = await ledger.book(node, f'{name}-{len(ledger.told)}')
+            return told.ran == 'yes'
+
+        await poll_until(served, f'{name} serves')
+
+
+async def set_services(fleet: Fleet, **faults: Any) -> None:
+    """Set faults of all services."""
+    for endpoint in fleet.endpoints.values():
+        await endpoint.control(**faults)
+
+
+async def set_links(fleet: Fleet, names: Iterable[str], **faults: Any) -> None:
+    """Set faults of some links."""
+    for name in names:
+        await fleet.links[name].control(**faults)
+
+
+async def gather_all(ledger: Ledger, fleet: Fleet, key: str) -> list[Told]:
+    """Try one key at all nodes at one moment."""
+    return await asyncio.gather(
+        *(ledger.book(node, key) for node in fleet.nodes.values())
+    )
+
+
+def kinds_of(told: Iterable[Told]) -> set[str]:
+    """Return the error kinds, or whether it ran where there is none."""
+    return {answer.kind or answer.ran for answer in told}
+
+
+class TestRetries:
+    """One key at many nodes."""
+
+    async def test_tries_at_all_nodes_at_once_share_one_run(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        for number in range(20):
+            told = await gather_all(ledger, fleet, f'once-{number}')
+            assert kinds_of(told) == {'yes'}
+        runs = await ledger.check()
+        assert len([key for key in runs if key.startswith('once')]) == 20
+
+    async def test_lost_answer_of_the_endpoint_is_unknown_everywhere(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        await set_services(fleet, cut_after_run=True)
+        first = await ledger.book(fleet.nodes[NORTH], 'cut')
+        await set_services(fleet, cut_after_run=False)
+        told = [first, *await gather_all(ledger, fleet, 'cut')]
+        assert {answer.kind for answer in told} == {'outcome_unknown'}
+        assert 'cut' in await ledger.check()
+
+    async def test_refusal_that_proves_it_did_not_run_frees_the_key(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        await set_services(fleet, refuse_status=503)
+        told = await ledger.book(fleet.nodes[NORTH], 'refused')
+        assert (told.kind, told.ran) == ('endpoint_refused', 'no')
+        await set_services(fleet, refuse_status=0)
+        told = await ledger.book(fleet.nodes[SOUTH], 'refused')
+        assert kinds_of([told]) == {'yes'}
+
+
+class TestNodeFaults:
+    """Nodes that die or freeze between two steps of a call."""
+
+    async def test_killed_owner_never_leads_to_a_second_run(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        await set_services(fleet, answer_delay_ms=5)
+        for step_ms in STEPS_MS:
+            key = f'killed-{step_ms}'
+            owner = fleet.nodes[NORTH]
+            first = asyncio.create_task(ledger.book(owner, key))
+            await asyncio.sleep(step_ms / 1000)
+            owner.process.kill()
+            retry = await ledger.book(fleet.nodes[SOUTH], key)
+            assert retry.status
+            await first
+            await fleet.restart(NORTH)
+        await ledger.check()
+
+    async def test_frozen_owner_never_leads_to_a_second_run(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        for step_ms in STEPS_MS:
+            key = f'frozen-{step_ms}'
+            owner = fleet.nodes[NORTH]
+            first = asyncio.create_task(ledger.book(owner, key))
+            await asyncio.sleep(step_ms / 1000)
+            owner.process.freeze()
+            retry = await ledger.book(fleet.nodes[SOUTH], key)
+            assert retry.status
+            owner.process.wake()
+            assert (await first).status
+            assert (await ledger.book(owner, key)).status
+        await ledger.check()
+
+    async def test_planned_stop_cuts_nothing_and_answers_retries_later(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        await set_services(fleet, answer_delay_ms=300)
+        owner = fleet.nodes[NORTH]
+        calls = [
+            asyncio.create_task(ledger.book(owner, f'stopped-{number}'))
+            for number in range(8)
+        ]
+        await asyncio.sleep(0.1)
+        owner.process.terminate()
+        first = await asyncio.gather(*calls)
+        assert kinds_of(first) == {'yes'}
+        assert await owner.process.wait() == 0
+        for number in range(8):
+            told = await ledger.book(fleet.nodes[SOUTH], f'stopped-{number}')
+            assert told.ran == 'yes'
+
+
+class TestPlatformFaults:
+    """The platform's answers lost, late, or absent."""
+
+    async def test_lost_answer_of_the_claim_is_settled(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        # The first call takes the lease, whose answer must not be lost.
+        assert (await ledger.book(fleet.nodes[NORTH], 'warm')).ran == 'yes'
+        await asyncio.sleep(0.3)
+        for number in range(3):
+            await fleet.platform.control(lose_answers=1)
+            told = await ledger.book(fleet.nodes[NORTH], f'lost-{number}')
+            assert told.ran == 'yes'
+
+    @pytest.mark.parametrize('mode', ['refuse', 'hang'])
+    async def test_outage_refuses_claimed_keys_and_serves_tickets(
+        self, fleet: Fleet, ledger: Ledger, mode: str
+    ) -> None:
+        nodes = list(fleet.nodes.values())
+        tickets = [
+            text for node in nodes for text in await ledger.mint(node, 5)
+        ]
+        await fleet.platform.control(available=False, mode=mode)
+        places = nodes * 5
+        claimed = await asyncio.gather(
+            *(
+                ledger.book(node, f'away-{number}')
+                for number, node in enumerate(places)
+            )
+        )
+        served = await asyncio.gather(
+            *(
+                ledger.book(node, text)
+                for node, text in zip(places, tickets, strict=True)
+            )
+        )
+        assert kinds_of(claimed) == {'platform_unavailable'}
+        assert kinds_of(served) == {'yes'}
+        await fleet.platform.control(available=True)
+        again = await asyncio.gather(
+            *(
+                ledger.book(node, f'away-{number}')
+                for number, node in enumerate(places)
+            )
+        )
+        assert kinds_of(again) == {'yes'}
+
+    async def test_node_cut_off_from_the_platform_denies_no_earlier_run(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        assert (await ledger.book(fleet.nodes[NORTH], 'ran')).ran == 'yes'
+        await set_links(fleet, [f'platform-{SOUTH}'], blackhole=True)
+        told = await ledger.book(fleet.nodes[SOUTH], 'ran')
+        assert (told.kind, told.ran) == ('platform_unavailable', 'unknown')
+
+
+class TestLinkFaults:
+    """The link to the endpoint cut or silent."""
+
+    @pytest.mark.parametrize(
+        'fault', [{'blackhole': True}, {'one_way': 'up'}, {'one_way': 'down'}]
+    )
+    async def test_silent_link_is_unknown_and_never_runs_twice(
+        self, fleet: Fleet, ledger: Ledger, fault: Any
+    ) -> None:
+        await set_links(fleet, fleet.endpoints, **fault)
+        first = await gather_all(ledger, fleet, 'silent')
+        await set_links(fleet, fleet.endpoints, restore=True)
+        # What the link held back arrives now.
+        await asyncio.sleep(0.5)
+        later = await gather_all(ledger, fleet, 'silent')
+        assert kinds_of((*first, *later)) == {'outcome_unknown'}
+
+    async def test_refused_connection_is_not_run_and_frees_the_key(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        await set_links(fleet, fleet.endpoints, cut=True)
+        told = await ledger.book(fleet.nodes[NORTH], 'refused')
+        assert told.ran == 'no'
+        await set_links(fleet, fleet.endpoints, restore=True)
+        await asyncio.sleep(3)
+        told = await ledger.book(fleet.nodes[SOUTH], 'refused')
+        assert kinds_of([told]) == {'yes'}
