Add placement: orders to engines under a fencing number

Cause: models must be loaded by one hand only, also at engines that ignore fencing numbers, and within the weight store's rate. Change: one node for each data centre holds a key under its lease, whose revision is the number; a new holder waits out the lease and the longest order, reads the state back before each order, and begins without tokens. The program does not open it yet.

--- /dev/null
+++ b/packages/node/mastichatch_node/placement.py
@@ -0,0 +1,236 @@
+"""Keeps the models that the manifest names loaded in the engines.
+
+One node for each data centre holds a key under a platform lease; the key's
+revision is the fencing number of its orders. Without the platform nobody
+gives new orders, and serving goes on.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+
+from absl import logging
+
+from mastichatch_core import placement as rules
+from mastichatch_core import rendezvous
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.manifest import Endpoint
+from mastichatch_core.generated.settings import Settings
+from mastichatch_node.configuration import Configuration
+from mastichatch_node.decisions import DecisionLog
+from mastichatch_node.leases import Lease
+from mastichatch_node.members import Membership
+from mastichatch_node.orders import Orders, open_orders
+from mastichatch_node.platform import Platform, RevisionMismatchError
+
+MS_PER_S: Final = 1000
+STEP_S: Final = 1.0
+KEY_PREFIX: Final = 'placement/'
+# A complete engine is looked at again after this many steps.
+COMPLETE_STEPS: Final = 15
+
+
+class Placement:
+    """The part of one node in the placement of its data centre."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        membership: Membership,
+        configuration: Configuration,
+        orders: Orders,
+        decisions: DecisionLog,
+    ) -> None:
+        """Hold nothing yet."""
+        self._settings = settings
+        self._platform = platform
+        self._membership = membership
+        self._configuration = configuration
+        self._orders = orders
+        self._decisions = decisions
+        self._loop = asyncio.get_running_loop()
+        self._lease = Lease(settings.node_lease_ms)
+        self._renewed_at: float = 0
+        self._term: rules.Term | None = None
+        self._steps = 0
+
+    @property
+    def fence(self) -> int:
+        """Fencing number, while this node holds the placement; else zero."""
+        held = self._term is not None and self._is_valid()
+        return self._term.fence if self._term and held else 0
+
+    async def step(self) -> None:
+        """Acquire, renew or give back the placement, and give one order."""
+        if not self._is_chosen():
+            await self.give_back()
+            return
+        try:
+            await self._hold()
+        except MastichatchError as error:
+            logging.warning('placement is not held: %s', error)
+        if self._term is not None and self._is_valid():
+            await self._place(self._term)
+
+    async def give_back(self) -> None:
+        """Let another node take the placement."""
+        self._term = None
+        if self._lease.name:
+            await self._lease.revoke(self._platform)
+
+    def _is_chosen(self) -> bool:
+        names = [member.name for member in self._membership.live()]
+        place = self._settings.data_centre
+        if not names or self._configuration.current is None:
+            return False
+        return rendezvous.pick(names, KEY_PREFIX + place) == self._settings.name
+
+    def _is_valid(self) -> bool:
+        return self._loop.time() < self._lease.ends_at
+
+    async def _hold(self) -> None:
+        """Renew the lease, and take the key where it is free."""
+        due_at = self._renewed_at + self._lease.interval_s
+        if self._term is not None and self._loop.time() < due_at:
+            return
+        is_new = await self._lease.renew(self._platform)
+        self._renewed_at = self._loop.time()
+        if is_new:
+            self._term = None
+        if self._term is None:
+            await self._acquire()
+
+    async def _acquire(self) -> None:
+        key = KEY_PREFIX + self._settings.data_centre
+        own = self._lease.name.encode()
+        stored = await self._platform.read(key)
+        if stored is None:
+            with contextlib.suppress(RevisionMismatchError):
+                await self._platform.write(
+                    key,
+                    own,
+                    expect=0,
+                    lease=self._lease.name,
+                )
+            # Read back, which also settles a lost answer the next time.
+            stored = await self._platform.read(key)
+        if stored is None or stored.value != own:
+            return
+        self._term = rules.Term(
+            stored.revision,
+            self._settings.node_lease_ms / MS_PER_S,
+            self._loop.time(),
+        )
+        logging.info(
+            'placement held',
+            extra={'event': 'placement_held', 'term': stored.revision},
+        )
+
+    async def _place(self, term: rules.Term) -> None:
+        endpoints = self._endpoints()
+        await self._read_states(term, endpoints)
+        order = rules.next_order(term, endpoints, self._loop.time())
+        # The reads took time in which the lease may have ended.
+        if order is None or not self._is_valid():
+            return
+        reason = 'refused'
+        try:
+            if await self._orders.give(order):
+                reason = 'accepted'
+        except MastichatchError as error:
+            reason = str(error)
+        rules.note_order(term, order, self._loop.time())
+        self._decisions.note(
+            'placement_order',
+            '',
+            choice=f'{order.endpoint.name} load {order.name}',
+            reason=reason,
+            term=order.fence,
+            revision=self._configuration.revision,
+        )
+
+    def _endpoints(self) -> tuple[Endpoint, ...]:
+        catalogue = self._configuration.current
+        if catalogue is None:
+            return ()
+        leaving = self._membership.leaving_hosts
+        return tuple(
+            endpoint
+            for endpoint in catalogue.manifest.endpoints
+            if endpoint.models
+            and endpoint.data_centre == self._settings.data_centre
+            and endpoint.host not in leaving
+            and not catalogue.is_drained(endpoint)
+        )
+
+    async def _read_states(
+        self,
+        term: rules.Term,
+        endpoints: tuple[Endpoint, ...],
+    ) -> None:
+        self._steps += 1
+        reads_all = self._steps % COMPLETE_STEPS == 0
+        due = (
+            endpoint
+            for endpoint in endpoints
+            if reads_all or not _is_complete(term, endpoint)
+        )
+        await asyncio.gather(*(self._read_state(term, each) for each in due))
+
+    async def _read_state(self, term: rules.Term, endpoint: Endpoint) -> None:
+        try:
+            state = await self._orders.read_state(endpoint.address)
+        except MastichatchError as error:
+            term.states.pop(endpoint.name, None)
+            logging.warning('the state of an engine is not known: %s', error)
+        else:
+            rules.note_state(term, endpoint.name, state)
+
+
+@contextlib.asynccontextmanager
+async def open_placement(
+    settings: Settings,
+    platform: Platform,
+    membership: Membership,
+    configuration: Configuration,
+    decisions: DecisionLog,
+) -> AsyncIterator[Placement]:
+    """Take part in the placement of the data centre until the context ends.
+
+    :param settings: settings of the node
+    :param platform: where the placement is held
+    :param membership: chooses the node that should hold it
+    :param configuration: names the models
+    :param decisions: where orders are logged
+    """
+    async with open_orders() as orders:
+        placement = Placement(
+            settings,
+            platform,
+            membership,
+            configuration,
+            orders,
+            decisions,
+        )
+        task = asyncio.create_task(_step_regularly(placement))
+        try:
+            yield placement
+        finally:
+            task.cancel()
+            await placement.give_back()
+
+
+async def _step_regularly(placement: Placement) -> None:
+    while True:
+        try:
+            await placement.step()
+        except Exception:
+            logging.exception('a placement step failed')
+        await asyncio.sleep(STEP_S)
+
+
+def _is_complete(term: rules.Term, endpoint: Endpoint) -> bool:
+    state = term.states.get(endpoint.name)
+    return state is not None and state.loaded.issuperset(endpoint.models)
