--- a/packages/core/mastichatch_core/ramp.py
+++ b/packages/core/mastichatch_core/ramp.py
@@ -32,8 +32,8 @@
 ) -> float:
     """Return the limit that the ramp allows.
 
-    Each success adds one, but never faster than the straight line that reaches
-    the full limit after the warm-up time.
+    Until the warm-up time is over it stays cold, whatever succeeds; after it,
+    each success since the start has added one.
 
     :param ramp: the endpoint's ramp
     :param cold_limit: requests that a cold endpoint bears
@@ -41,9 +41,9 @@
     :param warm_after: shortest warm-up time, in seconds
     :param now: time in seconds
     """
-    elapsed = max(0, now - ramp.cold_since)
-    by_time = (batch_limit - cold_limit) * elapsed / warm_after
-    limit = max(ramp.floor, cold_limit + min(by_time, ramp.successes))
+    warm = now - ramp.cold_since >= warm_after
+    gained = ramp.successes if warm else 0
+    limit = max(ramp.floor, cold_limit + gained)
     return min(float(max(batch_limit, cold_limit)), limit)
 
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,177 @@
+"""One endpoint gets what it bears, and nothing while it fails."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mastichatch_core.admission import (
+    EndpointState,
+    create_endpoint_state,
+    current_limit,
+    is_open,
+    note_in_service,
+    note_observation,
+    note_release,
+    note_tokens,
+    scaled_limit,
+)
+from mastichatch_core.generated.manifest import Endpoint
+from mastichatch_core.generated.messages import (
+    EndpointObservation,
+    PermitOutcome,
+    PermitRelease,
+)
+
+RETURN_RAMP = 10.0
+
+
+def state(now: float = 0) -> EndpointState:
+    described = Endpoint(
+        name='e',
+        service='s',
+        data_centre='d',
+        host='h',
+        address='127.0.0.1:1',
+        batch_limit=16,
+        cold_limit=2,
+        warm_after_ms=10_000,
+    )
+    made = create_endpoint_state(described, now)
+    note_in_service(made, now, in_use=True)
+    see(made, now)
+    return made
+
+
+def see(
+    endpoint: EndpointState,
+    now: float,
+    *,
+    boot: str = 'one',
+    node: str = 'a',
+    reachable: bool = True,
+) -> None:
+    seen = EndpointObservation(endpoint='e', boot_id=boot, reachable=reachable)
+    note_observation(endpoint, seen, node, (), now)
+
+
+def end(
+    endpoint: EndpointState,
+    now: float,
+    outcome: PermitOutcome = PermitOutcome.completed,
+    first_token_ms: float = 100,
+) -> None:
+    release = PermitRelease(
+        request_id='r',
+        attempt=0,
+        service='s',
+        endpoint='e',
+        outcome=outcome,
+        first_token_ms=first_token_ms,
+    )
+    note_release(endpoint, release, now)
+
+
+def warm() -> EndpointState:
+    endpoint = state()
+    for _ in range(20):
+        end(endpoint, 1)
+    return endpoint
+
+
+def limit(endpoint: EndpointState, now: float) -> float:
+    return current_limit(endpoint, RETURN_RAMP, now)
+
+
+class TestRamp:
+    @given(st.integers(0, 50), st.floats(0, 9.9))
+    def test_success_alone_does_not_warm(self, count: int, now: float) -> None:
+        endpoint = state()
+        for _ in range(count):
+            end(endpoint, now)
+        assert limit(endpoint, now) == 2
+
+    def test_time_alone_does_not_warm(self) -> None:
+        assert limit(state(), 1000) == 2
+
+    def test_time_and_successes_warm(self) -> None:
+        assert limit(warm(), 20) == 16
+
+    def test_a_new_boot_is_cold(self) -> None:
+        endpoint = warm()
+        see(endpoint, 20, boot='two')
+        assert limit(endpoint, 20) == 2
+
+    def test_a_refused_connection_is_cold(self) -> None:
+        endpoint = warm()
+        end(endpoint, 20, PermitOutcome.unreachable)
+        assert limit(endpoint, 21) == 2
+
+    def test_a_jump_of_the_first_token_is_cold(self) -> None:
+        endpoint = warm()
+        end(endpoint, 20, first_token_ms=2000)
+        assert limit(endpoint, 20) == 16
+        end(endpoint, 20, first_token_ms=2000)
+        assert limit(endpoint, 20) == 2
+
+    def test_a_return_to_service_ramps(self) -> None:
+        endpoint = warm()
+        note_in_service(endpoint, 20, in_use=False)
+        assert not limit(endpoint, 20)
+        note_in_service(endpoint, 30, in_use=True)
+        seen = [limit(endpoint, now) for now in (30, 35, 40)]
+        assert seen == [2, 8, 16]
+
+
+class TestShares:
+    @given(
+        st.integers(1, 100),
+        st.lists(st.integers(1, 9), min_size=1, max_size=4),
+        st.integers(0, 3),
+    )
+    def test_parts_never_exceed_the_limit(
+        self, whole: int, sides: list[int], keeper: int
+    ) -> None:
+        members = sum(sides)
+        parts = [
+            scaled_limit(whole, side / members, keeper=index == keeper)
+            for index, side in enumerate(sides)
+        ]
+        assert sum(parts) <= whole
+
+
+class TestBreaker:
+    def test_opens_probes_once_and_closes(self) -> None:
+        endpoint = warm()
+        for _ in range(3):
+            end(endpoint, 20, PermitOutcome.failed)
+        assert not is_open(endpoint, 'a', 0, 20.1)
+        assert is_open(endpoint, 'a', 0, 21)
+        assert not is_open(endpoint, 'a', 1, 21)
+        end(endpoint, 21)
+        assert is_open(endpoint, 'a', 5, 21)
+
+    def test_a_failed_probe_waits_longer(self) -> None:
+        endpoint = warm()
+        end(endpoint, 20, PermitOutcome.unreachable)
+        end(endpoint, 21, PermitOutcome.unreachable)
+        assert not is_open(endpoint, 'a', 0, 21.9)
+        assert is_open(endpoint, 'a', 0, 22.1)
+
+    def test_one_node_without_a_way_does_not_close_it_to_others(self) -> None:
+        endpoint = warm()
+        see(endpoint, 20, node='b')
+        see(endpoint, 20, node='a', reachable=False)
+        assert not is_open(endpoint, 'a', 0, 20)
+        assert is_open(endpoint, 'b', 3, 20)
+        assert limit(endpoint, 20) == 16
+
+
+class TestBatch:
+    def test_slow_tokens_lower_the_limit_and_fast_ones_raise_it(self) -> None:
+        endpoint = warm()
+        for now in range(20, 30):
+            note_tokens(endpoint, 60, 36, 16, now)
+        lowered = limit(endpoint, 30)
+        assert lowered < 16
+        for now in range(30, 60):
+            note_tokens(endpoint, 20, 36, 16, now)
+        assert limit(endpoint, 60) == 16
