Keep more memory free from the start

Change: start from 2.5 standard deviations. A scheduler with requests waiting says that it has no room, so that others are asked.

--- a/packages/core/mastichatch_core/memory.py
+++ b/packages/core/mastichatch_core/memory.py
@@ -14,7 +14,7 @@
 from mastichatch_core.prediction import Lengths, survival
 
 STEPS_AHEAD: Final = (0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192)
-FIRST_DEVIATIONS: Final = 1.0
+FIRST_DEVIATIONS: Final = 2.5
 MOST_DEVIATIONS: Final = 4.0
 DEVIATIONS_A_PREEMPTION: Final = 0.25
 DEVIATIONS_FORGOTTEN: Final = 0.01
--- a/packages/core/mastichatch_core/scheduler_state.py
+++ b/packages/core/mastichatch_core/scheduler_state.py
@@ -115,7 +115,13 @@
 
     @property
     def free_count(self) -> int:
-        """Number of permits that could be granted now, memory aside."""
+        """Number of permits that could be granted now.
+
+        While a request waits there is no room, whatever the limits say: memory
+        may be short.
+        """
+        if self._queue:
+            return 0
         return sum(
             max(0, places)
             for places in self.free_places(self._advanced_at).values()
