Hand schedulers over at planned stops, and seek those that went silent

Cause: announcements reached a node's permits but never its schedulers, so the node that took over opened with term 1 again, and members with a higher run id in the old term never followed it (all requests stood for 30 s). A request to a data centre whose scheduler was not known yet was sent once to one node, which could not answer a node that it did not know; it stood until its deadline. A new scheduler was announced to its own data centre only, so other data centres' waiting and held permits never reached it. Ruled out: lost heartbeats (the heir opened 1 ms after the old one closed).

--- a/packages/node/mastichatch_node/links.py
+++ b/packages/node/mastichatch_node/links.py
@@ -99,6 +99,7 @@
         self._peers = peers
         self._membership = membership
         self._links: dict[Place, SchedulerLink] = {}
+        self._turns = itertools.count()
 
     def get(self, place: Place) -> SchedulerLink | None:
         """Return the scheduler of a place, or None where none is known.
@@ -126,15 +127,21 @@
         link.heard_at = _now()
         return True
 
-    def silent(self, place: Place) -> SchedulerLink | None:
-        """Return the scheduler of a place if it was not announced lately.
+    def is_lost(self, place: Place) -> bool:
+        """Return whether no scheduler of a place was announced lately.
 
         :param place: service and data centre
         """
         link = self._links.get(place)
-        if link is None or _now() - link.heard_at < SILENCE_S:
-            return None
-        return link
+        return link is None or _now() - link.heard_at >= SILENCE_S
+
+    def seek(self, place: Place, registration: Registration) -> None:
+        """Send a registration to one of a data centre's nodes after another.
+
+        :param place: service and data centre
+        :param registration: what a scheduler there should know
+        """
+        self._ask_any_node(place, MessageKind.registration, registration)
 
     def correct(self, sender: str, registration: Registration) -> None:
         """Tell the host of a scheduler that its term is not the highest.
@@ -176,8 +183,8 @@
         link = self._links.get(place)
         if link is not None:
             self._peers.send(link.address, kind, message)
-        elif kind is MessageKind.permit_request:
-            self._ask_any_node(place, message)
+        if kind is MessageKind.permit_request and self.is_lost(place):
+            self._ask_any_node(place, kind, message)
 
     def lease_end(
         self,
@@ -210,16 +217,21 @@
         """
         self._peers.send(sender, MessageKind.permit_release, release)
 
-    def _ask_any_node(self, place: Place, message: SchedulerMessage) -> None:
-        """Ask a node of a data centre whose scheduler is not known yet."""
-        for member in self._membership.all_known():
-            if member.data_centre == place.data_centre and not member.draining:
-                self._peers.send(
-                    member.peer_address,
-                    MessageKind.permit_request,
-                    message,
-                )
-                return
+    def _ask_any_node(
+        self,
+        place: Place,
+        kind: MessageKind,
+        message: SchedulerMessage,
+    ) -> None:
+        """Ask the next node of a data centre, which passes it on."""
+        addresses = [
+            member.peer_address
+            for member in self._membership.all_known()
+            if member.data_centre == place.data_centre and not member.draining
+        ]
+        if addresses:
+            address = addresses[next(self._turns) % len(addresses)]
+            self._peers.send(address, kind, message)
 
 
 def _load(message: SchedulerOpen) -> ServiceLoad:
--- a/packages/node/mastichatch_node/permits.py
+++ b/packages/node/mastichatch_node/permits.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -30,17 +30,14 @@
     ServiceLoad,
     Term,
 )
-from mastichatch_node.links import (
-    Place,
-    SchedulerLink,
-    SchedulerLinks,
-    place_of,
-)
+from mastichatch_node.links import Place, SchedulerLinks, place_of
 from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
 
 _MS_PER_S: Final = 1000
 _ANSWER_GRACE_S: Final = 1.0
+SEEK_INTERVAL_S: Final = 0.5
+_NO_TERM: Final = Term(number=0, incarnation='')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -192,7 +189,7 @@
             attempt=request.attempt,
             service=request.service,
             endpoint=endpoint,
-            term=Term(number=0, incarnation=''),
+            term=_NO_TERM,
             lease_ms=0,
             reason='adopted',
         )
@@ -244,12 +241,24 @@
         place = Place(message.service, message.data_centre)
         if self._links.follow(message, envelope.sender):
             self._register(place)
-            return
-        silent = self._links.silent(place)
-        if silent is not None:
+        elif self._links.is_lost(place):
             # A host that was restarted does not know how high terms are.
-            registration = self._report(place, silent)
-            self._links.correct(envelope.sender, registration)
+            self._links.correct(envelope.sender, self._report(place))
+
+    def seek_schedulers(self) -> None:
+        """Look for the schedulers that this node needs and does not hear.
+
+        A new scheduler knows the nodes of its own data centre only, and a
+        message to one that is gone is lost.
+        """
+        requests = (
+            *(waiting.request for waiting in self._waiting.values()),
+            *(held.request for held in self._held.values()),
+        )
+        needed = {place_of(request) for request in requests}
+        for place in needed:
+            if self._links.is_lost(place):
+                self._links.seek(place, self._report(place))
 
     async def on_grant(self, message: PermitGrant, envelope: Envelope) -> None:
         """Take a grant of the highest term, or give it back.
@@ -318,46 +327,23 @@
             self.release(self._held[key].grant, PermitOutcome.unused)
 
     def _register(self, place: Place) -> None:
-        link = self._links.get(place)
-        if link is not None:
-            registration = self._report(place, link)
+        if self._links.get(place) is not None:
+            registration = self._report(place)
             self._links.tell(place, MessageKind.registration, registration)
 
-    def _report(self, place: Place, link: SchedulerLink) -> Registration:
+    def _report(self, place: Place) -> Registration:
         """Return all that this node holds and waits for at a place."""
+        link = self._links.get(place)
         return Registration(
             service=place.service,
             node=self._membership.own.name,
-            term=link.term,
-            sequence=link.next_sequence(_now()),
-            held=self._held_at(place),
-            waiting=self._waiting_at(place),
+            term=_NO_TERM if link is None else link.term,
+            sequence=0 if link is None else link.next_sequence(_now()),
+            held=_held_at(self._held.values(), place),
+            waiting=_waiting_at(self._waiting.values(), place),
             observations=self._observations(place.service),
         )
 
-    def _held_at(self, place: Place) -> tuple[HeldPermit, ...]:
-        return tuple(
-            HeldPermit(
-                request_id=held.request.request_id,
-                attempt=held.request.attempt,
-                endpoint=held.grant.endpoint,
-                workspace=held.request.workspace,
-                request_class=held.request.request_class,
-                prompt_tokens=held.request.prompt_tokens,
-                output_tokens=held.output_tokens,
-                used=held.used,
-            )
-            for held in self._held.values()
-            if place_of(held.request) == place
-        )
-
-    def _waiting_at(self, place: Place) -> tuple[PermitRequest, ...]:
-        return tuple(
-            _aged(waiting)
-            for waiting in self._waiting.values()
-            if place_of(waiting.request) == place and not waiting.future.done()
-        )
-
 
 @contextlib.asynccontextmanager
 async def open_permits(
@@ -374,7 +360,17 @@
     peers.on(MessageKind.permit_grant, PermitGrant, permits.on_grant)
     peers.on(MessageKind.permit_refusal, PermitRefusal, permits.on_refusal)
     peers.on(MessageKind.permit_recall, PermitRecall, permits.on_recall)
-    yield permits
+    task = asyncio.create_task(_seek_regularly(permits))
+    try:
+        yield permits
+    finally:
+        task.cancel()
+
+
+async def _seek_regularly(permits: Permits) -> None:
+    while True:
+        await asyncio.sleep(SEEK_INTERVAL_S)
+        permits.seek_schedulers()
 
 
 def _release(grant: PermitGrant, outcome: PermitOutcome) -> PermitRelease:
@@ -387,6 +383,37 @@
     )
 
 
+def _held_at(
+    all_held: Iterable[_Held],
+    place: Place,
+) -> tuple[HeldPermit, ...]:
+    return tuple(
+        HeldPermit(
+            request_id=held.request.request_id,
+            attempt=held.request.attempt,
+            endpoint=held.grant.endpoint,
+            workspace=held.request.workspace,
+            request_class=held.request.request_class,
+            prompt_tokens=held.request.prompt_tokens,
+            output_tokens=held.output_tokens,
+            used=held.used,
+        )
+        for held in all_held
+        if place_of(held.request) == place
+    )
+
+
+def _waiting_at(
+    all_waiting: Iterable[_Waiting],
+    place: Place,
+) -> tuple[PermitRequest, ...]:
+    return tuple(
+        _aged(waiting)
+        for waiting in all_waiting
+        if place_of(waiting.request) == place and not waiting.future.done()
+    )
+
+
 def _aged(waiting: _Waiting) -> PermitRequest:
     """Return a waiting request with the time that it has waited."""
     waited_ms = (_now() - waiting.since) * _MS_PER_S
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -161,11 +161,11 @@
         """
         hosted = self._hosted.get(message.service)
         if hosted is None:
-            self._forward(message)
+            self._forward(MessageKind.permit_request, message, envelope)
             return
         if not hosted.is_client(message.node):
             # The registration that answers carries the request.
-            self._announce_to_stranger(hosted, message.node)
+            self._announce_to_stranger(hosted, message.node, envelope)
             return
         hosted.send(
             core.request(hosted.scheduler, message, _now()),
@@ -184,10 +184,13 @@
         self._note_term(message.service, message.term)
         hosted = self._hosted.get(message.service)
         if hosted is None:
+            self._forward(MessageKind.registration, message, envelope)
             return
         now = _now()
         if message.term == hosted.term:
             hosted.add_client(message, envelope.sender, now)
+        elif not hosted.is_client(message.node):
+            self._announce_to_stranger(hosted, message.node, envelope)
         hosted.send(core.register(hosted.scheduler, message, now))
 
     async def on_release(
@@ -232,24 +235,9 @@
             service
             for service in catalogue.services
             if catalogue.endpoints_of(service, self._tools.data_centre)
-            and self._host_name(service) == own
+            and _host_name(self._membership, service) == own
         )
 
-    def _host_name(self, service: str) -> str:
-        """Return the name of the node that is to host a scheduler.
-
-        Where all nodes of the data centre are draining, one of them goes on.
-        """
-        host = self._membership.scheduler_host(service)
-        if host is not None:
-            return host.name
-        names = [
-            member.name
-            for member in self._membership.all_known()
-            if member.data_centre == self._tools.data_centre
-        ]
-        return rendezvous.pick(names, service)
-
     def _open(self, service: str, catalogue: Catalogue) -> None:
         now = _now()
         number = self._terms.get(service, 0) + 1
@@ -309,19 +297,38 @@
         ]
         hosted.announce((*addresses, self._tools.peers.address), now)
 
-    def _announce_to_stranger(self, hosted: Hosted, node: str) -> None:
-        for member in self._membership.all_known():
-            if member.name == node:
-                hosted.announce_to(member.peer_address, _now())
-
-    def _forward(self, request: PermitRequest) -> None:
-        host = self._membership.scheduler_host(request.service)
-        if host is not None and host.name != self._tools.node:
-            self._tools.peers.send(
-                host.peer_address,
-                MessageKind.permit_request,
-                request,
-            )
+    def _announce_to_stranger(
+        self,
+        hosted: Hosted,
+        node: str,
+        envelope: Envelope,
+    ) -> None:
+        """Announce a scheduler to a node whose message may have been passed."""
+        addresses = {envelope.sender} | {
+            member.peer_address
+            for member in self._membership.all_known()
+            if member.name == node
+        }
+        for address in addresses:
+            hosted.announce_to(address, _now())
+
+    def _forward(
+        self,
+        kind: MessageKind,
+        message: PermitRequest | Registration,
+        envelope: Envelope,
+    ) -> None:
+        """Pass a message on once, as two nodes may each name the other."""
+        passed_on = any(
+            member.peer_address == envelope.sender
+            for member in self._membership.all_known()
+            if member.data_centre == self._tools.data_centre
+            and member.name != message.node
+        )
+        host = self._membership.scheduler_host(message.service)
+        if host is None or host.name == self._tools.node or passed_on:
+            return
+        self._tools.peers.send(host.peer_address, kind, message)
 
 
 @contextlib.asynccontextmanager
@@ -412,5 +419,22 @@
     hosted.send(core.set_leaving(hosted.scheduler, leaving, now))
 
 
+def _host_name(membership: Membership, service: str) -> str:
+    """Return the name of the node that is to host a scheduler.
+
+    Where all nodes of the data centre are draining, one of them goes on.
+    """
+    host = membership.scheduler_host(service)
+    if host is not None:
+        return host.name
+    own = membership.own
+    names = [
+        member.name
+        for member in membership.all_known()
+        if member.data_centre == own.data_centre
+    ]
+    return rendezvous.pick(names, service)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/test_fleet_drain.py
@@ -0,0 +1,122 @@
+"""Planned stops cut nothing, and what is taken out gets nothing new.
+
+Real processes; the caller acts as the balancer.
+"""
+
+import asyncio
+import collections
+import pathlib
+from collections.abc import AsyncIterator, Iterable
+from typing import Final
+
+import pytest
+
+from tests.balancers import Load, open_load
+from tests.processes import MODEL, Fleet, FleetPlan, Node, open_fleet
+
+# From the order to the moment from which nothing new may start.
+LIMIT_S: Final = 3.0
+QUIET_S: Final = 1.5
+RETURN_RAMP_S: Final = 6.0
+BATCH_LIMIT: Final = 12
+PLAN = FleetPlan(
+    engine_flags=('--cold-ms', '0', '--step-ms', '10'),
+    endpoint={
+        'cold_limit': 2,
+        'batch_limit': BATCH_LIMIT,
+        'warm_after_ms': 100,
+    },
+    manifest={
+        'data_centres': [
+            {'name': name, 'return_ramp_ms': int(RETURN_RAMP_S * 1000)}
+            for name in ('north', 'south')
+        ],
+    },
+)
+
+
+@pytest.fixture
+async def fleet(tmp_path: pathlib.Path) -> AsyncIterator[Fleet]:
+    async with open_fleet(tmp_path, PLAN) as opened:
+        yield opened
+
+
+async def scheduler_host(fleet: Fleet, data_centre: str, service: str) -> Node:
+    """Return the node that says it runs a scheduler."""
+    while True:
+        for name, node in fleet.nodes.items():
+            if not name.startswith(data_centre) or node.process.exit_code == 0:
+                continue
+            async with fleet.session.get(f'{node.url}/admin/status') as answer:
+                status = await answer.json()
+            hosted = [entry['service'] for entry in status['schedulers']]
+            if service in hosted:
+                return node
+        await asyncio.sleep(0.02)
+
+
+async def work_begun(fleet: Fleet, names: Iterable[str]) -> int:
+    """Return how many requests some endpoints were given so far."""
+    begun = 0
+    for name in names:
+        if 'engine' in name:
+            begun += (await fleet.endpoints[name].show('generations'))[
+                'started'
+            ]
+        else:
+            shown = await fleet.endpoints[name].show('executions')
+            begun += len(shown['executions'])
+    return begun
+
+
+async def check_bookings(fleet: Fleet, load: Load) -> None:
+    """Assert that each booking that was answered ran once."""
+    runs: collections.Counter[str] = collections.Counter()
+    for name, endpoint in fleet.endpoints.items():
+        if 'service' in name:
+            shown = await endpoint.show('executions')
+            runs.update(run['body']['booking'] for run in shown['executions'])
+    assert set(runs.values()) <= {1}
+    assert set(load.booked) <= set(runs)
+
+
+class TestPlannedStop:
+    async def test_scheduler_host_stops_under_load_and_nothing_fails(
+        self, fleet: Fleet
+    ) -> None:
+        leaving = await scheduler_host(fleet, 'north', MODEL)
+        async with open_load(
+            fleet, streams=40, bookings=8, lengths=(20, 60, 200)
+        ) as load:
+            await asyncio.sleep(1)
+            long = asyncio.create_task(load.stream(leaving, 'long', 400))
+            await asyncio.sleep(0.3)
+            leaving.process.terminate()
+            heir = await scheduler_host(fleet, 'north', MODEL)
+            while heir is leaving:
+                heir = await scheduler_host(fleet, 'north', MODEL)
+            before = await work_begun(fleet, ['north-engine-0'])
+            await asyncio.sleep(1)
+            assert leaving.process.exit_code is None
+            # The heir grants while the old host still serves its streams.
+            assert await work_begun(fleet, ['north-engine-0']) > before
+            await long
+            assert await leaving.process.wait() == 0
+        assert load.failures == []
+        await check_bookings(fleet, load)
+
+    async def test_rolling_restart_of_all_nodes_fails_nothing(
+        self, fleet: Fleet
+    ) -> None:
+        async with open_load(
+            fleet, streams=16, bookings=6, lengths=(20, 60, 150)
+        ) as load:
+            for name in fleet.node_names():
+                await asyncio.sleep(1)
+                fleet.nodes[name].process.terminate()
+                assert await fleet.nodes[name].process.wait() == 0
+                await fleet.restart(name)
+            await asyncio.sleep(1)
+        assert load.failures == []
+        assert load.streams > 0
+        await check_bookings(fleet, load)
