Prove bookings under pairs of faults and in a data centre cut off

Cause: faults had come one at a time. Change: all 15 pairs of five kinds of faults in a drawn order, with callers that share keys and retry anywhere; a data centre cut off from peers and platform.

--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import dataclasses
+import itertools
 import pathlib
+import random
 import time
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from typing import Any, Final
 
 import aiohttp
@@ -357,3 +359,173 @@
         await asyncio.sleep(3)
         told = await ledger.book(fleet.nodes[SOUTH], 'refused')
         assert kinds_of([told]) == {'yes'}
+
+
+class TestCutOff:
+    """A data centre cut off from the others and from the platform."""
+
+    async def test_tickets_are_served_and_nothing_runs_twice(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        plan = dataclasses.replace(PLAN, proxied_peers=True)
+        async with open_fleet(tmp_path, plan) as fleet:
+            await settle(fleet)
+            ledger = Ledger(fleet)
+            south = [
+                fleet.nodes[name] for name in fleet.nodes if 'south' in name
+            ]
+            own = [
+                text for node in south for text in await ledger.mint(node, 8)
+            ]
+            far = await ledger.mint(fleet.nodes[NORTH], 2)
+            names = [node.options.name for node in south]
+            await fleet.cut_off(*names)
+            await set_links(
+                fleet, [f'platform-{name}' for name in names], blackhole=True
+            )
+            served = await book_all(ledger, south, own)
+            claimed = await book_all(
+                ledger, south, [f'south-{number}' for number in range(16)]
+            )
+            unserved = await book_all(ledger, south, far)
+            beyond = await book_all(
+                ledger,
+                [fleet.nodes[NORTH]],
+                [f'north-{number}' for number in range(8)],
+            )
+            assert kinds_of(served) == {'yes'}
+            assert kinds_of(claimed) == {'platform_unavailable'}
+            assert kinds_of(unserved) == {'outcome_unknown'}
+            assert kinds_of(beyond) == {'yes'}
+            await fleet.cut_off()
+            await set_links(
+                fleet, [f'platform-{name}' for name in names], restore=True
+            )
+            await asyncio.sleep(2)
+            assert kinds_of(await book_all(ledger, south, far)) == {'yes'}
+            await ledger.check()
+
+
+async def book_all(
+    ledger: Ledger, nodes: list[Node], keys: Iterable[str]
+) -> list[Told]:
+    """Book keys at nodes in turn, all at once."""
+    return await asyncio.gather(
+        *(
+            ledger.book(nodes[number % len(nodes)], key)
+            for number, key in enumerate(keys)
+        )
+    )
+
+
+Fault = Callable[[Fleet, random.Random, str], Awaitable[Any]]
+
+
+async def kill_node(fleet: Fleet, chance: random.Random, name: str) -> None:
+    """Kill a node and start it again."""
+    fleet.nodes[name].process.kill()
+    await fleet.restart(name)
+
+
+async def freeze_node(fleet: Fleet, chance: random.Random, name: str) -> None:
+    """Freeze a node for a while."""
+    node = fleet.nodes[name]
+    node.process.freeze()
+    await asyncio.sleep(chance.choice((0.05, 0.5, 2.5)))
+    node.process.wake()
+
+
+async def fail_platform(
+    fleet: Fleet, chance: random.Random, _name: str
+) -> None:
+    """Take the platform away, make it too slow, or lose its answers."""
+    faults: tuple[dict[str, Any], ...] = (
+        {'available': False, 'mode': 'refuse'},
+        {'available': False, 'mode': 'hang'},
+        {'delay_ms': 500},
+        {'lose_answers': 4},
+    )
+    await fleet.platform.control(**chance.choice(faults))
+    await asyncio.sleep(chance.choice((0.1, 1)))
+    await fleet.platform.control(available=True, delay_ms=0, lose_answers=0)
+
+
+async def fail_links(fleet: Fleet, chance: random.Random, _name: str) -> None:
+    """Cut or silence the links to the endpoints."""
+    faults: tuple[dict[str, Any], ...] = (
+        {'blackhole': True},
+        {'one_way': 'up'},
+        {'one_way': 'down'},
+        {'blackhole_existing': True},
+        {'cut': True},
+    )
+    await set_links(fleet, fleet.endpoints, **chance.choice(faults))
+    await asyncio.sleep(chance.choice((0.1, 1.2)))
+    await set_links(fleet, fleet.endpoints, restore=True)
+
+
+async def fail_services(
+    fleet: Fleet, chance: random.Random, _name: str
+) -> None:
+    """Let the endpoints refuse, fail, be late or lose answers."""
+    faults: tuple[dict[str, Any], ...] = (
+        {'refuse_status': 503},
+        {'fail_after_run': True},
+        {'cut_after_run': True},
+        {'answer_delay_ms': 1200},
+        {'delay_ms': 1200},
+    )
+    fault = chance.choice(faults)
+    await set_services(fleet, **fault)
+    await asyncio.sleep(chance.choice((0.1, 1.2)))
+    await set_services(fleet, **dict.fromkeys(fault, 0))
+
+
+FAULTS: Final[tuple[Fault, ...]] = (
+    kill_node,
+    freeze_node,
+    fail_platform,
+    fail_links,
+    fail_services,
+)
+PAIRS: Final = tuple(itertools.combinations_with_replacement(FAULTS, 2))
+
+
+class TestPairs:
+    """Two faults at a time, and callers that retry anywhere."""
+
+    @pytest.mark.parametrize('seed', range(2))
+    async def test_nothing_runs_twice_and_every_answer_is_true(
+        self, fleet: Fleet, ledger: Ledger, seed: int
+    ) -> None:
+        chance = random.Random(seed)
+        nodes = list(fleet.nodes)
+
+        async def insist(key: str) -> None:
+            for _ in range(4):
+                node = fleet.nodes[chance.choice(nodes)]
+                told = await ledger.book(node, key)
+                if told.ran == 'yes':
+                    return
+                await asyncio.sleep(chance.random() / 2)
+
+        async def strike(fault: Fault, name: str) -> None:
+            await asyncio.sleep(chance.random() / 10)
+            await fault(fleet, chance, name)
+
+        for number, pair in enumerate(chance.sample(PAIRS, len(PAIRS))):
+            keys = [f'{seed}-{number}-{key}' for key in range(4)] * 2
+            holder = fleet.nodes[chance.choice(nodes)]
+            keys += await ledger.mint(holder, 2)
+            await asyncio.gather(
+                *(insist(key) for key in keys),
+                *map(strike, pair, chance.sample(nodes, 2)),
+            )
+        await settle(fleet)
+        told = await book_all(
+            ledger,
+            list(fleet.nodes.values()),
+            {told.key for told in ledger.told},
+        )
+        assert all(answer.status for answer in told)
+        assert sum(answer.ran == 'yes' for answer in told) > len(told) / 2
