--- a/packages/ctl/mastichatch_ctl/nodes.py
+++ b/packages/ctl/mastichatch_ctl/nodes.py
@@ -4,9 +4,11 @@
 import contextlib
 from collections.abc import AsyncIterator, Sequence
 from typing import Final, TypeVar
+from urllib.parse import quote
 
 import aiohttp
 import msgspec
+import yarl
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import (
@@ -55,7 +57,7 @@
         :raises MastichatchError: with ``peer_unreachable``, or ``not_found``
             where no node remembers the request
         """
-        path = f'/admin/explain/{request_id}'
+        path = '/admin/explain/{0}'.format(quote(request_id, safe=''))
         answer = await self._get(address, path, ExplainAnswer)
         if not answer.decisions:
             raise MastichatchError(
@@ -70,8 +72,9 @@
         path: str,
         answer_type: type[_Answer],
     ) -> _Answer:
+        url = yarl.URL(f'http://{address}{path}', encoded=True)
         try:
-            async with self._session.get(f'http://{address}{path}') as answer:
+            async with self._session.get(url) as answer:
                 content = await answer.read()
                 status = answer.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/packages/node/mastichatch_node/logs.py
+++ b/packages/node/mastichatch_node/logs.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from absl import flags, logging
+from pythonjsonlogger import core
 from pythonjsonlogger import json as json_logger
 
 _LEVELS: Final[dict[str, int]] = {
@@ -43,4 +44,6 @@
         rename_fields={'levelname': 'level', 'message': 'event'},
         static_fields={'node': node},
         timestamp='time',
+        # uvicorn repeats its messages with colours for terminals.
+        reserved_attrs=(*core.RESERVED_ATTRS, 'color_message'),
     )
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -96,8 +96,10 @@
             }
         )
 
-    async def explain(_request: web.Request) -> web.Response:
-        return web.json_response({'decisions': decisions or []})
+    async def explain(request: web.Request) -> web.Response:
+        asked = request.match_info['request_id']
+        kept = [each for each in decisions or [] if each['request_id'] == asked]
+        return web.json_response({'decisions': kept})
 
     application = create_application()
     application.add_routes(
@@ -281,7 +283,7 @@
     ) -> None:
         decision = {
             'event': 'placed',
-            'request_id': 'r1',
+            'request_id': 'r 1/%?',
             'node': 'north-1',
             'choice': 'e1',
             'reason': 'least loaded',
@@ -291,7 +293,7 @@
         }
         async with open_node(7, [decision]) as node:
             code, out, _ = await ctl(
-                'explain', 'r1', '--node', f'{NOTHING_LISTENS},{node}'
+                'explain', 'r 1/%?', '--node', f'{NOTHING_LISTENS},{node}'
             )
         assert code == 0
         assert 'north-1  placed  -> e1  (least loaded)  term 2' in out
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,8 @@
 """Decisions are logged, and the newest of them are kept."""
 
 import logging
+import pathlib
+import re
 
 import pytest
 from absl import logging as absl_logging
@@ -9,6 +11,8 @@
 from mastichatch_core.generated.messages import CandidateScore
 from mastichatch_node.decisions import create_decision_log
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
 
 @given(
     limit=strategies.integers(1, 8),
@@ -41,3 +45,15 @@
     assert record.__dict__['term'] == 3
     (logged,) = record.__dict__['candidates']
     assert logged == {'endpoint': 'e1', 'score': 0.5, 'reason': 'cold'}
+
+
+def test_every_decision_in_the_code_is_documented() -> None:
+    call = re.compile(r"\.note\(\s*'([a-z_]+)',")
+    noted = {
+        event
+        for source in (ROOT / 'packages').rglob('*.py')
+        for event in call.findall(source.read_text())
+    }
+    page = (ROOT / 'docs/OPERATING.md').read_text()
+    assert noted
+    assert [event for event in sorted(noted) if f'`{event}`' not in page] == []
