Count only retries as retries, and let a dead engine's batch be tried again

Cause: asking the next data centre took a new attempt number, which the scheduler there counted as a retry; the budget's burst of ten refused most of the batch that an engine's death loses; a permit that lapsed unused was reported as an unreachable endpoint, which would open its circuit. Change: one attempt number for all data centres; the scheduler's burst covers a batch; a lapsed permit is given back as unused and excludes nothing.

--- a/packages/core/mastichatch_core/errors.py
+++ b/packages/core/mastichatch_core/errors.py
@@ -155,3 +155,14 @@
             retry_after_ms=ANSWERS[self.kind].retry_after_ms,
             tokens_delivered=self.tokens_delivered,
         )
+
+
+class PermitLapsedError(MastichatchError):
+    """A permit, or the right to run, lapsed before the first byte was sent."""
+
+    def __init__(self) -> None:
+        """Say that nothing was sent."""
+        super().__init__(
+            ErrorKind.queue_deadline,
+            'the permit lapsed before the request was sent',
+        )
--- a/packages/core/mastichatch_core/retries.py
+++ b/packages/core/mastichatch_core/retries.py
@@ -12,10 +12,12 @@
     """A token bucket that first attempts fill and retries empty.
 
     :param percent: retries allowed, in percent of first attempts
+    :param burst: most retries that can be saved up
     :param tokens: retries allowed now
     """
 
     percent: int
+    burst: float = BURST_RETRIES
     tokens: float = BURST_RETRIES
 
 
@@ -24,7 +26,7 @@
 
     :param budget: the budget before it
     """
-    tokens = min(BURST_RETRIES, budget.tokens + budget.percent / PERCENT)
+    tokens = min(budget.burst, budget.tokens + budget.percent / PERCENT)
     return dataclasses.replace(budget, tokens=tokens)
 
 
--- a/packages/core/mastichatch_core/scheduler_state.py
+++ b/packages/core/mastichatch_core/scheduler_state.py
@@ -1,6 +1,7 @@
 """The state of a scheduler: what it knows of one service's endpoints."""
 
 import dataclasses
+from typing import Final
 
 from mastichatch_core.admission import scaled_limit
 from mastichatch_core.endpoints import EndpointPool
@@ -11,6 +12,9 @@
 from mastichatch_core.reach import Reach
 from mastichatch_core.retries import RetryBudget, deposit, withdraw
 
+# The death of an engine loses a whole batch at once.
+BATCH_BURST_RETRIES: Final = 64.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Timing:
@@ -53,7 +57,11 @@
         self._timing = timing
         self._lengths = lengths
         self._queue = FairQueue()
-        self._retries = RetryBudget(percent=0)
+        self._retries = RetryBudget(
+            percent=0,
+            burst=BATCH_BURST_RETRIES,
+            tokens=BATCH_BURST_RETRIES,
+        )
         self._reach = Reach(timing.member_timeout, now)
         self._superseded = False
         self._advanced_at = now
--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from mastichatch_core.catalogue import Catalogue
-from mastichatch_core.errors import MastichatchError
+from mastichatch_core.errors import MastichatchError, PermitLapsedError
 from mastichatch_core.events import TokenEvent, in_order
 from mastichatch_core.generated.manifest import Endpoint, Service
 from mastichatch_core.generated.messages import (
@@ -42,6 +42,7 @@
         ErrorKind.endpoint_failed,
         ErrorKind.endpoint_refused,
         ErrorKind.endpoint_unreachable,
+        ErrorKind.generation_lost,
         ErrorKind.not_found,
     ),
 )
@@ -143,7 +144,7 @@
         for attempt in range(START_LIMIT):
             asked = dataclasses.replace(
                 request,
-                attempt=attempt * START_LIMIT,
+                attempt=attempt,
                 excluded=excluded,
             )
             grant = await acquire(asked)
@@ -159,7 +160,8 @@
             except MastichatchError as error:
                 handed_out = 0 if whole else delivered
                 self._raise_unless_retried(error, handed_out, attempt)
-                excluded = (*excluded, grant.endpoint)
+                if not isinstance(error, PermitLapsedError):
+                    excluded = (*excluded, grant.endpoint)
                 self._note_retry(request, grant, error)
 
     async def resume(
@@ -232,10 +234,7 @@
             # Last check before the first byte: this process may have been
             # frozen since the grant came.
             if not self._permits.still_valid(grant):
-                raise MastichatchError(
-                    ErrorKind.endpoint_unreachable,
-                    'the permit lapsed before it was used',
-                )
+                raise PermitLapsedError
             self._permits.mark_used(grant)
             async for batch in self._first_connection(
                 grant,
@@ -394,8 +393,8 @@
                 str(error),
                 tokens_delivered=delivered,
             ) from error
-        lost_early = error.kind is ErrorKind.generation_lost
-        if error.kind not in _RETRIED and not lost_early:
+        lapsed = isinstance(error, PermitLapsedError)
+        if error.kind not in _RETRIED and not lapsed:
             raise error
         if attempt + 1 == START_LIMIT:
             raise error
@@ -478,6 +477,8 @@
 
 
 def _outcome(error: MastichatchError) -> PermitOutcome:
+    if isinstance(error, PermitLapsedError):
+        return PermitOutcome.unused
     if error.kind is ErrorKind.endpoint_unreachable:
         return PermitOutcome.unreachable
     if error.kind is ErrorKind.bad_request:
--- a/packages/node/mastichatch_node/retrying.py
+++ b/packages/node/mastichatch_node/retrying.py
@@ -11,7 +11,7 @@
     AttemptState,
 )
 from mastichatch_core.catalogue import Catalogue
-from mastichatch_core.errors import MastichatchError
+from mastichatch_core.errors import MastichatchError, PermitLapsedError
 from mastichatch_core.generated.manifest import Operation, Service
 from mastichatch_core.generated.messages import (
     CallOutcome,
@@ -26,7 +26,6 @@
 from mastichatch_node.metrics import Metrics
 from mastichatch_node.permits import Permits
 from mastichatch_node.plain import PlainAnswer, PlainRequest, SendPlain
-from mastichatch_node.routing import DATA_CENTRE_LIMIT
 
 MS_PER_SECOND: Final = 1000
 PERMIT_TRIES_LIMIT: Final = 4
@@ -71,17 +70,6 @@
     is_valid: Callable[[float], bool]
 
 
-class PermitLapsedError(MastichatchError):
-    """A permit or the right to run lapsed before the first byte."""
-
-    def __init__(self) -> None:
-        """Say that nothing was sent."""
-        super().__init__(
-            ErrorKind.queue_deadline,
-            'the permit lapsed before the call was sent',
-        )
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Tries:
     """What one request has tried so far.
@@ -250,7 +238,7 @@
 
     def _permit_request(self, call: PlainCall, tries: Tries) -> PermitRequest:
         # The scheduler takes only number zero for a first attempt.
-        number = tries.permits * DATA_CENTRE_LIMIT
+        number = tries.permits
         tries.permits += 1
         return PermitRequest(
             request_id=call.request_id,
--- a/packages/node/mastichatch_node/routing.py
+++ b/packages/node/mastichatch_node/routing.py
@@ -47,8 +47,8 @@
     async def acquire(self, request: PermitRequest) -> PermitGrant:
         """Wait for a permit at the best data centre, then at the next ones.
 
-        :param request: what is asked for; its attempt number is the first
-            of up to ``DATA_CENTRE_LIMIT`` that this call may use
+        :param request: what is asked for; the attempt number stays the same
+            at each data centre, since asking the next one is no retry
         :raises MastichatchError: when every data centre refuses; nothing was
             run then
         """
@@ -58,11 +58,10 @@
         deadline = _now() + request.deadline_ms / _MS_PER_S
         ranked = self._ranked(catalogue, request.service)[:DATA_CENTRE_LIMIT]
         refusal = MastichatchError(ErrorKind.no_endpoint)
-        for number, candidate in enumerate(ranked):
+        for candidate in ranked:
             asked = dataclasses.replace(
                 request,
                 data_centre=candidate.endpoint,
-                attempt=request.attempt + number,
                 deadline_ms=max(deadline - _now(), 0) * _MS_PER_S,
             )
             self._note_choice(asked, candidate, ranked, catalogue)
