Test the scheduler's retry budget at its own burst

Change: the test asks two times more than the burst, takes each back so that no other limit is met, and still expects exactly two refusals. Conclusion: as strict as before, at the new burst.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -43,6 +43,7 @@
     Term,
 )
 from mastichatch_core.generated.records import Drain, DrainKind
+from mastichatch_core.scheduler_state import BATCH_BURST_RETRIES
 
 TICK = 0.25
 TIMEOUT = 1.5
@@ -567,7 +568,19 @@
         assert out[0].kind is ErrorKind.no_endpoint
 
     def test_retries_are_bounded(self, opened: core.Scheduler) -> None:
-        out = [core.request(opened, asked(n, attempt=1), 1) for n in range(12)]
+        out = []
+        for number in range(int(BATCH_BURST_RETRIES) + 2):
+            retry = asked(number, attempt=1)
+            out.append(core.request(opened, retry, 1))
+            core.cancel(
+                opened,
+                PermitCancel(
+                    request_id=retry.request_id,
+                    attempt=1,
+                    service=retry.service,
+                ),
+                1,
+            )
         kinds = [one.kind for some in out for one in refusals(some)]
         assert kinds == [ErrorKind.queue_full] * 2
 
