--- a/tools/demo/fleet.py
+++ b/tools/demo/fleet.py
@@ -15,6 +15,7 @@
     NodeOptions,
     Processes,
     StandIn,
+    StartError,
     open_processes,
     poll_until,
 )
@@ -23,6 +24,7 @@
 
 DATA_CENTRES: Final = ('north', 'south')
 NODES_PER_DATA_CENTRE: Final = 2
+START_LIMIT: Final = 3
 ENGINE_FLAGS: Final = ('--cold-ms=1000', '--step-ms=40')
 _PYTHON_FOLDER: Final = pathlib.Path(sys.executable).parent
 _HTTP_OK: Final = 200
@@ -82,12 +84,11 @@
             platform=platform,
             service=await processes.stand_in('dispatch', 'service'),
             engines=dict(zip(DATA_CENTRES, engines, strict=True)),
-            nodes=_start_nodes(processes, platform.address),
+            nodes=await _start_nodes(processes, platform.address),
         )
         manifest = json.dumps(_manifest(fleet), indent=2)
         (folder / 'manifest.json').write_text(manifest)
         await _list_hosts(fleet)
-        await asyncio.gather(*map(_wait_until_live, fleet.nodes.values()))
         yield fleet
 
 
@@ -121,26 +122,57 @@
     return CommandResult(code=process.returncode or 0, text=text)
 
 
-def _start_nodes(processes: Processes, platform: str) -> dict[str, Node]:
-    names = [
-        (f'{centre}-{number}', centre)
+async def _start_nodes(
+    processes: Processes,
+    platform: str,
+) -> dict[str, Node]:
+    places = {
+        f'{centre}-{number}': centre
         for centre in DATA_CENTRES
         for number in range(1, NODES_PER_DATA_CENTRE + 1)
-    ]
-    return {
-        name: processes.node(
-            NodeOptions(name=name, data_centre=centre, platform=platform),
-        )
-        for name, centre in names
     }
+    nodes = await asyncio.gather(
+        *(
+            _start_node(processes, name, centre, platform)
+            for name, centre in places.items()
+        ),
+    )
+    return dict(zip(places, nodes, strict=True))
+
+
+async def _start_node(
+    processes: Processes,
+    name: str,
+    data_centre: str,
+    platform: str,
+) -> Node:
+    """Start a node until it answers.
+
+    Another program may take a free port before the node does, so an early end
+    is followed by another start at other ports.
+    """
+    for _ in range(START_LIMIT):
+        options = NodeOptions(
+            name=name,
+            data_centre=data_centre,
+            platform=platform,
+        )
+        node = processes.node(options)
+        if await _is_live(node):
+            return node
+    raise StartError(f'{name} did not start: {node.process.log}')
+
 
+async def _is_live(node: Node) -> bool:
+    """Return once the node answers, or has ended."""
 
-async def _wait_until_live(node: Node) -> None:
-    async def is_live() -> bool:
-        node.process.check()
+    async def has_settled() -> bool:
+        if node.process.exit_code is not None:
+            return True
         return await node.status_of('/health/live') == _HTTP_OK
 
-    await poll_until(is_live, f'{node.options.name} live')
+    await poll_until(has_settled, f'{node.options.name} live')
+    return node.process.exit_code is None
 
 
 async def _list_hosts(fleet: Fleet) -> None:
