Work out a waiting request's memory once

Cause: a profile of an overloaded run showed half of the time in working out the same demand again at each step of time, for every request at a lane's head. Change: the demand is kept with the request; endpoints in use are kept by name. Conclusion: kept; a demand worked out earlier knows fewer lengths.

--- a/packages/core/mastichatch_core/endpoints.py
+++ b/packages/core/mastichatch_core/endpoints.py
@@ -27,6 +27,7 @@
         :param data_centre: name of the data centre
         :param now: time in seconds
         """
+        self._names_in_use: tuple[str, ...] = ()
         self._service = service
         self._data_centre = data_centre
         self._states: dict[str, EndpointState] = {}
@@ -79,6 +80,11 @@
             self._states[name], home.return_ramp_ms / 1000, now
         )
 
+    @property
+    def names_in_use(self) -> tuple[str, ...]:
+        """Names of the endpoints that take new work."""
+        return self._names_in_use
+
     def in_use(self, name: str) -> bool:
         """Return whether an endpoint takes new work.
 
@@ -160,3 +166,4 @@
             leaving = endpoint.host in self._leaving
             in_use = not leaving and not self._catalogue.is_drained(endpoint)
             note_in_service(state, now, in_use=in_use)
+        self._names_in_use = tuple(filter(self.in_use, self._states))
--- a/packages/core/mastichatch_core/fairness.py
+++ b/packages/core/mastichatch_core/fairness.py
@@ -6,6 +6,7 @@
 
 from mastichatch_core.generated.messages import PermitRequest, RequestClass
 from mastichatch_core.ledger import PermitKey
+from mastichatch_core.memory import Demand
 
 CLASS_WEIGHTS: Final[dict[RequestClass, float]] = {
     RequestClass.interactive: 8.0,
@@ -22,12 +23,14 @@
     :param queued_at: when its wait began, in seconds
     :param deadline_at: when it is refused, in seconds
     :param cost: expected work, in tokens
+    :param wanted: memory that it is expected to want
     """
 
     request: PermitRequest
     queued_at: float
     deadline_at: float
     cost: float
+    wanted: Demand
 
     @property
     def key(self) -> PermitKey:
--- a/packages/core/mastichatch_core/granting.py
+++ b/packages/core/mastichatch_core/granting.py
@@ -50,6 +50,20 @@
     return actual_cost(request.prompt_tokens, output)
 
 
+def wanted_memory(scheduler: Scheduler, request: PermitRequest) -> Demand:
+    """Return the memory to expect of a request.
+
+    :param scheduler: the scheduler
+    :param request: the request
+    """
+    return demand(
+        scheduler.lengths.lengths(request.workspace, request.request_class),
+        request.prompt_tokens,
+        0,
+        request.max_tokens,
+    )
+
+
 def actual_cost(prompt_tokens: int, output_tokens: float) -> float:
     """Return the work of a request, in tokens of output.
 
@@ -128,7 +142,7 @@
             continue
         candidates = _candidates(
             scheduler,
-            entry.request,
+            entry,
             {
                 name
                 for name, places in free.items()
@@ -202,18 +216,13 @@
 
 def _candidates(
     scheduler: Scheduler,
-    request: PermitRequest,
+    entry: Waiting,
     names: set[str],
     now: float,
 ) -> tuple[Candidate, ...]:
-    wanted = demand(
-        scheduler.lengths.lengths(request.workspace, request.request_class),
-        request.prompt_tokens,
-        0,
-        request.max_tokens,
-    )
+    request = entry.request
     return tuple(
-        _candidate(scheduler, request, name, wanted, now)
+        _candidate(scheduler, entry, name, now)
         for name in sorted(names)
         if name not in request.excluded
         and is_open(
@@ -227,14 +236,13 @@
 
 def _candidate(
     scheduler: Scheduler,
-    request: PermitRequest,
+    entry: Waiting,
     name: str,
-    wanted: Demand,
     now: float,
 ) -> Candidate:
     state = scheduler.pool.states[name]
     running = scheduler.pool.load(name)
-    together = total((_demand_at(scheduler, name), wanted))
+    together = total((_demand_at(scheduler, name), entry.wanted))
     memory = peak(together, state.safety.deviations)
     if state.foreign:
         memory *= running / max(1, running - state.foreign)
@@ -245,7 +253,7 @@
         running=running,
         limit=int(scheduler.pool.limit(name, now)),
         peak_share=share if running else min(share, 1.0),
-        prefix_known=request.prefix_hash in state.prefixes,
+        prefix_known=entry.request.prefix_hash in state.prefixes,
     )
 
 
--- a/packages/core/mastichatch_core/scheduler.py
+++ b/packages/core/mastichatch_core/scheduler.py
@@ -42,6 +42,7 @@
     grant_message,
     grant_ready,
     renew_lease,
+    wanted_memory,
 )
 from mastichatch_core.ledger import Permit, PermitKey
 from mastichatch_core.prediction import LengthModel
@@ -417,6 +418,7 @@
             queued_at=now - request.waited_ms / 1000,
             deadline_at=now + request.deadline_ms / 1000,
             cost=expected_cost(scheduler, request),
+            wanted=wanted_memory(scheduler, request),
         )
     )
 
@@ -474,8 +476,7 @@
 
 def _placeable(scheduler: Scheduler, request: PermitRequest) -> bool:
     return any(
-        scheduler.pool.in_use(name) and name not in request.excluded
-        for name in scheduler.pool.states
+        name not in request.excluded for name in scheduler.pool.names_in_use
     )
 
 
