Keep a permit's demand between registrations

Cause: each grant worked out anew what every permit of the endpoint wants. Change: it is kept with the permit until its node tells of more tokens.

--- a/packages/core/mastichatch_core/granting.py
+++ b/packages/core/mastichatch_core/granting.py
@@ -177,6 +177,7 @@
         prompt_tokens=request.prompt_tokens,
         max_tokens=request.max_tokens,
         cost=entry.cost,
+        wanted=entry.wanted,
         granted_at=now,
         renewed_at=now,
         expires_at=now,
@@ -262,14 +263,18 @@
     state = scheduler.pool.states[name]
     if state.demand is None:
         state.demand = total(
-            demand(
-                scheduler.lengths.lengths(
-                    permit.workspace, permit.request_class
-                ),
-                permit.prompt_tokens,
-                permit.output_tokens,
-                permit.max_tokens,
-            )
+            _demand_of(scheduler, permit)
             for permit in scheduler.ledger.at_endpoint(name)
         )
     return state.demand
+
+
+def _demand_of(scheduler: Scheduler, permit: Permit) -> Demand:
+    if permit.wanted is None:
+        permit.wanted = demand(
+            scheduler.lengths.lengths(permit.workspace, permit.request_class),
+            permit.prompt_tokens,
+            permit.output_tokens,
+            permit.max_tokens,
+        )
+    return permit.wanted
--- a/packages/core/mastichatch_core/ledger.py
+++ b/packages/core/mastichatch_core/ledger.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from mastichatch_core.generated.messages import RequestClass
+from mastichatch_core.memory import Demand
 
 PermitKey = tuple[str, int]
 
@@ -25,6 +26,7 @@
     :param registration: sequence of the registration that its lease runs from
     :param inherited: whether a scheduler before granted it
     :param cost: work that its workspace was charged, in tokens
+    :param wanted: memory that it is expected to want; ``None`` when not known
     :param granted_at: when it was granted or first registered, in seconds
     :param renewed_at: when its node last named it, in seconds
     :param expires_at: when it lapses unless it is renewed, in seconds
@@ -42,6 +44,7 @@
     registration: int = 0
     inherited: bool = False
     cost: float = 0
+    wanted: Demand | None = None
     granted_at: float
     renewed_at: float = 0
     expires_at: float
--- a/packages/core/mastichatch_core/scheduler.py
+++ b/packages/core/mastichatch_core/scheduler.py
@@ -355,6 +355,7 @@
     if fresh <= 0 or service is None:
         return
     state.demand = None
+    permit.wanted = None
     if permit.output_tokens:
         note_tokens(
             state,
