Test garbage collection beside a change in progress, and renew leases less

Cause: with the rewriting of chunks or the age of garbage switched off, no test failed; nor without the digest check, since compression has its own checksum. Nodes renewed their lease three times in its length. Change: a test in which one operator collects between another's chunks and its swap; a test with a whole chunk of another manifest. Two renewals for each lease, and a failed one is tried again after 0.25 s. Conclusion: each of these mechanisms now fails a test when switched off.

--- a/packages/node/mastichatch_node/leases.py
+++ b/packages/node/mastichatch_node/leases.py
@@ -11,8 +11,9 @@
 from mastichatch_node.platform import Platform
 
 MS_PER_S: Final = 1000
-# Two renewals fit into a lease, so that one may fail.
-RENEWALS_PER_LEASE: Final = 3
+# A renewal that fails is tried again soon, within the same lease.
+RENEWALS_PER_LEASE: Final = 2
+RETRY_S: Final = 0.25
 REVOKE_TIMEOUT_S: Final = 1.0
 
 
@@ -118,4 +119,6 @@
             note(lease)
         except MastichatchError as error:
             logging.warning('a lease was not renewed: %s', error)
-        await asyncio.sleep(lease.interval_s)
+            await asyncio.sleep(min(RETRY_S, lease.interval_s))
+        else:
+            await asyncio.sleep(lease.interval_s)
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -64,6 +64,17 @@
         with pytest.raises(chunks.ChunkError):
             chunks.unpack(chunk.reference, bytes(content))
 
+    def test_another_manifests_chunk_is_refused(self) -> None:
+        chunk = chunks.split(create_manifest([]))[0]
+        other = chunks.split(
+            dataclasses.replace(
+                create_manifest([]),
+                data_centres=(DataCentre(name='south'),),
+            )
+        )[0]
+        with pytest.raises(chunks.ChunkError):
+            chunks.unpack(chunk.reference, other.content)
+
     def test_noise_under_its_own_digest_is_refused(self) -> None:
         for content in (b'noise', zlib.compress(b'{}'), zlib.compress(b'[[')):
             reference = dataclasses.replace(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -25,7 +25,7 @@
 from mastichatch_node import changes
 from mastichatch_node.configuration import Configuration, open_configuration
 from mastichatch_node.peers import Peers, open_peers
-from mastichatch_node.platform import Platform, open_platform
+from mastichatch_node.platform import Listing, Platform, open_platform
 from tests.membership_nodes import control, open_standin, until
 
 NORTH = Drain(kind=DrainKind.data_centre, name='north')
@@ -298,6 +298,49 @@
             listing = await platform.list_entries(rules.CHUNK_PREFIX)
             assert len(listing.entries) <= 2 * len(root.chunks)
 
+    async def test_a_chunk_written_for_a_change_in_progress_is_kept(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(changes, 'COLLECT_EVERY_REVISIONS', 1)
+        written, collected = asyncio.Event(), asyncio.Event()
+        async with open_store() as (platform, address):
+            for weight in (1, 2):
+                await changes.apply_manifest(
+                    platform, manifest_bytes(weight), 'one'
+                )
+            async with open_platform(address, 300) as other:
+                write, list_entries = other.write, platform.list_entries
+
+                async def write_slowly(
+                    key: str, value: bytes, **options: Any
+                ) -> int:
+                    if key == rules.ROOT_KEY:
+                        written.set()
+                        await collected.wait()
+                    return await write(key, value, **options)
+
+                async def list_late(prefix: str) -> Listing:
+                    # The other operator brings the first manifest back, whose
+                    # chunk is garbage by now.
+                    tasks.append(
+                        asyncio.create_task(
+                            changes.apply_manifest(
+                                other, manifest_bytes(1), 'two'
+                            )
+                        )
+                    )
+                    await written.wait()
+                    return await list_entries(prefix)
+
+                tasks: list[asyncio.Task[ConfigurationRoot]] = []
+                monkeypatch.setattr(other, 'write', write_slowly)
+                monkeypatch.setattr(platform, 'list_entries', list_late)
+                await changes.apply_manifest(platform, manifest_bytes(3), 'one')
+                collected.set()
+                root = await tasks[0]
+            manifest = await changes.read_manifest(platform, root)
+            assert manifest.workspaces[0].weight == 1
+
 
 @contextlib.asynccontextmanager
 async def open_follower(
