Tell a caller that joins a run only what held since its call began

Ruled out: a late write of a claim, a record that replaced another attempt's. Change: a joiner of a run that ended as not run reads the claim itself, and is told ran=unknown where it can't be read.

--- a/packages/node/mastichatch_node/calls.py
+++ b/packages/node/mastichatch_node/calls.py
@@ -192,14 +192,16 @@
             call.operation.name,
             key,
         )
-        run = self._standing_run(call, name)
-        if run is None:
-            run = self._start(
-                call,
-                name,
-                claim_keep_s(call),
-                lambda started: self._keyed.run(call, started),
-            )
+        joined = self._standing_run(call, name)
+        if joined is not None:
+            outcome = await self._runs.join(joined)
+            return await self._keyed.confirm(call, joined, outcome)
+        run = self._start(
+            call,
+            name,
+            claim_keep_s(call),
+            lambda started: self._keyed.run(call, started),
+        )
         return await self._runs.join(run)
 
     async def _run_ticket(self, call: PlainCall, text: str) -> CallOutcome:
--- a/packages/node/mastichatch_node/keyed.py
+++ b/packages/node/mastichatch_node/keyed.py
@@ -1,6 +1,7 @@
 """Runs a call whose key is claimed in the platform."""
 
 import asyncio
+import dataclasses
 from typing import Final
 
 from mastichatch_core.attempts import Attempt
@@ -118,6 +119,29 @@
                 return await self._confirm(call, run, settled)
         raise MastichatchError(ErrorKind.in_progress)
 
+    async def confirm(
+        self,
+        call: PlainCall,
+        run: Run,
+        outcome: CallOutcome,
+    ) -> CallOutcome:
+        """Return what a caller is told that joined a run in progress.
+
+        The run may have read the key before this caller's call began, and
+        another node may have run it in between.
+
+        :param call: the call of the caller that joined
+        :param run: the run that it joined
+        :param outcome: outcome of the run
+        """
+        if outcome.ran is not Ran.no:
+            return outcome
+        try:
+            found = await self._claims.find(run.name)
+        except MastichatchError:
+            return dataclasses.replace(outcome, ran=Ran.unknown)
+        return await self._settle(call, run, found) or outcome
+
     async def _confirm(
         self,
         call: PlainCall,
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -234,6 +234,21 @@
             assert answer.error is ErrorKind.platform_unavailable
             assert answer.ran is Ran.unknown
 
+    async def test_caller_that_joins_is_not_told_what_held_before_it_came(
+        self,
+    ) -> None:
+        async with fleet() as (world, nodes):
+            world.permit_delay_s = 3
+            first = asyncio.create_task(ask(nodes[0]))
+            await asyncio.sleep(1)
+            world.permit_delay_s = 0
+            assert (await ask(nodes[1])).ran is Ran.yes
+            world.platform.away = True
+            joined = await ask(nodes[0])
+            assert joined.error is ErrorKind.platform_unavailable
+            assert joined.ran is Ran.unknown
+            assert (await first).ran is Ran.no
+
     async def test_tickets_are_served_where_claimed_keys_are_refused(
         self,
     ) -> None:
