Tell soon that the holder of a ticket is dead

Cause: a forwarded ticket waited for a dead holder for as long as the call itself might take. Change: while a forwarded call is in progress the holder is asked for a sign of life; two silences in a row end as outcome_unknown.

--- a/packages/node/mastichatch_node/keyed.py
+++ b/packages/node/mastichatch_node/keyed.py
@@ -34,7 +34,7 @@
 )
 
 _ROUNDS_LIMIT: Final = 4
-_ANSWER_GRACE_S: Final = 0.5
+ANSWER_GRACE_S: Final = 0.5
 QUERY_WAIT_S: Final = 1.0
 SILENCES_LIMIT: Final = 2
 
@@ -251,7 +251,7 @@
             MessageKind.outcome_query,
             query,
             CallOutcome,
-            timeout_ms=query.wait_ms + _ANSWER_GRACE_S * MS_PER_SECOND,
+            timeout_ms=query.wait_ms + ANSWER_GRACE_S * MS_PER_SECOND,
             recipient=claim.incarnation,
         )
 
--- a/packages/node/mastichatch_node/ticketing.py
+++ b/packages/node/mastichatch_node/ticketing.py
@@ -10,10 +10,16 @@
     ErrorKind,
     ForwardCall,
     MessageKind,
+    OutcomeQuery,
     Ran,
 )
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.tickets import Ticket, check_use, read_ticket, sign_ticket
+from mastichatch_node.keyed import (
+    ANSWER_GRACE_S,
+    QUERY_WAIT_S,
+    SILENCES_LIMIT,
+)
 from mastichatch_node.outcomes import Run, Runs
 from mastichatch_node.peers import Peers
 from mastichatch_node.retrying import (
@@ -25,7 +31,6 @@
 )
 
 TICKETS_LIMIT: Final = 1000
-_ANSWER_GRACE_S: Final = 0.5
 
 
 class TicketCalls:
@@ -151,6 +156,24 @@
         :param text: the ticket as the caller sent it
         :param ticket: what it says
         """
+        asking = asyncio.get_running_loop().create_task(
+            self._ask_holder(call, text, ticket),
+        )
+        try:
+            if await self._answers_until_done(ticket, asking):
+                return await asking
+        except MastichatchError as error:
+            return _unknown(str(error))
+        finally:
+            asking.cancel()
+        return _unknown('it is silent')
+
+    async def _ask_holder(
+        self,
+        call: PlainCall,
+        text: str,
+        ticket: Ticket,
+    ) -> CallOutcome:
         wait_ms = max(0, call.deadline - _now()) * MS_PER_SECOND
         message = ForwardCall(
             request_id=call.request_id,
@@ -161,23 +184,48 @@
             body=call.body,
             deadline_ms=wait_ms,
         )
-        wait_ms += call.operation.timeout_ms + _ANSWER_GRACE_S * MS_PER_SECOND
-        try:
-            return await self._peers.ask(
-                ticket.peer_address,
-                MessageKind.forward_call,
-                message,
-                CallOutcome,
-                timeout_ms=wait_ms,
-                recipient=ticket.incarnation,
-            )
-        except MastichatchError as error:
-            return CallOutcome(
-                ran=Ran.unknown,
-                body=b'',
-                error=ErrorKind.outcome_unknown,
-                message=f'the node of the ticket does not answer: {error}',
-            )
+        wait_ms += call.operation.timeout_ms + ANSWER_GRACE_S * MS_PER_SECOND
+        return await self._peers.ask(
+            ticket.peer_address,
+            MessageKind.forward_call,
+            message,
+            CallOutcome,
+            timeout_ms=wait_ms,
+            recipient=ticket.incarnation,
+        )
+
+    async def _answers_until_done(
+        self,
+        ticket: Ticket,
+        asking: asyncio.Task[CallOutcome],
+    ) -> bool:
+        """Return whether a holder answers while it runs a call.
+
+        It is asked for nothing in particular now and then, so that its death
+        does not keep the caller for as long as the call might take.
+        """
+        silences = 0
+        while silences < SILENCES_LIMIT:
+            done, _ = await asyncio.wait({asking}, timeout=QUERY_WAIT_S)
+            if done:
+                return True
+            try:
+                await self._ask_alive(ticket)
+            except MastichatchError:
+                silences += 1
+            else:
+                silences = 0
+        return False
+
+    async def _ask_alive(self, ticket: Ticket) -> None:
+        await self._peers.ask(
+            ticket.peer_address,
+            MessageKind.outcome_query,
+            OutcomeQuery(attempt='', body_digest=''),
+            CallOutcome,
+            timeout_ms=ANSWER_GRACE_S * MS_PER_SECOND,
+            recipient=ticket.incarnation,
+        )
 
 
 def ticket_keep_s(ticket: Ticket, call: PlainCall) -> float:
@@ -190,6 +238,15 @@
     return unexpired_s + call.retention_s + _longest_run_s(call)
 
 
+def _unknown(reason: str) -> CallOutcome:
+    return CallOutcome(
+        ran=Ran.unknown,
+        body=b'',
+        error=ErrorKind.outcome_unknown,
+        message=f'the node of the ticket does not answer: {reason}',
+    )
+
+
 def _longest_run_s(call: PlainCall) -> float:
     timeouts_ms = call.service.queue_deadline_ms + call.operation.timeout_ms
     return timeouts_ms / MS_PER_SECOND
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -295,6 +295,18 @@
                 assert answer.error is ErrorKind.outcome_unknown
             assert not world.executions
 
+    async def test_silence_of_a_dead_holder_does_not_keep_the_caller(
+        self,
+    ) -> None:
+        async with fleet() as (world, nodes):
+            (text,) = await nodes[0].calls.mint_tickets(
+                'depot', 'dispatch', 'book', 1
+            )
+            nodes[0].kill()
+            answer = await ask(nodes[1], key=text)
+            assert answer.error is ErrorKind.outcome_unknown
+            assert answer.ended_at - answer.began_at < 5
+
     async def test_unused_ticket_expires_and_a_used_one_is_replayed(
         self,
     ) -> None:
