Read reports over kept connections, and give idle schedulers rare turns

Ruled out: pynng's threads (no measurable time), logs. Change: reports keep their connection and fall back to a new one; each endpoint is read on its own; a scheduler without waiting requests takes 4 turns a second.

--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -162,12 +162,13 @@
             await asyncio.sleep(2)
             node = _only_node(fleet)
             memory = resident_mb(node.process.pid)
+            idling = await _slope(fleet, 'idle node', 's', idle)
             await stream_tokens(fleet, 10)
             slopes = [
+                idling,
                 await _slope(fleet, 'stream token', 'token', stream_tokens),
                 await _slope(fleet, 'idempotent call', 'call', call_service),
                 await _slope(fleet, 'claimed call', 'call', book),
-                await _slope(fleet, 'idle node', 's', idle),
             ]
             loaded = resident_mb(node.process.pid)
     print(f'start of the whole fleet {start_s:.2f} s')
--- a/packages/node/mastichatch_node/engines.py
+++ b/packages/node/mastichatch_node/engines.py
@@ -10,6 +10,11 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.events import EventParser, TokenEvent
 from mastichatch_core.generated.messages import EndpointObservation, ErrorKind
+from mastichatch_node.reports import (
+    ReadReport,
+    open_report_reader,
+    unreachable,
+)
 
 _MS_PER_S: Final = 1000
 _REPORT_TIMEOUT_S: Final = 1.0
@@ -75,14 +80,17 @@
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        reports: ReadReport,
         connect_timeout_s: float,
     ) -> None:
         """Use a session that opens a connection for each request.
 
         :param session: session whose connector closes after each answer
+        :param reports: reads small answers, over connections that are kept
         :param connect_timeout_s: time allowed for connecting, in seconds
         """
         self._session = session
+        self._reports = reports
         self._connect_timeout_s = connect_timeout_s
 
     @contextlib.asynccontextmanager
@@ -180,27 +188,13 @@
         :param endpoint: name of the endpoint
         :param address: IP address and port of the engine
         """
+        body = await self._reports(f'http://{address}/v1/load')
         try:
-            report = await self._read_report(address)
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
-            return EndpointObservation(
-                endpoint=endpoint,
-                boot_id='',
-                reachable=False,
-            )
+            report = msgspec.json.decode(body, type=_LoadReport)
+        except msgspec.MsgspecError:
+            return unreachable(endpoint)
         return report.observation(endpoint)
 
-    async def _read_report(self, address: str) -> '_LoadReport':
-        async with self._session.get(
-            f'http://{address}/v1/load',
-            timeout=aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S),
-        ) as response:
-            response.raise_for_status()
-            return msgspec.json.decode(
-                await response.read(),
-                type=_LoadReport,
-            )
-
     def _timeout(self, idle_timeout_ms: int) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(
             total=None,
@@ -242,11 +236,14 @@
     :param connect_timeout_ms: time allowed for connecting, in milliseconds
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    async with aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-    ) as session:
-        yield Engines(session, connect_timeout_ms / _MS_PER_S)
+    async with (
+        aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+        ) as session,
+        open_report_reader() as reports,
+    ):
+        yield Engines(session, reports, connect_timeout_ms / _MS_PER_S)
 
 
 @contextlib.asynccontextmanager
--- a/packages/node/mastichatch_node/hosting.py
+++ b/packages/node/mastichatch_node/hosting.py
@@ -21,6 +21,7 @@
 from mastichatch_node.peers import Peers
 
 GUEST_TIMEOUT_S: Final = 10.0
+IDLE_TURN_INTERVAL_S: Final = 0.25
 
 _KINDS: Final[dict[type[object], MessageKind]] = {
     PermitGrant: MessageKind.permit_grant,
@@ -76,6 +77,7 @@
         self._revision = revision
         self._clients: dict[str, _Client] = {}
         self._last_announced = float('-inf')
+        self._last_turn = float('-inf')
 
     @property
     def scheduler(self) -> core.Scheduler:
@@ -92,6 +94,19 @@
         """When it was last announced to every node, in seconds."""
         return self._last_announced
 
+    def takes_turn(self, now: float) -> bool:
+        """Return whether time should pass for the scheduler now.
+
+        Where nothing waits, nothing is granted, and turns may be rare.
+
+        :param now: current time, in seconds
+        """
+        idle = not self._scheduler.waiting_count
+        if idle and now - self._last_turn < IDLE_TURN_INTERVAL_S:
+            return False
+        self._last_turn = now
+        return True
+
     def note_revision(self, revision: int) -> None:
         """Note the configuration revision for the log.
 
--- /dev/null
+++ b/packages/node/mastichatch_node/reports.py
@@ -0,0 +1,59 @@
+"""Reads small reports of endpoints, again and again, at little cost.
+
+A report is read over a connection that is kept. One that has gone silent, or
+was closed meanwhile, is given up for a new one before the endpoint counts as
+unreachable.
+"""
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final
+
+import aiohttp
+
+from mastichatch_core.generated.messages import EndpointObservation
+
+_TIMEOUT: Final = aiohttp.ClientTimeout(total=0.5)
+_KEPT_S: Final = 30.0
+
+ReadReport = Callable[[str], Awaitable[bytes]]
+
+
+@contextlib.asynccontextmanager
+async def open_report_reader() -> AsyncIterator[ReadReport]:
+    """Give the function that reads a report by its URL.
+
+    It returns the body, or nothing from an endpoint that is unreachable.
+    """
+    kept = aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEPT_S)
+    fresh = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with (
+        aiohttp.ClientSession(connector=kept, timeout=_TIMEOUT) as first,
+        aiohttp.ClientSession(connector=fresh, timeout=_TIMEOUT) as second,
+    ):
+
+        async def read(url: str) -> bytes:
+            for session in (first, second):
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    return await _read(session, url)
+            return b''
+
+        yield read
+
+
+def unreachable(endpoint: str) -> EndpointObservation:
+    """Return the observation of an endpoint that gave no report.
+
+    :param endpoint: name of the endpoint
+    """
+    return EndpointObservation(
+        endpoint=endpoint,
+        boot_id='',
+        reachable=False,
+    )
+
+
+async def _read(session: aiohttp.ClientSession, url: str) -> bytes:
+    async with session.get(url) as response:
+        response.raise_for_status()
+        return await response.read()
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -112,8 +112,9 @@
         """Let time pass for every scheduler, and announce them."""
         now = _now()
         for hosted in self.hosted:
+            if not hosted.takes_turn(now):
+                continue
             self._feed_members(hosted, now)
-            hosted.send(core.advance(hosted.scheduler, now))
             if hosted.scheduler.superseded:
                 self._close(hosted.scheduler.service)
                 self.review()
@@ -391,21 +392,44 @@
     membership: Membership,
     report: Report,
 ) -> None:
-    """Read the endpoints of the hosted schedulers at a fixed interval."""
-    while True:
-        catalogue = configuration.current
-        for hosted in scheduling.hosted:
-            service = hosted.scheduler.service
+    """Read the endpoints of the hosted schedulers at a fixed interval.
+
+    Each is read on its own: one that does not answer delays no other.
+    """
+    in_progress: set[str] = set()
+
+    async def read(endpoint: Endpoint) -> None:
+        observation = await report(endpoint)
+        in_progress.discard(endpoint.name)
+        scheduling.observe(endpoint.service, observation)
+
+    async with asyncio.TaskGroup() as group:
+        while True:
+            catalogue = configuration.current
             place = membership.own.data_centre
-            endpoints = (
-                ()
-                if catalogue is None
-                else catalogue.endpoints_of(service, place)
-            )
-            seen = await asyncio.gather(*map(report, endpoints))
-            for observation in seen:
-                scheduling.observe(service, observation)
-        await asyncio.sleep(REPORT_INTERVAL_S)
+            for endpoint in _hosted_endpoints(scheduling, catalogue, place):
+                if endpoint.name not in in_progress:
+                    in_progress.add(endpoint.name)
+                    group.create_task(read(endpoint))
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+def _hosted_endpoints(
+    scheduling: Scheduling,
+    catalogue: Catalogue | None,
+    data_centre: str,
+) -> tuple[Endpoint, ...]:
+    """Return the endpoints of the schedulers that this node runs."""
+    if catalogue is None:
+        return ()
+    return tuple(
+        endpoint
+        for hosted in scheduling.hosted
+        for endpoint in catalogue.endpoints_of(
+            hosted.scheduler.service,
+            data_centre,
+        )
+    )
 
 
 def _update(
