Prove that wrong settings end the program before a socket opens

Cause: the tests read settings in-process only. Change: a test starts the program with wrong settings and a taken address. Conclusion: exit code 2, every fault on standard error, the address not tried.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,9 @@
 """Settings come from flags and variables and are checked as a whole."""
 
+import socket
+import subprocess
+import sys
+
 import pytest
 
 from mastichatch_node.settings import (
@@ -91,3 +95,26 @@
         assert wrong_sources((*REQUIRED, '--platform-timeout-ms=9000')) == {
             '--node-lease-ms or MASTICHATCH_NODE_LEASE_MS',
         }
+
+
+class TestProgram:
+    def test_wrong_settings_end_it_with_2_before_a_socket_opens(self) -> None:
+        with socket.socket() as taken:
+            taken.bind(('127.0.0.1', 0))
+            taken.listen()
+            address = f'127.0.0.1:{taken.getsockname()[1]}'
+            done = subprocess.run(
+                (
+                    *(sys.executable, '-m', 'mastichatch_node.main'),
+                    *(*REQUIRED, f'--http-address={address}'),
+                    *('--log-level=loud', '--explain-limit=0'),
+                ),
+                capture_output=True,
+                text=True,
+            )
+        assert (done.returncode, done.stdout) == (2, '')
+        assert done.stderr.splitlines() == [
+            'the settings are wrong:',
+            '  --explain-limit: 0 is less than 1',
+            "  --log-level: 'loud' is not one of debug, info, warning, error",
+        ]
