Let every node that gets a digest tell that its maker is alive

Cause: only the node that a digest reached directly counted its maker as heard, and that need not be the relay that answers. A node cut off from its neighbours could then be proved gone, by word of a data centre that did hear it. Change: a digest that was passed on counts too; the word that a node is alive holds for two member timeouts in place of three, and is told for two.

--- a/packages/core/mastichatch_core/membership.py
+++ b/packages/core/mastichatch_core/membership.py
@@ -17,6 +17,8 @@
 # Silence, in member timeouts, after which the word of other data centres
 # counts: a node that is cut off needs this long to turn to them itself.
 ELSEWHERE_TIMEOUTS: Final = 3
+# Age, in member timeouts, up to which their word that it is alive counts.
+WITNESS_TIMEOUTS: Final = 2
 
 
 class GoneReason(enum.StrEnum):
@@ -376,7 +378,7 @@
         return GoneReason.drained
     if track.removed_host:
         return GoneReason.host_removed
-    if now - track.elsewhere_at < ELSEWHERE_TIMEOUTS * timeout:
+    if now - track.elsewhere_at < WITNESS_TIMEOUTS * timeout:
         return None
     if track.lapsed_at > track.heard_at:
         return GoneReason.lease_lapsed
--- a/packages/core/mastichatch_core/remotes.py
+++ b/packages/core/mastichatch_core/remotes.py
@@ -3,33 +3,41 @@
 import dataclasses
 import math
 from collections.abc import Iterable
+from typing import Final
 
 from mastichatch_core import rendezvous
 from mastichatch_core.generated.messages import Digest, ServiceLoad
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.membership import Member
 
+# Ages, in member timeouts, at which a digest is no longer used, and at which
+# its maker no longer counts as heard.
+DIGEST_TIMEOUTS: Final = 3
+HEARD_TIMEOUTS: Final = 2
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Remote:
     digest: Digest | None = None
     received_at: float = -math.inf
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
-    # When each node was last heard directly, by name.
+    # When the last digest of each node came, by name.
     heard_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class RemoteTable:
     """The other data centres, by name."""
 
-    def __init__(self, own_data_centre: str, timeout: float) -> None:
+    def __init__(self, own_data_centre: str, member_timeout: float) -> None:
         """Start without any.
 
         :param own_data_centre: data centre of this node
-        :param timeout: age at which a digest is no longer used, in seconds
+        :param member_timeout: silence after which a node counts as
+            unreachable, in seconds
         """
         self._own = own_data_centre
-        self._timeout = timeout
+        self._timeout = DIGEST_TIMEOUTS * member_timeout
+        self._heard_timeout = HEARD_TIMEOUTS * member_timeout
         self._remotes: dict[str, _Remote] = {}
 
     @property
@@ -50,10 +58,9 @@
         remote = self._remotes.setdefault(digest.data_centre, _Remote())
         remote.digest = digest
         remote.received_at = now
-        if sender not in digest.nodes:
-            return False
+        # Passed on by a neighbour it still tells that its maker is alive.
         remote.heard_at[digest.node] = now
-        return True
+        return sender in digest.nodes
 
     def note_records(
         self,
@@ -140,7 +147,7 @@
         return rendezvous.ranked(self._addresses(remote, now), self._own)
 
     def heard_names(self, data_centre: str, now: float) -> tuple[str, ...]:
-        """Return the names of a data centre's nodes heard directly.
+        """Return the names of a data centre's nodes heard of late.
 
         :param data_centre: name of the data centre
         :param now: time in seconds
@@ -149,7 +156,7 @@
         return tuple(
             name
             for name, heard_at in remote.heard_at.items()
-            if now - heard_at < self._timeout
+            if now - heard_at < self._heard_timeout
         )
 
     def _addresses(self, remote: _Remote, now: float) -> tuple[str, ...]:
--- a/packages/node/mastichatch_node/members.py
+++ b/packages/node/mastichatch_node/members.py
@@ -17,7 +17,6 @@
 
 MS_PER_S: Final = 1000
 RELAY_COUNT: Final = 2
-DIGEST_TIMEOUTS: Final = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,7 +56,7 @@
         self._table = rules.MemberTable(own, timing, self._loop.time())
         self._remotes = remotes.RemoteTable(
             settings.data_centre,
-            DIGEST_TIMEOUTS * timing.timeout,
+            timing.timeout,
         )
         self._leaving: frozenset[str] = frozenset()
         self._subscribers: list[Callable[[], None]] = []
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -1,6 +1,7 @@
 """Nodes as real processes lose and find each other."""
 
 import pathlib
+import time
 from collections.abc import AsyncIterator
 
 import pytest
@@ -90,6 +91,29 @@
         await fleet.cut_off()
         print(f'whole again after {await until_whole(fleet, "mended"):.2f} s')
 
+    async def test_in_an_outage_one_heard_elsewhere_stays_expected(
+        self, fleet: Fleet
+    ) -> None:
+        # Cut off from its neighbours only; the other data centre hears both
+        # sides.
+        await fleet.platform.control(available=False)
+        addresses = {name: fleet.nodes[name].options.flags[1] for name in NORTH}
+        alone, *others = NORTH
+        for name in others:
+            await fleet.links[f'peer-{name}'].control(
+                block_senders=[addresses[alone]]
+            )
+        await fleet.links[f'peer-{alone}'].control(
+            block_senders=[addresses[name] for name in others]
+        )
+        await until_all(
+            fleet, others, lambda status: heard(status) == set(others), 'cut'
+        )
+        ends_at = time.monotonic() + 15
+        while time.monotonic() < ends_at:
+            for name in NORTH:
+                assert known(await read_status(fleet, name)) == set(NORTH)
+
 
 class TestLoss:
     async def test_a_killed_node_is_removed_and_returns_as_a_new_one(
