Keep the watch and the heartbeats going when a subscriber fails

Cause: an exception in a subscriber ended the task that followed the root. Change: subscribers are called one by one, and a failure is logged. Conclusion: the new test fails without the guard.

--- a/packages/node/mastichatch_node/configuration.py
+++ b/packages/node/mastichatch_node/configuration.py
@@ -151,7 +151,11 @@
             extra={'event': 'configuration', 'revision': root.revision},
         )
         for subscriber in self._subscribers:
-            subscriber(catalogue)
+            try:
+                subscriber(catalogue)
+            except Exception:
+                # It must not end the watch.
+                logging.exception('a subscriber of the configuration failed')
 
     async def _gather(
         self,
--- a/packages/node/mastichatch_node/members.py
+++ b/packages/node/mastichatch_node/members.py
@@ -183,7 +183,11 @@
             return
         self._view = view
         for subscriber in self._subscribers:
-            subscriber()
+            try:
+                subscriber()
+            except Exception:
+                # It must not silence the heartbeats or the listings.
+                logging.exception('a subscriber of the membership failed')
 
     def _create_view(self) -> _View:
         return _View(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -342,6 +342,11 @@
             assert manifest.workspaces[0].weight == 1
 
 
+def fail() -> None:
+    """Stand for a part of the node that is at fault."""
+    raise ValueError
+
+
 @contextlib.asynccontextmanager
 async def open_follower(
     platform_address: str,
@@ -383,6 +388,17 @@
                 workspace = configuration.current.workspaces['w0']
                 assert (seen, workspace.weight) == ([1, 2], 5)
 
+    async def test_a_subscriber_that_fails_does_not_end_the_watch(
+        self,
+    ) -> None:
+        async with open_store() as (platform, address):
+            async with open_follower(address) as (configuration, _):
+                configuration.subscribe(lambda _catalogue: fail())
+                await changes.apply_manifest(platform, manifest_bytes(), 'one')
+                await until(lambda: configuration.revision == 1)
+                await changes.set_drain(platform, NORTH, True, 'one')
+                await until(lambda: configuration.revision == 2)
+
     async def test_a_silent_watch_is_given_up(self) -> None:
         async with open_store() as (platform, address):
             async with open_follower(address) as (configuration, _):
