--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -211,6 +211,19 @@
         assert {answer.kind for answer in told} == {'outcome_unknown'}
         assert 'cut' in await ledger.check()
 
+    async def test_caller_that_hangs_up_finds_its_answer_elsewhere(
+        self, fleet: Fleet, ledger: Ledger
+    ) -> None:
+        await set_services(fleet, answer_delay_ms=400)
+        for number in range(4):
+            caller = asyncio.create_task(
+                ledger.book(fleet.nodes[NORTH], f'left-{number}')
+            )
+            await asyncio.sleep(0.2)
+            caller.cancel()
+            told = await ledger.book(fleet.nodes[SOUTH], f'left-{number}')
+            assert kinds_of([told]) == {'yes'}
+
     async def test_refusal_that_proves_it_did_not_run_frees_the_key(
         self, fleet: Fleet, ledger: Ledger
     ) -> None:
