Bound what a scheduler remembers of quiet workspaces

Change: the 1024 sketches used last are kept, and idle workspaces' times are dropped once they would rejoin at the present. Conclusion: a forgotten workspace gets the lengths of the service.

--- a/packages/core/mastichatch_core/fairness.py
+++ b/packages/core/mastichatch_core/fairness.py
@@ -13,6 +13,7 @@
     RequestClass.standard: 4.0,
     RequestClass.batch: 1.0,
 }
+TIMES_KEPT: Final = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -129,6 +130,8 @@
         request = entry.request
         self._class_start = self._class_times.get(request.request_class, 0)
         self._workspace_start = self._workspace_times.get(request.workspace, 0)
+        if len(self._workspace_times) > TIMES_KEPT + len(self._counts):
+            self._forget_idle()
 
     def charge(
         self,
@@ -176,6 +179,14 @@
         for lane in lanes:
             yield next(iter(self._lanes[lane].values()))
 
+    def _forget_idle(self) -> None:
+        """Drop the times of workspaces that would rejoin at the start."""
+        self._workspace_times = {
+            name: time
+            for name, time in self._workspace_times.items()
+            if name in self._counts or time > self._workspace_start
+        }
+
     def _rejoin(self, request: PermitRequest) -> None:
         """Bring a class or workspace that was idle up to the virtual time."""
         classes = {lane[0] for lane in self._lanes}
--- a/packages/core/mastichatch_core/prediction.py
+++ b/packages/core/mastichatch_core/prediction.py
@@ -12,6 +12,7 @@
 QUANTILE_COUNT: Final = 48
 SAMPLES_OF_OWN: Final = 24
 SAMPLES_A_WINDOW: Final = 2000
+SKETCHES_KEPT: Final = 1024
 UNKNOWN_MEDIAN_TOKENS: Final = 256.0
 UNKNOWN_SPREAD: Final = 1.2
 
@@ -78,7 +79,12 @@
         :param tokens: length of the output
         """
         for key in _levels(workspace, request_class):
-            self._sketches.setdefault(key, _Sketch()).add(float(max(1, tokens)))
+            sketch = self._sketches.pop(key, None) or _Sketch()
+            sketch.add(float(max(1, tokens)))
+            # Sketches in use stay at the end.
+            self._sketches[key] = sketch
+        while len(self._sketches) > SKETCHES_KEPT:
+            self._sketches.pop(next(iter(self._sketches)))
 
     def lengths(self, workspace: str, request_class: RequestClass) -> Lengths:
         """Return the lengths to expect.
--- a/tests/test_prediction.py
+++ b/tests/test_prediction.py
@@ -16,6 +16,7 @@
     total,
 )
 from mastichatch_core.prediction import (
+    SKETCHES_KEPT,
     LengthModel,
     remaining,
     survival,
@@ -61,6 +62,12 @@
         assert model.lengths('new', STANDARD) == model.lengths('x', STANDARD)
         assert remaining(model.lengths('old', STANDARD), 0) < 60
 
+    def test_workspaces_that_went_quiet_are_forgotten(self) -> None:
+        model = learned(old=[50] * 30)
+        for number in range(SKETCHES_KEPT):
+            model.note(f'w{number}', STANDARD, 900)
+        assert model.lengths('old', STANDARD) == model.lengths('x', STANDARD)
+
     def test_nothing_seen_gives_the_unknown(self) -> None:
         assert LengthModel().lengths('w', STANDARD) == unknown_lengths()
 
