Read the host list at a second node where the first has lost its link

Cause: one node read the list for its data centre; with its own link to the platform cut, leaving hosts stayed unknown there. Change: a list older than 1.8 s is read by the second relay too, and only a node that has read it lately tells it to the others.

--- a/packages/node/mastichatch_node/discovery.py
+++ b/packages/node/mastichatch_node/discovery.py
@@ -182,14 +182,21 @@
     membership: Membership,
 ) -> None:
     """Read the host list for all nodes of the data centre, or on suspicion."""
-    own = membership.own.name
     while True:
-        reads = membership.relays()[:1] == (own,)
-        if reads or not membership.is_complete:
+        if _should_list_hosts(membership):
             await _list_hosts(platform, membership)
         await asyncio.sleep(STEP_S)
 
 
+def _should_list_hosts(membership: Membership) -> bool:
+    relays = membership.relays()
+    own = membership.own.name
+    if own in relays[1:]:
+        # The first relay may have no link to the platform.
+        return membership.leaving.is_old
+    return own in relays or not membership.is_complete
+
+
 async def _list_hosts(platform: Platform, membership: Membership) -> None:
     try:
         entries = await platform.hosts()
@@ -199,7 +206,8 @@
     now = asyncio.get_running_loop().time()
     rules.note_platform(membership.table, now)
     rules.note_hosts(membership.table, (entry.host for entry in entries))
-    membership.note_leaving(
+    membership.leaving.note(
         frozenset(entry.host for entry in entries if entry.state == 'leaving'),
+        own=True,
     )
     membership.notify()
--- a/packages/node/mastichatch_node/heartbeats.py
+++ b/packages/node/mastichatch_node/heartbeats.py
@@ -84,8 +84,9 @@
             self._loop.time(),
         )
         self._loads_of[heartbeat.node] = heartbeat.loads
-        if heartbeat.leaving is not None and not self._reads_hosts():
-            self._membership.note_leaving(frozenset(heartbeat.leaving))
+        known = self._membership.leaving
+        if heartbeat.leaving is not None and not known.is_own:
+            known.note(frozenset(heartbeat.leaving), own=False)
             self._membership.notify()
         if arrival is rules.Arrival.new:
             # What the connection has queued was for an earlier incarnation.
@@ -163,9 +164,6 @@
         interval = self._settings.heartbeat_interval_ms / MS_PER_S
         return interval * DIGEST_INTERVALS * scale
 
-    def _reads_hosts(self) -> bool:
-        return self._membership.relays()[:1] == (self._settings.name,)
-
     def _send_heartbeats(self) -> None:
         self._sequence += 1
         now = self._loop.time()
@@ -197,7 +195,7 @@
                 self._loop.time(),
             ),
             loads=self._loads(),
-            leaving=leaving if self._reads_hosts() else None,
+            leaving=leaving if self._membership.leaving.is_own else None,
         )
         self._peers.send_all(addresses, MessageKind.heartbeat, heartbeat)
 
--- a/packages/node/mastichatch_node/members.py
+++ b/packages/node/mastichatch_node/members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -17,6 +18,7 @@
 
 MS_PER_S: Final = 1000
 RELAY_COUNT: Final = 2
+HOSTS_AGE_LIMIT_S: Final = 1.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,6 +31,43 @@
     leaving: frozenset[str]
 
 
+class LeavingHosts:
+    """The leaving hosts of the platform's host list."""
+
+    def __init__(self) -> None:
+        """Start without having read the list."""
+        self._loop = asyncio.get_running_loop()
+        self._names: frozenset[str] = frozenset()
+        self._noted_at = -math.inf
+        self._read_at = -math.inf
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of the hosts."""
+        return self._names
+
+    @property
+    def is_old(self) -> bool:
+        """Whether no node has told of the list lately."""
+        return self._loop.time() - self._noted_at > HOSTS_AGE_LIMIT_S
+
+    @property
+    def is_own(self) -> bool:
+        """Whether this node has read the list itself lately."""
+        return self._loop.time() - self._read_at < HOSTS_AGE_LIMIT_S
+
+    def note(self, names: frozenset[str], *, own: bool) -> None:
+        """Note the hosts that are leaving.
+
+        :param names: names of the hosts
+        :param own: whether this node read the list itself
+        """
+        self._names = names
+        self._noted_at = self._loop.time()
+        if own:
+            self._read_at = self._noted_at
+
+
 class Membership:
     """The nodes that this one knows."""
 
@@ -58,7 +97,7 @@
             settings.data_centre,
             timing.timeout,
         )
-        self._leaving: frozenset[str] = frozenset()
+        self._leaving = LeavingHosts()
         self._subscribers: list[Callable[[], None]] = []
         self._view = self._create_view()
 
@@ -73,7 +112,7 @@
     @property
     def leaving_hosts(self) -> frozenset[str]:
         """Hosts that the platform's host list calls leaving."""
-        return self._leaving
+        return self._leaving.names
 
     @property
     def table(self) -> rules.MemberTable:
@@ -156,12 +195,10 @@
         self._table.own = dataclasses.replace(self._table.own, draining=True)
         self.notify()
 
-    def note_leaving(self, hosts: frozenset[str]) -> None:
-        """Note the hosts that are leaving.
-
-        :param hosts: names of the hosts
-        """
-        self._leaving = hosts
+    @property
+    def leaving(self) -> LeavingHosts:
+        """What is known of leaving hosts, and from whom."""
+        return self._leaving
 
     def remove_gone(self) -> None:
         """Forget the nodes that are proved to be gone."""
@@ -196,5 +233,5 @@
             ),
             expected=self.expected(),
             heard=self.heard(),
-            leaving=self._leaving,
+            leaving=self._leaving.names,
         )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,7 +13,7 @@
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.membership import GoneReason, Member
 from mastichatch_node.peers import Peers
-from mastichatch_node.platform import Platform
+from mastichatch_node.platform import HostEntry, Platform
 from tests.membership_nodes import Node, control, open_node, open_standin, until
 
 TIMING = rules.MemberTiming(timeout=1.5, lease=6.0)
@@ -346,6 +346,31 @@
                 lambda: not any(node.membership.leaving_hosts for node in nodes)
             )
 
+    async def test_leaving_hosts_are_known_where_the_reader_lost_its_link(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            address = await enter(open_standin())
+            nodes = [
+                await enter(open_node(f'n{index}', 'north', address))
+                for index in range(3)
+            ]
+            await until(lambda: all(len(node.live()) == 3 for node in nodes))
+            reader = nodes[0].membership.relays()[0]
+
+            async def fail() -> tuple[HostEntry, ...]:
+                raise MastichatchError(ErrorKind.platform_unavailable)
+
+            monkeypatch.setattr(nodes[int(reader[1:])].platform, 'hosts', fail)
+            host = {'host': 'e1', 'data_centre': 'north', 'state': 'leaving'}
+            await control(address, hosts=[host])
+            await until(
+                lambda: all(
+                    node.membership.leaving_hosts == {'e1'} for node in nodes
+                )
+            )
+
 
 @contextlib.contextmanager
 def unreachable(platform: Platform, peers: Peers) -> Iterator[None]:
