Show the end of long log lines when the demonstration fails

Cause: the cause of a failure stands at the end of a traceback and was cut off. Change: the last 1000 characters of a line are shown. Conclusion: a failed run names its cause.

--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -14,6 +14,8 @@
 from tools.demo.screen import Screen
 
 CALL_TIMEOUT_S: Final = 20
+LOG_LINE_LIMIT: Final = 1000
+LOG_LINES: Final = 20
 
 
 async def run(folder: pathlib.Path, screen: Screen) -> None:
@@ -58,8 +60,8 @@
 def _show_logs(folder: pathlib.Path, screen: Screen) -> None:
     for path in sorted(folder.glob('*.log')):
         screen.line(f'--- the last lines of {path.name}')
-        for line in path.read_text().splitlines()[-20:]:
-            screen.line(line[:400])
+        for line in path.read_text().splitlines()[-LOG_LINES:]:
+            screen.line(line[-LOG_LINE_LIMIT:])
 
 
 if __name__ == '__main__':
