Say in one place that an outcome is unknown

Cause: two modules built the same outcome. Change: unknown_outcome in attempts.py. Conclusion: no change of behaviour.

--- a/packages/core/mastichatch_core/attempts.py
+++ b/packages/core/mastichatch_core/attempts.py
@@ -163,6 +163,18 @@
     return _failure(error.kind, error.ran, str(error))
 
 
+def unknown_outcome(
+    message: str,
+    kind: ErrorKind = ErrorKind.outcome_unknown,
+) -> CallOutcome:
+    """Return the outcome of a call of which nothing certain is known.
+
+    :param message: why, in words
+    :param kind: error kind that the caller is told
+    """
+    return _failure(kind, Ran.unknown, message)
+
+
 def require_answer(outcome: CallOutcome) -> CallOutcome:
     """Return an outcome that holds the endpoint's answer.
 
--- a/packages/node/mastichatch_node/keyed.py
+++ b/packages/node/mastichatch_node/keyed.py
@@ -4,7 +4,7 @@
 import dataclasses
 from typing import Final
 
-from mastichatch_core.attempts import Attempt
+from mastichatch_core.attempts import Attempt, unknown_outcome
 from mastichatch_core.claims import (
     ClaimStep,
     lease_ttl_s,
@@ -225,7 +225,7 @@
         """
         ends_at = call.deadline + call.operation.timeout_ms / MS_PER_SECOND
         silences = 0
-        outcome = _unknown('it is in progress', ErrorKind.in_progress)
+        outcome = unknown_outcome('it is in progress', ErrorKind.in_progress)
         while _now() < ends_at and outcome.error is ErrorKind.in_progress:
             query = _query(claim, min(ends_at - _now(), QUERY_WAIT_S))
             if step is ClaimStep.ask_self:
@@ -236,7 +236,9 @@
             except MastichatchError as error:
                 silences += 1
                 if silences >= SILENCES_LIMIT:
-                    return _unknown(f'its owner does not answer: {error}')
+                    return unknown_outcome(
+                        f'its owner does not answer: {error}'
+                    )
             else:
                 silences = 0
         return outcome
@@ -267,12 +269,12 @@
         """Return what became of an attempt of this node."""
         run = self._runs.by_attempt(query.attempt)
         if run is None or run.digest != query.body_digest:
-            return _unknown('its owner does not know it')
+            return unknown_outcome('its owner does not know it')
         try:
             async with asyncio.timeout(query.wait_ms / MS_PER_SECOND):
                 await self._runs.join(run)
         except TimeoutError:
-            return _unknown('it is in progress', ErrorKind.in_progress)
+            return unknown_outcome('it is in progress', ErrorKind.in_progress)
         # Only what this very attempt did counts for its claim.
         return run.attempt.close(ErrorKind.cancelled)
 
@@ -316,17 +318,5 @@
     )
 
 
-def _unknown(
-    message: str,
-    kind: ErrorKind = ErrorKind.outcome_unknown,
-) -> CallOutcome:
-    return CallOutcome(
-        ran=Ran.unknown,
-        body=b'',
-        error=kind,
-        message=message,
-    )
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/ticketing.py
+++ b/packages/node/mastichatch_node/ticketing.py
@@ -4,6 +4,7 @@
 import itertools
 from typing import Final
 
+from mastichatch_core.attempts import unknown_outcome
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import (
     CallOutcome,
@@ -11,7 +12,6 @@
     ForwardCall,
     MessageKind,
     OutcomeQuery,
-    Ran,
 )
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.tickets import Ticket, check_use, read_ticket, sign_ticket
@@ -239,11 +239,8 @@
 
 
 def _unknown(reason: str) -> CallOutcome:
-    return CallOutcome(
-        ran=Ran.unknown,
-        body=b'',
-        error=ErrorKind.outcome_unknown,
-        message=f'the node of the ticket does not answer: {reason}',
+    return unknown_outcome(
+        f'the node of the ticket does not answer: {reason}',
     )
 
 
