Take refusals and recalls from the scheduler of the place alone

Cause: a request keeps its attempt number when it is asked for at the next data centre. A refusal that the first scheduler sent twice (the request and a registration that names it crossed) ended the wait at the second one: callers got no_endpoint while a host was leaving, though another data centre served. Ruled out: requests sent to the wrong data centre (logged where they arrive; none), refusals of the second scheduler (its log has none). Change: a refusal or recall counts only from the scheduler that the node follows at the place where the request waits or is held. The unit test fails before. Conclusion: a second refusal no longer reaches another data centre's wait.

--- a/packages/node/mastichatch_node/links.py
+++ b/packages/node/mastichatch_node/links.py
@@ -135,6 +135,15 @@
         link = self._links.get(place)
         return link is None or _now() - link.heard_at >= SILENCE_S
 
+    def is_host(self, place: Place, sender: str) -> bool:
+        """Return whether a message comes from the scheduler of a place.
+
+        :param place: service and data centre
+        :param sender: peer address of the message's sender
+        """
+        link = self._links.get(place)
+        return link is not None and link.address == sender
+
     def seek(self, place: Place, registration: Registration) -> None:
         """Send a registration to one of a data centre's nodes after another.
 
--- a/packages/node/mastichatch_node/permits.py
+++ b/packages/node/mastichatch_node/permits.py
@@ -287,11 +287,16 @@
     ) -> None:
         """End the wait of a refused request.
 
+        A refusal that comes twice must not end the wait at the data centre
+        that was asked next.
+
         :param message: the refusal
         :param envelope: who sent it
         """
         waiting = self._waiting.get(_Key(message.request_id, message.attempt))
-        if waiting is not None and not waiting.future.done():
+        if waiting is None or waiting.future.done():
+            return
+        if self._links.is_host(place_of(waiting.request), envelope.sender):
             waiting.future.set_exception(MastichatchError(message.kind))
 
     async def on_recall(
@@ -305,7 +310,9 @@
         :param envelope: who sent it
         """
         held = self._held.get(_Key(message.request_id, message.attempt))
-        if held is not None and not held.used:
+        if held is None or held.used:
+            return
+        if self._links.is_host(place_of(held.request), envelope.sender):
             self.release(held.grant, PermitOutcome.unused)
 
     def _withdraw_unless_granted(
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,113 @@
+"""What a node does with schedulers' answers."""
+
+import asyncio
+import types
+from typing import Any, cast
+
+import pytest
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import (
+    Envelope,
+    ErrorKind,
+    MessageKind,
+    PermitRefusal,
+    PermitRequest,
+    SchedulerOpen,
+    Term,
+)
+from mastichatch_node.permits import Permits
+
+
+def scheduler_of(data_centre: str) -> SchedulerOpen:
+    return SchedulerOpen(
+        service='rota',
+        term=Term(number=1, incarnation=data_centre),
+        node=f'{data_centre}-node',
+        data_centre=data_centre,
+        free=0,
+        waiting=0,
+        wait_ms=0,
+    )
+
+
+def message_from(data_centre: str) -> Envelope:
+    return cast(Envelope, types.SimpleNamespace(sender=data_centre))
+
+
+def asked_of(data_centre: str) -> PermitRequest:
+    return PermitRequest(
+        request_id='request',
+        attempt=0,
+        service='rota',
+        node='north-node',
+        data_centre=data_centre,
+        workspace='small',
+        deadline_ms=10_000,
+    )
+
+
+@pytest.fixture
+async def permits() -> Permits:
+    """Permits that follow a scheduler of each data centre."""
+    peers: Any = types.SimpleNamespace(send=lambda *message: None)
+    own = types.SimpleNamespace(name='north-node', data_centre='north')
+    membership: Any = types.SimpleNamespace(own=own, all_known=tuple)
+    opened = Permits(peers, membership)
+    for data_centre in ('north', 'south'):
+        await opened.on_open(
+            scheduler_of(data_centre), message_from(data_centre)
+        )
+    return opened
+
+
+class TestRefusal:
+    async def test_one_that_comes_twice_leaves_the_next_data_centre_alone(
+        self, permits: Permits
+    ) -> None:
+        refusal = PermitRefusal(
+            request_id='request',
+            attempt=0,
+            service='rota',
+            kind=ErrorKind.no_endpoint,
+        )
+        first = asyncio.create_task(permits.acquire(asked_of('north')))
+        await asyncio.sleep(0)
+        await permits.on_refusal(refusal, message_from('north'))
+        with pytest.raises(MastichatchError):
+            await first
+        second = asyncio.create_task(permits.acquire(asked_of('south')))
+        await asyncio.sleep(0)
+        await permits.on_refusal(refusal, message_from('north'))
+        await asyncio.sleep(0)
+        assert not second.done()
+        await permits.on_refusal(refusal, message_from('south'))
+        with pytest.raises(MastichatchError):
+            await second
+
+
+class TestSearch:
+    async def test_silent_scheduler_is_sought_at_every_node_in_turn(
+        self,
+    ) -> None:
+        sent: list[tuple[str, MessageKind]] = []
+        peers: Any = types.SimpleNamespace(
+            send=lambda address, kind, _: sent.append((address, kind))
+        )
+        members = tuple(
+            types.SimpleNamespace(
+                peer_address=name, data_centre='south', draining=False
+            )
+            for name in ('first', 'second')
+        )
+        own = types.SimpleNamespace(name='north-node', data_centre='north')
+        membership: Any = types.SimpleNamespace(
+            own=own, all_known=lambda: members
+        )
+        opened = Permits(peers, membership)
+        waiting = asyncio.create_task(opened.acquire(asked_of('south')))
+        await asyncio.sleep(0)
+        opened.seek_schedulers()
+        assert [address for address, _ in sent] == ['first', 'second']
+        assert sent[-1][1] is MessageKind.registration
+        waiting.cancel()
