Keep a node that was proved gone from coming back by its record

A node that had not read the host list before the loss had no proof either. Change: a record of an incarnation that was proved gone is passed over until it is heard; each node looks for a new host on the list, up to ten times.

--- a/packages/core/mastichatch_core/membership.py
+++ b/packages/core/mastichatch_core/membership.py
@@ -19,6 +19,7 @@
 ELSEWHERE_TIMEOUTS: Final = 3
 # Age, in member timeouts, up to which their word that it is alive counts.
 WITNESS_TIMEOUTS: Final = 2
+HOST_READS: Final = 10
 
 
 class GoneReason(enum.StrEnum):
@@ -78,6 +79,7 @@
     mutual_at: float = -math.inf
     lapsed_at: float = -math.inf
     listed_host: bool = False
+    host_reads: int = 0
     removed_host: bool = False
     elsewhere_at: float = -math.inf
 
@@ -96,6 +98,7 @@
         self.timing = timing
         self.tracks: dict[str, _Track] = {}
         self.retired: dict[str, None] = {}
+        self.gone: set[str] = set()
         self.started_at = now
         self.deaf_until = -math.inf
         self.lease_until = -math.inf
@@ -122,6 +125,7 @@
     """
     if _is_unwelcome(table, member) or now < table.deaf_until:
         return Arrival.usual
+    table.gone.discard(member.incarnation)
     track = _track(table, member, now)
     is_new = track.first_heard_at == math.inf
     before = (_is_heard(table, track, now), track.member.draining)
@@ -151,10 +155,13 @@
     :param now: time in seconds
     """
     found = {record.name: record for record in records}
+    table.gone &= {record.incarnation for record in found.values()}
     for record in found.values():
         member = _described(record)
-        known = table.tracks.get(record.name)
-        if known is None and not _is_unwelcome(table, member):
+        known = (
+            table.tracks.get(record.name) or record.incarnation in table.gone
+        )
+        if not known and not _is_unwelcome(table, member):
             _track(table, member, now)
     for name, track in table.tracks.items():
         if name in found:
@@ -174,6 +181,21 @@
     for name, track in table.tracks.items():
         track.removed_host = track.listed_host and name not in names
         track.listed_host = track.listed_host or name in names
+        track.host_reads += 1
+
+
+def wants_hosts(table: MemberTable) -> bool:
+    """Return whether a node was not yet looked for on the host list.
+
+    Only of a host that was seen there does its absence prove something. The
+    list lags, so a new host is looked for a few times.
+
+    :param table: what is known
+    """
+    return any(
+        not track.listed_host and track.host_reads < HOST_READS
+        for track in table.tracks.values()
+    )
 
 
 def note_elsewhere(
@@ -228,8 +250,9 @@
     }
     gone = {name: reason for name, reason in reasons.items() if reason}
     for name in gone:
-        # It is not retired: a node that was cut off may come back as it was.
-        table.tracks.pop(name)
+        # It is not retired: a node that was cut off may come back as it was,
+        # by a heartbeat. A record that is left over does not bring it back.
+        table.gone.add(table.tracks.pop(name).member.incarnation)
     return gone
 
 
--- a/packages/node/mastichatch_node/discovery.py
+++ b/packages/node/mastichatch_node/discovery.py
@@ -191,6 +191,8 @@
 def _should_list_hosts(membership: Membership) -> bool:
     relays = membership.relays()
     own = membership.own.name
+    if rules.wants_hosts(membership.table):
+        return True
     if own in relays[1:]:
         # The first relay may have no link to the platform.
         return membership.leaving.is_old
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -97,6 +97,29 @@
         rules.note_hosts(table, ['a'])
         assert rules.remove_gone(table, 12) == {'b': GoneReason.host_removed}
 
+    def test_a_record_left_over_does_not_bring_back_what_is_gone(self) -> None:
+        table = create_table()
+        rules.note_hosts(table, ['a', 'b'])
+        rules.note_hosts(table, ['a'])
+        assert rules.remove_gone(table, 12)
+        rules.note_records(table, [record('a'), record('b')], 13, 13)
+        assert rules.expected(table) == {'a'}
+        rules.note_heartbeat(table, member('b'), ['a'], 14)
+        assert rules.expected(table) == {'a', 'b'}
+
+    def test_a_new_node_is_looked_for_on_the_host_list_a_few_times(
+        self,
+    ) -> None:
+        table = create_table()
+        assert rules.wants_hosts(table)
+        rules.note_hosts(table, ['a', 'b'])
+        assert not rules.wants_hosts(table)
+        rules.note_heartbeat(table, member('c'), ['a'], 11)
+        for _ in range(rules.HOST_READS):
+            assert rules.wants_hosts(table)
+            rules.note_hosts(table, ['a', 'b'])
+        assert not rules.wants_hosts(table)
+
     def test_a_draining_node_that_fell_silent_has_left(self) -> None:
         table = create_table()
         rules.note_heartbeat(table, member('b', draining=True), ['a'], 11)
