Follow a generation in one loop

Cause: each token passed seven nested asynchronous generators, and the first connection and the resumed ones had a loop each. Change: one loop for both, over one state object; three layers less.

--- a/packages/node/mastichatch_node/chat.py
+++ b/packages/node/mastichatch_node/chat.py
@@ -1,6 +1,6 @@
 """Answers callers of models: whole, streamed and resumed."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from blacksheep import Content, Response, StreamedContent
 
@@ -185,10 +185,7 @@
             )
         )
 
-        async def provide() -> AsyncIterator[bytes]:
-            async for data in _written(first, batches, handle_text, caller):
-                yield data
-
+        provide = _provider(first, batches, handle_text, caller)
         response = Response(
             200, content=StreamedContent(_EVENT_STREAM, provide)
         )
@@ -198,22 +195,26 @@
         return response
 
 
-async def _written(
+def _provider(
     first: Batch | None,
     batches: AsyncIterator[Batch],
     handle_text: str,
     caller: Caller,
-) -> AsyncIterator[bytes]:
-    """Yield the bytes of a stream, which ends with a mark or an error."""
+) -> Callable[[], AsyncIterator[bytes]]:
+    """Return what yields a stream's bytes, ending with a mark or an error."""
     handle = handle_text.encode()
-    try:
-        if first is not None:
-            yield write_events(first.events, handle)
-        async for batch in batches:
-            yield write_events(batch.events, handle)
-        yield b'%b\n\n' % DONE
-    except MastichatchError as error:
-        yield write_error(error_json(error, caller.request_id))
+
+    async def provide() -> AsyncIterator[bytes]:
+        try:
+            if first is not None:
+                yield write_events(first.events, handle)
+            async for batch in batches:
+                yield write_events(batch.events, handle)
+            yield b'%b\n\n' % DONE
+        except MastichatchError as error:
+            yield write_error(error_json(error, caller.request_id))
+
+    return provide
 
 
 def _data_centre(catalogue: Catalogue, handle: GenerationHandle) -> str:
--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -8,7 +8,13 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncGenerator, Awaitable, Callable, Iterator
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+)
 from typing import Final
 
 from mastichatch_core.catalogue import Catalogue
@@ -63,37 +69,77 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class _Progress:
-    """How far the generation of one permit has come.
-
+class _Work:
+    """One generation under one permit, and how far it has come.
+
+    :param request: what the permit was asked for
+    :param grant: the permit
+    :param endpoint: where it runs
+    :param service: the service's limits
+    :param body: body for the engine; empty for a generation that runs already
+    :param handle: where it runs, once the engine has named it
     :param following: index of the next event to hand out
     :param began_at: when the request was sent, in seconds
     :param first_at: when the first event came, in seconds; zero before
     :param last_at: when the newest event came, in seconds
     :param failures: broken connections since the last event
+    :param done: whether the end mark was read
     """
 
+    request: PermitRequest
+    grant: PermitGrant
+    endpoint: Endpoint
+    service: Service
+    body: bytes = b''
+    handle: GenerationHandle | None = None
     following: int = 0
     began_at: float = 0
     first_at: float = 0
     last_at: float = 0
     failures: int = 0
+    done: bool = False
+
+    def begin(self, stream: EngineStream) -> GenerationHandle:
+        """Return the handle, and check that a stream is of its boot.
+
+        :param stream: a connection to the engine
+        :raises MastichatchError: with ``not_found`` for another boot, which
+            may use the same id again
+        """
+        if self.handle is None:
+            self.handle = GenerationHandle(
+                endpoint=self.endpoint.name,
+                boot_id=stream.boot_id,
+                generation=stream.generation,
+                service=self.request.service,
+                workspace=self.request.workspace,
+            )
+        if stream.boot_id != self.handle.boot_id:
+            raise MastichatchError(
+                ErrorKind.not_found,
+                'the engine was restarted',
+            )
+        return self.handle
 
     def note(self, count: int, now: float) -> None:
-        """Count events that were received just now."""
+        """Count events that were received just now.
+
+        :param count: number of events
+        :param now: current time, in seconds
+        """
         self.following += count
         self.first_at = self.first_at or now
         self.last_at = now
         self.failures = 0
 
     def first_token_ms(self) -> float:
-        """Time from send to first event, or zero."""
+        """Return the time from send to first event, or zero."""
         if not self.first_at:
             return 0
         return (self.first_at - self.began_at) * _MS_PER_S
 
     def gap_ms(self) -> float:
-        """Mean time between events, or zero."""
+        """Return the mean time between events, or zero."""
         if self.following < 2:
             return 0
         spent_s = self.last_at - self.first_at
@@ -150,8 +196,9 @@
             grant = await acquire(asked)
             delivered = 0
             try:
+                work = self._prepare(grant, asked, body, catalogue)
                 async with contextlib.aclosing(
-                    self._run(grant, asked, body, catalogue),
+                    self._follow(work),
                 ) as batches:
                     async for batch in batches:
                         delivered += len(batch.events)
@@ -160,8 +207,7 @@
             except MastichatchError as error:
                 handed_out = 0 if whole else delivered
                 self._raise_unless_retried(error, handed_out, attempt)
-                if not isinstance(error, PermitLapsedError):
-                    excluded = (*excluded, grant.endpoint)
+                excluded = _excluded(excluded, grant, error)
                 self._note_retry(request, grant, error)
 
     async def resume(
@@ -186,18 +232,17 @@
                 'its endpoint has left',
                 tokens_delivered=after + 1,
             )
-        grant = self._permits.adopt(request, endpoint.name)
-        progress = _Progress(following=after + 1, began_at=_now())
-        service = catalogue.service(handle.service)
-        with self._settled(grant, progress):
-            async for batch in self._follow(
-                handle,
-                endpoint,
-                service,
-                progress,
-                grant,
-            ):
-                yield batch
+        work = _Work(
+            request=request,
+            grant=self._permits.adopt(request, endpoint.name),
+            endpoint=endpoint,
+            service=catalogue.service(handle.service),
+            handle=handle,
+            following=after + 1,
+            began_at=_now(),
+        )
+        async for batch in self._follow(work):
+            yield batch
 
     async def cancel(
         self,
@@ -217,140 +262,99 @@
                 handle.boot_id,
             )
 
-    async def _run(
+    def _prepare(
         self,
         grant: PermitGrant,
         request: PermitRequest,
         body: bytes,
         catalogue: Catalogue,
-    ) -> AsyncGenerator[Batch, None]:
-        """Yield the events of one attempt at one endpoint."""
-        progress = _Progress(began_at=_now())
-        with self._settled(grant, progress):
-            endpoint = catalogue.endpoints.get(grant.endpoint)
-            if endpoint is None:
-                raise MastichatchError(ErrorKind.endpoint_unreachable)
-            service = catalogue.service(request.service)
-            # Last check before the first byte: this process may have been
-            # frozen since the grant came.
-            if not self._permits.still_valid(grant):
-                raise PermitLapsedError
-            self._permits.mark_used(grant)
-            async for batch in self._first_connection(
-                grant,
-                request,
-                body,
-                endpoint,
-                service,
-                progress,
-            ):
-                yield batch
-
-    async def _first_connection(
-        self,
-        grant: PermitGrant,
-        request: PermitRequest,
-        body: bytes,
-        endpoint: Endpoint,
-        service: Service,
-        progress: _Progress,
-    ) -> AsyncGenerator[Batch, None]:
-        handle: GenerationHandle | None = None
-        try:
-            async with self._engines.start(
-                endpoint.address,
-                body,
-                request_id=request.request_id,
-                priority=_PRIORITIES[request.request_class],
-                idle_timeout_ms=service.idle_timeout_ms,
-            ) as stream:
-                handle = _handle(stream, request, endpoint)
-                async for batch in self._pass_on(
-                    stream,
-                    handle,
-                    progress,
-                    grant,
-                ):
-                    yield batch
-            return
-        except MastichatchError as error:
-            if handle is None:
-                raise
-            self._note_break(request.request_id, endpoint, error, progress)
-        async for batch in self._follow(
-            handle,
-            endpoint,
-            service,
-            progress,
-            grant,
-        ):
-            yield batch
+    ) -> _Work:
+        """Return the work that a permit allows, or give the permit back."""
+        endpoint = catalogue.endpoints.get(grant.endpoint)
+        if endpoint is None:
+            self._permits.release(grant, PermitOutcome.unused)
+            raise MastichatchError(
+                ErrorKind.endpoint_unreachable,
+                'the endpoint has left',
+            )
+        return _Work(
+            request=request,
+            grant=grant,
+            endpoint=endpoint,
+            service=catalogue.service(request.service),
+            body=body,
+            began_at=_now(),
+        )
 
-    async def _follow(
-        self,
-        handle: GenerationHandle,
-        endpoint: Endpoint,
-        service: Service,
-        progress: _Progress,
-        grant: PermitGrant,
-    ) -> AsyncGenerator[Batch, None]:
-        """Yield the rest of a generation, resuming as often as it takes."""
-        while True:
-            try:
-                async with self._engines.resume(
-                    endpoint.address,
-                    handle.generation,
-                    after=progress.following - 1,
-                    idle_timeout_ms=service.idle_timeout_ms,
-                ) as stream:
-                    _check_boot(stream, handle)
-                    async for batch in self._pass_on(
-                        stream,
-                        handle,
-                        progress,
-                        grant,
-                    ):
-                        yield batch
-                return
-            except MastichatchError as error:
-                self._note_break(grant.request_id, endpoint, error, progress)
-                self._raise_if_lost(error, endpoint, handle, progress)
-            await asyncio.sleep(RESUME_DELAY_S * progress.failures)
+    async def _follow(self, work: _Work) -> AsyncGenerator[Batch, None]:
+        """Yield the events of one generation, resuming as often as it takes.
 
-    def _raise_if_lost(
-        self,
-        error: MastichatchError,
-        endpoint: Endpoint,
-        handle: GenerationHandle,
-        progress: _Progress,
-    ) -> None:
-        progress.failures += 1
+        This loop runs once for each read of every stream, so it has no layer
+        that it can do without.
+        """
+        with self._settled(work):
+            while not work.done:
+                try:
+                    async with self._connect(work) as stream:
+                        handle = work.begin(stream)
+                        async for events in stream.batches():
+                            fresh = in_order(events, work.following)
+                            if fresh:
+                                work.note(len(fresh), _now())
+                                self._permits.note_progress(
+                                    work.grant,
+                                    work.following,
+                                )
+                                yield Batch(handle=handle, events=fresh)
+                        work.done = True
+                except MastichatchError as error:
+                    await self._recover(work, error)
+
+    @contextlib.asynccontextmanager
+    async def _connect(self, work: _Work) -> AsyncIterator[EngineStream]:
+        """Hold a connection that begins or continues a generation."""
+        if work.handle is not None:
+            async with self._engines.resume(
+                work.endpoint.address,
+                work.handle.generation,
+                after=work.following - 1,
+                idle_timeout_ms=work.service.idle_timeout_ms,
+            ) as resumed:
+                yield resumed
+            return
+        # Last check before the first byte: this process may have been frozen
+        # since the grant came.
+        if not self._permits.still_valid(work.grant):
+            raise PermitLapsedError
+        self._permits.mark_used(work.grant)
+        async with self._engines.start(
+            work.endpoint.address,
+            work.body,
+            request_id=work.request.request_id,
+            priority=_PRIORITIES[work.request.request_class],
+            idle_timeout_ms=work.service.idle_timeout_ms,
+        ) as started:
+            yield started
+
+    async def _recover(self, work: _Work, error: MastichatchError) -> None:
+        """Wait before the generation is resumed, or raise that it is lost."""
+        if work.handle is None:
+            raise error
+        self._note_break(work, error)
+        work.failures += 1
         is_gone = error.kind is ErrorKind.not_found
-        if is_gone or progress.failures >= RESUME_LIMIT:
+        if is_gone or work.failures >= RESUME_LIMIT:
             if not is_gone:
-                self._cancel_later(endpoint, handle)
-            raise _lost(error, progress) from error
-
-    async def _pass_on(
-        self,
-        stream: EngineStream,
-        handle: GenerationHandle,
-        progress: _Progress,
-        grant: PermitGrant,
-    ) -> AsyncGenerator[Batch, None]:
-        async for events in stream.batches():
-            fresh = in_order(events, progress.following)
-            if fresh:
-                progress.note(len(fresh), _now())
-                self._permits.note_progress(grant, progress.following)
-                yield Batch(handle=handle, events=fresh)
+                self._cancel_later(work.endpoint, work.handle)
+            raise MastichatchError(
+                ErrorKind.generation_lost,
+                str(error),
+                tokens_delivered=work.following,
+            ) from error
+        await asyncio.sleep(RESUME_DELAY_S * work.failures)
 
     @contextlib.contextmanager
-    def _settled(
-        self,
-        grant: PermitGrant,
-        progress: _Progress,
-    ) -> Iterator[None]:
+    def _settled(self, work: _Work) -> Iterator[None]:
         """Give the permit back with what became of the attempt."""
         outcome = PermitOutcome.cancelled
         try:
@@ -360,25 +364,20 @@
             outcome = _outcome(error)
             raise
         finally:
-            self._settle(grant, outcome, progress)
+            self._settle(work, outcome)
 
-    def _settle(
-        self,
-        grant: PermitGrant,
-        outcome: PermitOutcome,
-        progress: _Progress,
-    ) -> None:
+    def _settle(self, work: _Work, outcome: PermitOutcome) -> None:
         self._permits.release(
-            grant,
+            work.grant,
             outcome,
-            output_tokens=progress.following,
-            first_token_ms=progress.first_token_ms(),
-            gap_ms=progress.gap_ms(),
+            output_tokens=work.following,
+            first_token_ms=work.first_token_ms(),
+            gap_ms=work.gap_ms(),
         )
         self._metrics.count(f'generations.{outcome}')
         self._metrics.timing(
             'generations.first_token_ms',
-            progress.first_token_ms(),
+            work.first_token_ms(),
         )
 
     def _raise_unless_retried(
@@ -414,18 +413,12 @@
             term=grant.term.number,
         )
 
-    def _note_break(
-        self,
-        request_id: str,
-        endpoint: Endpoint,
-        error: MastichatchError,
-        progress: _Progress,
-    ) -> None:
+    def _note_break(self, work: _Work, error: MastichatchError) -> None:
         self._metrics.count('generations.stream_broken')
         self._decisions.note(
             'stream_broken',
-            request_id,
-            choice=f'resume at {endpoint.name} from {progress.following}',
+            work.request.request_id,
+            choice=f'resume at {work.endpoint.name} from {work.following}',
             reason=f'{error.kind}: {error}',
         )
 
@@ -445,35 +438,15 @@
         task.add_done_callback(self._clean_ups.discard)
 
 
-def _handle(
-    stream: EngineStream,
-    request: PermitRequest,
-    endpoint: Endpoint,
-) -> GenerationHandle:
-    return GenerationHandle(
-        endpoint=endpoint.name,
-        boot_id=stream.boot_id,
-        generation=stream.generation,
-        service=request.service,
-        workspace=request.workspace,
-    )
-
-
-def _check_boot(stream: EngineStream, handle: GenerationHandle) -> None:
-    """Refuse a generation of another boot that reuses the id."""
-    if stream.boot_id != handle.boot_id:
-        raise MastichatchError(
-            ErrorKind.not_found,
-            'the engine was restarted',
-        )
-
-
-def _lost(error: MastichatchError, progress: _Progress) -> MastichatchError:
-    return MastichatchError(
-        ErrorKind.generation_lost,
-        str(error),
-        tokens_delivered=progress.following,
-    )
+def _excluded(
+    excluded: tuple[str, ...],
+    grant: PermitGrant,
+    error: MastichatchError,
+) -> tuple[str, ...]:
+    """Return the endpoints that are not tried again."""
+    if isinstance(error, PermitLapsedError):
+        return excluded
+    return (*excluded, grant.endpoint)
 
 
 def _outcome(error: MastichatchError) -> PermitOutcome:
