--- a/bench/costs.py
+++ b/bench/costs.py
@@ -19,14 +19,18 @@
     Workspace,
 )
 from mastichatch_core.generated.messages import (
+    Digest,
     EndpointObservation,
+    Envelope,
     Heartbeat,
     HeldPermit,
+    MessageKind,
     PermitGrant,
     PermitOutcome,
     PermitRelease,
     PermitRequest,
     Registration,
+    ServiceLoad,
     ServiceTerm,
     Term,
 )
@@ -347,6 +351,62 @@
     return processor_us(work)
 
 
+def heartbeat_bytes(members: int) -> float:
+    """Return the bytes of one heartbeat.
+
+    :param members: number of nodes in the data centre
+    """
+    heartbeat = Heartbeat(
+        node=f'{PLACE}-{NODE}-1',
+        data_centre=PLACE,
+        sequence=100_000,
+        revision=100_000,
+        http_address='127.0.0.1:8080',
+        heard=tuple(f'{PLACE}-{NODE}-{number}' for number in range(members)),
+    )
+    return _envelope_bytes(MessageKind.heartbeat, heartbeat)
+
+
+def registration_bytes(held: int) -> float:
+    """Return the bytes of one registration.
+
+    :param held: number of permits in it
+    """
+    return _envelope_bytes(MessageKind.registration, registration_of(held))
+
+
+def digest_bytes(services: int) -> float:
+    """Return the bytes of one digest.
+
+    :param services: number of services in it
+    """
+    digest = Digest(
+        data_centre=PLACE,
+        revision=100_000,
+        loads=tuple(
+            ServiceLoad(
+                service=f'service-{number}',
+                free=100,
+                waiting=100,
+                wait_ms=1234.5,
+            )
+            for number in range(services)
+        ),
+        nodes=tuple(f'127.0.0.{number}:8081' for number in range(15)),
+    )
+    return _envelope_bytes(MessageKind.digest, digest)
+
+
+def _envelope_bytes(kind: MessageKind, message: object) -> float:
+    envelope = Envelope(
+        kind=kind,
+        sender='127.0.0.1:8081',
+        incarnation='i' * 32,
+        body=codec.encode(message),
+    )
+    return len(codec.encode(envelope))
+
+
 def decision_memory(decisions: int) -> float:
     """Return the memory of kept decisions.
 
@@ -376,6 +436,9 @@
     ('claim', 'claim', 'B', SIZES, claim_bytes),
     ('heartbeat', 'member', 'us', ENDPOINT_SIZES, heartbeat_cost),
     ('decision memory', 'decision', 'kB', SIZES, decision_memory),
+    ('heartbeat size', 'member', 'B', ENDPOINT_SIZES, heartbeat_bytes),
+    ('registration size', 'permit', 'B', SIZES, registration_bytes),
+    ('digest size', 'service', 'B', ENDPOINT_SIZES, digest_bytes),
 )
 
 
