Wire placement in, use one status type, and name workloads plainly

Change: main opens placement, answers a taken port with one line and exit code 1, and warns of the development secret; the generated status types are used; each test worker has ports of its own, given in turn; announcements carry the expected wait; workloads are named by their shape. Conclusion: what the parts left open between them is closed.

--- a/bench/main.py
+++ b/bench/main.py
@@ -12,7 +12,7 @@
 from bench.fleet import ENGINE
 from bench.measures import Figures
 from bench.policies import POLICIES, PREDICTIONS
-from bench.workloads import WINCHLINE, ZUBIAURRE, Workload, draw
+from bench.workloads import BRIEFS, PLANS, Workload, draw
 
 RESULTS: Final = pathlib.Path(__file__).parent / 'results' / 'policies.csv'
 DURATION_S: Final = 80.0
@@ -23,7 +23,7 @@
 SAMPLE_S: Final = 4000.0
 USABLE_MEMORY: Final = 0.9
 LOADS: Final = (70, 100, 130)
-WORKLOADS: Final = (ZUBIAURRE, WINCHLINE)
+WORKLOADS: Final = (PLANS, BRIEFS)
 
 Fault = Callable[[World], None]
 
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -1,4 +1,4 @@
-"""Requests shaped like those of the two users, drawn from a seed."""
+"""Requests shaped of two shapes, drawn from a seed."""
 
 import dataclasses
 import random
@@ -74,8 +74,8 @@
 
 _WORKSPACES: Final = (0.3, 0.25, 0.15, 0.08, 0.06, 0.05, 0.04, 0.03, 0.02, 0.02)
 
-ZUBIAURRE: Final = Workload(
-    name='zubiaurre',
+PLANS: Final = Workload(
+    name='plans',
     data_centres=(2, 2, 1),
     workspaces=_WORKSPACES,
     shapes=(
@@ -98,8 +98,8 @@
     ),
 )
 
-WINCHLINE: Final = Workload(
-    name='winchline',
+BRIEFS: Final = Workload(
+    name='briefs',
     data_centres=(2, 2, 1, 1),
     workspaces=_WORKSPACES,
     shapes=(
--- a/packages/node/mastichatch_node/admin.py
+++ b/packages/node/mastichatch_node/admin.py
@@ -1,7 +1,7 @@
 """Answers operators and the balancer about this node."""
 
 import asyncio
-import dataclasses
+from typing import Final
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import (
@@ -9,7 +9,10 @@
     Envelope,
     ExplainAnswer,
     ExplainQuery,
+    MemberStatus,
     MessageKind,
+    NodeStatus,
+    SchedulerStatus,
 )
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.decisions import DecisionLog
@@ -18,63 +21,7 @@
 from mastichatch_node.requests import ActiveRequests
 from mastichatch_node.scheduling import Scheduling
 
-_EXPLAIN_TIMEOUT_MS = 1000
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class MemberStatus:
-    """Another node as this node sees it.
-
-    :param name: name of the host
-    :param heard: whether it was heard within the member timeout
-    :param draining: whether it said that it takes no new requests
-    """
-
-    name: str
-    heard: bool
-    draining: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SchedulerStatus:
-    """A scheduler that this node runs.
-
-    :param service: name of the service
-    :param term: number of its term
-    :param waiting: requests in its queue
-    :param free: permits that it could grant now
-    """
-
-    service: str
-    term: int
-    waiting: int
-    free: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class NodeStatus:
-    """The state of this node.
-
-    :param name: name of the host
-    :param incarnation: unique id of this run of the process
-    :param data_centre: name of the data centre
-    :param revision: configuration revision in force; zero for none
-    :param ready: whether the balancer may send requests
-    :param draining: whether a planned stop is under way
-    :param members: the nodes of the data centre
-    :param schedulers: the schedulers that this node runs
-    :param streams: requests in progress
-    """
-
-    name: str
-    incarnation: str
-    data_centre: str
-    revision: int
-    ready: bool
-    draining: bool
-    members: tuple[MemberStatus, ...]
-    schedulers: tuple[SchedulerStatus, ...]
-    streams: int
+_EXPLAIN_TIMEOUT_MS: Final = 1000
 
 
 class Admin:
--- a/packages/node/mastichatch_node/hosting.py
+++ b/packages/node/mastichatch_node/hosting.py
@@ -148,7 +148,7 @@
             service=self._scheduler.service,
             free=self._scheduler.free_count,
             waiting=self._scheduler.waiting_count,
-            wait_ms=self._scheduler.oldest_wait_ms(now),
+            wait_ms=self._scheduler.expected_wait_ms(now),
         )
 
     def announce(self, members: Iterable[str], now: float) -> None:
--- a/packages/node/mastichatch_node/main.py
+++ b/packages/node/mastichatch_node/main.py
@@ -9,6 +9,7 @@
 import uuid
 from typing import Final
 
+import pynng
 from absl import logging
 
 from mastichatch_core.generated.messages import ServiceLoad
@@ -28,6 +29,7 @@
 from mastichatch_node.metrics import Metrics, create_metrics
 from mastichatch_node.peers import Peers, open_peers
 from mastichatch_node.permits import Permits, open_permits
+from mastichatch_node.placement import open_placement
 from mastichatch_node.platform import Platform, open_platform
 from mastichatch_node.requests import ActiveRequests
 from mastichatch_node.routing import Routing
@@ -35,6 +37,7 @@
 from mastichatch_node.server import Parts, open_server
 from mastichatch_node.settings import SettingsError, read_settings
 
+DEVELOPMENT_SECRET: Final = 'development-only-secret'
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_WRONG_SETTINGS: Final = 2
@@ -192,6 +195,15 @@
     )
     scheduling = await _open_scheduling(stack, base, membership, engines)
     schedulings.append(scheduling)
+    await stack.enter_async_context(
+        open_placement(
+            settings,
+            base.platform,
+            membership,
+            base.configuration,
+            base.decisions,
+        ),
+    )
     permits.provide_observations(scheduling.observations)
     permits.listen(scheduling.note_announcement)
     parts = Parts(
@@ -259,9 +271,11 @@
         sys.stderr.write(f'{error}\n')
         return EXIT_WRONG_SETTINGS
     set_up_logging(settings.name, settings.log_level)
+    if settings.ticket_secret == DEVELOPMENT_SECRET:
+        logging.warning('the ticket secret is the one for development')
     try:
         asyncio.run(_run_until_signalled(settings))
-    except OSError as error:
+    except (OSError, pynng.NNGException) as error:
         logging.error('the node could not start: %s', error)
         return EXIT_FAILED
     return EXIT_OK
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -17,7 +18,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator, Container
+from collections.abc import AsyncIterator, Container, Iterator
 from typing import Any, Final
 
 import aiohttp
@@ -26,6 +27,8 @@
 
 ROOT: Final = pathlib.Path(__file__).parent.parent
 PORTS: Final = (12000, 32000)
+WORKERS: Final = 16
+WORKER_PORTS: Final = (PORTS[1] - PORTS[0]) // WORKERS
 READY_TIMEOUT_S: Final = 30.0
 POLL_INTERVAL_S: Final = 0.02
 SETTINGS_PREFIX: Final = 'MASTICHATCH_'
@@ -35,10 +38,31 @@
     """A process ended or did not become ready; carries its log."""
 
 
+def worker_ports() -> range:
+    """Return the ports of this test worker, which no other worker takes."""
+    number = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
+    first = PORTS[0] + number % WORKERS * WORKER_PORTS
+    return range(first, first + WORKER_PORTS)
+
+
+def _port_numbers() -> Iterator[int]:
+    """Yield this worker's ports in turn, from a random one on.
+
+    A port that was given out is not given again soon: whoever got it may not
+    listen yet.
+    """
+    ports = worker_ports()
+    start = random.SystemRandom().randrange(len(ports))
+    yield from itertools.cycle((*ports[start:], *ports[:start]))
+
+
+_PORT_NUMBERS: Final = _port_numbers()
+
+
 def free_port() -> int:
     """Return a TCP port that nothing listens on."""
     while True:
-        port = random.SystemRandom().randrange(*PORTS)
+        port = next(_PORT_NUMBERS)
         with socket.socket() as probe:
             # Connections that were just closed do not hold a port.
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -5,11 +5,11 @@
 from bench.main import run_one
 from bench.measures import Figures
 from bench.policies import POLICIES
-from bench.workloads import ZUBIAURRE
+from bench.workloads import PLANS
 
 
 def overload(policy: str, fault: str = 'none') -> Figures:
-    row = run_one(ZUBIAURRE, 160, fault, policy, seed=1, duration=30)
+    row = run_one(PLANS, 160, fault, policy, seed=1, duration=30)
     return row.figures
 
 
--- a/tools/demo/caller.py
+++ b/tools/demo/caller.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-WORKSPACE: Final = 'winchline'
+WORKSPACE: Final = 'depots'
 MODEL: Final = 'route-briefs'
 _DATA: Final = b'data: '
 _ID: Final = b'id: '
--- a/tools/demo/scenes.py
+++ b/tools/demo/scenes.py
@@ -54,7 +54,7 @@
     body = json.dumps(chat_body(SHORT_PROMPT, stream=True))
     screen.command(
         f"curl -N http://{address}/v1/chat/completions -H 'Workspace: "
-        f"winchline' -H 'Request-Id: demo-stream' -d '{body}'",
+        f"depots' -H 'Request-Id: demo-stream' -d '{body}'",
     )
     tokens = []
     async for token in caller.stream(address, SHORT_PROMPT, 'demo-stream'):
