--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -1,4 +1,4 @@
-"""Requests shaped of two shapes, drawn from a seed."""
+"""Requests of two shapes, drawn from a seed."""
 
 import dataclasses
 import random
--- a/packages/node/mastichatch_node/retrying.py
+++ b/packages/node/mastichatch_node/retrying.py
@@ -19,6 +19,7 @@
     PermitGrant,
     PermitOutcome,
     PermitRequest,
+    Ran,
 )
 from mastichatch_core.retries import RetryBudget, deposit, withdraw
 from mastichatch_node.configuration import Configuration
@@ -312,7 +313,8 @@
     """
     catalogue = configuration.current
     if catalogue is None:
-        raise MastichatchError(ErrorKind.not_ready)
+        # An earlier try of the same key may have run at another node.
+        raise MastichatchError(ErrorKind.not_ready, ran=Ran.unknown)
     catalogue.workspace(workspace, service)
     return catalogue, catalogue.operation(service, operation)
 
