Share the proof that a node is gone

Ruled out: leftover records (mended before), the list's lag. Change: heartbeats carry the incarnations that their sender holds proof of; a receiver takes the proof for a node that is silent to itself. A commit of the empty-queue exit goes with it: a scheduler with nothing waiting does not look at its endpoints. Conclusion: proof held by one node reaches all.

--- a/packages/core/mastichatch_core/granting.py
+++ b/packages/core/mastichatch_core/granting.py
@@ -79,6 +79,9 @@
     :param scheduler: the scheduler
     :param now: time in seconds
     """
+    if not scheduler.waiting_count:
+        # Most events find nothing that waits, and need no look at endpoints.
+        return ()
     if scheduler.superseded or not scheduler.reach.ready(now):
         return ()
     free = scheduler.free_places(now)
--- a/packages/core/mastichatch_core/membership.py
+++ b/packages/core/mastichatch_core/membership.py
@@ -184,6 +184,22 @@
         track.host_reads += 1
 
 
+def note_gone(table: MemberTable, incarnations: Iterable[str]) -> None:
+    """Note what another node holds proof of.
+
+    A node may have met a host too late to see it on the host list, where
+    another one saw it there, and saw it go.
+
+    :param table: what is known
+    :param incarnations: incarnations that are gone
+    """
+    proved = set(incarnations)
+    for track in table.tracks.values():
+        if track.member.incarnation in proved:
+            track.listed_host = True
+            track.removed_host = True
+
+
 def wants_hosts(table: MemberTable) -> bool:
     """Return whether a node was not yet looked for on the host list.
 
--- a/packages/node/mastichatch_node/heartbeats.py
+++ b/packages/node/mastichatch_node/heartbeats.py
@@ -83,6 +83,7 @@
             heartbeat.heard,
             self._loop.time(),
         )
+        rules.note_gone(self._membership.table, heartbeat.gone)
         self._loads_of[heartbeat.node] = heartbeat.loads
         known = self._membership.leaving
         if heartbeat.leaving is not None and not known.is_own:
@@ -195,6 +196,7 @@
                 self._loop.time(),
             ),
             loads=self._loads(),
+            gone=tuple(self._membership.table.gone),
             leaving=leaving if self._membership.leaving.is_own else None,
         )
         self._peers.send_all(addresses, MessageKind.heartbeat, heartbeat)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -97,6 +97,13 @@
         rules.note_hosts(table, ['a'])
         assert rules.remove_gone(table, 12) == {'b': GoneReason.host_removed}
 
+    def test_proof_of_another_node_counts_for_a_silent_one(self) -> None:
+        table = create_table()
+        rules.note_hosts(table, ['a'])
+        rules.note_gone(table, [member('b').incarnation])
+        assert not rules.remove_gone(table, 0.1)
+        assert rules.remove_gone(table, 12) == {'b': GoneReason.host_removed}
+
     def test_a_record_left_over_does_not_bring_back_what_is_gone(self) -> None:
         table = create_table()
         rules.note_hosts(table, ['a', 'b'])
