--- a/packages/node/mastichatch_node/calls.py
+++ b/packages/node/mastichatch_node/calls.py
@@ -24,6 +24,7 @@
 from mastichatch_core.outcomes import Retention
 from mastichatch_core.tickets import is_ticket
 from mastichatch_node.claiming import Claims
+from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.decisions import DecisionLog
 from mastichatch_node.keyed import KeyedCalls, claim_keep_s
@@ -149,7 +150,7 @@
             message.operation,
             message.body,
         )
-        deadline = _now() + message.deadline_ms / MS_PER_SECOND
+        deadline = loop_time() + message.deadline_ms / MS_PER_SECOND
         call = dataclasses.replace(
             call,
             deadline=min(call.deadline, deadline),
@@ -182,7 +183,7 @@
             service=declared,
             operation=found,
             body=body,
-            deadline=_now() + declared.queue_deadline_ms / MS_PER_SECOND,
+            deadline=loop_time() + declared.queue_deadline_ms / MS_PER_SECOND,
         )
 
     async def _run_keyed(self, call: PlainCall, key: str) -> CallOutcome:
@@ -384,14 +385,14 @@
     outcome: CallOutcome,
     tries: Tries,
 ) -> bool:
-    if tries.permits >= PERMIT_TRIES_LIMIT or _now() > call.deadline:
+    if tries.permits >= PERMIT_TRIES_LIMIT or loop_time() > call.deadline:
         return False
     return outcome.error in _REPEATED_AFTER
 
 
 def _check_fresh(call: PlainCall) -> None:
     # A node that was frozen may hold an answer that is long out of date.
-    if _now() > call.deadline + call.operation.timeout_ms / MS_PER_SECOND:
+    if loop_time() > call.deadline + call.operation.timeout_ms / MS_PER_SECOND:
         raise MastichatchError(
             ErrorKind.endpoint_failed,
             'the answer came after the deadline',
@@ -400,7 +401,3 @@
 
 async def _granted() -> bool:
     return True
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/claiming.py
+++ b/packages/node/mastichatch_node/claiming.py
@@ -18,6 +18,7 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import CallOutcome, ErrorKind
 from mastichatch_core.generated.records import Claim
+from mastichatch_node.clock import loop_time
 from mastichatch_node.metrics import Metrics
 from mastichatch_node.platform import (
     LeaseGoneError,
@@ -215,9 +216,9 @@
     async def _lease(self, retention_s: float) -> ClaimLease:
         async with self._lease_lock:
             known = self._leases.get(retention_s)
-            if known is not None and _now() < known.takes_claims_until:
+            if known is not None and loop_time() < known.takes_claims_until:
                 return known
-            asked_at = _now()
+            asked_at = loop_time()
             lease = ClaimLease(
                 lease=await self._platform.grant_lease(
                     lease_ttl_ms(retention_s),
@@ -253,7 +254,3 @@
 
 def _revision(found: FoundClaim | None) -> int:
     return _ABSENT if found is None else found.revision
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -29,6 +29,7 @@
     RequestClass,
 )
 from mastichatch_core.handles import GenerationHandle
+from mastichatch_node.clock import loop_time
 from mastichatch_node.decisions import DecisionLog
 from mastichatch_node.engines import Engines, EngineStream
 from mastichatch_node.metrics import Metrics
@@ -239,7 +240,7 @@
             service=catalogue.service(handle.service),
             handle=handle,
             following=after + 1,
-            began_at=_now(),
+            began_at=loop_time(),
         )
         async for batch in self._follow(work):
             yield batch
@@ -283,7 +284,7 @@
             endpoint=endpoint,
             service=catalogue.service(request.service),
             body=body,
-            began_at=_now(),
+            began_at=loop_time(),
         )
 
     async def _follow(self, work: _Work) -> AsyncGenerator[Batch, None]:
@@ -300,7 +301,7 @@
                         async for events in stream.batches():
                             fresh = in_order(events, work.following)
                             if fresh:
-                                work.note(len(fresh), _now())
+                                work.note(len(fresh), loop_time())
                                 self._permits.note_progress(
                                     work.grant,
                                     work.following,
@@ -457,7 +458,3 @@
     if error.kind is ErrorKind.bad_request:
         return PermitOutcome.completed
     return PermitOutcome.failed
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/keyed.py
+++ b/packages/node/mastichatch_node/keyed.py
@@ -22,6 +22,7 @@
 )
 from mastichatch_core.generated.records import Claim
 from mastichatch_node.claiming import Claims, FoundClaim, TakenClaim
+from mastichatch_node.clock import loop_time
 from mastichatch_node.decisions import DecisionLog
 from mastichatch_node.outcomes import Run, Runs
 from mastichatch_node.peers import Peers, Reply
@@ -226,8 +227,8 @@
         ends_at = call.deadline + call.operation.timeout_ms / MS_PER_SECOND
         silences = 0
         outcome = unknown_outcome('it is in progress', ErrorKind.in_progress)
-        while _now() < ends_at and outcome.error is ErrorKind.in_progress:
-            query = _query(claim, min(ends_at - _now(), QUERY_WAIT_S))
+        while loop_time() < ends_at and outcome.error is ErrorKind.in_progress:
+            query = _query(claim, min(ends_at - loop_time(), QUERY_WAIT_S))
             if step is ClaimStep.ask_self:
                 outcome = await self._answer(query)
                 continue
@@ -316,7 +317,3 @@
         body_digest=claim.body_digest,
         wait_ms=wait_s * MS_PER_SECOND,
     )
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/links.py
+++ b/packages/node/mastichatch_node/links.py
@@ -1,6 +1,5 @@
 """What a node knows of the schedulers that it asks for permits."""
 
-import asyncio
 import dataclasses
 import itertools
 from typing import Final
@@ -16,6 +15,7 @@
     ServiceLoad,
     Term,
 )
+from mastichatch_node.clock import loop_time
 from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
 
@@ -124,7 +124,7 @@
             self._links[place] = link
         link.address = sender
         link.load = _load(message)
-        link.heard_at = _now()
+        link.heard_at = loop_time()
         return True
 
     def is_lost(self, place: Place) -> bool:
@@ -133,7 +133,7 @@
         :param place: service and data centre
         """
         link = self._links.get(place)
-        return link is None or _now() - link.heard_at >= SILENCE_S
+        return link is None or loop_time() - link.heard_at >= SILENCE_S
 
     def is_host(self, place: Place, sender: str) -> bool:
         """Return whether a message comes from the scheduler of a place.
@@ -216,7 +216,7 @@
         if sent_at is None:
             return None
         lease_end = sent_at + grant.lease_ms / _MS_PER_S
-        return lease_end if _now() < lease_end else None
+        return lease_end if loop_time() < lease_end else None
 
     def release_to(self, sender: str, release: PermitRelease) -> None:
         """Give back a grant that nobody waits for.
@@ -250,7 +250,3 @@
         waiting=message.waiting,
         wait_ms=message.wait_ms,
     )
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/permits.py
+++ b/packages/node/mastichatch_node/permits.py
@@ -30,6 +30,7 @@
     ServiceLoad,
     Term,
 )
+from mastichatch_node.clock import loop_time
 from mastichatch_node.links import Place, SchedulerLinks, place_of
 from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
@@ -155,7 +156,7 @@
         held = self._held.get(_Key(grant.request_id, grant.attempt))
         if held is None or held.grant is not grant:
             return False
-        return held.used or _now() < held.expires_at
+        return held.used or loop_time() < held.expires_at
 
     def mark_used(self, grant: PermitGrant) -> None:
         """Note that the request goes to the endpoint now.
@@ -194,7 +195,7 @@
             reason='adopted',
         )
         key = _Key(request.request_id, request.attempt)
-        self._held[key] = _Held(request, grant, _now(), used=True)
+        self._held[key] = _Held(request, grant, loop_time(), used=True)
         self._register(place_of(request))
         return grant
 
@@ -345,7 +346,7 @@
             service=place.service,
             node=self._membership.own.name,
             term=_NO_TERM if link is None else link.term,
-            sequence=0 if link is None else link.next_sequence(_now()),
+            sequence=0 if link is None else link.next_sequence(loop_time()),
             held=_held_at(self._held.values(), place),
             waiting=_waiting_at(self._waiting.values(), place),
             observations=self._observations(place.service),
@@ -423,7 +424,7 @@
 
 def _aged(waiting: _Waiting) -> PermitRequest:
     """Return a waiting request with the time that it has waited."""
-    waited_ms = (_now() - waiting.since) * _MS_PER_S
+    waited_ms = (loop_time() - waiting.since) * _MS_PER_S
     return dataclasses.replace(
         waiting.request,
         waited_ms=waiting.request.waited_ms + waited_ms,
@@ -431,10 +432,6 @@
     )
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 def _is_cancelling() -> bool:
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
--- a/packages/node/mastichatch_node/retrying.py
+++ b/packages/node/mastichatch_node/retrying.py
@@ -22,6 +22,7 @@
     Ran,
 )
 from mastichatch_core.retries import RetryBudget, deposit, withdraw
+from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.decisions import DecisionLog
 from mastichatch_node.metrics import Metrics
@@ -229,7 +230,7 @@
     ) -> bool:
         if attempt.state is not AttemptState.not_sent:
             return False
-        if _now() > call.deadline or tries.permits >= PERMIT_TRIES_LIMIT:
+        if loop_time() > call.deadline or tries.permits >= PERMIT_TRIES_LIMIT:
             return False
         if isinstance(error, PermitLapsedError):
             return True
@@ -247,7 +248,7 @@
             service=call.service.name,
             workspace=call.workspace,
             node=self._node,
-            deadline_ms=max(0, call.deadline - _now()) * MS_PER_SECOND,
+            deadline_ms=max(0, call.deadline - loop_time()) * MS_PER_SECOND,
             excluded=tries.excluded,
         )
 
@@ -323,7 +324,3 @@
     if answer.status >= SERVER_ERROR_STATUS:
         return PermitOutcome.failed
     return PermitOutcome.completed
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/routing.py
+++ b/packages/node/mastichatch_node/routing.py
@@ -1,6 +1,5 @@
 """Finds a permit for a request, in this data centre or in another."""
 
-import asyncio
 import dataclasses
 from typing import Final
 
@@ -19,6 +18,7 @@
     rank_data_centres,
     usable_data_centres,
 )
+from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.decisions import DecisionLog
 from mastichatch_node.membership import Membership
@@ -55,14 +55,14 @@
         catalogue = self._configuration.current
         if catalogue is None:
             raise MastichatchError(ErrorKind.not_ready)
-        deadline = _now() + request.deadline_ms / _MS_PER_S
+        deadline = loop_time() + request.deadline_ms / _MS_PER_S
         ranked = self._ranked(catalogue, request.service)[:DATA_CENTRE_LIMIT]
         refusal = MastichatchError(ErrorKind.no_endpoint)
         for candidate in ranked:
             asked = dataclasses.replace(
                 request,
                 data_centre=candidate.endpoint,
-                deadline_ms=max(deadline - _now(), 0) * _MS_PER_S,
+                deadline_ms=max(deadline - loop_time(), 0) * _MS_PER_S,
             )
             self._note_choice(asked, candidate, ranked, catalogue)
             try:
@@ -130,7 +130,3 @@
         if load.service == service:
             return load
     return None
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -27,6 +27,7 @@
 )
 from mastichatch_core.prediction import LengthModel
 from mastichatch_core.scheduler_state import Timing
+from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.hosting import Hosted, Tools
 from mastichatch_node.links import rank
@@ -74,7 +75,7 @@
 
     def loads(self) -> tuple[ServiceLoad, ...]:
         """Return the loads of the schedulers that this node runs."""
-        now = _now()
+        now = loop_time()
         return tuple(hosted.load(now) for hosted in self.hosted)
 
     def observations(self, service: str) -> tuple[EndpointObservation, ...]:
@@ -110,7 +111,7 @@
 
     def advance(self) -> None:
         """Let time pass for every scheduler, and announce them."""
-        now = _now()
+        now = loop_time()
         for hosted in self.hosted:
             if not hosted.takes_turn(now):
                 continue
@@ -132,7 +133,7 @@
         hosted = self._hosted.get(service)
         if hosted is not None:
             hosted.send(
-                core.observe(hosted.scheduler, observation, _now()),
+                core.observe(hosted.scheduler, observation, loop_time()),
             )
 
     def note_announcement(self, message: SchedulerOpen) -> None:
@@ -169,7 +170,7 @@
             self._announce_to_stranger(hosted, message.node, envelope)
             return
         hosted.send(
-            core.request(hosted.scheduler, message, _now()),
+            core.request(hosted.scheduler, message, loop_time()),
         )
 
     async def on_registration(
@@ -187,7 +188,7 @@
         if hosted is None:
             self._forward(MessageKind.registration, message, envelope)
             return
-        now = _now()
+        now = loop_time()
         if message.term == hosted.term:
             hosted.add_client(message, envelope.sender, now)
         elif not hosted.is_client(message.node):
@@ -207,7 +208,7 @@
         hosted = self._hosted.get(message.service)
         if hosted is not None:
             hosted.send(
-                core.release(hosted.scheduler, message, _now()),
+                core.release(hosted.scheduler, message, loop_time()),
             )
 
     async def on_cancel(
@@ -223,7 +224,7 @@
         hosted = self._hosted.get(message.service)
         if hosted is not None:
             hosted.send(
-                core.cancel(hosted.scheduler, message, _now()),
+                core.cancel(hosted.scheduler, message, loop_time()),
             )
 
     def _note_term(self, service: str, term: Term) -> None:
@@ -240,7 +241,7 @@
         )
 
     def _open(self, service: str, catalogue: Catalogue) -> None:
-        now = _now()
+        now = loop_time()
         number = self._terms.get(service, 0) + 1
         self._terms[service] = number
         term = Term(number=number, incarnation=self._tools.peers.incarnation)
@@ -269,7 +270,7 @@
 
     def _close(self, service: str) -> None:
         hosted = self._hosted.pop(service)
-        now = _now()
+        now = loop_time()
         self._handed_over[service] = core.reached_limits(hosted.scheduler, now)
         # The next host learns the term from this, however new it is.
         self._announce(hosted, now)
@@ -311,7 +312,7 @@
             if member.name == node
         }
         for address in addresses:
-            hosted.announce_to(address, _now())
+            hosted.announce_to(address, loop_time())
 
     def _forward(
         self,
@@ -437,7 +438,7 @@
     catalogue: Catalogue,
     leaving: frozenset[str],
 ) -> None:
-    now = _now()
+    now = loop_time()
     hosted.note_revision(catalogue.revision)
     hosted.send(core.set_catalogue(hosted.scheduler, catalogue, now))
     hosted.send(core.set_leaving(hosted.scheduler, leaving, now))
@@ -458,7 +459,3 @@
         if member.data_centre == own.data_centre
     ]
     return rendezvous.pick(names, service)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/node/mastichatch_node/ticketing.py
+++ b/packages/node/mastichatch_node/ticketing.py
@@ -15,6 +15,7 @@
 )
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.tickets import Ticket, check_use, read_ticket, sign_ticket
+from mastichatch_node.clock import loop_time
 from mastichatch_node.keyed import (
     ANSWER_GRACE_S,
     QUERY_WAIT_S,
@@ -77,7 +78,7 @@
                     incarnation=self._peers.incarnation,
                     peer_address=self._peers.address,
                     counter=next(self._counter),
-                    expires_at=_now() + lifetime_s,
+                    expires_at=loop_time() + lifetime_s,
                     workspace=workspace,
                     service=service,
                     operation=operation,
@@ -117,7 +118,7 @@
         :param call: the call that it is used for
         :raises MastichatchError: where it expired, or nothing more may run
         """
-        now = _now()
+        now = loop_time()
         if now >= ticket.expires_at + call.retention_s:
             raise MastichatchError(
                 ErrorKind.outcome_unknown,
@@ -174,7 +175,7 @@
         text: str,
         ticket: Ticket,
     ) -> CallOutcome:
-        wait_ms = max(0, call.deadline - _now()) * MS_PER_SECOND
+        wait_ms = max(0, call.deadline - loop_time()) * MS_PER_SECOND
         message = ForwardCall(
             request_id=call.request_id,
             service=call.service.name,
@@ -234,7 +235,7 @@
     :param ticket: the ticket
     :param call: the call that it is used for
     """
-    unexpired_s = max(0, ticket.expires_at - _now())
+    unexpired_s = max(0, ticket.expires_at - loop_time())
     return unexpired_s + call.retention_s + _longest_run_s(call)
 
 
@@ -257,7 +258,3 @@
         return True
 
     return RightToRun(acquire=acquire, is_valid=is_valid)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
