Take over the term of a scheduler that starts over

Cause: a scheduler that was frozen raises its own term, and its node went on counting from the one it had opened it with; a later scheduler could have opened below. Change: the node notes the term at each turn. Conclusion: terms only rise.

--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -116,6 +116,8 @@
             if not hosted.takes_turn(now):
                 continue
             self._feed_members(hosted, now)
+            # A scheduler that was frozen starts over with a term of its own.
+            self._note_term(hosted.scheduler.service, hosted.term)
             if hosted.scheduler.superseded:
                 self._close(hosted.scheduler.service)
                 self.review()
