Name faults of shape and of reference in one refusal

Cause: a manifest with an unknown field and an unknown service was refused for the field alone, and for the service only once that was mended. Change: references are checked too wherever the types allow it; an empty section is one fault and not one for each place that names it. Conclusion: every place and reason is named at once, but where a type is wrong.

--- a/packages/core/mastichatch_core/manifest.py
+++ b/packages/core/mastichatch_core/manifest.py
@@ -57,13 +57,16 @@
     :raises ManifestError: naming every fault with its place
     """
     document = _parsed(manifest_bytes)
-    _raise_any(_shape_faults(document))
+    shape_faults = tuple(_shape_faults(document))
     try:
         manifest = msgspec.convert(document, Manifest)
     except msgspec.ValidationError as error:
+        # Where a type is wrong, names can't be looked up.
+        _raise_any(shape_faults)
         raise _single('$', str(error)) from error
     _raise_any(
         (
+            *shape_faults,
             *_duplicates(manifest),
             *_service_faults(manifest),
             *_reference_faults(manifest),
@@ -179,14 +182,18 @@
     places = {place.name for place in manifest.data_centres}
     for index, endpoint in enumerate(manifest.endpoints):
         section = f'endpoints[{index}]'
-        if endpoint.service not in services:
-            yield _unknown(f'{section}.service', 'service', endpoint.service)
-        if endpoint.data_centre not in places:
-            yield _unknown(
-                f'{section}.data_centre',
-                'data centre',
-                endpoint.data_centre,
-            )
+        yield from _missing(
+            f'{section}.service',
+            'service',
+            endpoint.service,
+            services,
+        )
+        yield from _missing(
+            f'{section}.data_centre',
+            'data centre',
+            endpoint.data_centre,
+            places,
+        )
         if endpoint.cold_limit > endpoint.batch_limit:
             yield ManifestFault(
                 place=f'{section}.cold_limit',
@@ -194,16 +201,23 @@
             )
     for index, workspace in enumerate(manifest.workspaces):
         for position, name in enumerate(workspace.services):
-            if name not in services:
-                yield _unknown(
-                    f'workspaces[{index}].services[{position}]',
-                    'service',
-                    name,
-                )
+            place = f'workspaces[{index}].services[{position}]'
+            yield from _missing(place, 'service', name, services)
 
 
-def _unknown(place: str, kind: str, name: str) -> ManifestFault:
-    return ManifestFault(place=place, reason=f'there is no {kind} {name!r}')
+def _missing(
+    place: str,
+    kind: str,
+    name: str,
+    known: set[str],
+) -> Iterator[ManifestFault]:
+    """Yield a fault for a name that is not known.
+
+    Where nothing is known the section is empty, which is one fault of its own
+    and not one for each place that names something in it.
+    """
+    if known and name not in known:
+        yield ManifestFault(place=place, reason=f'there is no {kind} {name!r}')
 
 
 def _size_faults(manifest: Manifest) -> Iterator[ManifestFault]:
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -115,10 +115,14 @@
         document = changed(['endpoints', 0, 'service'], 'none')
         document['workspaces'][1]['name'] = 'w1'
         document['data_centres'][1]['name'] = 'north'
+        document['endpoints'][1]['batch_limit'] = 0
+        document['services'][0]['unheard_of'] = 1
         assert set(faults(document)) >= {
             'endpoints[0].service',
             'workspaces[1].name',
             'data_centres[1].name',
+            'endpoints[1].batch_limit',
+            'services[0]',
         }
 
     @pytest.mark.parametrize(
