--- a/packages/core/mastichatch_core/scheduler.py
+++ b/packages/core/mastichatch_core/scheduler.py
@@ -48,6 +48,7 @@
 from mastichatch_core.prediction import LengthModel
 from mastichatch_core.ramp import note_success
 from mastichatch_core.scheduler_state import Scheduler, Timing
+from mastichatch_core.terms import term_rank
 
 GRANT_REPEAT_S: Final = 0.25
 
@@ -152,7 +153,7 @@
     :param now: time in seconds
     """
     outgoing = advance(scheduler, now)
-    if _compared(registration.term) > _compared(scheduler.term):
+    if term_rank(registration.term) > term_rank(scheduler.term):
         scheduler.note_higher_term()
         return outgoing
     obeys = registration.term == scheduler.term
@@ -280,10 +281,6 @@
     return (*answers, *advance(scheduler, now))
 
 
-def _compared(term: Term) -> tuple[int, str]:
-    return (term.number, term.incarnation)
-
-
 def _observe(
     scheduler: Scheduler,
     observation: EndpointObservation,
--- a/packages/core/mastichatch_core/scheduler_state.py
+++ b/packages/core/mastichatch_core/scheduler_state.py
@@ -129,15 +129,6 @@
             for places in self.free_places(self._advanced_at).values()
         )
 
-    def oldest_wait_ms(self, now: float) -> float:
-        """Return the wait of the oldest request.
-
-        :param now: time in seconds
-        :returns: the wait in milliseconds; zero without a request
-        """
-        oldest = min((entry.queued_at for entry in self._queue), default=now)
-        return (now - oldest) * 1000
-
     def expected_wait_ms(self, now: float) -> float:
         """Return how long a request that comes now is likely to wait.
 
--- a/packages/node/mastichatch_node/links.py
+++ b/packages/node/mastichatch_node/links.py
@@ -15,6 +15,7 @@
     ServiceLoad,
     Term,
 )
+from mastichatch_core.terms import term_rank
 from mastichatch_node.clock import loop_time
 from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
@@ -47,14 +48,6 @@
     return Place(request.service, request.data_centre)
 
 
-def rank(term: Term) -> tuple[int, str]:
-    """Return what terms are compared by.
-
-    :param term: a scheduler's term
-    """
-    return term.number, term.incarnation
-
-
 @dataclasses.dataclass(slots=True)
 class SchedulerLink:
     """A scheduler with the highest term that this node has seen.
@@ -117,7 +110,7 @@
         """
         place = Place(message.service, message.data_centre)
         link = self._links.get(place)
-        if link is not None and rank(message.term) < rank(link.term):
+        if link is not None and term_rank(message.term) < term_rank(link.term):
             return False
         if link is None or message.term != link.term:
             link = SchedulerLink(message.term, sender, _load(message))
@@ -160,23 +153,6 @@
         """
         self._peers.send(sender, MessageKind.registration, registration)
 
-    def object_to(self, place: Place, sender: str) -> None:
-        """Tell a scheduler that this node obeys a higher term.
-
-        A scheduler that opened before its node heard of the higher term would
-        otherwise wait for this node's registration for good.
-
-        :param place: service and data centre
-        :param sender: peer address of the scheduler's host
-        """
-        link = self._links[place]
-        objection = Registration(
-            service=place.service,
-            node=self._membership.own.name,
-            term=link.term,
-        )
-        self._peers.send(sender, MessageKind.registration, objection)
-
     def tell(
         self,
         place: Place,
@@ -210,7 +186,7 @@
         :param grant: what came
         """
         link = self._links.get(place_of(request))
-        if link is None or rank(grant.term) != rank(link.term):
+        if link is None or term_rank(grant.term) != term_rank(link.term):
             return None
         sent_at = link.sent_at.get(grant.registration)
         if sent_at is None:
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -27,10 +27,10 @@
 )
 from mastichatch_core.prediction import LengthModel
 from mastichatch_core.scheduler_state import Timing
+from mastichatch_core.terms import term_rank
 from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.hosting import Hosted, Tools
-from mastichatch_node.links import rank
 from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
 
@@ -149,7 +149,7 @@
         hosted = self._hosted.get(message.service)
         if hosted is None or message.term == hosted.term:
             return
-        if rank(message.term) > rank(hosted.term):
+        if term_rank(message.term) > term_rank(hosted.term):
             self._close(message.service)
             self.review()
 
