Ramp a return to service once, whoever schedules

Cause: a run of the whole suite failed in the test that stops the scheduler's host under load: the next host began nothing at an engine within a second. Its trace shows 5 requests begun before and after. A scheduler that opens took the moment of its opening for the return of every endpoint, so the data centre's return ramp (8 s in this test) started anew and hid the limit handed over: what ran was above the new limit, and nothing was granted until some ended. Ruled out: lost registrations (the limit was taken over, then masked) and the cold ramp (its floor was the limit handed over).

Change: a node notes since when endpoints are in service, beside its schedulers, and gives that to each scheduler it opens. A limit handed over holds against the return ramp too, unless the scheduler itself has seen the endpoint leave. The test waits for the first grant of the next host while the old one still runs, instead of looking after one second: the claim is the same, and no longer hangs on the machine's speed.

A node that started after the return ramps from its own start, as it cannot know better.

--- a/packages/core/mastichatch_core/admission.py
+++ b/packages/core/mastichatch_core/admission.py
@@ -46,6 +46,8 @@
     :param foreign: requests at the endpoint that no known permit explains
     :param in_service_since: when it last came into service, in seconds;
         ``None`` while it is out
+    :param left_service: whether this scheduler has seen it out of service
+    :param return_floor: limit that its return allows already
     :param demand: memory that its permits want; ``None`` when not current
     :param prefixes: prompt prefixes it was given last, newest last
     :param reporters: by node, when it reported and whether it got through
@@ -62,6 +64,8 @@
     safety: Safety = dataclasses.field(default_factory=Safety)
     foreign: int = 0
     in_service_since: float | None = None
+    left_service: bool = False
+    return_floor: float = 0
     demand: Demand | None = None
     prefixes: OrderedDict[int, None] = dataclasses.field(
         default_factory=OrderedDict
@@ -94,6 +98,8 @@
     """
     if not in_use:
         state.in_service_since = None
+        state.left_service = True
+        state.return_floor = 0
     elif state.in_service_since is None:
         state.in_service_since = now
 
@@ -122,7 +128,7 @@
     returned = (now - state.in_service_since) / return_ramp
     if returned < 1:
         most = max(described.cold_limit, described.batch_limit * returned)
-        limit = min(limit, most)
+        limit = min(limit, max(most, state.return_floor))
     return limit
 
 
@@ -217,6 +223,8 @@
     if observation.boot_id in {state.boot_id, ''}:
         state.ramp.floor = max(state.ramp.floor, observation.limit)
         state.handed_over = True
+        if not state.left_service:
+            state.return_floor = observation.limit
 
 
 def note_progress(state: EndpointState, bearing: int) -> None:
--- a/packages/core/mastichatch_core/endpoints.py
+++ b/packages/core/mastichatch_core/endpoints.py
@@ -12,6 +12,7 @@
 from mastichatch_core.catalogue import Catalogue
 from mastichatch_core.generated.manifest import Service, Workspace
 from mastichatch_core.ledger import Permit, PermitKey, PermitLedger
+from mastichatch_core.service_times import ServiceTimes, takes_work
 from mastichatch_core.throughput import Throughput
 
 
@@ -119,6 +120,16 @@
         self._states = states
         self._note_service(now)
 
+    def take_service_times(self, service_times: ServiceTimes) -> None:
+        """Learn since when the endpoints are in service.
+
+        :param service_times: what the node saw before the scheduler opened
+        """
+        for name, state in self._states.items():
+            since = service_times.since(name)
+            if since is not None:
+                state.in_service_since = since
+
     def note_leaving(self, hosts: frozenset[str], now: float) -> None:
         """Note the hosts that the host list calls leaving.
 
@@ -169,8 +180,6 @@
 
     def _note_service(self, now: float) -> None:
         for state in self._states.values():
-            endpoint = state.described
-            leaving = endpoint.host in self._leaving
-            in_use = not leaving and not self._catalogue.is_drained(endpoint)
+            in_use = takes_work(state.described, self._catalogue, self._leaving)
             note_in_service(state, now, in_use=in_use)
         self._names_in_use = tuple(filter(self.in_use, self._states))
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -27,6 +27,7 @@
 )
 from mastichatch_core.prediction import LengthModel
 from mastichatch_core.scheduler_state import Timing
+from mastichatch_core.service_times import ServiceTimes
 from mastichatch_core.terms import term_rank
 from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
@@ -63,6 +64,7 @@
         self._configuration = configuration
         self._timing = timing
         self._lengths: dict[str, LengthModel] = {}
+        self._service_times = ServiceTimes(tools.data_centre)
         self._hosted: dict[str, Hosted] = {}
         self._terms: dict[str, int] = {}
         self._observations: dict[str, EndpointObservation] = {}
@@ -99,6 +101,11 @@
         catalogue = self._configuration.current
         if catalogue is None:
             return
+        self._service_times.update(
+            catalogue,
+            self._membership.leaving_hosts,
+            loop_time(),
+        )
         wanted = self._wanted_services(catalogue)
         for service in tuple(self._hosted):
             if service not in wanted:
@@ -196,6 +203,8 @@
         elif not hosted.is_client(message.node):
             self._announce_to_stranger(hosted, message.node, envelope)
         hosted.send(core.register(hosted.scheduler, message, now))
+        if core.wants_list(hosted.scheduler, message):
+            hosted.announce_to(envelope.sender, now, list_wanted=True)
 
     async def on_release(
         self,
@@ -256,6 +265,7 @@
             timing=self._timing,
             lengths=self._lengths.setdefault(service, LengthModel()),
         )
+        scheduler.pool.take_service_times(self._service_times)
         self._handed_over.pop(service, None)
         hosted = Hosted(scheduler, self._tools, catalogue.revision)
         self._hosted[service] = hosted
--- a/tests/test_fleet_drain.py
+++ b/tests/test_fleet_drain.py
@@ -95,11 +95,12 @@
             heir = await scheduler_host(fleet, 'north', MODEL)
             while heir is leaving:
                 heir = await scheduler_host(fleet, 'north', MODEL)
-            before = await work_begun(fleet, ['north-engine-0'])
-            await asyncio.sleep(1)
-            assert leaving.process.exit_code is None
+            begun = await work_begun(fleet, ['north-engine-0'])
             # The heir grants while the old host still serves its streams.
-            assert await work_begun(fleet, ['north-engine-0']) > before
+            while await work_begun(fleet, ['north-engine-0']) <= begun:
+                assert leaving.process.exit_code is None
+                await asyncio.sleep(0.02)
+            assert leaving.process.exit_code is None
             await long
             assert await leaving.process.wait() == 0
         assert load.failures == []
