Claim ports by a bound socket, so that runs side by side share none

Cause: workers took their ports by the number of the worker alone, so two runs on one machine gave out the same ones. Change: each worker binds the first port of a block for as long as it lives and gives out the rest of the block.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,7 +18,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator, Container, Iterator
+from collections.abc import AsyncIterator, Container
 from typing import Any, Final
 
 import aiohttp
@@ -27,8 +27,7 @@
 
 ROOT: Final = pathlib.Path(__file__).parent.parent
 PORTS: Final = (12000, 32000)
-WORKERS: Final = 16
-WORKER_PORTS: Final = (PORTS[1] - PORTS[0]) // WORKERS
+BLOCK_PORTS: Final = 500
 READY_TIMEOUT_S: Final = 30.0
 POLL_INTERVAL_S: Final = 0.02
 SETTINGS_PREFIX: Final = 'MASTICHATCH_'
@@ -38,25 +37,29 @@
     """A process ended or did not become ready; carries its log."""
 
 
-def worker_ports() -> range:
-    """Return the ports of this test worker, which no other worker takes."""
-    number = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
-    first = PORTS[0] + number % WORKERS * WORKER_PORTS
-    return range(first, first + WORKER_PORTS)
+def _claim_ports() -> tuple[socket.socket, range]:
+    """Return the ports of this process, and the socket that claims them.
 
-
-def _port_numbers() -> Iterator[int]:
-    """Yield this worker's ports in turn, from a random one on.
-
-    A port that was given out is not given again soon: whoever got it may not
-    listen yet.
+    The socket is bound to the first port of a block for as long as the process
+    lives, so that no other worker, of this run or of another one, takes it.
     """
-    ports = worker_ports()
-    start = random.SystemRandom().randrange(len(ports))
-    yield from itertools.cycle((*ports[start:], *ports[:start]))
-
-
-_PORT_NUMBERS: Final = _port_numbers()
+    blocks = list(range(*PORTS, BLOCK_PORTS))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        claim = socket.socket()
+        try:
+            claim.bind(('127.0.0.1', first))
+        except OSError:
+            claim.close()
+            continue
+        return claim, range(first + 1, first + BLOCK_PORTS)
+    raise StartError('every block of ports is taken')
+
+
+_CLAIM, _PORTS = _claim_ports()
+# A port that was given out is not given again soon: whoever got it may not
+# listen yet.
+_PORT_NUMBERS: Final = itertools.cycle(_PORTS)
 
 
 def free_port() -> int:
