Say of no drain that it is in force because an old replica shows it

Cause: a drain or restore that found itself done already was answered at once, from whatever replica the read came. With a data centre restored a moment ago, a lagging replica let a second drain be "accepted" while the data centre went on taking work; a restore was refused as "in service" the same way. Ruled out: changes that write, whose compare-and-swap loses against a newer root.

Change: where nothing has to change, the root is written again as it is, on condition of the revision read. A mismatch shows that the read was old, and it is read again. The command line's refusals are confirmed the same way.

Proof: the new test failed before (the second drain was answered while reads were old) and passes after.

It costs one write in the rare case of no change.

--- a/packages/ctl/mastichatch_ctl/configuration.py
+++ b/packages/ctl/mastichatch_ctl/configuration.py
@@ -106,9 +106,7 @@
     :raises MastichatchError: with ``not_found`` where the manifest does not
         name the target
     """
-    root = await _read_existing_root(platform)
-    current = await changes.read_manifest(platform, root)
-    if target.name not in _names(current, target.kind):
+    if not await _is_named(platform, target):
         raise MastichatchError(
             ErrorKind.not_found,
             f'the manifest has no {target.kind} {target.name!r}',
@@ -126,8 +124,7 @@
     :param operator: who makes the change
     :raises MastichatchError: with ``not_found`` where it was not taken out
     """
-    root = await _read_existing_root(platform)
-    if target not in root.drains:
+    if not await _is_drained(platform, target):
         raise MastichatchError(
             ErrorKind.not_found,
             f'{target.kind} {target.name!r} is in service',
@@ -137,8 +134,25 @@
     )
 
 
-async def _read_existing_root(platform: Platform) -> ConfigurationRoot:
-    root = await changes.read_root(platform)
+async def _is_named(platform: Platform, target: Drain) -> bool:
+    """Return whether the manifest in force names a target."""
+    for read in (changes.read_root, changes.read_newest_root):
+        root = _existing(await read(platform))
+        current = await changes.read_manifest(platform, root)
+        if target.name in _names(current, target.kind):
+            return True
+    return False
+
+
+async def _is_drained(platform: Platform, target: Drain) -> bool:
+    """Return whether a target is out of service."""
+    for read in (changes.read_root, changes.read_newest_root):
+        if target in _existing(await read(platform)).drains:
+            return True
+    return False
+
+
+def _existing(root: ConfigurationRoot | None) -> ConfigurationRoot:
     if root is None:
         raise MastichatchError(
             ErrorKind.not_found,
--- a/packages/node/mastichatch_node/changes.py
+++ b/packages/node/mastichatch_node/changes.py
@@ -63,6 +63,24 @@
     return (await _read_base(platform)).root
 
 
+async def read_newest_root(platform: Platform) -> ConfigurationRoot | None:
+    """Return the root in force, never one from a replica that lags.
+
+    It costs a write, so :func:`read_root` does where an old root leads to
+    nothing worse than a conflict.
+
+    :param platform: where the configuration is kept
+    :raises MastichatchError: with ``platform_unavailable``, or with
+        ``conflict`` if only old roots were read
+    """
+    for _ in range(CONFLICT_ATTEMPTS):
+        base = await _read_base(platform)
+        if await _is_newest(platform, base):
+            return base.root
+        await _pause(CONFLICT_PAUSE_S)
+    raise MastichatchError(ErrorKind.conflict, 'only old roots were read')
+
+
 async def read_manifest(
     platform: Platform,
     root: ConfigurationRoot,
@@ -137,18 +155,17 @@
     :param operator: who makes the change
     :returns: the accepted root; the one in force if nothing has to change
     :raises MastichatchError: with ``not_found`` before the first manifest,
-        ``platform_unavailable`` if nothing was accepted, or
-        ``outcome_unknown`` if that could not be learned
+        ``platform_unavailable`` if nothing was accepted, ``conflict`` if
+        others always came first, or ``outcome_unknown`` if that could not be
+        learned
     """
     verb = 'drain' if drained else 'restore'
     intent = _intent(operator, f'{verb} {drain.kind} {drain.name}')
     for _ in range(CONFLICT_ATTEMPTS):
         base = await _read_base(platform)
         proposed = _propose_drain(base.root, drain, drained, intent)
-        if proposed == base.root:
-            return proposed
         with contextlib.suppress(ChangeConflictError):
-            await _swap(platform, base, proposed)
+            await _accept(platform, base, proposed)
             return proposed
         await _pause(CONFLICT_PAUSE_S)
     raise MastichatchError(
@@ -182,6 +199,36 @@
     )
 
 
+async def _is_newest(platform: Platform, base: _Base) -> bool:
+    """Return whether a root is in force, by writing it again as it is.
+
+    A read may come from a replica that lags; a conditional write may not.
+    """
+    if base.root is None:
+        return True
+    try:
+        await platform.write(
+            configuration.ROOT_KEY,
+            codec.encode_json(base.root),
+            expect=base.stored_revision,
+        )
+    except RevisionMismatchError:
+        return False
+    return True
+
+
+async def _accept(
+    platform: Platform,
+    base: _Base,
+    proposed: ConfigurationRoot,
+) -> None:
+    """Return once a root is known to be in force, changed or not."""
+    if proposed != base.root:
+        await _swap(platform, base, proposed)
+    elif not await _is_newest(platform, base):
+        raise ChangeConflictError(proposed)
+
+
 async def _write_chunks(
     platform: Platform,
     base: _Base,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -22,6 +22,7 @@
 )
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.manifest import ManifestError
+from mastichatch_ctl import configuration as operators
 from mastichatch_node import changes
 from mastichatch_node.configuration import Configuration, open_configuration
 from mastichatch_node.peers import Peers, open_peers
@@ -222,6 +223,31 @@
             assert set(root.drains) == set(drains)
             assert root.revision == 13
 
+    async def test_a_replica_that_lags_leads_to_no_false_answer(self) -> None:
+        async with open_store() as (platform, standin):
+            await changes.apply_manifest(platform, manifest_bytes(), 'one')
+            await changes.set_drain(platform, NORTH, True, 'one')
+            await control(standin, stale_reads=True)
+            await changes.set_drain(platform, NORTH, False, 'two')
+            # Reads still show the data centre drained from here on.
+            again = asyncio.create_task(
+                changes.set_drain(platform, NORTH, True, 'three')
+            )
+            refused = asyncio.create_task(
+                operators.restore(platform, SOUTH, 'four')
+            )
+            await asyncio.sleep(0.2)
+            assert not again.done()
+            assert not refused.done()
+            await control(standin, stale_reads=False)
+            assert (await again).drains == (NORTH,)
+            with pytest.raises(MastichatchError) as caught:
+                await refused
+            assert caught.value.kind is ErrorKind.not_found
+            root = await changes.read_root(platform)
+            assert root is not None
+            assert root.drains == (NORTH,)
+
     async def test_a_repeated_drain_changes_nothing(self) -> None:
         async with open_store() as (platform, _):
             await changes.apply_manifest(platform, manifest_bytes(), 'one')
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import pathlib
 from collections.abc import AsyncIterator
@@ -17,7 +18,7 @@
 from mastichatch_node import changes
 from mastichatch_node.platform import Platform, open_platform
 from tests.fleet_status import read_status, until_all
-from tests.processes import Fleet, FleetPlan, open_fleet
+from tests.processes import Fleet, FleetPlan, Node, open_fleet, poll_until
 
 PLAN = FleetPlan(
     engines=0,
@@ -76,6 +77,11 @@
     return Drain(kind=DrainKind.endpoint, name=name)
 
 
+async def is_live(node: Node) -> bool:
+    """Return whether a process of a node answers."""
+    return await node.status_of('/health/live') == 200
+
+
 async def until_in_force(fleet: Fleet, revision: int) -> float:
     """Wait until every node has a revision, at most the time allowed."""
     return await until_all(
@@ -210,6 +216,26 @@
         await until_in_force(fleet, root.revision)
         assert others
 
+    async def test_a_start_of_all_nodes_in_an_outage_waits_for_its_end(
+        self, fleet: Fleet
+    ) -> None:
+        async with open_direct(fleet) as platform:
+            root = await changes.set_drain(platform, drain_of('e'), True, 'o')
+        await until_in_force(fleet, root.revision)
+        await fleet.platform.control(available=False, mode='hang')
+        for node in fleet.nodes.values():
+            node.process.kill()
+        for name, node in fleet.nodes.items():
+            fleet.nodes[name] = fleet.processes.node(node.options)
+        for node in fleet.nodes.values():
+            await poll_until(functools.partial(is_live, node), 'live')
+            assert await node.status_of('/health/ready') == 503
+            assert await node.status_of('/v1/models') == 503
+        await fleet.platform.control(available=True)
+        await until_in_force(fleet, root.revision)
+        for node in fleet.nodes.values():
+            await node.wait_ready()
+
     async def test_a_rolling_restart_under_changes_loses_none(
         self, fleet: Fleet
     ) -> None:
