Let no request that can't go hold up its workspace's others

Cause: only the oldest request of each class and workspace was looked at. One whose node is silent can't be granted, and one whose other endpoints failed it waits for a single one; either held up all that came after it in its lane until its deadline, 30 s by default.

Ruled out: dropping the requests of a silent node, which would lose their place when it is heard again.

Change: the oldest request that may go somewhere is looked at, by whether its node registered lately and whether an endpoint with room is open to it. What does not fit in memory still keeps its place, as before.

--- a/packages/core/mastichatch_core/fairness.py
+++ b/packages/core/mastichatch_core/fairness.py
@@ -1,7 +1,7 @@
 """Orders waiting requests by class and by workspace, without starvation."""
 
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from mastichatch_core.generated.messages import PermitRequest, RequestClass
@@ -167,8 +167,12 @@
         )
         return next(entries, None)
 
-    def heads(self) -> Iterator[Waiting]:
-        """Iterate over the oldest request of each lane, in order of grant."""
+    def heads(self, may_go: Callable[[Waiting], bool]) -> Iterator[Waiting]:
+        """Iterate over the oldest request of each lane, in order of grant.
+
+        :param may_go: whether a request may be granted now at all; one that
+            may not holds up none that came after it
+        """
         lanes = sorted(
             self._lanes,
             key=lambda lane: (
@@ -177,7 +181,9 @@
             ),
         )
         for lane in lanes:
-            yield next(iter(self._lanes[lane].values()))
+            entry = next(filter(may_go, self._lanes[lane].values()), None)
+            if entry is not None:
+                yield entry
 
     def _forget_idle(self) -> None:
         """Drop the times of workspaces that would rejoin at the start."""
--- a/packages/core/mastichatch_core/granting.py
+++ b/packages/core/mastichatch_core/granting.py
@@ -1,6 +1,8 @@
 """Places waiting requests on endpoints, in the queue's order."""
 
 import dataclasses
+import functools
+from collections.abc import Callable
 from typing import Final
 
 from mastichatch_core.admission import is_open, remember_prefix
@@ -123,23 +125,30 @@
     :returns: whether enough of the lease is left for it to be used
     """
     registration = scheduler.reach.registration(permit.node)
-    if registration is None:
+    if registration is None or not _enough_left(scheduler, permit.node, now):
         return False
-    lease = scheduler.timing.permit_lease
     sequence, registered_at = registration
-    if registered_at + lease * (1 - LEAST_LEASE_SHARE) < now:
-        return False
     permit.registration = sequence
-    permit.expires_at = registered_at + lease
+    permit.expires_at = registered_at + scheduler.timing.permit_lease
     return True
 
 
+def _enough_left(scheduler: Scheduler, node: str, now: float) -> bool:
+    """Return whether a permit could be used by a node before it lapses."""
+    registration = scheduler.reach.registration(node)
+    if registration is None:
+        return False
+    _, registered_at = registration
+    usable = scheduler.timing.permit_lease * (1 - LEAST_LEASE_SHARE)
+    return registered_at + usable >= now
+
+
 def _grant_next(
     scheduler: Scheduler, free: dict[str, int], now: float
 ) -> Grant | None:
     """Grant to the first request in the queue's order that fits."""
     reserved: set[str] = set()
-    for entry in scheduler.queue.heads():
+    for entry in scheduler.queue.heads(_has_way(scheduler, free, now)):
         permit = _draft(scheduler, entry, now)
         if permit is None:
             continue
@@ -163,6 +172,36 @@
     return None
 
 
+def _has_way(
+    scheduler: Scheduler, free: dict[str, int], now: float
+) -> Callable[[Waiting], bool]:
+    """Return what tells whether a request may go to any endpoint with room.
+
+    One whose node is silent, or whose endpoints failed it or are not open,
+    may wait for long, and others of its workspace need not wait with it.
+    """
+
+    @functools.cache
+    def open_to(node: str) -> frozenset[str]:
+        if not _enough_left(scheduler, node, now):
+            return frozenset()
+        return frozenset(
+            name
+            for name, places in free.items()
+            if places > 0
+            and is_open(
+                scheduler.pool.states[name],
+                node,
+                scheduler.pool.ledger.running(name),
+                now,
+            )
+        )
+
+    return lambda entry: (
+        not open_to(entry.request.node).issubset(entry.request.excluded)
+    )
+
+
 def _draft(scheduler: Scheduler, entry: Waiting, now: float) -> Permit | None:
     """Return a permit without an endpoint, if the request may have one."""
     request = entry.request
