Kill and freeze the owner of a call at five given steps

Until now nodes were killed and frozen some milliseconds into a call, so which step they were at hung on the machine's speed. The stand-ins now hold a call where the test wants it: before its claim takes effect, between that and the answer, in the service before it runs, after it ran, and after its caller has the answer. A retry in the other data centre comes while the owner is gone, and retries at all nodes come after its return.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -45,6 +45,7 @@
     :param available: whether calls are answered
     :param mode: `refuse` answers 503 while away, `hang` never answers
     :param delay_ms: time before a call takes effect
+    :param answer_delay_ms: time between a write's effect and its answer
     :param lose_answers: number of writes to come that get no answer
     :param hosts: the host list
     :param hosts_lag_ms: time until reads show a new host list
@@ -55,6 +56,7 @@
     available: bool = True
     mode: str = 'refuse'
     delay_ms: float = 0
+    answer_delay_ms: float = 0
     lose_answers: int = 0
     hosts: list[serving.Body] = dataclasses.field(default_factory=list)
     hosts_lag_ms: float = 0
@@ -303,6 +305,8 @@
         response = await handler(request)
         if kind == 'watches' and not store.faults.available:
             return web.Response(status=503)
+        if kind == 'writes':
+            await asyncio.sleep(store.faults.answer_delay_ms / 1000)
         if kind == 'writes' and store.faults.lose_answers > 0:
             store.faults.lose_answers -= 1
             serving.cut(request)
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -97,7 +97,10 @@
         serving.show(
             '/control/executions', lambda: {'executions': record.executions}
         ),
-        serving.show('/control/peak', lambda: record.peaks),
+        serving.show(
+            '/control/peak',
+            lambda: {**record.peaks, 'running': record.running},
+        ),
     )
 
 
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
 import pathlib
 import random
@@ -235,6 +236,106 @@
         assert kinds_of([told]) == {'yes'}
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Step:
+    """Where a call stops until the faults are taken back.
+
+    :param platform: faults of the platform
+    :param services: faults of the services
+    :param reached: whether the owner's call has come there
+    """
+
+    platform: dict[str, Any] = dataclasses.field(default_factory=dict)
+    services: dict[str, Any] = dataclasses.field(default_factory=dict)
+    reached: Callable[[Ledger, Fleet, str, int], Awaitable[bool]]
+
+    async def hold(self, fleet: Fleet) -> None:
+        """Set the faults."""
+        await fleet.platform.control(**self.platform)
+        await set_services(fleet, **self.services)
+
+    async def let_go(self, fleet: Fleet) -> None:
+        """Take the faults back."""
+        await fleet.platform.control(delay_ms=0, answer_delay_ms=0)
+        await set_services(fleet, delay_ms=0, answer_delay_ms=0)
+
+
+async def claim_writes(fleet: Fleet) -> int:
+    """Return how many writes of claims reached the platform."""
+    calls = await fleet.platform.show('calls')
+    writes: int = calls['prefixes'].get('claims', {}).get('writes', 0)
+    return writes
+
+
+async def is_claiming(
+    ledger: Ledger, fleet: Fleet, key: str, writes: int
+) -> bool:
+    return await claim_writes(fleet) > writes
+
+
+async def is_at_service(
+    ledger: Ledger, fleet: Fleet, key: str, writes: int
+) -> bool:
+    shown = [await one.show('peak') for one in fleet.endpoints.values()]
+    return any(one['running'] for one in shown)
+
+
+async def has_run(ledger: Ledger, fleet: Fleet, key: str, writes: int) -> bool:
+    return key in await ledger.runs()
+
+
+async def is_answered(
+    ledger: Ledger, fleet: Fleet, key: str, writes: int
+) -> bool:
+    return any(told.key == key for told in ledger.told)
+
+
+STEPS: Final = {
+    'before-the-claim-takes-effect': Step(
+        platform={'delay_ms': 300}, reached=is_claiming
+    ),
+    'after-the-claim-took-effect': Step(
+        platform={'answer_delay_ms': 300}, reached=is_claiming
+    ),
+    'before-it-runs': Step(services={'delay_ms': 500}, reached=is_at_service),
+    'after-it-ran': Step(services={'answer_delay_ms': 500}, reached=has_run),
+    'after-the-answer': Step(reached=is_answered),
+}
+
+
+class TestSteps:
+    """The owner dies or freezes between two given steps of a call."""
+
+    @pytest.mark.parametrize('killed', [True, False])
+    async def test_no_step_leads_to_a_second_run(
+        self, fleet: Fleet, ledger: Ledger, killed: bool
+    ) -> None:
+        for name, step in STEPS.items():
+            key = f'{name}-{killed}'
+            owner = fleet.nodes[NORTH]
+            # The first call of a node takes the lease that claims need.
+            assert (await ledger.book(owner, f'{key}-warm')).ran == 'yes'
+            writes = await claim_writes(fleet)
+            await step.hold(fleet)
+            first = asyncio.create_task(ledger.book(owner, key))
+            await poll_until(
+                functools.partial(step.reached, ledger, fleet, key, writes),
+                f'{name} reached',
+            )
+            owner.process.kill() if killed else owner.process.freeze()
+            assert (await ledger.book(fleet.nodes[SOUTH], key)).status
+            await step.let_go(fleet)
+            if killed:
+                await fleet.restart(NORTH)
+            else:
+                owner.process.wake()
+            assert all(
+                told.status for told in await gather_all(ledger, fleet, key)
+            )
+            assert (await first).status or killed
+        await ledger.check()
+
+
 class TestNodeFaults:
     """Nodes that die or freeze between two steps of a call."""
 
