--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -145,6 +145,7 @@
         self.options = options
         self.counts: collections.Counter[str] = collections.Counter()
         self.request_ids: list[str] = []
+        self.asked_ids: list[str] = []
         self.peaks = {'peak': 0, 'peak_cold': 0}
         self.faults: serving.Body = {
             'refuse': False,
@@ -243,6 +244,7 @@
         return {name: self.counts[name] for name in names} | {
             'running': self.count_running(),
             'request_ids': self.request_ids,
+            'asked_ids': self.asked_ids,
         }
 
     def cancel(self, output: Output) -> None:
@@ -381,13 +383,12 @@
 
     async def complete(request: web.Request) -> web.StreamResponse:
         body = await request.json()
+        request_id = request.headers.get('Request-Id', '')
+        engine.asked_ids.append(request_id)
         output = None
         if not engine.faults['refuse']:
-            output = engine.start(
-                body,
-                request.headers.get('Request-Id', ''),
-                int(request.headers.get('Priority', '0')),
-            )
+            priority = int(request.headers.get('Priority', '0'))
+            output = engine.start(body, request_id, priority)
         if output is None:
             return web.json_response(
                 {'error': {'type': 'overloaded'}}, status=503
