Test three rules of the scheduler each on its own

Each directed test gives the case that no other rule covers:

- registrations that lay unread during a freeze count as obeying, as the set of heard members is of before it, too;
- a member holds two permits of the scheduler before that no report can show, as they are not used yet; half of the limit on top makes three of two;
- a request that a silent node began just before its lease ended is in no report when the lease ends.

--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -1,7 +1,11 @@
 """Rules of the scheduler, one at a time."""
 
 from mastichatch_core import scheduler as core
-from mastichatch_core.generated.messages import Registration
+from mastichatch_core.generated.messages import (
+    HeldPermit,
+    Registration,
+    Term,
+)
 
 from tests.test_scheduler import (
     asked,
@@ -9,6 +13,7 @@
     grants,
     open_warm,
     renew,
+    report,
 )
 
 
@@ -49,3 +54,66 @@
             assert granted(core.request(opened, item, 1)) == [f'r{number}']
         core.request(opened, asked(4, excluded=('e1',)), 1)
         assert granted(core.request(opened, asked(5), 1)) == ['r5']
+
+
+class TestStartingOver:
+    """What lay unread while the scheduler was frozen says nothing of now."""
+
+    def test_registrations_from_before_a_freeze_do_not_count(self) -> None:
+        opened = open_warm(catalogue(cold_limit=4, batch_limit=4))
+        old_term = opened.term
+        core.observe(opened, report('e1'), 9)
+        register(opened, 9, term=old_term)
+        assert not granted(core.request(opened, asked(1), 9))
+        register(opened, 9.1)
+        core.observe(opened, report('e1'), 9.2)
+        assert granted(core.request(opened, asked(2), 9.2))
+
+
+class TestWaiting:
+    """A new scheduler first learns what its members hold."""
+
+    def test_nothing_is_granted_before_the_registrations(self) -> None:
+        """A member may still use permits that no report can show."""
+        described = catalogue(cold_limit=2, batch_limit=2)
+        term = Term(number=2, incarnation='i')
+        scheduler = core.open_scheduler(term, described, 's', 'd', 0)
+        members = frozenset('ab')
+        core.set_members(scheduler, members, members, 0)
+        register(scheduler, 0.1)
+        core.observe(scheduler, report('e1'), 0.6)
+        assert not granted(core.request(scheduler, asked(1), 0.6))
+        held = tuple(
+            HeldPermit(
+                request_id=name, attempt=0, endpoint='e1', workspace='big'
+            )
+            for name in ('r8', 'r9')
+        )
+        assert not granted(register(scheduler, 0.7, 'b', held=held))
+        assert scheduler.permit_count == 2
+
+
+class TestSilence:
+    """A node that fell silent may have used its permits."""
+
+    def test_a_permit_of_a_silent_node_counts_while_its_engine_goes_on(
+        self,
+    ) -> None:
+        opened = open_warm(catalogue(cold_limit=1, batch_limit=1))
+        members = frozenset('ab')
+        core.set_members(opened, members, members, 1)
+        register(opened, 1, 'b')
+        for number in (1, 2):
+            assert granted(core.request(opened, asked(number, node='b'), 1))
+        core.request(opened, asked(3), 1)
+        core.set_members(opened, frozenset('a'), frozenset('a'), 1)
+        timing = opened.timing
+        ends_at = 1 + timing.permit_lease + timing.linger
+        for step in range(5, int(ends_at * 4)):
+            # What it began just before its lease ended is in no report yet.
+            core.observe(opened, report('e1'), step / 4)
+            renew(opened, step / 4)
+            assert 'r3' in {entry.key[0] for entry in opened.queue}
+        renew(opened, ends_at)
+        core.observe(opened, report('e1'), ends_at)
+        assert not opened.waiting_count
