Look at fewer endpoints and permits for each event of a scheduler

Cause: each event walked through all permits to find those that lapsed, and each grant worked out the share of budgets, the limit and whether it is open anew for each endpoint, and the memory wanted at an endpoint from the start. The bench did not show most of it, since nothing ran beside its requests.

Change: the ledger keeps permits by when to look at them (a later end costs nothing until then); share and limits are taken once for a round of grants; open endpoints are worked out once for a node; a grant adds its memory to the sum. New slopes: one second of a scheduler with its permits in use and renewed, and a renewal in short.

The test of the ledger fails without looking again at an end that was brought forward.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,9 +9,10 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from bench.costs import measure_costs
+from bench.costs import RENEWALS_A_SECOND, measure_costs
 from bench.datapath import measure_datapath
 from bench.slopes import Slope, write_slopes
+from mastichatch_core.renewal import LIST_INTERVAL_S
 
 US_PER_S: Final = 1_000_000
 MS_PER_S: Final = 1000
@@ -93,22 +94,37 @@
     )
     cycle_us = slopes['scheduler request'].at(target.endpoints_a_scheduler)
     yield Row(
-        role='scheduler, requests of one',
+        role='scheduler, requests of one while nothing runs',
         figure=target.requests_a_scheduler * cycle_us / US_PER_S,
         unit='cores',
     )
     held = target.streams_a_node / target.models
     yield Row(
-        role='scheduler, registrations of all nodes',
-        figure=2
+        role='scheduler, all of one at the load of the target',
+        figure=slopes['scheduler second'].at(held * target.nodes_a_data_centre)
+        / MS_PER_S,
+        unit='cores',
+    )
+    yield Row(
+        role='scheduler, renewals of all nodes',
+        figure=RENEWALS_A_SECOND
         * target.nodes_a_data_centre
-        * slopes['scheduler registration'].at(held)
+        * slopes['scheduler renewal'].at(held)
         / US_PER_S,
         unit='cores',
     )
     yield Row(
-        role='permits, registrations sent',
-        figure=2 * target.models * slopes['registration size'].at(held),
+        role='permits, renewals sent',
+        figure=target.models
+        * RENEWALS_A_SECOND
+        * slopes['renewal size'].at(held),
+        unit='B/s',
+    )
+    yield Row(
+        role='permits, lists sent',
+        figure=target.models
+        * slopes['registration size'].at(held)
+        / LIST_INTERVAL_S,
         unit='B/s',
     )
     yield Row(
--- a/bench/costs.py
+++ b/bench/costs.py
@@ -1,5 +1,6 @@
 """Costs of the pure decisions and of state, each measured at several sizes."""
 
+import dataclasses
 import itertools
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -34,6 +35,7 @@
     Term,
 )
 from mastichatch_core.generated.records import Claim
+from mastichatch_core.renewal import Told
 from mastichatch_core.tickets import Ticket, read_ticket, sign_ticket
 from mastichatch_node import codec
 from mastichatch_node.decisions import create_decision_log
@@ -44,6 +46,16 @@
 TERM: Final = Term(number=1, incarnation='incarnation')
 SIZES: Final = (250, 500, 1000, 2000)
 ENDPOINT_SIZES: Final = (8, 16, 32, 65)
+PERMIT_SIZES: Final = (300, 600, 1200, 2400)
+NODE_PERMIT_SIZES: Final = (20, 40, 80, 160)
+ENDPOINTS: Final = 16
+NODES: Final = 15
+REQUESTS_A_SECOND: Final = 152
+REQUESTS_A_RENEWAL: Final = 5
+REQUESTS_A_TICK: Final = 8
+RENEWALS_A_SECOND: Final = 2
+TOKENS_A_RENEWAL: Final = 14
+US_PER_MS: Final = 1000
 SECRET: Final = 'a secret for measuring'
 
 
@@ -85,27 +97,31 @@
     )
 
 
-def request_of(number: int) -> PermitRequest:
+def request_of(number: int, node: str = NODE) -> PermitRequest:
     """Return one of many permit requests.
 
     :param number: tells the requests apart
+    :param node: name of the node that asks
     """
     return PermitRequest(
         request_id=f'{number:032x}',
         attempt=0,
         service=SERVICE,
         workspace=f'workspace-{number % 100}',
-        node=NODE,
+        node=node,
         data_centre=PLACE,
         prompt_tokens=500,
         deadline_ms=1e9,
     )
 
 
-def ready_scheduler(endpoints: int) -> core.Scheduler:
-    """Return a scheduler whose only member has registered.
+def ready_scheduler(
+    endpoints: int, nodes: tuple[str, ...] = (NODE,)
+) -> core.Scheduler:
+    """Return a scheduler whose members have registered.
 
     :param endpoints: number of endpoints
+    :param nodes: names of the members
     """
     scheduler = core.open_scheduler(
         TERM,
@@ -114,13 +130,11 @@
         PLACE,
         0,
     )
-    members = frozenset((NODE,))
+    members = frozenset(nodes)
     core.set_members(scheduler, members, members, 0)
-    core.register(
-        scheduler,
-        Registration(service=SERVICE, node=NODE, term=TERM, sequence=1),
-        0.1,
-    )
+    for node in nodes:
+        empty = Registration(service=SERVICE, node=node, term=TERM, sequence=1)
+        core.register(scheduler, empty, 0.1)
     for number in range(endpoints):
         core.observe(
             scheduler,
@@ -145,14 +159,7 @@
 
     def work() -> None:
         for number in range(cycles):
-            granted = core.request(scheduler, request_of(number), next(clock))
-            for outgoing in granted:
-                if isinstance(outgoing.message, PermitGrant):
-                    core.release(
-                        scheduler,
-                        _release_of(outgoing.message),
-                        next(clock),
-                    )
+            _live(scheduler, request_of(number), clock)
 
     return processor_us(work) / cycles
 
@@ -170,21 +177,61 @@
     )
 
 
-def registration_of(held: int) -> Registration:
-    """Return a registration of permits in use.
+def second_cost(held: int) -> float:
+    """Return the cost of one second of a scheduler of the target's size.
+
+    All its permits grow in that time, and each node renews them twice.
+
+    :param held: number of permits in use
+    """
+    nodes = tuple(f'{NODE}-{number}' for number in range(NODES))
+    scheduler = ready_scheduler(ENDPOINTS, nodes)
+    renewals: list[Registration] = []
+    for node in nodes:
+        registration = registration_of(held // NODES, node)
+        core.register(scheduler, registration, 0.3)
+        renewals.extend(renewals_of(registration, RENEWALS_A_SECOND))
+    clock = _clock()
+    # What permits want is worked out before, as in any second but the first.
+    _live(scheduler, request_of(REQUESTS_A_SECOND, nodes[0]), clock)
+
+    def work() -> None:
+        for number in range(REQUESTS_A_SECOND):
+            _live(scheduler, request_of(number, nodes[number % NODES]), clock)
+            if renewals and not number % REQUESTS_A_RENEWAL:
+                core.register(scheduler, renewals.pop(0), next(clock))
+            if not number % REQUESTS_A_TICK:
+                core.advance(scheduler, next(clock))
+
+    return processor_us(work) / US_PER_MS
+
+
+def _live(
+    scheduler: core.Scheduler, asked: PermitRequest, clock: Iterator[float]
+) -> None:
+    """Let a request be granted and end at once."""
+    for outgoing in core.request(scheduler, asked, next(clock)):
+        if isinstance(outgoing.message, PermitGrant):
+            released = _release_of(outgoing.message)
+            core.release(scheduler, released, next(clock))
+
+
+def registration_of(held: int, node: str = NODE) -> Registration:
+    """Return a registration that names permits in use.
 
     :param held: number of permits
+    :param node: name of the node that holds them
     """
     return Registration(
         service=SERVICE,
-        node=NODE,
+        node=node,
         term=TERM,
         sequence=2,
         held=tuple(
             HeldPermit(
-                request_id=f'{number:032x}',
+                request_id=f'{node}{number:032x}',
                 attempt=0,
-                endpoint=f'endpoint-{number % 16}',
+                endpoint=f'endpoint-{number % ENDPOINTS}',
                 workspace=f'workspace-{number % 100}',
                 prompt_tokens=500,
                 output_tokens=number,
@@ -195,6 +242,56 @@
     )
 
 
+def renewals_of(
+    registration: Registration, count: int
+) -> tuple[Registration, ...]:
+    """Return the registrations that follow one and renew its permits.
+
+    :param registration: names the permits
+    :param count: number of registrations
+    """
+    told = Told()
+    told.note_list(registration.held, 0)
+    return tuple(
+        dataclasses.replace(
+            registration,
+            sequence=registration.sequence + turn,
+            held=(),
+            summary=told.summarize(_grown(registration, turn), 0),
+        )
+        for turn in range(1, count + 1)
+    )
+
+
+def _grown(registration: Registration, turn: int) -> tuple[HeldPermit, ...]:
+    fresh = turn * TOKENS_A_RENEWAL
+    return tuple(
+        dataclasses.replace(one, output_tokens=one.output_tokens + fresh)
+        for one in registration.held
+    )
+
+
+def renewal_cost(held: int) -> float:
+    """Return the cost of taking in a renewal in short.
+
+    :param held: number of permits that it renews
+    """
+    scheduler = ready_scheduler(ENDPOINTS)
+    registration = registration_of(held)
+    core.register(scheduler, registration, 0.3)
+    renewal = renewals_of(registration, 1)[0]
+    return processor_us(lambda: core.register(scheduler, renewal, 0.4))
+
+
+def renewal_bytes(held: int) -> float:
+    """Return the bytes of a renewal in short.
+
+    :param held: number of permits that it renews
+    """
+    renewal = renewals_of(registration_of(held), 1)[0]
+    return _envelope_bytes(MessageKind.registration, renewal)
+
+
 def registration_cost(held: int) -> float:
     """Return the cost of taking in a registration.
 
@@ -425,6 +522,8 @@
 ] = (
     ('scheduler request', 'endpoint', 'us', ENDPOINT_SIZES, cycle_cost),
     ('scheduler registration', 'permit', 'us', SIZES, registration_cost),
+    ('scheduler renewal', 'permit', 'us', NODE_PERMIT_SIZES, renewal_cost),
+    ('scheduler second', 'permit', 'ms', PERMIT_SIZES, second_cost),
     ('scheduler tick', 'waiting request', 'us', SIZES, waiting_cost),
     ('scheduler memory', 'permit', 'kB', SIZES, scheduler_memory),
     ('catalogue memory', 'workspace', 'kB', SIZES, catalogue_memory),
@@ -436,6 +535,7 @@
     ('decision memory', 'decision', 'kB', SIZES, decision_memory),
     ('heartbeat size', 'member', 'B', ENDPOINT_SIZES, heartbeat_bytes),
     ('registration size', 'permit', 'B', SIZES, registration_bytes),
+    ('renewal size', 'permit', 'B', NODE_PERMIT_SIZES, renewal_bytes),
     ('digest size', 'service', 'B', ENDPOINT_SIZES, digest_bytes),
 )
 
--- a/packages/core/mastichatch_core/endpoints.py
+++ b/packages/core/mastichatch_core/endpoints.py
@@ -12,6 +12,7 @@
 from mastichatch_core.catalogue import Catalogue
 from mastichatch_core.generated.manifest import Service, Workspace
 from mastichatch_core.ledger import Permit, PermitKey, PermitLedger
+from mastichatch_core.memory import both
 from mastichatch_core.service_times import ServiceTimes, takes_work
 from mastichatch_core.throughput import Throughput
 
@@ -148,7 +149,11 @@
         self.give_back(permit.key, now)
         self._ledger.add(permit)
         state = self._states.get(permit.endpoint)
-        if state is not None:
+        if state is None:
+            return
+        if state.demand is not None and permit.wanted is not None:
+            state.demand = both(state.demand, permit.wanted)
+        else:
             state.demand = None
 
     def give_back(self, key: PermitKey, now: float) -> Permit | None:
--- a/packages/core/mastichatch_core/granting.py
+++ b/packages/core/mastichatch_core/granting.py
@@ -13,10 +13,10 @@
     PermitRequest,
 )
 from mastichatch_core.ledger import Permit
-from mastichatch_core.memory import Demand, demand, peak, total
+from mastichatch_core.memory import Demand, both, demand, peak, total
 from mastichatch_core.placement_score import Candidate, score
 from mastichatch_core.prediction import remaining
-from mastichatch_core.scheduler_state import Scheduler
+from mastichatch_core.scheduler_state import Room, Scheduler
 
 RESERVE_AFTER_S: Final = 1.0
 PROMPT_TOKEN_COST: Final = 0.1
@@ -86,13 +86,13 @@
         return ()
     if scheduler.superseded or not scheduler.reach.ready(now):
         return ()
-    free = scheduler.free_places(now)
+    room = scheduler.room(now)
     grants: list[Grant] = []
-    while any(places > 0 for places in free.values()):
-        grant = _grant_next(scheduler, free, now)
+    while any(places > 0 for places in room.free.values()):
+        grant = _grant_next(scheduler, room, now)
         if grant is None:
             break
-        free[grant.permit.endpoint] -= 1
+        room.free[grant.permit.endpoint] -= 1
         grants.append(grant)
     return tuple(grants)
 
@@ -143,24 +143,18 @@
     return registered_at + usable >= now
 
 
-def _grant_next(
-    scheduler: Scheduler, free: dict[str, int], now: float
-) -> Grant | None:
+def _grant_next(scheduler: Scheduler, room: Room, now: float) -> Grant | None:
     """Grant to the first request in the queue's order that fits."""
     reserved: set[str] = set()
-    for entry in scheduler.queue.heads(_has_way(scheduler, free, now)):
+    ways = _ways(scheduler, room, now)
+    heads = scheduler.queue.heads(lambda entry: bool(ways(entry)))
+    for entry in heads:
         permit = _draft(scheduler, entry, now)
         if permit is None:
             continue
-        candidates = _candidates(
-            scheduler,
-            entry,
-            {
-                name
-                for name, places in free.items()
-                if places > 0 and name not in reserved
-            },
-            now,
+        candidates = tuple(
+            _candidate(scheduler, entry, name, room)
+            for name in sorted(ways(entry) - reserved)
         )
         fitting = [one for one in candidates if one.peak_share <= 1]
         if fitting:
@@ -172,10 +166,10 @@
     return None
 
 
-def _has_way(
-    scheduler: Scheduler, free: dict[str, int], now: float
-) -> Callable[[Waiting], bool]:
-    """Return what tells whether a request may go to any endpoint with room.
+def _ways(
+    scheduler: Scheduler, room: Room, now: float
+) -> Callable[[Waiting], frozenset[str]]:
+    """Return what tells the endpoints with room that a request may go to.
 
     One whose node is silent, or whose endpoints failed it or are not open,
     may wait for long, and others of its workspace need not wait with it.
@@ -187,7 +181,7 @@
             return frozenset()
         return frozenset(
             name
-            for name, places in free.items()
+            for name, places in room.free.items()
             if places > 0
             and is_open(
                 scheduler.pool.states[name],
@@ -197,8 +191,8 @@
             )
         )
 
-    return lambda entry: (
-        not open_to(entry.request.node).issubset(entry.request.excluded)
+    return lambda entry: open_to(entry.request.node).difference(
+        entry.request.excluded
     )
 
 
@@ -257,44 +251,21 @@
     )
 
 
-def _candidates(
-    scheduler: Scheduler,
-    entry: Waiting,
-    names: set[str],
-    now: float,
-) -> tuple[Candidate, ...]:
-    request = entry.request
-    return tuple(
-        _candidate(scheduler, entry, name, now)
-        for name in sorted(names)
-        if name not in request.excluded
-        and is_open(
-            scheduler.pool.states[name],
-            request.node,
-            scheduler.pool.ledger.running(name),
-            now,
-        )
-    )
-
-
 def _candidate(
-    scheduler: Scheduler,
-    entry: Waiting,
-    name: str,
-    now: float,
+    scheduler: Scheduler, entry: Waiting, name: str, room: Room
 ) -> Candidate:
     state = scheduler.pool.states[name]
     running = scheduler.pool.load(name)
-    together = total((_demand_at(scheduler, name), entry.wanted))
+    together = both(_demand_at(scheduler, name), entry.wanted)
     memory = peak(together, state.safety.deviations)
     if state.foreign:
         memory *= running / max(1, running - state.foreign)
-    budget = state.described.memory_tokens * scheduler.reach.share(now)
+    budget = state.described.memory_tokens * room.share
     share = memory / max(1.0, budget)
     return Candidate(
         endpoint=name,
         running=running,
-        limit=int(scheduler.pool.limit(name, now)),
+        limit=int(room.limits[name]),
         peak_share=share if running else min(share, 1.0),
         prefix_known=entry.request.prefix_hash in state.prefixes,
     )
@@ -304,19 +275,20 @@
     """Return what an endpoint's permits want, worked out when they change."""
     state = scheduler.pool.states[name]
     if state.demand is None:
+        permits = scheduler.pool.ledger.at_endpoint(name)
         state.demand = total(
-            _demand_of(scheduler, permit)
-            for permit in scheduler.pool.ledger.at_endpoint(name)
+            [one.wanted or _demand_of(scheduler, one) for one in permits]
         )
     return state.demand
 
 
 def _demand_of(scheduler: Scheduler, permit: Permit) -> Demand:
-    if permit.wanted is None:
-        permit.wanted = demand(
-            scheduler.lengths.lengths(permit.workspace, permit.request_class),
-            permit.prompt_tokens,
-            permit.output_tokens,
-            permit.max_tokens,
-        )
-    return permit.wanted
+    """Return what a permit wants, and keep it until its tokens change."""
+    wanted = demand(
+        scheduler.lengths.lengths(permit.workspace, permit.request_class),
+        permit.prompt_tokens,
+        permit.output_tokens,
+        permit.max_tokens,
+    )
+    permit.wanted = wanted
+    return wanted
--- a/packages/core/mastichatch_core/ledger.py
+++ b/packages/core/mastichatch_core/ledger.py
@@ -1,6 +1,9 @@
 """The permits that count against a service's endpoints."""
 
 import dataclasses
+import heapq
+import itertools
+import math
 from collections import Counter
 from collections.abc import Iterator, Mapping
 
@@ -33,6 +36,7 @@
     :param granted_at: when it was granted or first registered, in seconds
     :param renewed_at: when its node last named it, in seconds
     :param expires_at: when it lapses unless it is renewed, in seconds
+    :param looked_at: when the ledger looks whether it lapsed, in seconds
     """
 
     key: PermitKey
@@ -52,6 +56,7 @@
     granted_at: float
     renewed_at: float = 0
     expires_at: float
+    looked_at: float = math.inf
 
     @property
     def fingerprint(self) -> int:
@@ -68,6 +73,8 @@
         self._by_endpoint: dict[str, dict[PermitKey, Permit]] = {}
         self._by_node: dict[str, dict[int, Permit]] = {}
         self._by_workspace: Counter[str] = Counter()
+        self._looks: list[tuple[float, int, Permit]] = []
+        self._turns = itertools.count()
 
     def __len__(self) -> int:
         """Return the number of permits."""
@@ -109,6 +116,36 @@
         permit.listed = None
         self._by_node.setdefault(node, {})[permit.fingerprint] = permit
 
+    def set_end(self, permit: Permit, expires_at: float) -> None:
+        """Set when a permit lapses.
+
+        A later end costs nothing until the ledger looks at the permit again.
+
+        :param permit: a permit that counts
+        :param expires_at: time in seconds
+        """
+        permit.expires_at = expires_at
+        if expires_at < permit.looked_at:
+            self._look_again(permit)
+
+    def lapsed(self, now: float) -> Iterator[Permit]:
+        """Yield the permits whose ends have come.
+
+        Each must get another end, or no longer count, before the next.
+
+        :param now: time in seconds
+        """
+        while self._looks and self._looks[0][0] <= now:
+            looked_at, _, permit = heapq.heappop(self._looks)
+            counts = self._permits.get(permit.key) is permit
+            if not counts or looked_at != permit.looked_at:
+                continue
+            permit.looked_at = math.inf
+            if permit.expires_at > now:
+                self._look_again(permit)
+            else:
+                yield permit
+
     def running(self, endpoint: str) -> int:
         """Return how many permits count against an endpoint.
 
@@ -133,6 +170,7 @@
         self._by_endpoint.setdefault(permit.endpoint, {})[permit.key] = permit
         theirs = self._by_node.setdefault(permit.node, {})
         theirs[permit.fingerprint] = permit
+        self._look_again(permit)
         self._by_workspace[permit.workspace] += 1
 
     def pop(self, key: PermitKey) -> Permit | None:
@@ -149,6 +187,11 @@
         self._forget_holder(permit)
         return permit
 
+    def _look_again(self, permit: Permit) -> None:
+        permit.looked_at = permit.expires_at
+        turn = next(self._turns)
+        heapq.heappush(self._looks, (permit.looked_at, turn, permit))
+
     def _forget_holder(self, permit: Permit) -> None:
         theirs = self._by_node[permit.node]
         theirs.pop(permit.fingerprint)
--- a/packages/core/mastichatch_core/memory.py
+++ b/packages/core/mastichatch_core/memory.py
@@ -78,8 +78,22 @@
         nothing = tuple(float() for _ in STEPS_AHEAD)
         return Demand(nothing, nothing)
     return Demand(
-        tuple(map(sum, zip(*(one.means for one in each), strict=True))),
-        tuple(map(sum, zip(*(one.variances for one in each), strict=True))),
+        tuple(map(sum, zip(*[one.means for one in each], strict=True))),
+        tuple(map(sum, zip(*[one.variances for one in each], strict=True))),
+    )
+
+
+def both(one: Demand, other: Demand) -> Demand:
+    """Return the memory that two demands want together.
+
+    :param one: a demand
+    :param other: another
+    """
+    means = zip(one.means, other.means, strict=True)
+    variances = zip(one.variances, other.variances, strict=True)
+    return Demand(
+        tuple([first + second for first, second in means]),
+        tuple([first + second for first, second in variances]),
     )
 
 
@@ -89,11 +103,9 @@
     :param together: memory wanted by all generations
     :param deviations: standard deviations above the mean
     """
+    steps = zip(together.means, together.variances, strict=True)
     return max(
-        mean + deviations * math.sqrt(variance)
-        for mean, variance in zip(
-            together.means, together.variances, strict=True
-        )
+        [mean + deviations * math.sqrt(variance) for mean, variance in steps]
     )
 
 
--- a/packages/core/mastichatch_core/prediction.py
+++ b/packages/core/mastichatch_core/prediction.py
@@ -15,6 +15,7 @@
 SKETCHES_KEPT: Final = 1024
 UNKNOWN_MEDIAN_TOKENS: Final = 256.0
 UNKNOWN_SPREAD: Final = 1.2
+_LEAST_GAP: Final = 1e-9
 
 Lengths = tuple[float, ...]
 
@@ -34,10 +35,15 @@
         return (longest / max(tokens, 1.0)) ** 2 / (2 * size)
     above = bisect.bisect_right(lengths, tokens)
     lower = lengths[above - 1] if above else 0
-    upper = lengths[above]
-    between = (tokens - lower) / max(upper - lower, 1e-9)
+    # Called very often, and comparing costs less than a call of max().
+    gap = lengths[above] - lower
+    if gap < _LEAST_GAP:
+        gap = _LEAST_GAP
+    between = (tokens - lower) / gap
     rank = above - 0.5 + between if above else between / 2
-    return max(1.0 - rank / size, 1 / (2 * size))
+    share = 1.0 - rank / size
+    least = 1 / (2 * size)
+    return share if share > least else least
 
 
 def remaining(lengths: Lengths, so_far: int) -> float:
--- a/packages/core/mastichatch_core/scheduler.py
+++ b/packages/core/mastichatch_core/scheduler.py
@@ -439,9 +439,10 @@
     _note_tokens(scheduler, permit, output_tokens, now)
     permit.used = used or permit.used
     permit.renewed_at = now
-    permit.expires_at = now + scheduler.timing.permit_lease
+    expires_at = now + scheduler.timing.permit_lease
     if permit.used:
-        permit.expires_at += scheduler.timing.linger
+        expires_at += scheduler.timing.linger
+    scheduler.pool.ledger.set_end(permit, expires_at)
 
 
 def _note_tokens(
@@ -613,6 +614,7 @@
     if scheduler.pool.in_use(permit.endpoint) and renew_lease(
         scheduler, permit, now
     ):
+        scheduler.pool.ledger.set_end(permit, permit.expires_at)
         yield _send_grant(
             scheduler, Grant(permit=permit, candidates=(), reason='repeated')
         )
@@ -630,14 +632,12 @@
     A node that went silent after a grant may have used it, so its permit
     counts for as long as an engine goes on without its node.
     """
-    for permit in scheduler.pool.ledger:
-        if permit.expires_at > now:
-            continue
+    for permit in scheduler.pool.ledger.lapsed(now):
         told = scheduler.reach.told(permit.node)
         silent = told is None or told <= permit.registration
         if silent and not permit.used:
             permit.used = True
-            permit.expires_at = now + scheduler.timing.linger
+            scheduler.pool.ledger.set_end(permit, now + scheduler.timing.linger)
         else:
             scheduler.pool.drop(permit)
 
--- a/packages/core/mastichatch_core/scheduler_state.py
+++ b/packages/core/mastichatch_core/scheduler_state.py
@@ -29,6 +29,21 @@
     linger: float = 4.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Room:
+    """What endpoints whose load is known may still get, at one time.
+
+    :param free: how many more permits each may get, memory aside; negative
+        where more run than may
+    :param limits: requests that each bears
+    :param share: share of budgets of this scheduler
+    """
+
+    free: dict[str, int]
+    limits: dict[str, float]
+    share: float
+
+
 class Scheduler:
     """All that one scheduler knows; soft, and changed by one loop only."""
 
@@ -126,7 +141,7 @@
             return 0
         return sum(
             max(0, places)
-            for places in self.free_places(self._advanced_at).values()
+            for places in self.room(self._advanced_at).free.values()
         )
 
     def expected_wait_ms(self, now: float) -> float:
@@ -137,21 +152,27 @@
         """
         return self._pool.throughput.wait_ms(self._queue.backlog, now)
 
-    def free_places(self, now: float) -> dict[str, int]:
-        """Return how many more permits each endpoint may get, memory aside.
+    def room(self, now: float) -> Room:
+        """Return what endpoints whose load is known may still get.
 
         :param now: time in seconds
-        :returns: by endpoint whose load is known; negative where more run
-            than may
         """
         share = self._reach.share(now)
-        return {
-            name: self._free_at(name, share, now)
+        limits = {
+            name: self._pool.limit(name, now)
             for name, state in self._pool.states.items()
             if self._reach.covers(
                 state.reported_at, handed_over=state.handed_over
             )
         }
+        return Room(
+            free={
+                name: self._free_at(name, limit, share)
+                for name, limit in limits.items()
+            },
+            limits=limits,
+            share=share,
+        )
 
     def note_time(self, now: float) -> bool:
         """Note that time has passed, and start over after a freeze.
@@ -173,13 +194,12 @@
         self._reach.restart(now)
         self._queue = FairQueue()
         for permit in self._pool.ledger:
-            permit.expires_at = now + self._timing.permit_lease
+            self._pool.ledger.set_end(permit, now + self._timing.permit_lease)
         for state in self._pool.states.values():
             state.handed_over = False
         return True
 
-    def _free_at(self, name: str, share: float, now: float) -> int:
-        limit = self._pool.limit(name, now)
+    def _free_at(self, name: str, limit: float, share: float) -> int:
         scaled = scaled_limit(limit, share, keeper=self._reach.keeper)
         own = self._pool.ledger.running(name)
         return min(scaled - own, int(limit) - self._pool.load(name))
--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -13,6 +13,7 @@
     PermitOutcome,
     Registration,
 )
+from mastichatch_core.ledger import Permit, PermitLedger
 from mastichatch_core.renewal import (
     LIST_INTERVAL_S,
     Told,
@@ -212,3 +213,30 @@
         caller.scheduler.pool.ledger.move(permit, 'b')
         caller.register(1.5, in_short=False)
         assert not caller.register(2)
+
+
+def test_a_ledger_finds_permits_at_their_newest_ends() -> None:
+    """One end was put off and one brought forward; one permit ended."""
+    ledger = PermitLedger()
+    permits = [
+        Permit(
+            key=(f'r{number}', 0),
+            node='a',
+            endpoint='e1',
+            workspace='big',
+            granted_at=0,
+            expires_at=5,
+        )
+        for number in range(4)
+    ]
+    for permit in permits:
+        ledger.add(permit)
+    ledger.set_end(permits[0], 8)
+    ledger.set_end(permits[1], 3)
+    ledger.pop(permits[2].key)
+    found = []
+    for now in range(10):
+        for permit in ledger.lapsed(now):
+            found.append((now, permit.key[0]))
+            ledger.pop(permit.key)
+    assert found == [(3, 'r1'), (5, 'r3'), (8, 'r0')]
