Hand no caller the tokens or the answer of another request

Cause: the head of a resumed stream was compared by boot only, so a stream that came up the wrong connection was taken for the one asked for; the head of a new stream and a plain answer were bound by the connection alone.

Change: a resumed stream must name the generation asked for. An engine or service may name the request that it answers (In-Reply-To); an answer that names another one counts as a broken connection. The fault proxy hands one connection's bytes to another, and passes connections on to another target.

--- a/packages/node/mastichatch_node/engines.py
+++ b/packages/node/mastichatch_node/engines.py
@@ -10,6 +10,7 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.events import EventParser, TokenEvent
 from mastichatch_core.generated.messages import EndpointObservation, ErrorKind
+from mastichatch_node.replies import check_reply
 from mastichatch_node.reports import (
     ReadReport,
     open_report_reader,
@@ -128,6 +129,8 @@
                 timeout=self._timeout(idle_timeout_ms),
             )
         async with _closing(response):
+            with _translated_errors():
+                check_reply(response.headers, request_id)
             await _check(response)
             yield EngineStream(response)
 
--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -101,11 +101,12 @@
     done: bool = False
 
     def begin(self, stream: EngineStream) -> GenerationHandle:
-        """Return the handle, and check that a stream is of its boot.
+        """Return the handle, and check that a stream is of its generation.
 
         :param stream: a connection to the engine
         :raises MastichatchError: with ``not_found`` for another boot, which
-            may use the same id again
+            may use the same id again, and with ``endpoint_failed`` for the
+            answer to another request
         """
         if self.handle is None:
             self.handle = GenerationHandle(
@@ -120,6 +121,11 @@
                 ErrorKind.not_found,
                 'the engine was restarted',
             )
+        if stream.generation != self.handle.generation:
+            raise MastichatchError(
+                ErrorKind.endpoint_failed,
+                f'generation {stream.generation} came in its place',
+            )
         return self.handle
 
     def note(self, count: int, now: float) -> None:
--- a/packages/node/mastichatch_node/plain.py
+++ b/packages/node/mastichatch_node/plain.py
@@ -14,6 +14,7 @@
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_node.replies import check_reply
 
 ANSWER_LIMIT_BYTES: Final = 1048576
 _MS_PER_SECOND: Final = 1000
@@ -94,6 +95,7 @@
                         trace_request_ctx=guard,
                     ) as response,
                 ):
+                    check_reply(response.headers, request.request_id)
                     return await _read_answer(response, answer_limit_bytes)
             except (aiohttp.ClientError, OSError, ValueError) as error:
                 raise _no_answer(address, error) from error
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -85,8 +85,12 @@
         question: str,
         length: int,
         stop_at: int | None = None,
+        reading: Reading | None = None,
     ) -> Reading:
-        """Ask for a streamed answer; optionally hang up after some events."""
+        """Ask for a streamed answer; optionally hang up after some events.
+
+        :param reading: what is filled as events come
+        """
         body = {
             'model': MODEL,
             'messages': messages_of(question, length),
@@ -98,9 +102,11 @@
             headers=self._headers,
             timeout=TIMEOUT,
         )
-        return await read(request, stop_at)
+        return await read(request, stop_at, reading)
 
-    async def resume(self, node: Node, last_event_id: str) -> Reading:
+    async def resume(
+        self, node: Node, last_event_id: str, reading: Reading | None = None
+    ) -> Reading:
         """Ask for the rest of an answer."""
         handle = last_event_id.rpartition(':')[0]
         request = self._session.get(
@@ -108,7 +114,16 @@
             headers={**self._headers, 'Last-Event-ID': last_event_id},
             timeout=TIMEOUT,
         )
-        return await read(request, None)
+        return await read(request, None, reading)
+
+    async def cancel(self, node: Node, handle: str) -> int:
+        """Say that an answer is no longer wanted, and return the status."""
+        async with self._session.delete(
+            f'{node.url}/v1/chat/completions/{handle}',
+            headers=self._headers,
+            timeout=TIMEOUT,
+        ) as answer:
+            return answer.status
 
     async def whole(self, node: Node, question: str, length: int) -> Json:
         """Ask for an answer that is not streamed."""
@@ -137,9 +152,11 @@
     return text
 
 
-async def read(request: Any, stop_at: int | None) -> Reading:
+async def read(
+    request: Any, stop_at: int | None, reading: Reading | None = None
+) -> Reading:
     """Read a stream to its end, or hang up after some events."""
-    reading = Reading()
+    reading = reading or Reading()
     try:
         async with request as answer:
             reading.status = answer.status
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -348,6 +348,7 @@
             'Content-Type': 'text/event-stream',
             'Generation-Id': output.name,
             'Boot-Id': engine.boot_id,
+            'In-Reply-To': request.headers.get('Request-Id', ''),
         }
     )
     engine.connection_count += 1
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -18,6 +18,7 @@
 from tests.standins import serving
 
 CHUNK_BYTES: Final = 65536
+BEGIN_BYTES: Final = 32
 LINGER_NONE: Final = struct.pack('ii', 1, 0)
 
 ADDRESS: Final = re.compile(rb'127\.0\.0\.1:\d+')
@@ -54,6 +55,8 @@
         self._one_way = ''
         self._blocked: frozenset[str] = frozenset()
         self._senders: dict[int, str] = {}
+        self._begins: dict[int, bytes] = {}
+        self._outputs: dict[int, asyncio.StreamWriter] = {}
         self._silent_since = 0
         self._accepted = 0
         self._passed_bytes = {'up': 0, 'down': 0}
@@ -65,10 +68,14 @@
 
     @property
     def counts(self) -> serving.Body:
-        """Return the connections accepted and open, and the bytes passed."""
+        """Return connections, how each began, and the bytes passed."""
         counts: serving.Body = {
             'accepted': self._accepted,
             'open': len(self._tasks),
+            'begins': [
+                begin[:BEGIN_BYTES].decode(errors='replace')
+                for begin in self._begins.values()
+            ],
         }
         return counts | self._passed_bytes
 
@@ -97,7 +104,11 @@
 
         :param body: `delay_ms`, `cut`, `blackhole`, `blackhole_existing`,
             `one_way` (`up` or `down`), `block_senders` (a blackhole for the
-            nodes with these peer addresses) or `restore`, which ends them all
+            nodes with these peer addresses) or `restore`, which ends all
+            others;
+            `target` passes later connections on to another address; `swap`
+            hands what comes down each connection that began with these bytes
+            to another one of them, in pairs
         """
         if body.get('restore'):
             body = {
@@ -105,12 +116,15 @@
                 'blackhole': False,
                 'one_way': '',
                 'block_senders': (),
-            }
+            } | body
             await self.listen()
         self._delay_s = body.get('delay_ms', self._delay_s * 1000) / 1000
         self._blackhole = body.get('blackhole', self._blackhole)
         self._one_way = body.get('one_way', self._one_way)
         self._blocked = frozenset(body.get('block_senders', self._blocked))
+        self._target = body.get('target', self._target)
+        if 'swap' in body:
+            self._swap(body['swap'].encode())
         if body.get('blackhole_existing'):
             self._silent_since = self._accepted
         if body.get('cut'):
@@ -118,6 +132,16 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _swap(self, begin: bytes) -> None:
+        numbers = [
+            number
+            for number in self._outputs
+            if self._begins.get(number, b'').startswith(begin)
+        ]
+        for one, other in zip(numbers[::2], numbers[1::2], strict=False):
+            outputs = self._outputs
+            outputs[one], outputs[other] = outputs[other], outputs[one]
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -136,6 +160,8 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.enter_context(contextlib.suppress(OSError))
             stack.enter_context(self._owning(writer))
+            stack.callback(self._outputs.pop, number)
+            self._outputs[number] = writer
             up_reader, up_writer = await asyncio.open_connection(
                 host, int(port)
             )
@@ -164,13 +190,20 @@
         while data := await reader.read(CHUNK_BYTES):
             if direction == 'up' and number not in self._senders:
                 self._note_sender(number, data)
+                self._begins.setdefault(number, data)
             await asyncio.sleep(self._delay_s)
             await self._wait_passable(number, direction)
             self._passed_bytes[direction] += len(data)
-            writer.write(data)
-            await writer.drain()
+            receiver = self._receiver(number, direction, writer)
+            receiver.write(data)
+            await receiver.drain()
         await self._wait_passable(number, direction)
-        writer.close()
+        self._receiver(number, direction, writer).close()
+
+    def _receiver(
+        self, number: int, direction: Direction, writer: asyncio.StreamWriter
+    ) -> asyncio.StreamWriter:
+        return self._outputs[number] if direction == 'down' else writer
 
     def _note_sender(self, number: int, data: bytes) -> None:
         """Tell whose connection it is: a node's messages begin with that."""
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -84,7 +84,8 @@
         if faults.get('cut_after_run'):
             serving.cut(request)
         status = 500 if faults.get('fail_after_run') else 200
-        return web.json_response(result, status=status)
+        headers = {'In-Reply-To': result['request_id']}
+        return web.json_response(result, status=status, headers=headers)
 
     async def health(_request: web.Request) -> web.Response:
         await record.thawed.wait()
--- a/tests/test_fleet_streams.py
+++ b/tests/test_fleet_streams.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from tests.callers import Caller, answer_of, text_of
-from tests.processes import Fleet, FleetPlan, Node, open_fleet
+from tests.callers import Caller, Reading, answer_of, text_of
+from tests.processes import Fleet, FleetPlan, Node, open_fleet, poll_until
 
+ENGINES = ('north-engine-0', 'south-engine-0')
 PLAN = FleetPlan(
     proxied=True,
     engine_flags=('--cold-ms', '0', '--step-ms', '20'),
@@ -61,6 +62,12 @@
         await asyncio.sleep(0.02)
 
 
+async def until_read(reading: Reading, count: int) -> None:
+    """Wait until a caller has read some events."""
+    while len(reading.indexes) < count:
+        await asyncio.sleep(0.01)
+
+
 class TestWithoutFaults:
     async def test_streams_and_whole_answers_are_the_callers_own(
         self, fleet: Fleet, node: Node
@@ -197,6 +204,73 @@
         assert other.status == 404
 
 
+class TestFrozenNode:
+    async def test_the_caller_resumes_elsewhere_while_it_wakes(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        caller = Caller(fleet)
+        late = Reading()
+        reading = asyncio.create_task(
+            caller.stream(node, 'frozen', 150, reading=late)
+        )
+        await until_read(late, 20)
+        node.process.freeze()
+        # What was on its way may still come.
+        await asyncio.sleep(0.5)
+        text, event_id = late.text, late.last_event_id
+        start = len(late.indexes)
+        other = fleet.nodes['south-node-0']
+        rest = Reading()
+        resuming = asyncio.create_task(caller.resume(other, event_id, rest))
+        await until_read(rest, 5)
+        node.process.wake()
+        await asyncio.gather(reading, resuming)
+        rest.check_order(start)
+        assert rest.done, rest.error
+        assert text + rest.text == answer_of('frozen', 150)
+        late.check_order()
+        assert answer_of('frozen', 150).startswith(late.text)
+        counts = [
+            await fleet.endpoints[name].show('generations') for name in ENGINES
+        ]
+        assert sum(count['started'] for count in counts) == 1
+        assert sum(count['cancelled'] for count in counts) == 0
+
+
+class TestLateCancel:
+    async def test_a_reused_id_is_not_cancelled(
+        self, fleet: Fleet, node: Node
+    ) -> None:
+        caller = Caller(fleet)
+        old = await caller.stream(node, 'old', 500, stop_at=5)
+        (handle,) = old.handles
+        name = await running_engine(fleet)
+        engine, link = fleet.endpoints[name], fleet.links[name]
+        # The cancel stays on its way for this long.
+        await link.control(delay_ms=800)
+        cancelling = asyncio.create_task(caller.cancel(node, handle))
+
+        async def on_its_way() -> bool:
+            begins = (await link.show('counts'))['begins']
+            return any(begin.startswith('DELETE') for begin in begins)
+
+        await poll_until(on_its_way, 'the cancel')
+        await link.control(delay_ms=0)
+        await engine.control(restart=True)
+        new = Reading()
+        reading = asyncio.create_task(
+            caller.stream(node, 'new', 120, reading=new)
+        )
+        assert await cancelling == 204
+        assert not new.done
+        await reading
+        new.check_order()
+        assert new.done, new.error
+        assert new.text == answer_of('new', 120)
+        shown = await engine.show('generations')
+        assert (shown['started'], shown['cancelled']) == (2, 0)
+
+
 class TestAbandonment:
     async def test_an_abandoned_generation_is_cancelled_at_its_engine(
         self, fleet: Fleet, node: Node
