Tell no old report of an endpoint as if it were new

Cause: a node that once hosted a scheduler told each later one its last report of the endpoints, with the age that it had when it came. A new scheduler took it as taken since it opened, so that an endpoint got work while what runs there was not known; and an older report could take back the foreign load or the incarnation that a newer one had shown.

Change: a node tells reports with their true age, and only those that came within the time that a reporter counts; a scheduler takes from a report that is older than the newest only whether the endpoint was reached.

Both tests failed first: ages [[5], [5], [5]] in place of [[5], [255], []], and a foreign load of 0 in place of 3.

--- a/packages/core/mastichatch_core/admission.py
+++ b/packages/core/mastichatch_core/admission.py
@@ -199,12 +199,15 @@
         if not _reached_by_any(state, now):
             _fail(state, now, reached=False)
         return
+    taken_at = now - observation.age_ms / 1000
+    if taken_at < state.reported_at:
+        # Another node's report, which says nothing of what began since.
+        return
+    state.reported_at = taken_at
     if observation.boot_id and observation.boot_id != state.boot_id:
         _note_boot(state, observation.boot_id, now)
     note_reachable(state.breaker, now)
     note_preemptions(state.safety, observation.preemptions)
-    taken_at = now - observation.age_ms / 1000
-    state.reported_at = max(state.reported_at, taken_at)
     explained = sum(granted_at <= taken_at for granted_at in granted)
     explained += sum(
         granted_at <= taken_at < released_at
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Final
 
 from mastichatch_core import rendezvous
 from mastichatch_core import scheduler as core
+from mastichatch_core.admission import REPORTER_TIMEOUT_S
 from mastichatch_core.catalogue import Catalogue
 from mastichatch_core.generated.manifest import Endpoint
 from mastichatch_core.generated.messages import (
@@ -38,10 +40,24 @@
 ANNOUNCE_INTERVAL_S: Final = 0.5
 ADVANCE_INTERVAL_S: Final = 0.05
 REPORT_INTERVAL_S: Final = 0.5
+_MS_PER_S: Final = 1000
 
 Report = Callable[[Endpoint], Awaitable[EndpointObservation]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Seen:
+    observation: EndpointObservation
+    since: float
+
+    def at(self, now: float) -> EndpointObservation:
+        """Return the report with its age, in place of that when it came."""
+        aged_ms = (now - self.since) * _MS_PER_S
+        return dataclasses.replace(
+            self.observation, age_ms=self.observation.age_ms + aged_ms
+        )
+
+
 class Scheduling:
     """The schedulers of this node's data centre that this node runs."""
 
@@ -67,7 +83,7 @@
         self._service_times = ServiceTimes(tools.data_centre)
         self._hosted: dict[str, Hosted] = {}
         self._terms: dict[str, int] = {}
-        self._observations: dict[str, EndpointObservation] = {}
+        self._observations: dict[str, _Seen] = {}
         self._handed_over: dict[str, tuple[EndpointObservation, ...]] = {}
 
     @property
@@ -89,12 +105,16 @@
         if catalogue is None:
             return ()
         endpoints = catalogue.endpoints_of(service, self._tools.data_centre)
-        seen = tuple(
+        now = loop_time()
+        seen = (
             self._observations[endpoint.name]
             for endpoint in endpoints
             if endpoint.name in self._observations
         )
-        return (*seen, *self._handed_over.get(service, ()))
+        lately = tuple(
+            one.at(now) for one in seen if now - one.since < REPORTER_TIMEOUT_S
+        )
+        return (*lately, *self._handed_over.get(service, ()))
 
     def review(self) -> None:
         """Open and close schedulers as members and services change."""
@@ -138,7 +158,8 @@
         :param service: name of the service
         :param observation: the report
         """
-        self._observations[observation.endpoint] = observation
+        seen = _Seen(observation, loop_time())
+        self._observations[observation.endpoint] = seen
         hosted = self._hosted.get(service)
         if hosted is not None:
             hosted.send(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -48,8 +48,16 @@
     boot: str = 'one',
     node: str = 'a',
     reachable: bool = True,
+    running: int = 0,
+    age_ms: float = 0,
 ) -> None:
-    seen = EndpointObservation(endpoint='e', boot_id=boot, reachable=reachable)
+    seen = EndpointObservation(
+        endpoint='e',
+        boot_id=boot,
+        reachable=reachable,
+        running=running,
+        age_ms=age_ms,
+    )
     note_observation(endpoint, seen, node, (), now)
 
 
@@ -121,6 +129,14 @@
         assert seen == [2, 8, 16]
 
 
+def test_an_older_report_takes_nothing_back() -> None:
+    endpoint = warm()
+    see(endpoint, 20, running=3)
+    see(endpoint, 20.1, node='b', boot='before', age_ms=500)
+    assert endpoint.foreign == 3
+    assert endpoint.boot_id == 'one'
+
+
 class TestShares:
     @given(
         st.integers(1, 100),
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -7,8 +7,17 @@
 
 import pytest
 
+from mastichatch_core.catalogue import Catalogue
 from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.manifest import (
+    DataCentre,
+    Endpoint,
+    Manifest,
+    Service,
+    ServiceKind,
+)
 from mastichatch_core.generated.messages import (
+    EndpointObservation,
     Envelope,
     ErrorKind,
     MessageKind,
@@ -18,6 +27,8 @@
     SchedulerOpen,
     Term,
 )
+from mastichatch_core.scheduler_state import Timing
+from mastichatch_node import scheduling
 from mastichatch_node.permits import Permits
 
 
@@ -139,3 +150,35 @@
         assert in_short == [False, False, True, False, True, False]
         assert [len(one.held) for one in sent] == [0, 1, 0, 1, 0, 1]
         assert [one.sequence for one in sent] == [1, 2, 3, 4, 5, 1]
+
+    async def test_an_old_report_of_an_endpoint_is_not_told_as_new(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A node that hosted the scheduler before tells the next one."""
+        manifest = Manifest(
+            data_centres=(DataCentre(name='north'),),
+            services=(Service(name='rota', kind=ServiceKind.model),),
+            endpoints=(
+                Endpoint(
+                    name='endpoint',
+                    service='rota',
+                    data_centre='north',
+                    host='host',
+                    address='127.0.0.1:1',
+                ),
+            ),
+            workspaces=(),
+        )
+        nothing: Any = types.SimpleNamespace(
+            data_centre='north', current=Catalogue(1, manifest)
+        )
+        schedulers = scheduling.Scheduling(nothing, nothing, nothing, Timing())
+        seen = EndpointObservation(endpoint='endpoint', boot_id='b', age_ms=5)
+        ages: list[list[float]] = []
+        for now in (10.0, 10.25, 20.0):
+            monkeypatch.setattr(scheduling, 'loop_time', lambda: now)
+            if not ages:
+                schedulers.observe('rota', seen)
+            told = schedulers.observations('rota')
+            ages.append([one.age_ms for one in told])
+        assert ages == [[5], [255], []]
