--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -26,6 +26,7 @@
 from tests.membership_nodes import (
     NODE_LEASE_MS,
     Node,
+    control,
     open_node,
     open_standin,
     until,
@@ -322,6 +323,23 @@
             assert not any(each['stale'] for each in orders)
             assert not any(each['overlapped'] for each in orders)
 
+    async def test_without_the_platform_nobody_gives_orders(self) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            platform = await enter(open_standin())
+            address = await enter(open_engine(False))
+            node = await enter(open_node('n0', 'north', platform))
+            placement = await enter(open_placing(node, platform))
+            await changes.apply_manifest(
+                node.platform, manifest_bytes(address, False), 'one'
+            )
+            await until(lambda: placement.fence > 0)
+            await control(platform, available=False)
+            await until(lambda: not placement.fence)
+            before = len(await read_orders(address))
+            await asyncio.sleep(1)
+            assert len(await read_orders(address)) == before < 3
+
     async def test_a_lease_that_ends_while_connecting_stops_the_order(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
