Let a whole data centre stop, and one node's knowledge do for all

Cause: real processes showed four faults. 1. All nodes of a data centre stop while requests of another one wait at its scheduler: these waited for their deadline and were refused (10 callers, queue_deadline). A host left once it had no request of its own, and a data centre that drained sent no digest, so it was still asked for 4.5 s. 2. Only a node of another data centre has a way to the platform: a leaving host went on getting work (301 begun after 3 s and 1.5 s more, 241 after 3 s). The host list went through heartbeats, within a data centre only. Nor was it read by a third node where the two relays had no way. 3. A node that never listed another data centre's nodes chose it by its digest and could ask nobody there: 29 of 30 callers waited 31 s and were refused. 4. A data centre whose hosts were leaving reported "free 0, waiting 0", was asked first and refused every request.

Ruled out: telling in the digest that no endpoint is in use (comes later than what each node knows of itself), refusing what waits at a stop (the next data centre is the one whose queue was too long), a second reader by rank two alone.

Change: a host exits once nothing waits at its schedulers; nodes that all drain go on sending digests, without loads, and an unknown load ranks behind every wait. Digests carry the leaving hosts where their data centre read the list; each node reads it unless one before it in the relays' order told of it within 1.8 s. Nodes that only a digest names are asked too. No data centre is asked whose endpoints are all drained or on leaving hosts.

After: all 11 tests of tests/test_fleet_stops.py passed in 4 of 4 runs, two of them side by side while other work ran. Conclusion: the stops and orders listed hold with real processes.

--- a/packages/core/mastichatch_core/routing.py
+++ b/packages/core/mastichatch_core/routing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 from typing import Final
 
 from mastichatch_core.catalogue import Catalogue
@@ -10,10 +11,13 @@
     ErrorKind,
     ServiceLoad,
 )
+from mastichatch_core.service_times import takes_work
 
 REMOTE_PENALTY_MS: Final = 100.0
-UNKNOWN_LOAD_PENALTY_MS: Final = 60_000.0
+# Longer than any wait: nobody may be there to answer.
+UNKNOWN_LOAD_PENALTY_MS: Final = 86_400_000.0
 QUEUED_REQUEST_MS: Final = 20.0
+_NO_HOSTS: Final[AbstractSet[str]] = frozenset()
 
 # A refusal of these kinds may not hold in another data centre.
 OVERFLOW_KINDS: Final = frozenset(
@@ -40,17 +44,19 @@
 def usable_data_centres(
     catalogue: Catalogue,
     service: str,
+    leaving: AbstractSet[str] = _NO_HOSTS,
 ) -> tuple[str, ...]:
     """Return the data centres that may get new work for a service.
 
     :param catalogue: the configuration in force
     :param service: name of the service
+    :param leaving: names of the hosts that the host list calls leaving
     """
     return tuple(
         name
         for name in catalogue.data_centres
         if any(
-            not catalogue.is_drained(endpoint)
+            takes_work(endpoint, catalogue, leaving)
             for endpoint in catalogue.endpoints_of(service, name)
         )
     )
--- a/packages/node/mastichatch_node/discovery.py
+++ b/packages/node/mastichatch_node/discovery.py
@@ -15,7 +15,7 @@
 from mastichatch_node import codec
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.leases import Lease, keep_under_lease
-from mastichatch_node.members import Membership
+from mastichatch_node.members import Membership, ranked_speakers
 from mastichatch_node.platform import Listing, Platform
 
 NODE_PREFIX: Final = 'nodes/'
@@ -189,14 +189,16 @@
 
 
 def _should_list_hosts(membership: Membership) -> bool:
-    relays = membership.relays()
-    own = membership.own.name
-    if rules.wants_hosts(membership.table):
+    if rules.wants_hosts(membership.table) or not membership.is_complete:
         return True
-    if own in relays[1:]:
-        # The first relay may have no link to the platform.
-        return membership.leaving.is_old
-    return own in relays or not membership.is_complete
+    # The nodes that rank first may have no link to the platform. Of those
+    # that have one, only the first goes on.
+    ranked = ranked_speakers(membership)
+    before = itertools.takewhile(
+        lambda name: name != membership.own.name,
+        ranked,
+    )
+    return not membership.leaving.is_told_by(before)
 
 
 async def _list_hosts(platform: Platform, membership: Membership) -> None:
@@ -208,8 +210,7 @@
     now = asyncio.get_running_loop().time()
     rules.note_platform(membership.table, now)
     rules.note_hosts(membership.table, (entry.host for entry in entries))
-    membership.leaving.note(
+    membership.leaving.note_read(
         frozenset(entry.host for entry in entries if entry.state == 'leaving'),
-        own=True,
     )
     membership.notify()
--- a/packages/node/mastichatch_node/heartbeats.py
+++ b/packages/node/mastichatch_node/heartbeats.py
@@ -25,7 +25,7 @@
 from mastichatch_core.membership import Member
 from mastichatch_core.remotes import merge_loads
 from mastichatch_node.configuration import Configuration
-from mastichatch_node.members import Membership
+from mastichatch_node.members import Membership, speakers
 from mastichatch_node.peers import Peers
 
 MS_PER_S: Final = 1000
@@ -85,9 +85,11 @@
         )
         rules.note_gone(self._membership.table, heartbeat.gone)
         self._loads_of[heartbeat.node] = heartbeat.loads
-        known = self._membership.leaving
-        if heartbeat.leaving is not None and not known.is_own:
-            known.note(frozenset(heartbeat.leaving), own=False)
+        if heartbeat.leaving is not None:
+            self._membership.leaving.note_told(
+                frozenset(heartbeat.leaving),
+                heartbeat.node,
+            )
             self._membership.notify()
         if arrival is rules.Arrival.new:
             # What the connection has queued was for an earlier incarnation.
@@ -112,6 +114,9 @@
         rules.note_elsewhere(self._membership.table, digest.heard, now)
         source = envelope.sender if is_direct else ''.join(digest.nodes[:1])
         self._configuration.learn(digest.revision, source)
+        if digest.leaving is not None:
+            self._membership.leaving.note_elsewhere(frozenset(digest.leaving))
+            self._membership.notify()
         if is_direct:
             self._pass_on(digest)
 
@@ -204,6 +209,7 @@
     def _send_digest(self, address: str, data_centre: str) -> None:
         now = self._loop.time()
         live = self._membership.live()
+        leaving = self._membership.leaving
         loads = itertools.chain(
             self._loads(),
             *(self._loads_of.get(member.name, ()) for member in live),
@@ -211,10 +217,14 @@
         digest = Digest(
             data_centre=self._settings.data_centre,
             revision=self._configuration.revision,
-            loads=merge_loads(loads),
-            nodes=tuple(member.peer_address for member in live),
+            # A data centre that drains offers nothing to others.
+            loads=merge_loads(loads) if live else (),
+            nodes=tuple(
+                member.peer_address for member in speakers(self._membership)
+            ),
             heard=self._membership.remotes.heard_names(data_centre, now),
             node=self._settings.name,
+            leaving=tuple(leaving.names) if leaving.is_near else None,
         )
         self._peers.send(address, MessageKind.digest, digest)
 
--- a/packages/node/mastichatch_node/links.py
+++ b/packages/node/mastichatch_node/links.py
@@ -212,15 +212,20 @@
         message: SchedulerMessage,
     ) -> None:
         """Ask the next node of a data centre, which passes it on."""
-        addresses = [
+        addresses = tuple(
             member.peer_address
             for member in self._membership.all_known()
             if member.data_centre == place.data_centre and not member.draining
-        ]
+        ) or self._digest_addresses(place.data_centre)
         if addresses:
             address = addresses[next(self._turns) % len(addresses)]
             self._peers.send(address, kind, message)
 
+    def _digest_addresses(self, data_centre: str) -> tuple[str, ...]:
+        """Return the nodes that a digest names, though none was listed."""
+        remotes = self._membership.remotes
+        return remotes.targets(data_centre, loop_time())
+
 
 def _load(message: SchedulerOpen) -> ServiceLoad:
     return ServiceLoad(
--- a/packages/node/mastichatch_node/main.py
+++ b/packages/node/mastichatch_node/main.py
@@ -55,13 +55,17 @@
     """
     active = ActiveRequests()
     async with contextlib.AsyncExitStack() as stack:
-        parts, membership = await _open_parts(stack, settings, active)
+        parts, membership, scheduling = await _open_parts(
+            stack,
+            settings,
+            active,
+        )
         await stack.enter_async_context(open_server(parts))
         logging.info('node started', extra={'address': settings.http_address})
         await stop.wait()
         membership.set_draining()
         logging.info('draining', extra={'requests': active.count})
-        await _drain(settings, active, parts.calls)
+        await _drain(settings, parts, scheduling)
     logging.info('node stopped')
 
 
@@ -182,7 +186,7 @@
     stack: contextlib.AsyncExitStack,
     settings: Settings,
     active: ActiveRequests,
-) -> tuple[Parts, Membership]:
+) -> tuple[Parts, Membership, Scheduling]:
     """Open everything that the HTTP interface needs."""
     base = await _open_base(stack, settings)
     schedulings: list[Scheduling] = []
@@ -227,31 +231,36 @@
         ),
         active=active,
     )
-    return parts, membership
+    return parts, membership, scheduling
 
 
 async def _drain(
     settings: Settings,
-    active: ActiveRequests,
-    calls: Calls,
+    parts: Parts,
+    scheduling: Scheduling,
 ) -> None:
     """Wait until no request is in progress, or the drain timeout is over.
 
     Requests that still arrive are served: the balancer learns of the drain
-    late, and a planned stop refuses nothing.
+    late, and a planned stop refuses nothing. Where all nodes of a data centre
+    stop, requests of other data centres may wait at a scheduler that has no
+    next host.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + settings.drain_timeout_ms / _MS_PER_S
     quiet_since = loop.time()
     while loop.time() < deadline:
-        if active.count or calls.pending:
+        waiting = sum(
+            hosted.scheduler.waiting_count for hosted in scheduling.hosted
+        )
+        if parts.active.count or parts.calls.pending or waiting:
             quiet_since = loop.time()
         elif loop.time() - quiet_since >= DRAIN_GRACE_S:
             return
         await asyncio.sleep(DRAIN_POLL_S)
     logging.warning(
         'the drain timeout ended with requests in progress',
-        extra={'requests': active.count},
+        extra={'requests': parts.active.count},
     )
 
 
--- a/packages/node/mastichatch_node/members.py
+++ b/packages/node/mastichatch_node/members.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from absl import logging
@@ -32,40 +32,72 @@
 
 
 class LeavingHosts:
-    """The leaving hosts of the platform's host list."""
+    """The leaving hosts of the platform's host list.
+
+    The list is read by this node, by others of its data centre, or elsewhere,
+    and the nearest reader of late counts.
+    """
 
     def __init__(self) -> None:
         """Start without having read the list."""
         self._loop = asyncio.get_running_loop()
         self._names: frozenset[str] = frozenset()
-        self._noted_at = -math.inf
         self._read_at = -math.inf
+        self._read_near_at = -math.inf
+        self._told_at: dict[str, float] = {}
 
     @property
     def names(self) -> frozenset[str]:
         """Names of the hosts."""
         return self._names
 
-    @property
-    def is_old(self) -> bool:
-        """Whether no node has told of the list lately."""
-        return self._loop.time() - self._noted_at > HOSTS_AGE_LIMIT_S
-
     @property
     def is_own(self) -> bool:
         """Whether this node has read the list itself lately."""
         return self._loop.time() - self._read_at < HOSTS_AGE_LIMIT_S
 
-    def note(self, names: frozenset[str], *, own: bool) -> None:
-        """Note the hosts that are leaving.
+    @property
+    def is_near(self) -> bool:
+        """Whether a node of this data centre has read the list lately."""
+        return self._loop.time() - self._read_near_at < HOSTS_AGE_LIMIT_S
+
+    def is_told_by(self, nodes: Iterable[str]) -> bool:
+        """Return whether one of some nodes has told of the list lately.
+
+        :param nodes: names of the nodes
+        """
+        oldest = self._loop.time() - HOSTS_AGE_LIMIT_S
+        return any(
+            self._told_at.get(node, -math.inf) >= oldest for node in nodes
+        )
+
+    def note_read(self, names: frozenset[str]) -> None:
+        """Note the hosts that are leaving, as this node read them.
 
         :param names: names of the hosts
-        :param own: whether this node read the list itself
         """
         self._names = names
-        self._noted_at = self._loop.time()
-        if own:
-            self._read_at = self._noted_at
+        self._read_at = self._loop.time()
+        self._read_near_at = self._read_at
+
+    def note_told(self, names: frozenset[str], node: str) -> None:
+        """Note what a neighbour read, unless this node did so itself.
+
+        :param names: names of the hosts
+        :param node: name of the neighbour
+        """
+        self._read_near_at = self._loop.time()
+        self._told_at[node] = self._read_near_at
+        if not self.is_own:
+            self._names = names
+
+    def note_elsewhere(self, names: frozenset[str]) -> None:
+        """Note what another data centre read, unless this one did so itself.
+
+        :param names: names of the hosts
+        """
+        if not self.is_near:
+            self._names = names
 
 
 class Membership:
@@ -139,8 +171,7 @@
 
     def relays(self) -> tuple[str, ...]:
         """Return the nodes that speak for this data centre, by rank."""
-        names = (member.name for member in self.live())
-        return rendezvous.ranked(names, 'relay')[:RELAY_COUNT]
+        return ranked_speakers(self)[:RELAY_COUNT]
 
     def all_known(self) -> tuple[Member, ...]:
         """Return the nodes of every data centre that are not known gone."""
@@ -235,3 +266,32 @@
             heard=self.heard(),
             leaving=self._leaving.names,
         )
+
+
+def speakers(membership: Membership) -> tuple[Member, ...]:
+    """Return the nodes that may speak for their data centre.
+
+    Where all of them are draining, they go on.
+
+    :param membership: the nodes known
+    """
+    live = membership.live()
+    if live:
+        return live
+    heard = membership.heard()
+    tracks = membership.table.tracks.values()
+    neighbours = (track.member for track in tracks)
+    return tuple(
+        member
+        for member in (membership.own, *neighbours)
+        if member.name in heard
+    )
+
+
+def ranked_speakers(membership: Membership) -> tuple[str, ...]:
+    """Return the names of the nodes that may speak, the first one first.
+
+    :param membership: the nodes known
+    """
+    names = (member.name for member in speakers(membership))
+    return rendezvous.ranked(names, 'relay')
--- a/packages/node/mastichatch_node/routing.py
+++ b/packages/node/mastichatch_node/routing.py
@@ -77,6 +77,11 @@
         service: str,
     ) -> tuple[CandidateScore, ...]:
         own = self._membership.own.data_centre
+        usable = usable_data_centres(
+            catalogue,
+            service,
+            self._membership.leaving_hosts,
+        )
         digests = {
             digest.data_centre: digest.loads
             for digest in self._membership.digests()
@@ -86,10 +91,10 @@
                 data_centre=name,
                 load=_load_of(digests.get(name, ()), service),
             )
-            for name in usable_data_centres(catalogue, service)
+            for name in usable
             if name != own
         ]
-        if own in usable_data_centres(catalogue, service):
+        if own in usable:
             own_load = self._permits.load(service, own)
             loads.append(DataCentreLoad(data_centre=own, load=own_load))
         return rank_data_centres(own, loads)
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -221,6 +221,8 @@
 
     # Configuration and membership.
 
+    leaving_hosts: frozenset[str] = frozenset()
+
     current = CATALOGUE
     revision = 1
     data_centre = 'north'
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -376,8 +376,9 @@
                 lambda: not any(node.membership.leaving_hosts for node in nodes)
             )
 
+    @pytest.mark.parametrize('lost', [1, 2])
     async def test_leaving_hosts_are_known_where_the_reader_lost_its_link(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, lost: int
     ) -> None:
         async with contextlib.AsyncExitStack() as stack:
             enter = stack.enter_async_context
@@ -386,15 +387,26 @@
                 await enter(open_node(f'n{index}', 'north', address))
                 for index in range(3)
             ]
-            await until(lambda: all(len(node.live()) == 3 for node in nodes))
-            reader = nodes[0].membership.relays()[0]
+            names = [host_of(f'n{index}') for index in range(3)]
+            await control(address, hosts=names)
+            # From here on nobody has another reason to read the list.
+            await until(
+                lambda: all(
+                    len(node.live()) == 3
+                    and not rules.wants_hosts(node.membership.table)
+                    for node in nodes
+                )
+            )
+            readers = nodes[0].membership.relays()[:lost]
 
             async def fail() -> tuple[HostEntry, ...]:
                 raise MastichatchError(ErrorKind.platform_unavailable)
 
-            monkeypatch.setattr(nodes[int(reader[1:])].platform, 'hosts', fail)
-            host = {'host': 'e1', 'data_centre': 'north', 'state': 'leaving'}
-            await control(address, hosts=[host])
+            for reader in readers:
+                platform = nodes[int(reader[1:])].platform
+                monkeypatch.setattr(platform, 'hosts', fail)
+            host = host_of('e1') | {'state': 'leaving'}
+            await control(address, hosts=[*names, host])
             await until(
                 lambda: all(
                     node.membership.leaving_hosts == {'e1'} for node in nodes
@@ -402,6 +414,11 @@
             )
 
 
+def host_of(name: str) -> dict[str, str]:
+    """Return a live host as a line of the host list."""
+    return {'host': name, 'data_centre': 'north', 'state': 'live'}
+
+
 @contextlib.contextmanager
 def unreachable(platform: Platform, peers: Peers) -> Iterator[None]:
     """Cut a node off from everything while the context lasts."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -57,7 +57,7 @@
                         name=f'e-{place}',
                         service='s',
                         data_centre=place,
-                        host='h',
+                        host=f'h-{place}',
                         address='127.0.0.1:1',
                     )
                     for place in 'ab'
@@ -75,5 +75,9 @@
         drain = Drain(kind=DrainKind.endpoint, name='e-b')
         assert usable_data_centres(self.catalogue(drain), 's') == ('a',)
 
+    def test_leaves_out_a_data_centre_whose_hosts_are_leaving(self) -> None:
+        hosts = {'h-a'}
+        assert usable_data_centres(self.catalogue(), 's', hosts) == ('b',)
+
     def test_uses_all_by_default(self) -> None:
         assert usable_data_centres(self.catalogue(), 's') == ('a', 'b')
