--- a/bench/costs.py
+++ b/bench/costs.py
@@ -229,7 +229,7 @@
         sequence=2,
         held=tuple(
             HeldPermit(
-                request_id=f'{node}{number:032x}',
+                request_id=f'{node}{number:x}'.rjust(32, '0'),
                 attempt=0,
                 endpoint=f'endpoint-{number % ENDPOINTS}',
                 workspace=f'workspace-{number % 100}',
