Choose hosts that both ends of a cut hear, and keep a node's way to itself

Cause, of two faults seen with real processes (three nodes a data centre): - Across a one-way cut each end chose a scheduler host of its own, and each answered the other's announcement with a higher term. Terms settled while the cut lasted, at two schedulers; when it ended they rose to 22 and 58 (two runs) within one heartbeat interval. - A node sends to itself over its advertised address. When that connection went silent nobody dialled it again, since no heartbeats pass on it: its scheduler counted two thirds of a budget, and with a limit of one granted nothing for good. Calls were refused at their deadline.

Change: a node out of contact for two member timeouts with one that a neighbour hears says that its view is partial, at once when that changes, and hosts no scheduler unless all are partial. Messages to oneself take no socket.

Ruled out: terms that rise for ever during a one-way cut; none did.

Not mended: when the connections between data centres go silent, a grant that another data centre sends over one is lost until its request's deadline.

New tests, with real processes: two hosts that hear different nodes, in both directions of the cut, under calls at all nodes; a one-way cut and a kill; silent connections and the platform away. The last one failed first, three times, as its callers were refused; it now waits for the scheduler's room.

--- a/packages/core/mastichatch_core/membership.py
+++ b/packages/core/mastichatch_core/membership.py
@@ -20,6 +20,9 @@
 # Age, in member timeouts, up to which their word that it is alive counts.
 WITNESS_TIMEOUTS: Final = 2
 HOST_READS: Final = 10
+# Silence, in member timeouts, after which a node that neighbours still hear
+# is lost to this one alone: they would have missed it too by then.
+PARTIAL_TIMEOUTS: Final = 2
 
 
 class GoneReason(enum.StrEnum):
@@ -46,6 +49,7 @@
     :param name: name of its host
     :param incarnation: unique id of this run of its process
     :param revision: configuration revision in force there
+    :param partial: whether it has lost a node that its neighbours hear
     """
 
     name: str
@@ -55,6 +59,7 @@
     http_address: str
     draining: bool = False
     revision: int = 0
+    partial: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +82,8 @@
     heard_at: float = -math.inf
     # When the other node last said that it hears this one.
     mutual_at: float = -math.inf
+    # Whom the other node last said that it hears.
+    hears: frozenset[str] = frozenset()
     lapsed_at: float = -math.inf
     listed_host: bool = False
     host_reads: int = 0
@@ -133,7 +140,8 @@
         track.first_heard_at = now
     track.member = member
     track.heard_at = now
-    if table.own.name in heard:
+    track.hears = frozenset(heard)
+    if table.own.name in track.hears:
         track.mutual_at = now
     if is_new:
         return Arrival.new
@@ -326,6 +334,41 @@
     return tuple(sorted(members, key=lambda member: member.name))
 
 
+def is_partial(table: MemberTable, now: float) -> bool:
+    """Return whether this node has lost one that its neighbours hear.
+
+    :param table: what is known
+    :param now: time in seconds
+    """
+    lost = {
+        name
+        for name, track in table.tracks.items()
+        if _is_lost(table, track, now)
+    }
+    return any(
+        lost & track.hears
+        for track in table.tracks.values()
+        if _is_heard(table, track, now)
+    )
+
+
+def hosts(table: MemberTable, now: float) -> tuple[Member, ...]:
+    """Return the live nodes that may run schedulers, by name.
+
+    A node with a link cut does so only where every live node has one:
+    otherwise the two ends of the cut would each choose a host of their own.
+
+    :param table: what is known
+    :param now: time in seconds
+    """
+    members = live(table, now)
+    partial = {member.name for member in members if member.partial}
+    if is_partial(table, now):
+        partial.add(table.own.name)
+    whole = tuple(member for member in members if member.name not in partial)
+    return whole or members
+
+
 def unacknowledged(table: MemberTable, now: float) -> tuple[Member, ...]:
     """Return the nodes that have not heard this one within the timeout.
 
@@ -405,6 +448,12 @@
     return track.heard_at > oldest and mutual_at > oldest
 
 
+def _is_lost(table: MemberTable, track: _Track, now: float) -> bool:
+    contact_at = min(track.heard_at, track.mutual_at)
+    since = max(contact_at, track.known_at, table.deaf_until)
+    return now - since > PARTIAL_TIMEOUTS * table.timing.timeout
+
+
 def _gone_reason(
     table: MemberTable,
     track: _Track,
--- a/packages/node/mastichatch_node/heartbeats.py
+++ b/packages/node/mastichatch_node/heartbeats.py
@@ -60,7 +60,7 @@
         self._probes: dict[str, float] = {}
         self._reset_at: dict[str, float] = {}
         self._sequence = 0
-        self._said_draining = False
+        self._said = (False, False)
 
     async def take_heartbeat(
         self,
@@ -139,11 +139,11 @@
             if targets:
                 self._send_digest(targets[rank % len(targets)], data_centre)
 
-    def announce_draining(self) -> None:
-        """Send heartbeats at once when this node begins to drain."""
-        draining = self._membership.own.draining
-        if draining != self._said_draining:
-            self._said_draining = draining
+    def announce_state(self) -> None:
+        """Send heartbeats at once when what others choose hosts by changes."""
+        state = (self._membership.own.draining, self._is_partial())
+        if state != self._said:
+            self._said = state
             self._send_heartbeats()
 
     def note_freeze(self, deaf_s: float) -> None:
@@ -195,6 +195,7 @@
             revision=own.revision,
             http_address=own.http_address,
             draining=own.draining,
+            partial=self._is_partial(),
             ready=self._configuration.current is not None,
             heard=rules.received_from(
                 self._membership.table,
@@ -206,6 +207,9 @@
         )
         self._peers.send_all(addresses, MessageKind.heartbeat, heartbeat)
 
+    def _is_partial(self) -> bool:
+        return rules.is_partial(self._membership.table, self._loop.time())
+
     def _send_digest(self, address: str, data_centre: str) -> None:
         now = self._loop.time()
         live = self._membership.live()
@@ -307,5 +311,6 @@
         peer_address=envelope.sender,
         http_address=heartbeat.http_address,
         draining=heartbeat.draining,
+        partial=heartbeat.partial,
         revision=heartbeat.revision,
     )
--- a/packages/node/mastichatch_node/members.py
+++ b/packages/node/mastichatch_node/members.py
@@ -26,6 +26,7 @@
     """What subscribers are told the change of."""
 
     live: tuple[tuple[str, str], ...]
+    hosts: tuple[str, ...]
     expected: frozenset[str]
     heard: frozenset[str]
     leaving: frozenset[str]
@@ -205,7 +206,8 @@
 
         :param service: name of the service
         """
-        members = {member.name: member for member in self.live()}
+        found = rules.hosts(self._table, self._loop.time())
+        members = {member.name: member for member in found}
         if not members:
             return None
         return members[rendezvous.pick(members, service)]
@@ -262,6 +264,10 @@
             live=tuple(
                 (member.name, member.incarnation) for member in self.live()
             ),
+            hosts=tuple(
+                member.name
+                for member in rules.hosts(self._table, self._loop.time())
+            ),
             expected=self.expected(),
             heard=self.heard(),
             leaving=self._leaving.names,
--- a/packages/node/mastichatch_node/membership.py
+++ b/packages/node/mastichatch_node/membership.py
@@ -39,7 +39,7 @@
     """
     membership = Membership(settings, peers, configuration)
     heartbeats = Heartbeats(settings, peers, configuration, membership, loads)
-    membership.subscribe(heartbeats.announce_draining)
+    membership.subscribe(heartbeats.announce_state)
     peers.on(MessageKind.heartbeat, Heartbeat, heartbeats.take_heartbeat)
     peers.on(MessageKind.digest, Digest, heartbeats.take_digest)
     async with open_discovery(settings, platform, membership, configuration):
--- a/packages/node/mastichatch_node/peers.py
+++ b/packages/node/mastichatch_node/peers.py
@@ -2,7 +2,8 @@
 
 Each node listens with one Pull0 socket and dials one Push0 socket for each
 peer. A message that cannot be queued at once is dropped, and a connection
-that is reset loses what it had queued: nothing is ever sent twice.
+that is reset loses what it had queued: nothing is ever sent twice. What a node
+sends to itself takes no socket.
 """
 
 import asyncio
@@ -251,6 +252,10 @@
         )
 
     def _transmit(self, address: str, frame: bytes) -> None:
+        if address == self._address:
+            # Nobody would notice that a connection to itself went silent.
+            self._loop.call_soon(self._handle_frame, frame)
+            return
         if self._connections.transmit(address, frame):
             self._counts['sent'] += 1
             self._counts['sent_bytes'] += len(frame)
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -1,13 +1,17 @@
 """Nodes as real processes lose and find each other."""
 
+import asyncio
+import contextlib
 import pathlib
 import time
 from collections.abc import AsyncIterator
 
 import pytest
 
+from mastichatch_core import rendezvous
+from tests.callers import Caller
 from tests.fleet_status import heard, known, read_status, until_all
-from tests.processes import Fleet, FleetPlan, open_fleet
+from tests.processes import PLAIN, Fleet, FleetPlan, open_fleet, poll_until
 
 NORTH = ('north-node-0', 'north-node-1', 'north-node-2')
 PLAN = FleetPlan(
@@ -17,6 +21,10 @@
     proxied_peers=True,
     node_flags=('--node-lease-ms', '3000'),
 )
+# Four announcements of each scheduler.
+SETTLED_S = 2
+# More than a cut and its end need.
+HANDOVERS = 15
 
 
 @pytest.fixture
@@ -115,6 +123,129 @@
                 assert known(await read_status(fleet, name)) == set(NORTH)
 
 
+async def read_terms(fleet: Fleet) -> dict[str, int]:
+    """Return the term of each node of the north that runs the scheduler."""
+    return {
+        name: scheduler['term']
+        for name in NORTH
+        for scheduler in (await read_status(fleet, name)).get('schedulers', ())
+    }
+
+
+async def until_settled(fleet: Fleet) -> dict[str, int]:
+    """Wait until the terms stay as they are, and return them."""
+    terms = await read_terms(fleet)
+    since = time.monotonic()
+
+    async def settled() -> bool:
+        nonlocal terms, since
+        before, terms = terms, await read_terms(fleet)
+        if terms != before:
+            since = time.monotonic()
+        return time.monotonic() - since > SETTLED_S
+
+    await poll_until(settled, 'terms that settle')
+    return terms
+
+
+async def cut_one_way(fleet: Fleet, sender: str, receiver: str) -> None:
+    """Hold what one node sends to another one."""
+    address = fleet.nodes[sender].options.flags[1]
+    await fleet.links[f'peer-{receiver}'].control(block_senders=[address])
+
+
+@contextlib.asynccontextmanager
+async def asking(fleet: Fleet) -> AsyncIterator[list[int]]:
+    """Call a service at every node of the north, and note the statuses."""
+    statuses: list[int] = []
+
+    async def ask(name: str) -> None:
+        caller = Caller(fleet)
+        while True:
+            answer = await caller.post(
+                fleet.nodes[name],
+                f'/v1/services/{PLAIN}/lookup',
+                json={},
+            )
+            statuses.append(answer['status'])
+            await asyncio.sleep(0.1)
+
+    tasks = [asyncio.create_task(ask(name)) for name in NORTH]
+    try:
+        yield statuses
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+class TestTerms:
+    @pytest.mark.parametrize('rank', [0, 1])
+    async def test_hosts_that_hear_different_nodes_settle(
+        self, fleet: Fleet, rank: int
+    ) -> None:
+        ranked = rendezvous.ranked(NORTH, PLAIN)
+        await cut_one_way(fleet, ranked[1 - rank], ranked[rank])
+        async with asking(fleet) as statuses:
+            await until_all(
+                fleet, ranked[:2], lambda status: len(heard(status)) == 2, 'cut'
+            )
+            during = await until_settled(fleet)
+            # The only one that both ends hear.
+            assert list(during) == [ranked[2]]
+            await fleet.links[f'peer-{ranked[rank]}'].control(restore=True)
+            await until_whole(fleet, 'mended')
+            after = await until_settled(fleet)
+        assert set(statuses) == {200}
+        print(f'{during}, then {after}, {len(statuses)} answers')
+        assert list(after) == [ranked[0]]
+        assert after[ranked[0]] < during[ranked[2]] + HANDOVERS
+
+
+class TestPairs:
+    """Two faults at once."""
+
+    async def test_one_way_cut_and_a_kill(self, fleet: Fleet) -> None:
+        killed, sender, receiver = NORTH
+        await cut_one_way(fleet, sender, receiver)
+        fleet.nodes[killed].process.kill()
+        await until_all(
+            fleet,
+            NORTH[1:],
+            lambda status: (
+                heard(status) == {status.get('name')}
+                and known(status) == set(NORTH[1:])
+            ),
+            'the killed node gone, the other end expected',
+        )
+        await fleet.links[f'peer-{receiver}'].control(restore=True)
+        await fleet.restart(killed)
+        print(f'whole again after {await until_whole(fleet, "mended"):.2f} s')
+
+    async def test_silent_connections_while_the_platform_is_away(
+        self, fleet: Fleet
+    ) -> None:
+        await fleet.platform.control(available=False, mode='hang')
+        for name in NORTH:
+            await fleet.links[f'peer-{name}'].control(blackhole_existing=True)
+        await until_all(
+            fleet, NORTH, lambda status: len(heard(status)) < 3, 'silence'
+        )
+        took = await until_whole(fleet, 'found again')
+        await fleet.platform.control(available=True)
+        print(f'whole again after {took:.2f} s')
+
+        async def has_room() -> bool:
+            statuses = [await read_status(fleet, name) for name in NORTH]
+            return any(
+                scheduler['free']
+                for status in statuses
+                for scheduler in status.get('schedulers', ())
+            )
+
+        # It has none before every node, its host too, has registered with it.
+        await poll_until(has_room, 'a scheduler that may grant')
+
+
 class TestLoss:
     async def test_a_killed_node_is_removed_and_returns_as_a_new_one(
         self, fleet: Fleet
