Record all outcomes at a stop, several at a time

Cause: a stopping node wrote the outcomes that waited one after the other, with a pause of 10 ms after each, so at most some 65 a second, and gave up after 10 s. Retries of what was left got outcome_unknown. What the recorder was about to write when it was stopped could be lost too, where nothing else waited.

Ruled out: more records while running (20 a second for each node is what the platform bears at 340 nodes), a longer stop.

Change: 8 writers, at most 200 a second together; a slow platform slows them. The recorder has ended before they begin.

tests/test_calls.py::TestCaller::test_planned_stop_leaves_answers_in_the_platform now makes 1200 calls in place of 200, and failed before (unknown for a retry).

Conclusion: up to the 2000 that may wait, a stop leaves no outcome unrecorded while the platform takes 200 writes a second.

--- a/packages/node/mastichatch_node/calls.py
+++ b/packages/node/mastichatch_node/calls.py
@@ -342,9 +342,15 @@
         yield
     finally:
         recorder.cancel()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(FLUSH_TIMEOUT_S):
-                await claims.flush()
+        await _record_rest(claims, recorder)
+
+
+async def _record_rest(claims: Claims, recorder: asyncio.Task[None]) -> None:
+    # What it was about to write waits again once it has ended.
+    await asyncio.gather(recorder, return_exceptions=True)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(FLUSH_TIMEOUT_S):
+            await claims.flush_last()
 
 
 _REPEATED_AFTER: Final = frozenset(
--- a/packages/node/mastichatch_node/claiming.py
+++ b/packages/node/mastichatch_node/claiming.py
@@ -27,7 +27,8 @@
 )
 
 RECORDS_PER_SECOND: Final = 20
-LAST_RECORDS_PER_SECOND: Final = 100
+LAST_RECORDS_PER_SECOND: Final = 200
+LAST_WRITERS: Final = 8
 RECORDS_LIMIT: Final = 2000
 RECORD_TRIES: Final = 3
 CLAIM_WRITE_TRIES: Final = 2
@@ -172,8 +173,15 @@
             await self.flush(RECORDS_PER_SECOND)
             self._has_records.clear()
 
-    async def flush(self, per_second: int = LAST_RECORDS_PER_SECOND) -> None:
-        """Write all records that wait.
+    async def flush_last(self) -> None:
+        """Write all records that wait, several at a time."""
+        rate = LAST_RECORDS_PER_SECOND / LAST_WRITERS
+        async with asyncio.TaskGroup() as group:
+            for _ in range(LAST_WRITERS):
+                group.create_task(self.flush(rate))
+
+    async def flush(self, per_second: float = LAST_RECORDS_PER_SECOND) -> None:
+        """Write all records that wait, one after the other.
 
         :param per_second: largest number of records in a second
         """
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -387,15 +387,15 @@
             await asyncio.gather(
                 *(
                     ask(nodes[0], key=str(key), body=b'%d' % key)
-                    for key in range(200)
+                    for key in range(1200)
                 )
             )
             await nodes[0].stack.aclose()
             nodes[0].kill()
-            for key in range(200):
+            for key in range(1200):
                 answer = await ask(nodes[1], key=str(key), body=b'%d' % key)
                 assert answer.ran is Ran.yes
-            assert len(world.executions) == 200
+            assert len(world.executions) == 1200
 
 
 class TestFrozenNode:
