Count a member from the announcement that it answers, not from arrival

Cause: a registration that a cut held back counted as obeying when it came. All members could then seem to obey, and the share of budgets was one at once, while a node obeyed another scheduler. Starting over covers a scheduler that was frozen, but not one whose connections were.

Ruled out: the node's clock (no two agree); the sequence (it says nothing of time); terms in heartbeats, which are held back just the same.

Change: an announcement carries the time of sending on the scheduler's clock, a registration gives it back, and a member counts from that time on. Leases go on as before, from arrival, which is the later and so the safer one.

--- a/packages/core/mastichatch_core/reach.py
+++ b/packages/core/mastichatch_core/reach.py
@@ -14,7 +14,10 @@
 @dataclasses.dataclass(slots=True)
 class _Member:
     joined_at: float
+    # When its newest registration came.
     registered_at: float
+    # When it was sure to obey: a registration may have been held on its way.
+    obeyed_at: float
     sequence: int
     # The newest registration that told, one by one or in sum, of all permits.
     told: int
@@ -65,25 +68,32 @@
         self._heard = heard
         self._ever_expected |= expected
 
-    def note_registration(self, node: str, sequence: int, now: float) -> bool:
+    def note_registration(
+        self, node: str, sequence: int, now: float, announced_at: float
+    ) -> bool:
         """Note that a node obeys this term and named all its permits.
 
         :param node: name of the node
         :param sequence: sequence of its registration
         :param now: time in seconds
+        :param announced_at: when the announcement that it answers was sent
         :returns: whether the registration is newer than the last one
         """
         member = self._members.get(node)
-        if member is None or now - member.registered_at > self._timeout:
-            self._members[node] = _Member(now, now, sequence, sequence)
+        if member is None or now - member.obeyed_at > self._timeout:
+            self._members[node] = _Member(
+                now, now, announced_at, sequence, sequence
+            )
             return True
-        if not _renew(member, sequence, now):
+        if not _renew(member, sequence, now, announced_at):
             return False
         member.told = sequence
         member.listed = True
         return True
 
-    def note_renewal(self, node: str, sequence: int, now: float) -> bool:
+    def note_renewal(
+        self, node: str, sequence: int, now: float, announced_at: float
+    ) -> bool:
         """Note that a member still obeys, whatever permits it holds.
 
         One that is new, or was silent, counts only once it named its permits.
@@ -91,15 +101,16 @@
         :param node: name of the node
         :param sequence: sequence of its registration
         :param now: time in seconds
+        :param announced_at: when the announcement that it answers was sent
         :returns: whether the registration is newer than the last one
         """
         member = self._members.get(node)
         if member is None:
             return False
-        if now - member.registered_at > self._timeout:
+        if now - member.obeyed_at > self._timeout:
             member.listed = False
             return False
-        return _renew(member, sequence, now)
+        return _renew(member, sequence, now, announced_at)
 
     def note_summary(self, node: str, *, matches: bool) -> None:
         """Note whether a member's newest registration told of all permits.
@@ -184,14 +195,16 @@
         return {
             node
             for node, member in self._members.items()
-            if node in self._heard
-            and now - member.registered_at <= self._timeout
+            if node in self._heard and now - member.obeyed_at <= self._timeout
         }
 
 
-def _renew(member: _Member, sequence: int, now: float) -> bool:
+def _renew(
+    member: _Member, sequence: int, now: float, announced_at: float
+) -> bool:
     if sequence < member.sequence:
         return False
     member.registered_at = now
+    member.obeyed_at = max(member.obeyed_at, announced_at)
     member.sequence = sequence
     return True
--- a/packages/core/mastichatch_core/scheduler.py
+++ b/packages/core/mastichatch_core/scheduler.py
@@ -324,7 +324,13 @@
         if registration.summary is None
         else scheduler.reach.note_renewal
     )
-    return note(registration.node, registration.sequence, now)
+    announced_at = registration.announced_at
+    return note(
+        registration.node,
+        registration.sequence,
+        now,
+        now if announced_at is None else min(now, announced_at),
+    )
 
 
 def _note_held(
--- a/packages/node/mastichatch_node/hosting.py
+++ b/packages/node/mastichatch_node/hosting.py
@@ -187,6 +187,7 @@
             waiting=load.waiting,
             wait_ms=load.wait_ms,
             list_wanted=list_wanted,
+            sent_at=now,
         )
         self._tools.peers.send(address, MessageKind.scheduler_open, message)
 
--- a/packages/node/mastichatch_node/links.py
+++ b/packages/node/mastichatch_node/links.py
@@ -57,6 +57,7 @@
     :param address: peer address of its host
     :param load: load that it last announced
     :param heard_at: when it was last announced, in seconds
+    :param announced_at: that time on the scheduler's own clock, in seconds
     :param sequence: numbers of the registrations under this term
     :param sent_at: when each of the newest was sent, in seconds
     :param told: what it was told of this node's permits
@@ -66,6 +67,7 @@
     address: str
     load: ServiceLoad
     heard_at: float = 0
+    announced_at: float = 0
     sequence: 'itertools.count[int]' = dataclasses.field(
         default_factory=lambda: itertools.count(1),
     )
@@ -121,6 +123,7 @@
         link.address = sender
         link.load = _load(message)
         link.heard_at = loop_time()
+        link.announced_at = max(link.announced_at, message.sent_at)
         return True
 
     def is_lost(self, place: Place) -> bool:
--- a/packages/node/mastichatch_node/permits.py
+++ b/packages/node/mastichatch_node/permits.py
@@ -356,6 +356,7 @@
             node=self._membership.own.name,
             term=_NO_TERM if link is None else link.term,
             sequence=0 if link is None else link.next_sequence(now),
+            announced_at=None if link is None else link.announced_at,
             summary=summary,
             waiting=_waiting_at(self._waiting.values(), place),
         )
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -70,6 +70,25 @@
         assert granted(core.request(opened, asked(2), 9.2))
 
 
+class TestLateRegistration:
+    """What a cut held back says nothing of now."""
+
+    def test_a_registration_counts_from_what_it_answers(self) -> None:
+        opened = open_warm(catalogue(cold_limit=4, batch_limit=4))
+        members = frozenset('ab')
+        core.set_members(opened, members, members, 1)
+        register(opened, 1, 'b', announced_at=1)
+        for step in range(5, 40):
+            core.set_members(opened, members, frozenset('a'), step / 4)
+            renew(opened, step / 4)
+        assert opened.reach.share(10) < 1
+        core.set_members(opened, members, members, 10)
+        register(opened, 10, 'b', announced_at=1.5)
+        assert opened.reach.share(10.2) < 1
+        register(opened, 10.1, 'b', announced_at=10)
+        assert opened.reach.share(10.2) == 1
+
+
 class TestWaiting:
     """A new scheduler first learns what its members hold."""
 
