Learn the time between tokens from generations that end between registrations

Cause: the time between tokens is measured from one registration to the next, so a generation shorter than that told nothing.

Ruled out: more registrations, which the control budget forbids.

Change: a permit given back before any registration told its tokens brings its mean time between tokens along, which counts like a measured one.

The new test fails without the change.

--- a/packages/core/mastichatch_core/scheduler.py
+++ b/packages/core/mastichatch_core/scheduler.py
@@ -218,6 +218,7 @@
     state = scheduler.pool.states.get(release.endpoint)
     if permit is not None and state is not None:
         note_release(state, release, now)
+        _note_gap(scheduler, state, permit, release, now)
         _learn(scheduler, permit, release, now)
     return advance(scheduler, now)
 
@@ -648,6 +649,31 @@
             scheduler.pool.drop(permit)
 
 
+def _note_gap(
+    scheduler: Scheduler,
+    state: EndpointState,
+    permit: Permit,
+    release: PermitRelease,
+    now: float,
+) -> None:
+    """Learn the time between tokens of a generation that was a short one.
+
+    Longer ones were measured by the registrations; one that ended between two
+    of them was not, and a limit that slow tokens lowered must rise again where
+    all are short.
+    """
+    service = scheduler.pool.service
+    if service is None or permit.output_tokens or not release.gap_ms:
+        return
+    note_tokens(
+        state,
+        release.gap_ms,
+        service.token_gap_target_ms,
+        scheduler.pool.ledger.running(release.endpoint) + 1,
+        now,
+    )
+
+
 def _learn(
     scheduler: Scheduler, permit: Permit, release: PermitRelease, now: float
 ) -> None:
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -1,8 +1,12 @@
 """Rules of the scheduler, one at a time."""
 
+import dataclasses
+
 from mastichatch_core import scheduler as core
+from mastichatch_core.admission import note_tokens
 from mastichatch_core.generated.messages import (
     HeldPermit,
+    PermitOutcome,
     Registration,
     Term,
 )
@@ -10,6 +14,7 @@
 from tests.test_scheduler import (
     asked,
     catalogue,
+    done,
     grants,
     open_warm,
     renew,
@@ -136,3 +141,21 @@
         renew(opened, ends_at)
         core.observe(opened, report('e1'), ends_at)
         assert not opened.waiting_count
+
+
+class TestShortGenerations:
+    """They end between two registrations."""
+
+    def test_they_raise_a_limit_that_slow_ones_lowered(self) -> None:
+        opened = open_warm(catalogue(cold_limit=4, batch_limit=4))
+        core.set_leaving(opened, frozenset({'h-e2'}), 1)
+        note_tokens(opened.pool.states['e1'], 100, 36, 1, 1)
+        assert opened.pool.limit('e1', 1) == 1
+        for number in range(20):
+            now = 1 + number / 4
+            renew(opened, now)
+            (grant,) = grants(core.request(opened, asked(number), now))
+            finished = done(grant, PermitOutcome.completed)
+            finished = dataclasses.replace(finished, gap_ms=10)
+            core.release(opened, finished, now + 0.2)
+        assert opened.pool.limit('e1', 6) > 1
