--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,9 +13,9 @@
 from bench.datapath import measure_datapath
 from bench.slopes import Slope, write_slopes
 from mastichatch_core.renewal import LIST_INTERVAL_S
+from mastichatch_core.units import MS_PER_S
 
 US_PER_S: Final = 1_000_000
-MS_PER_S: Final = 1000
 RESULT_FILE: Final = 'capacity.csv'
 
 
--- a/packages/core/mastichatch_core/claims.py
+++ b/packages/core/mastichatch_core/claims.py
@@ -9,13 +9,13 @@
 
 from mastichatch_core.generated.messages import CallOutcome, Ran
 from mastichatch_core.generated.records import Claim, ClaimState
+from mastichatch_core.units import MS_PER_S
 
 CLAIM_PREFIX: Final = 'claims/'
 BUCKETS_PER_RETENTION: Final = 8
 # How far two clocks may drift apart while a claim is kept.
 CLOCK_DRIFT_RATIO: Final = 0.01
 RECORDED_ANSWER_LIMIT_BYTES: Final = 65536
-_MS_PER_SECOND: Final = 1000
 _DECODER: Final = msgspec.json.Decoder(Claim)
 
 
@@ -81,7 +81,7 @@
 
     :param retention_s: time for which a claim is kept, in seconds
     """
-    return int(lease_ttl_s(retention_s) * _MS_PER_SECOND)
+    return int(lease_ttl_s(retention_s) * MS_PER_S)
 
 
 def claim_key(workspace: str, service: str, operation: str, key: str) -> str:
--- a/packages/core/mastichatch_core/placement.py
+++ b/packages/core/mastichatch_core/placement.py
@@ -16,8 +16,8 @@
     Manifest,
     WeightStore,
 )
+from mastichatch_core.units import MS_PER_S
 
-MS_PER_S: Final = 1000
 LOADING_LIMIT: Final = 2
 # Longest time between the decision for an order and its arrival.
 ORDER_TIMEOUT_S: Final = 2.0
--- /dev/null
+++ b/packages/core/mastichatch_core/units.py
@@ -0,0 +1,5 @@
+"""Factors between units of time."""
+
+from typing import Final
+
+MS_PER_S: Final = 1000
--- a/packages/ctl/mastichatch_ctl/nodes.py
+++ b/packages/ctl/mastichatch_ctl/nodes.py
@@ -17,6 +17,7 @@
     ExplainAnswer,
     NodeStatus,
 )
+from mastichatch_core.units import MS_PER_S
 from mastichatch_ctl.results import (
     Explanation,
     FleetStatus,
@@ -25,7 +26,6 @@
 )
 
 POLL_INTERVAL_S: Final = 0.1
-_MS_PER_SECOND: Final = 1000
 _HTTP_OK: Final = 200
 
 _Answer = TypeVar('_Answer')
@@ -93,7 +93,7 @@
 
     :param timeout_ms: time allowed for one call, in milliseconds
     """
-    timeout = aiohttp.ClientTimeout(total=timeout_ms / _MS_PER_SECOND)
+    timeout = aiohttp.ClientTimeout(total=timeout_ms / MS_PER_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
         yield NodeClient(session)
 
@@ -160,14 +160,14 @@
     """
     loop = asyncio.get_running_loop()
     began = loop.time()
-    ends = began + timeout_ms / _MS_PER_SECOND
+    ends = began + timeout_ms / MS_PER_S
     while True:
         fleet = await read_fleet(client, addresses)
         behind = tuple(
             filter(None, (_lag(node, revision) for node in fleet.nodes))
         )
         if not behind:
-            waited_ms = int((loop.time() - began) * _MS_PER_SECOND)
+            waited_ms = int((loop.time() - began) * MS_PER_S)
             return InForce(
                 revision=revision,
                 nodes=len(fleet.nodes),
--- a/packages/ctl/mastichatch_ctl/results.py
+++ b/packages/ctl/mastichatch_ctl/results.py
@@ -1,6 +1,7 @@
 """What the commands return: typed results, rendered as text or JSON."""
 
 import dataclasses
+
 from mastichatch_core.generated.messages import Decision, ErrorKind, NodeStatus
 from mastichatch_core.generated.records import Change, Drain
 from mastichatch_core.manifest import ManifestFault
--- a/packages/ctl/mastichatch_ctl/texts.py
+++ b/packages/ctl/mastichatch_ctl/texts.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from mastichatch_core.generated.messages import Decision
+from mastichatch_core.units import MS_PER_S
 from mastichatch_ctl.results import (
     Accepted,
     Comparison,
@@ -18,7 +19,6 @@
     Validated,
 )
 
-_MS_PER_SECOND: Final = 1000
 _MARKS: Final[dict[str, str]] = {'added': '+', 'removed': '-', 'changed': '~'}
 _STATUS_TITLES: Final = (
     'NODE',
@@ -164,7 +164,7 @@
 
 def _time(epoch_ms: int) -> str:
     moment = datetime.datetime.fromtimestamp(
-        epoch_ms / _MS_PER_SECOND,
+        epoch_ms / MS_PER_S,
         tz=datetime.UTC,
     )
     return moment.isoformat(sep=' ', timespec='milliseconds')
--- a/packages/node/mastichatch_node/calls.py
+++ b/packages/node/mastichatch_node/calls.py
@@ -23,6 +23,7 @@
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.outcomes import Retention
 from mastichatch_core.tickets import is_ticket
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.claiming import Claims
 from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
@@ -36,7 +37,6 @@
 from mastichatch_node.plain import SendPlain, open_plain
 from mastichatch_node.platform import Platform
 from mastichatch_node.retrying import (
-    MS_PER_SECOND,
     PERMIT_TRIES_LIMIT,
     AttemptRunner,
     PlainCall,
@@ -150,7 +150,7 @@
             message.operation,
             message.body,
         )
-        deadline = loop_time() + message.deadline_ms / MS_PER_SECOND
+        deadline = loop_time() + message.deadline_ms / MS_PER_S
         call = dataclasses.replace(
             call,
             deadline=min(call.deadline, deadline),
@@ -183,7 +183,7 @@
             service=declared,
             operation=found,
             body=body,
-            deadline=loop_time() + declared.queue_deadline_ms / MS_PER_SECOND,
+            deadline=loop_time() + declared.queue_deadline_ms / MS_PER_S,
         )
 
     async def _run_keyed(self, call: PlainCall, key: str) -> CallOutcome:
@@ -398,7 +398,7 @@
 
 def _check_fresh(call: PlainCall) -> None:
     # A node that was frozen may hold an answer that is long out of date.
-    if loop_time() > call.deadline + call.operation.timeout_ms / MS_PER_SECOND:
+    if loop_time() > call.deadline + call.operation.timeout_ms / MS_PER_S:
         raise MastichatchError(
             ErrorKind.endpoint_failed,
             'the answer came after the deadline',
--- a/packages/node/mastichatch_node/changes.py
+++ b/packages/node/mastichatch_node/changes.py
@@ -20,6 +20,7 @@
 from mastichatch_core.generated.manifest import Manifest
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.generated.records import ConfigurationRoot, Drain
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node import codec
 from mastichatch_node.platform import Platform, RevisionMismatchError
 
@@ -29,7 +30,6 @@
 CONFLICT_PAUSE_S: Final = 0.05
 # The listing of all chunks is large, so not each change asks for it.
 COLLECT_EVERY_REVISIONS: Final = 16
-MS_PER_S: Final = 1000
 
 
 class ChangeConflictError(MastichatchError):
--- a/packages/node/mastichatch_node/decisions.py
+++ b/packages/node/mastichatch_node/decisions.py
@@ -2,15 +2,13 @@
 
 import collections
 import time
-from typing import Final
 
 from absl import logging
 
 from mastichatch_core.generated.messages import CandidateScore, Decision
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node import codec
 
-_MS_PER_SECOND: Final = 1000
-
 
 class DecisionLog:
     """The newest decisions of one node, by request.
@@ -57,7 +55,7 @@
             reason=reason,
             term=term,
             revision=revision,
-            at_epoch_ms=int(time.time() * _MS_PER_SECOND),
+            at_epoch_ms=int(time.time() * MS_PER_S),
             candidates=candidates,
         )
         self._keep(decision)
--- a/packages/node/mastichatch_node/engines.py
+++ b/packages/node/mastichatch_node/engines.py
@@ -10,6 +10,7 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.events import EventParser, TokenEvent
 from mastichatch_core.generated.messages import EndpointObservation, ErrorKind
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.replies import check_reply
 from mastichatch_node.reports import (
     ReadReport,
@@ -17,7 +18,6 @@
     unreachable,
 )
 
-_MS_PER_S: Final = 1000
 _REPORT_TIMEOUT_S: Final = 1.0
 _ERROR_LIMIT_BYTES: Final = 4096
 _HTTP_REDIRECT: Final = 300
@@ -202,7 +202,7 @@
         return aiohttp.ClientTimeout(
             total=None,
             sock_connect=self._connect_timeout_s,
-            sock_read=idle_timeout_ms / _MS_PER_S,
+            sock_read=idle_timeout_ms / MS_PER_S,
         )
 
 
@@ -246,7 +246,7 @@
         ) as session,
         open_report_reader() as reports,
     ):
-        yield Engines(session, reports, connect_timeout_ms / _MS_PER_S)
+        yield Engines(session, reports, connect_timeout_ms / MS_PER_S)
 
 
 @contextlib.asynccontextmanager
--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -29,6 +29,7 @@
     RequestClass,
 )
 from mastichatch_core.handles import GenerationHandle
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.decisions import DecisionLog
 from mastichatch_node.engines import Engines, EngineStream
@@ -38,7 +39,6 @@
 RESUME_LIMIT: Final = 4
 RESUME_DELAY_S: Final = 0.1
 START_LIMIT: Final = 6
-_MS_PER_S: Final = 1000
 _PRIORITIES: Final[dict[RequestClass, int]] = {
     RequestClass.interactive: 0,
     RequestClass.standard: 1,
@@ -143,14 +143,14 @@
         """Return the time from send to first event, or zero."""
         if not self.first_at:
             return 0
-        return (self.first_at - self.began_at) * _MS_PER_S
+        return (self.first_at - self.began_at) * MS_PER_S
 
     def gap_ms(self) -> float:
         """Return the mean time between events, or zero."""
         if self.following < 2:
             return 0
         spent_s = self.last_at - self.first_at
-        return spent_s * _MS_PER_S / (self.following - 1)
+        return spent_s * MS_PER_S / (self.following - 1)
 
 
 class Generations:
--- a/packages/node/mastichatch_node/heartbeats.py
+++ b/packages/node/mastichatch_node/heartbeats.py
@@ -24,11 +24,11 @@
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.membership import Member
 from mastichatch_core.remotes import merge_loads
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.members import Membership, speakers
 from mastichatch_node.peers import Peers
 
-MS_PER_S: Final = 1000
 PROBE_LIMIT_S: Final = 30.0
 # Up to this many nodes hear each other at the full rate; more nodes send less
 # often, up to a third of the member timeout.
--- a/packages/node/mastichatch_node/keyed.py
+++ b/packages/node/mastichatch_node/keyed.py
@@ -21,13 +21,13 @@
     Ran,
 )
 from mastichatch_core.generated.records import Claim
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.claiming import Claims, FoundClaim, TakenClaim
 from mastichatch_node.clock import loop_time
 from mastichatch_node.decisions import DecisionLog
 from mastichatch_node.outcomes import Run, Runs
 from mastichatch_node.peers import Peers, Reply
 from mastichatch_node.retrying import (
-    MS_PER_SECOND,
     AttemptRunner,
     PlainCall,
     RightToRun,
@@ -224,7 +224,7 @@
         It is asked for a short wait at a time, so that the death of the owner
         does not keep the caller for as long as its life would.
         """
-        ends_at = call.deadline + call.operation.timeout_ms / MS_PER_SECOND
+        ends_at = call.deadline + call.operation.timeout_ms / MS_PER_S
         silences = 0
         outcome = unknown_outcome('it is in progress', ErrorKind.in_progress)
         while loop_time() < ends_at and outcome.error is ErrorKind.in_progress:
@@ -254,7 +254,7 @@
             MessageKind.outcome_query,
             query,
             CallOutcome,
-            timeout_ms=query.wait_ms + ANSWER_GRACE_S * MS_PER_SECOND,
+            timeout_ms=query.wait_ms + ANSWER_GRACE_S * MS_PER_S,
             recipient=claim.incarnation,
         )
 
@@ -272,7 +272,7 @@
         if run is None or run.digest != query.body_digest:
             return unknown_outcome('its owner does not know it')
         try:
-            async with asyncio.timeout(query.wait_ms / MS_PER_SECOND):
+            async with asyncio.timeout(query.wait_ms / MS_PER_S):
                 await self._runs.join(run)
         except TimeoutError:
             return unknown_outcome('it is in progress', ErrorKind.in_progress)
@@ -315,5 +315,5 @@
     return OutcomeQuery(
         attempt=claim.attempt,
         body_digest=claim.body_digest,
-        wait_ms=wait_s * MS_PER_SECOND,
+        wait_ms=wait_s * MS_PER_S,
     )
--- a/packages/node/mastichatch_node/leases.py
+++ b/packages/node/mastichatch_node/leases.py
@@ -8,9 +8,9 @@
 from absl import logging
 
 from mastichatch_core.errors import MastichatchError
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.platform import Platform
 
-MS_PER_S: Final = 1000
 # A renewal that fails is tried again soon, within the same lease.
 RENEWALS_PER_LEASE: Final = 2
 RETRY_S: Final = 0.25
--- a/packages/node/mastichatch_node/links.py
+++ b/packages/node/mastichatch_node/links.py
@@ -17,11 +17,11 @@
 )
 from mastichatch_core.renewal import Told
 from mastichatch_core.terms import term_rank
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
 
-_MS_PER_S: Final = 1000
 _KEPT_REGISTRATIONS: Final = 64
 # A scheduler is announced twice in this time.
 SILENCE_S: Final = 1.0
@@ -197,7 +197,7 @@
         sent_at = link.sent_at.get(grant.registration)
         if sent_at is None:
             return None
-        lease_end = sent_at + grant.lease_ms / _MS_PER_S
+        lease_end = sent_at + grant.lease_ms / MS_PER_S
         return lease_end if loop_time() < lease_end else None
 
     def release_to(self, sender: str, release: PermitRelease) -> None:
--- a/packages/node/mastichatch_node/main.py
+++ b/packages/node/mastichatch_node/main.py
@@ -15,6 +15,7 @@
 from mastichatch_core.generated.messages import ServiceLoad
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.scheduler_state import Timing
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.admin import Admin
 from mastichatch_node.calls import Calls, open_calls
 from mastichatch_node.chat import Chat
@@ -44,7 +45,6 @@
 # The balancer needs this long to see that a node is no longer ready.
 DRAIN_GRACE_S: Final = 2.0
 DRAIN_POLL_S: Final = 0.1
-_MS_PER_S: Final = 1000
 
 
 async def run_node(settings: Settings, stop: asyncio.Event) -> None:
@@ -143,8 +143,8 @@
         data_centre=base.settings.data_centre,
     )
     timing = Timing(
-        permit_lease=base.settings.permit_lease_ms / _MS_PER_S,
-        member_timeout=base.settings.member_timeout_ms / _MS_PER_S,
+        permit_lease=base.settings.permit_lease_ms / MS_PER_S,
+        member_timeout=base.settings.member_timeout_ms / MS_PER_S,
     )
     scheduling = Scheduling(tools, membership, base.configuration, timing)
     report = await stack.enter_async_context(
@@ -247,7 +247,7 @@
     next host.
     """
     loop = asyncio.get_running_loop()
-    deadline = loop.time() + settings.drain_timeout_ms / _MS_PER_S
+    deadline = loop.time() + settings.drain_timeout_ms / MS_PER_S
     quiet_since = loop.time()
     while loop.time() < deadline:
         waiting = sum(
--- a/packages/node/mastichatch_node/members.py
+++ b/packages/node/mastichatch_node/members.py
@@ -13,10 +13,10 @@
 from mastichatch_core.generated.messages import Digest
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.membership import Member
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.peers import Peers
 
-MS_PER_S: Final = 1000
 RELAY_COUNT: Final = 2
 HOSTS_AGE_LIMIT_S: Final = 1.8
 
--- a/packages/node/mastichatch_node/peers.py
+++ b/packages/node/mastichatch_node/peers.py
@@ -29,6 +29,7 @@
     Failure,
     MessageKind,
 )
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node import codec
 from mastichatch_node.connections import Connections
 
@@ -36,7 +37,6 @@
 RECEIVE_BATCH: Final = 64
 TASK_LIMIT: Final = 20_000
 IDLE_CONNECTION_S: Final = 60.0
-MS_PER_S: Final = 1000
 
 _Message = TypeVar('_Message')
 
--- a/packages/node/mastichatch_node/permits.py
+++ b/packages/node/mastichatch_node/permits.py
@@ -31,12 +31,12 @@
     Term,
 )
 from mastichatch_core.renewal import Told
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.links import Place, SchedulerLinks, place_of
 from mastichatch_node.membership import Membership
 from mastichatch_node.peers import Peers
 
-_MS_PER_S: Final = 1000
 _ANSWER_GRACE_S: Final = 1.0
 SEEK_INTERVAL_S: Final = 0.5
 _NO_TERM: Final = Term(number=0, incarnation='')
@@ -139,7 +139,7 @@
             MessageKind.permit_request,
             request,
         )
-        allowed_s = request.deadline_ms / _MS_PER_S + _ANSWER_GRACE_S
+        allowed_s = request.deadline_ms / MS_PER_S + _ANSWER_GRACE_S
         try:
             async with asyncio.timeout(allowed_s):
                 return await future
@@ -441,7 +441,7 @@
 
 def _aged(waiting: _Waiting) -> PermitRequest:
     """Return a waiting request with the time that it has waited."""
-    waited_ms = (loop_time() - waiting.since) * _MS_PER_S
+    waited_ms = (loop_time() - waiting.since) * MS_PER_S
     return dataclasses.replace(
         waiting.request,
         waited_ms=waiting.request.waited_ms + waited_ms,
--- a/packages/node/mastichatch_node/placement.py
+++ b/packages/node/mastichatch_node/placement.py
@@ -18,6 +18,7 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.manifest import Endpoint
 from mastichatch_core.generated.settings import Settings
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.decisions import DecisionLog
 from mastichatch_node.leases import Lease
@@ -25,7 +26,6 @@
 from mastichatch_node.orders import Orders, open_orders
 from mastichatch_node.platform import Platform, RevisionMismatchError
 
-MS_PER_S: Final = 1000
 STEP_S: Final = 1.0
 KEY_PREFIX: Final = 'placement/'
 # A complete engine is looked at again after this many steps.
--- a/packages/node/mastichatch_node/plain.py
+++ b/packages/node/mastichatch_node/plain.py
@@ -14,10 +14,10 @@
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.replies import check_reply
 
 ANSWER_LIMIT_BYTES: Final = 1048576
-_MS_PER_SECOND: Final = 1000
 _READ_SIZE_BYTES: Final = 65536
 
 
@@ -104,7 +104,7 @@
 
 
 def _open_session(connect_timeout_ms: int) -> aiohttp.ClientSession:
-    connect_timeout_s = connect_timeout_ms / _MS_PER_SECOND
+    connect_timeout_s = connect_timeout_ms / MS_PER_S
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(_run_guard)
     return aiohttp.ClientSession(
--- a/packages/node/mastichatch_node/platform.py
+++ b/packages/node/mastichatch_node/platform.py
@@ -14,10 +14,10 @@
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.units import MS_PER_S
 
 CONNECTION_LIMIT: Final = 64
 KEEPALIVE_S: Final = 15
-MS_PER_S: Final = 1000
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
--- a/packages/node/mastichatch_node/requests.py
+++ b/packages/node/mastichatch_node/requests.py
@@ -12,10 +12,10 @@
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind, RequestClass
+from mastichatch_core.units import MS_PER_S
 
 JSON: Final = b'application/json'
 _BEARER: Final = 'Bearer '
-_MS_PER_S: Final = 1000
 
 Scope = dict[str, Any]
 Message = dict[str, Any]
@@ -135,7 +135,7 @@
     body = error.body(request_id)
     response.add_header(b'Request-Id', request_id.encode())
     if body.retry_after_ms is not None:
-        seconds = -(-body.retry_after_ms // _MS_PER_S)
+        seconds = -(-body.retry_after_ms // MS_PER_S)
         response.add_header(b'Retry-After', str(seconds).encode())
     return response
 
--- a/packages/node/mastichatch_node/retrying.py
+++ b/packages/node/mastichatch_node/retrying.py
@@ -22,6 +22,7 @@
     Ran,
 )
 from mastichatch_core.retries import RetryBudget, deposit, withdraw
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.decisions import DecisionLog
@@ -29,7 +30,6 @@
 from mastichatch_node.permits import Permits
 from mastichatch_node.plain import PlainAnswer, PlainRequest, SendPlain
 
-MS_PER_SECOND: Final = 1000
 PERMIT_TRIES_LIMIT: Final = 4
 _FAILED: Final = frozenset((PermitOutcome.failed, PermitOutcome.unreachable))
 
@@ -56,7 +56,7 @@
     @property
     def retention_s(self) -> float:
         """Time for which the call's key is kept, in seconds."""
-        return self.operation.key_retention_ms / MS_PER_SECOND
+        return self.operation.key_retention_ms / MS_PER_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -216,7 +216,7 @@
                 request_id=call.request_id,
                 operation=call.operation.name,
                 body=call.body,
-                timeout_s=call.operation.timeout_ms / MS_PER_SECOND,
+                timeout_s=call.operation.timeout_ms / MS_PER_S,
             ),
             guard,
         )
@@ -248,7 +248,7 @@
             service=call.service.name,
             workspace=call.workspace,
             node=self._node,
-            deadline_ms=max(0, call.deadline - loop_time()) * MS_PER_SECOND,
+            deadline_ms=max(0, call.deadline - loop_time()) * MS_PER_S,
             excluded=tries.excluded,
         )
 
--- a/packages/node/mastichatch_node/routing.py
+++ b/packages/node/mastichatch_node/routing.py
@@ -18,6 +18,7 @@
     rank_data_centres,
     usable_data_centres,
 )
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.decisions import DecisionLog
@@ -25,7 +26,6 @@
 from mastichatch_node.permits import Permits
 
 DATA_CENTRE_LIMIT: Final = 4
-_MS_PER_S: Final = 1000
 
 
 class Routing:
@@ -55,14 +55,14 @@
         catalogue = self._configuration.current
         if catalogue is None:
             raise MastichatchError(ErrorKind.not_ready)
-        deadline = loop_time() + request.deadline_ms / _MS_PER_S
+        deadline = loop_time() + request.deadline_ms / MS_PER_S
         ranked = self._ranked(catalogue, request.service)[:DATA_CENTRE_LIMIT]
         refusal = MastichatchError(ErrorKind.no_endpoint)
         for candidate in ranked:
             asked = dataclasses.replace(
                 request,
                 data_centre=candidate.endpoint,
-                deadline_ms=max(deadline - loop_time(), 0) * _MS_PER_S,
+                deadline_ms=max(deadline - loop_time(), 0) * MS_PER_S,
             )
             self._note_choice(asked, candidate, ranked, catalogue)
             try:
--- a/packages/node/mastichatch_node/scheduling.py
+++ b/packages/node/mastichatch_node/scheduling.py
@@ -31,6 +31,7 @@
 from mastichatch_core.scheduler_state import Timing
 from mastichatch_core.service_times import ServiceTimes
 from mastichatch_core.terms import term_rank
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.configuration import Configuration
 from mastichatch_node.hosting import Hosted, Tools
@@ -40,7 +41,6 @@
 ANNOUNCE_INTERVAL_S: Final = 0.5
 ADVANCE_INTERVAL_S: Final = 0.05
 REPORT_INTERVAL_S: Final = 0.5
-_MS_PER_S: Final = 1000
 
 Report = Callable[[Endpoint], Awaitable[EndpointObservation]]
 
@@ -52,7 +52,7 @@
 
     def at(self, now: float) -> EndpointObservation:
         """Return the report with its age, in place of that when it came."""
-        aged_ms = (now - self.since) * _MS_PER_S
+        aged_ms = (now - self.since) * MS_PER_S
         return dataclasses.replace(
             self.observation, age_ms=self.observation.age_ms + aged_ms
         )
--- a/packages/node/mastichatch_node/ticketing.py
+++ b/packages/node/mastichatch_node/ticketing.py
@@ -15,6 +15,7 @@
 )
 from mastichatch_core.generated.settings import Settings
 from mastichatch_core.tickets import Ticket, check_use, read_ticket, sign_ticket
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.keyed import (
     ANSWER_GRACE_S,
@@ -24,7 +25,6 @@
 from mastichatch_node.outcomes import Run, Runs
 from mastichatch_node.peers import Peers
 from mastichatch_node.retrying import (
-    MS_PER_SECOND,
     AttemptRunner,
     PlainCall,
     RightToRun,
@@ -71,7 +71,7 @@
                 ErrorKind.bad_request,
                 f'the count must be from 1 to {TICKETS_LIMIT}',
             )
-        lifetime_s = self._settings.ticket_lifetime_ms / MS_PER_SECOND
+        lifetime_s = self._settings.ticket_lifetime_ms / MS_PER_S
         return tuple(
             sign_ticket(
                 Ticket(
@@ -175,7 +175,7 @@
         text: str,
         ticket: Ticket,
     ) -> CallOutcome:
-        wait_ms = max(0, call.deadline - loop_time()) * MS_PER_SECOND
+        wait_ms = max(0, call.deadline - loop_time()) * MS_PER_S
         message = ForwardCall(
             request_id=call.request_id,
             service=call.service.name,
@@ -185,7 +185,7 @@
             body=call.body,
             deadline_ms=wait_ms,
         )
-        wait_ms += call.operation.timeout_ms + ANSWER_GRACE_S * MS_PER_SECOND
+        wait_ms += call.operation.timeout_ms + ANSWER_GRACE_S * MS_PER_S
         return await self._peers.ask(
             ticket.peer_address,
             MessageKind.forward_call,
@@ -224,7 +224,7 @@
             MessageKind.outcome_query,
             OutcomeQuery(attempt='', body_digest=''),
             CallOutcome,
-            timeout_ms=ANSWER_GRACE_S * MS_PER_SECOND,
+            timeout_ms=ANSWER_GRACE_S * MS_PER_S,
             recipient=ticket.incarnation,
         )
 
@@ -247,7 +247,7 @@
 
 def _longest_run_s(call: PlainCall) -> float:
     timeouts_ms = call.service.queue_deadline_ms + call.operation.timeout_ms
-    return timeouts_ms / MS_PER_SECOND
+    return timeouts_ms / MS_PER_S
 
 
 def _own_right() -> RightToRun:
--- a/tests/standins/engine_model.py
+++ b/tests/standins/engine_model.py
@@ -12,9 +12,9 @@
 
 import collections
 import dataclasses
-from typing import Final, Literal
+from typing import Literal
 
-MS_PER_S: Final = 1000
+from mastichatch_core.units import MS_PER_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -10,7 +10,6 @@
     Registration,
     Term,
 )
-
 from tests.test_scheduler import (
     asked,
     catalogue,
