Answer for all attempts of a generation, and move runs in turn

Runs that left an engine at once queued before each other's last part: pauses of 0.3 to 1.3 s.

Change: the answer follows from all attempts; runs of all nodes leave in one order, each when those before it have gone. Copies only where memory is free.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-SOURCES := packages tools bench tests
+SOURCES := packages platform tools bench tests
 
 .PHONY: venv demo test format format-check lint types check bench capacity generate clean
 
--- a/packages/core/mastichatch_core/relay/departure.py
+++ b/packages/core/mastichatch_core/relay/departure.py
@@ -16,6 +16,10 @@
 LEAST_REMAINING_TOKENS: Final = 60
 # Memory moves between data centres at half the rate, by the platform's pages.
 REMOTE_FACTOR: Final = 2.0
+# Time for the last part of a move and for its news to reach other nodes.
+LAST_PART_S: Final = 0.04
+# What other runs generate meanwhile is copied too.
+WAIT_FACTOR: Final = 1.1
 
 
 def is_worth_moving(run: Run) -> bool:
@@ -30,34 +34,46 @@
     return remaining >= LEAST_REMAINING_TOKENS or remaining <= 0
 
 
-def copy_after_s(
-    run: Run, runs: Iterable[Run], engine: Engine, *, is_remote: bool
-) -> float:
-    """Return how long a run waits, after the notice, for its turn to move.
+def runs_before(run: Run, runs: Iterable[Run]) -> tuple[Run, ...]:
+    """Return the runs that leave an engine before a run does.
 
     Moves share the engine's link one after the other, and a run stands still
     for the last part of its move. All nodes put the runs in the same order,
     those with most tokens first, so that nothing is queued before a last
     part, and what the notice does not suffice for is worth least.
 
-    :param run: a run at the engine, without a copy elsewhere
+    :param run: a run at the engine
     :param runs: runs of all nodes
-    :param engine: capacity of one engine
-    :param is_remote: whether memory goes to another data centre
-    :returns: time in seconds
     """
-    before = [
-        _size(one)
+    return tuple(
+        one
         for one in runs
         if one.endpoint == run.endpoint
-        and one.state is RunState.running
-        and not one.copy_at
-        and is_worth_moving(one)
+        and _can_move(one)
         and _order(one) < _order(run)
-    ]
+    )
+
+
+def longest_wait_s(before: Iterable[Run], engine: Engine) -> float:
+    """Return how long a run waits, at most, for others to leave before it.
+
+    :param before: the runs before it
+    :param engine: capacity of one engine
+    :returns: time in seconds
+    """
     rate = max(1.0, engine.link_bytes_per_ms)
-    copied_s = sum(before) * engine.bytes_per_token / rate / MS_PER_S
-    return copied_s * REMOTE_FACTOR if is_remote else copied_s
+    copied_s = sum(
+        REMOTE_FACTOR * _size(one) * engine.bytes_per_token / rate / MS_PER_S
+        + LAST_PART_S
+        for one in before
+    )
+    return copied_s * WAIT_FACTOR
+
+
+def _can_move(run: Run) -> bool:
+    # A prompt that is still being read cannot be copied.
+    has_begun = run.state is RunState.running and run.output_tokens > 0
+    return has_begun and is_worth_moving(run)
 
 
 def _size(run: Run) -> int:
--- a/packages/core/mastichatch_core/relay/events.py
+++ b/packages/core/mastichatch_core/relay/events.py
@@ -1,6 +1,7 @@
 """Splits a stream of server-sent events without changing its bytes."""
 
 import re
+from collections.abc import Iterable
 from typing import Final
 
 # A blank line ends an event; the three line ends of the format may mix.
@@ -39,6 +40,51 @@
         return tuple(events)
 
 
+class MissingEventError(Exception):
+    """An event of a stream is missing."""
+
+
+class EventOrder:
+    """Passes each numbered event of a stream once and in order."""
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self._last: int | None = None
+        self._count = 0
+
+    @property
+    def last(self) -> int | None:
+        """Number of the last event; ``None`` before the first."""
+        return self._last
+
+    @property
+    def count(self) -> int:
+        """Numbered events passed so far."""
+        return self._count
+
+    def fresh(self, events: Iterable[bytes]) -> tuple[bytes, ...]:
+        """Return the events that were not passed before.
+
+        A stream that goes on at another engine may repeat some.
+
+        :param events: whole events, in the order in which they came
+        :raises MissingEventError: if one was left out
+        """
+        return tuple(event for event in events if self._passes(event))
+
+    def _passes(self, event: bytes) -> bool:
+        number = event_number(event)
+        if number is None:
+            return True
+        if self._last is not None and number <= self._last:
+            return False
+        if self._last is not None and number > self._last + 1:
+            raise MissingEventError(f'event {number} came after {self._last}')
+        self._last = number
+        self._count += 1
+        return True
+
+
 def event_number(event: bytes) -> int | None:
     """Return the number that identifies an event.
 
--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -160,15 +160,10 @@
     @functools.cached_property
     def routes_by_host(self) -> Mapping[str, tuple[Route, ...]]:
         """Routes of each host name, longest prefix first."""
-        hosts: dict[str, list[Route]] = {}
-        for route in self.routes:
-            hosts.setdefault(route.host, []).append(route)
-        return MappingProxyType({
-            host: tuple(
-                sorted(found, key=lambda one: len(one.prefix), reverse=True)
-            )
-            for host, found in hosts.items()
-        })
+        hosts: dict[str, tuple[Route, ...]] = {}
+        for route in sorted(self.routes, key=_prefix_length, reverse=True):
+            hosts[route.host] = (*hosts.get(route.host, ()), route)
+        return MappingProxyType(hosts)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -229,3 +224,7 @@
     output_limit: int = 0
     output_hint: int = 0
     parts: tuple[PromptPart, ...] = ()
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
--- a/packages/core/mastichatch_core/relay/plain_choice.py
+++ b/packages/core/mastichatch_core/relay/plain_choice.py
@@ -133,7 +133,7 @@
 def _expected_ms(
     endpoint: Endpoint, record: Record, data_centre: str, now: float
 ) -> float:
-    faded = 0.5 ** ((now - record.noted_at) / HALF_LIFE_S)
+    faded = _faded(record, now)
     mean_ms = UNKNOWN_MS + (record.mean_ms - UNKNOWN_MS) * max(faded, 0.25)
     if endpoint.data_centre != data_centre:
         mean_ms += REMOTE_MS
@@ -143,5 +143,10 @@
 
 
 def _fade(record: Record, now: float) -> None:
-    record.failure_share *= 0.5 ** ((now - record.noted_at) / HALF_LIFE_S)
+    record.failure_share *= _faded(record, now)
     record.noted_at = now
+
+
+def _faded(record: Record, now: float) -> float:
+    """Return the weight that earlier outcomes still have."""
+    return math.pow(0.5, (now - record.noted_at) / HALF_LIFE_S)
--- a/packages/core/mastichatch_core/relay/runs.py
+++ b/packages/core/mastichatch_core/relay/runs.py
@@ -45,7 +45,7 @@
         """
         return self._arrived_at.get(run.request_id, 0)
 
-    def set_own(self, run: Run, now: float) -> None:
+    def note_own(self, run: Run, now: float) -> None:
         """Note a run of this node.
 
         :param run: the run as it is now
--- a/packages/core/mastichatch_core/rendezvous.py
+++ b/packages/core/mastichatch_core/rendezvous.py
@@ -2,8 +2,12 @@
 
 from collections.abc import Iterable
 
+from typing import Final
+
 import xxhash
 
+_SCORES: Final = 2**64
+
 
 def ranked(names: Iterable[str], key: str) -> tuple[str, ...]:
     """Return the names in the order of their claim to a key.
@@ -32,5 +36,14 @@
     return max(names, key=lambda name: (_score(name, key), name))
 
 
+def share(name: str, key: str) -> float:
+    """Return a name's claim to a key, evenly distributed from zero to one.
+
+    :param name: the name
+    :param key: the key
+    """
+    return _score(name, key) / _SCORES
+
+
 def _score(name: str, key: str) -> int:
     return xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode())
--- a/packages/node/mastichatch_node/relay/attempting.py
+++ b/packages/node/mastichatch_node/relay/attempting.py
@@ -80,9 +80,7 @@
     return Fate.unknown if error.was_sent else Fate.not_sent
 
 
-async def read_answer(
-    tools: Tools, job: Job, connection: Connection
-) -> Head:
+async def read_answer(tools: Tools, job: Job, connection: Connection) -> Head:
     """Return the head of the answer to a request.
 
     :param tools: what the relay works with
--- a/packages/node/mastichatch_node/relay/following.py
+++ b/packages/node/mastichatch_node/relay/following.py
@@ -159,9 +159,7 @@
                 self._belief.apply_listing(listing, sent_at, loop_time())
             )
             return
-        view = await self._store.watch(
-            '', self._belief.revision, WATCH_WAIT_MS
-        )
+        view = await self._store.watch('', self._belief.revision, WATCH_WAIT_MS)
         self._note_contact()
         self._tell(self._belief.apply(view, sent_at, loop_time()))
 
@@ -231,9 +229,9 @@
         except LeaseLapsedError:
             logging.warning('the lease of this node lapsed')
         except StoreUnavailableError as error:
-            logging.info('this node was not registered', extra={
-                'reason': str(error)
-            })
+            logging.info(
+                'this node was not registered', extra={'reason': str(error)}
+            )
             await asyncio.sleep(RENEWAL_S)
 
 
--- a/packages/node/mastichatch_node/relay/front.py
+++ b/packages/node/mastichatch_node/relay/front.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Final
 
 import h11
@@ -28,6 +28,7 @@
 LINGER_S: Final = 0.5
 
 _HEAD_TOO_LARGE: Final = 431
+_CALLER_FAULTS: Final = (OSError, h11.ProtocolError, asyncio.CancelledError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -167,12 +168,7 @@
         detect_silence(writer)
         try:
             await self._serve(reader, writer)
-        except (
-            OSError,
-            TimeoutError,
-            h11.ProtocolError,
-            asyncio.CancelledError,
-        ):
+        except _CALLER_FAULTS:
             # The caller is gone, or broke the protocol and has its answer.
             writer.transport.abort()
         except Exception:
@@ -191,26 +187,32 @@
             h11.SERVER,
             max_incomplete_event_size=self._limits().header_bytes,
         )
-        while True:
-            reply = Reply(protocol, writer)
-            try:
-                request = await self._read_request(protocol, reader, writer)
-            except h11.RemoteProtocolError as error:
-                await _refuse(protocol, reply, _protocol_fault(error))
-                break
-            except MastichatchError as error:
-                await _refuse(protocol, reply, error)
-                break
-            if request is None:
-                break
-            await self._answer(protocol, reader, request, reply)
-            if protocol.our_state is not h11.DONE:
-                break
-            if protocol.their_state is not h11.DONE or self.is_draining:
-                break
+        while await self._serve_one(protocol, reader, writer):
             protocol.start_next_cycle()
         await _close(reader, writer)
 
+    async def _serve_one(
+        self,
+        protocol: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Serve one request, and return whether another may follow."""
+        reply = Reply(protocol, writer)
+        try:
+            request = await self._read_request(protocol, reader, writer)
+        except h11.RemoteProtocolError as error:
+            await _refuse(protocol, reply, _protocol_fault(error))
+            return False
+        except MastichatchError as error:
+            await _refuse(protocol, reply, error)
+            return False
+        if request is None:
+            return False
+        await self._answer(protocol, reader, request, reply)
+        states = (protocol.our_state, protocol.their_state)
+        return states == (h11.DONE, h11.DONE) and not self.is_draining
+
     async def _answer(
         self,
         protocol: h11.Connection,
@@ -219,20 +221,27 @@
         reply: Reply,
     ) -> None:
         """Run the handler, and cancel it when the caller leaves."""
-        self._active += 1
         work = asyncio.ensure_future(self._handler(request, reply))
         watch = asyncio.ensure_future(_wait_until_gone(protocol, reader))
+        with self._counted():
+            try:
+                await asyncio.wait(
+                    (work, watch), return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                caller_left = not work.done()
+                await _cancel(watch, work)
+        if caller_left:
+            raise ConnectionResetError('the caller left')
+        work.result()
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._active += 1
         try:
-            await asyncio.wait(
-                (work, watch), return_when=asyncio.FIRST_COMPLETED
-            )
-            if not work.done():
-                raise ConnectionResetError('the caller left')
-            work.result()
+            yield
         finally:
             self._active -= 1
-            await _cancel(watch)
-            await _cancel(work)
 
     async def _read_request(
         self,
@@ -411,10 +420,11 @@
     await asyncio.Event().wait()
 
 
-async def _cancel(future: 'asyncio.Future[None]') -> None:
-    future.cancel()
-    with contextlib.suppress(asyncio.CancelledError, Exception):
-        await future
+async def _cancel(*futures: 'asyncio.Future[None]') -> None:
+    """Cancel what is not done, and wait for its end."""
+    for future in futures:
+        future.cancel()
+    await asyncio.gather(*futures, return_exceptions=True)
 
 
 async def _close(
@@ -428,8 +438,7 @@
     with contextlib.suppress(OSError, TimeoutError):
         writer.write_eof()
         async with asyncio.timeout(LINGER_S):
-            while await reader.read(READ_BYTES):
-                continue
+            await reader.read(-1)
     writer.close()
     with contextlib.suppress(OSError):
         await writer.wait_closed()
--- a/packages/node/mastichatch_node/relay/placing.py
+++ b/packages/node/mastichatch_node/relay/placing.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from mastichatch_core import breaker as breakers
+from mastichatch_core import rendezvous
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind, Run, RunState
 from mastichatch_core.relay.belief import in_use
@@ -28,10 +29,12 @@
 # Outputs shorter than this end before a copy of their memory could help.
 COPIED_OUTPUT_TOKENS: Final = 100
 # Copies take room from runs, so that they are made only below this share.
-COPY_MEMORY_SHARE: Final = 0.7
+COPY_MEMORY_SHARE: Final = 0.4
 # A move within a data centre takes half the time; an engine elsewhere must be
 # emptier by this share of its memory.
 REMOTE_MEMORY_SHARE: Final = 0.4
+# Weight of chance in that choice, as a share of memory.
+SPREAD_MEMORY_SHARE: Final = 0.3
 # Refused callers come back spread over this time, in seconds.
 RETURN_SPREAD_S: Final = 1.0
 FIRST_RETURN_S: Final = 0.5
@@ -91,7 +94,7 @@
         self._jobs[job.request_id] = job
         self._excluded[job.request_id] = excluded
         run = new_run(job)
-        self._tools.sharing.table.set_own(run, loop_time())
+        self._tools.sharing.table.note_own(run, loop_time())
         try:
             candidate = await self._wait(job, run, future)
         except BaseException:
@@ -150,13 +153,17 @@
 
     def _unavailable(self, job: Job) -> EngineUnavailableError:
         usable = self.usable(job.service.name)
-        reason = 'no engine has room in time' if usable else 'no engine is in use'
+        reason = (
+            'no engine has room in time' if usable else 'no engine is in use'
+        )
         spread = random.random() * RETURN_SPREAD_S  # noqa: S311
         return EngineUnavailableError(reason, FIRST_RETURN_S + spread)
 
     def _review_service(self, service: str) -> None:
         table = self._tools.sharing.table
-        own = [job for job in self._jobs.values() if job.service.name == service]
+        own = [
+            job for job in self._jobs.values() if job.service.name == service
+        ]
         if not own:
             return
         engine = require_engine(own[0])
@@ -198,9 +205,7 @@
             memory_share=round(candidate.memory_share, 3),
             expected_tokens=run.expected_tokens,
             revision=self._tools.belief.revision,
-            waited_ms=round(
-                (loop_time() - job.request.arrived_at) * MS_PER_S
-            ),
+            waited_ms=round((loop_time() - job.request.arrived_at) * MS_PER_S),
         )
         return Place(endpoint=endpoint, copy=copy)
 
@@ -209,8 +214,12 @@
     ) -> Endpoint | None:
         if not engine.can_back_up or run.expected_tokens < COPIED_OUTPUT_TOKENS:
             return None
-        return self.copy_engine(
-            job, run.expected_tokens, frozenset((endpoint.instance,))
+        return self.move_engine(
+            job,
+            run.expected_tokens,
+            frozenset((endpoint.instance,)),
+            endpoint.data_centre,
+            COPY_MEMORY_SHARE,
         )
 
     def move_engine(
@@ -219,38 +228,17 @@
         output_tokens: int,
         excluded: frozenset[str],
         data_centre: str,
+        memory_share: float,
     ) -> Endpoint | None:
-        """Return the engine that a run can move to, if any has room.
+        """Return the engine that a run's memory can go to, if any has room.
 
         :param job: the run's request
         :param output_tokens: output to expect, in tokens
         :param excluded: engines that it must not be
-        :param data_centre: where its memory is, which it leaves at half the
+        :param data_centre: where its memory is; it leaves that at half the
             rate
+        :param memory_share: share of the memory that may then be in use
         """
-        return self._roomiest(job, output_tokens, excluded, 1, data_centre)
-
-    def copy_engine(
-        self, job: Job, output_tokens: int, excluded: frozenset[str]
-    ) -> Endpoint | None:
-        """Return the engine for a copy of a run's memory, if any has room.
-
-        :param job: the run's request
-        :param output_tokens: output to expect, in tokens
-        :param excluded: engines that it must not be
-        """
-        return self._roomiest(
-            job, output_tokens, excluded, COPY_MEMORY_SHARE, ''
-        )
-
-    def _roomiest(
-        self,
-        job: Job,
-        output_tokens: int,
-        excluded: frozenset[str],
-        memory_share: float,
-        data_centre: str,
-    ) -> Endpoint | None:
         endpoints = {
             one.instance: one
             for one in self.usable(job.service.name)
@@ -264,9 +252,15 @@
             return None
 
         def price(candidate: Candidate) -> float:
-            there = endpoints[candidate.instance].data_centre
-            is_remote = bool(data_centre) and there != data_centre
-            return candidate.memory_share + REMOTE_MEMORY_SHARE * is_remote
+            instance = candidate.instance
+            is_remote = endpoints[instance].data_centre != data_centre
+            # Runs that move at the same time should not share one link.
+            spread = rendezvous.share(instance, job.request_id)
+            return (
+                candidate.memory_share
+                + REMOTE_MEMORY_SHARE * is_remote
+                + SPREAD_MEMORY_SHARE * spread
+            )
 
         return endpoints[min(roomy, key=price).instance]
 
--- a/packages/node/mastichatch_node/relay/plain.py
+++ b/packages/node/mastichatch_node/relay/plain.py
@@ -64,9 +64,7 @@
     await _answer(tools, job, reply, tried)
 
 
-def _next_endpoint(
-    tools: Tools, job: Job, used: set[str]
-) -> Endpoint | None:
+def _next_endpoint(tools: Tools, job: Job, used: set[str]) -> Endpoint | None:
     now = loop_time()
     known = tools.belief.endpoints(now).values()
     of_service = (
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import signal
 import uuid
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from absl import logging
@@ -59,8 +60,19 @@
 # Lines on malformed entries that a node writes in its life.
 MALFORMED_LIMIT: Final = 200
 
-OpenStore = Callable[[str, ConnectionPool], Store]
-OpenDialect = Callable[[ConnectionPool], Dialect]
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Adapter:
+    """The platform's protocols, as functions.
+
+    :param decoders: how entries of the store are understood
+    :param open_store: creates the store's client, given its address
+    :param open_dialect: creates the wire's names and calls
+    """
+
+    decoders: Decoders
+    open_store: Callable[[str, ConnectionPool], Store]
+    open_dialect: Callable[[ConnectionPool], Dialect]
 
 
 class Node:
@@ -105,7 +117,7 @@
 
     async def _answer_admin(self, request: Incoming, reply: Reply) -> None:
         if request.path == '/metrics':
-            self._tools.telemetry.set_active(self._front.active)
+            self._tools.telemetry.note_active(self._front.active)
             headers = ((b'Content-Type', b'text/plain; version=0.0.4'),)
             await reply.send(200, headers, self._tools.telemetry.text())
             return
@@ -114,18 +126,12 @@
 
 
 async def run_relay(
-    settings: RelaySettings,
-    decoders: Decoders,
-    open_store: OpenStore,
-    open_dialect: OpenDialect,
-    telemetry: Telemetry,
+    settings: RelaySettings, adapter: Adapter, telemetry: Telemetry
 ) -> None:
     """Run a node until it is told to stop, and then until it is drained.
 
     :param settings: settings of the node
-    :param decoders: how the store's entries are understood
-    :param open_store: creates the store's client
-    :param open_dialect: creates the wire's names and calls
+    :param adapter: the platform's protocols
     :param telemetry: decision lines and metrics
     """
     stop = asyncio.Event()
@@ -133,10 +139,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _note_reload)
-    async with contextlib.AsyncExitStack() as stack:
-        node = await stack.enter_async_context(
-            _open_node(settings, decoders, open_store, open_dialect, telemetry)
-        )
+    async with _open_node(settings, adapter, telemetry) as node:
         telemetry.believe('started', address=settings.callers_address)
         await stop.wait()
         stopped_at = loop_time()
@@ -164,104 +167,164 @@
         await asyncio.sleep(DRAIN_POLL_S)
 
 
+class Neighbours:
+    """The other nodes, as they registered themselves."""
+
+    def __init__(self, own_name: str) -> None:
+        """Start alone.
+
+        :param own_name: name of this node
+        """
+        self._own_key = NODE_PREFIX + own_name
+        self._addresses: tuple[str, ...] = ()
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Peer addresses of the other nodes."""
+        return self._addresses
+
+    def update(self, belief: Belief) -> None:
+        """Take over the registrations.
+
+        :param belief: what is known of the platform's store
+        """
+        entries = belief.entries_under(NODE_PREFIX)
+        records = (
+            _read_record(content)
+            for key, content in entries.items()
+            if key != self._own_key
+        )
+        self._addresses = tuple(
+            record.peer_address for record in records if record is not None
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Base:
+    """What the other parts of a node stand on."""
+
+    settings: RelaySettings
+    adapter: Adapter
+    telemetry: Telemetry
+    belief: Belief
+    peers: Peers
+    neighbours: Neighbours
+    sharing: Sharing
+
+
 @contextlib.asynccontextmanager
 async def _open_node(
-    settings: RelaySettings,
-    decoders: Decoders,
-    open_store: OpenStore,
-    open_dialect: OpenDialect,
-    telemetry: Telemetry,
+    settings: RelaySettings, adapter: Adapter, telemetry: Telemetry
 ) -> AsyncIterator[Node]:
-    belief = Belief(decoders)
-    async with contextlib.AsyncExitStack() as stack:
-        peers = await stack.enter_async_context(
-            open_peers(settings.peers_address, uuid.uuid4().hex, '')
+    async with open_peers(
+        settings.peers_address, uuid.uuid4().hex, ''
+    ) as peers:
+        neighbours = Neighbours(settings.name)
+        base = _Base(
+            settings=settings,
+            adapter=adapter,
+            telemetry=telemetry,
+            belief=Belief(adapter.decoders),
+            peers=peers,
+            neighbours=neighbours,
+            sharing=Sharing(settings.name, peers, lambda: neighbours.addresses),
         )
-        store_pool = stack.enter_context(open_pool(CONNECT_TIMEOUT_S))
-        pool = stack.enter_context(open_pool(CONNECT_TIMEOUT_S))
-        store = open_store(settings.store_address, store_pool)
-        follower = Follower(store, belief, peers, telemetry)
+        with open_pool(CONNECT_TIMEOUT_S) as pool:
+            tools = _create_tools(base, pool)
+            placing = Placing(tools)
+            relay = _create_relay(settings, tools, placing)
+            moving = Moving(tools, placing, relay)
+            node = Node(settings, tools, relay)
+            async with _following(base, tools, placing, moving):
+                async with _listening(settings, node):
+                    yield node
+            moving.close()
+
+
+def _create_tools(base: _Base, pool: ConnectionPool) -> Tools:
+    percent = int(base.settings.retry_percent * RETRY_SHARE)
+    return Tools(
+        node=base.settings.name,
+        data_centre=base.settings.data_centre,
+        belief=base.belief,
+        sharing=base.sharing,
+        records=Records(),
+        retries=Retries(percent, burst=0),
+        pool=pool,
+        dialect=base.adapter.open_dialect(pool),
+        telemetry=base.telemetry,
+    )
 
-        def addresses() -> tuple[str, ...]:
-            return tuple(peer_addresses(belief, settings.name).values())
 
-        sharing = Sharing(settings.name, peers, addresses)
-        tools = Tools(
-            node=settings.name,
-            data_centre=settings.data_centre,
-            belief=belief,
-            sharing=sharing,
-            records=Records(),
-            retries=Retries(
-                int(settings.retry_percent * RETRY_SHARE), burst=0
-            ),
-            pool=pool,
-            dialect=open_dialect(pool),
-            telemetry=telemetry,
-        )
-        placing = Placing(tools)
-        relay = Relay(
-            tools,
-            placing,
-            settings.key_limit_ms * KEY_MARGIN / MS_PER_S,
-            settings.denial_limit_ms / MS_PER_S,
-        )
-        node = Node(settings, tools, relay)
-        moving = Moving(tools, placing, relay)
-        stack.callback(moving.close)
-
-        def review(changed: tuple[str, ...]) -> None:
-            nodes = 1 + len(addresses())
-            burst = settings.retry_burst * RETRY_SHARE / nodes
-            tools.retries.set_burst(burst)
-            tools.records.keep_only(belief.endpoints(loop_time()))
-            placing.review()
-            moving.review()
+def _create_relay(
+    settings: RelaySettings, tools: Tools, placing: Placing
+) -> Relay:
+    return Relay(
+        tools,
+        placing,
+        settings.key_limit_ms * KEY_MARGIN / MS_PER_S,
+        settings.denial_limit_ms / MS_PER_S,
+    )
 
+
+@contextlib.asynccontextmanager
+async def _following(
+    base: _Base, tools: Tools, placing: Placing, moving: Moving
+) -> AsyncIterator[None]:
+    """Keep the belief current, and let the other parts act on it."""
+    belief, neighbours = base.belief, base.neighbours
+
+    def review(changed: tuple[str, ...]) -> None:
+        neighbours.update(belief)
+        nodes = 1 + len(neighbours.addresses)
+        burst = base.settings.retry_burst * RETRY_SHARE / nodes
+        tools.retries.set_burst(burst)
+        tools.records.keep_only(belief.endpoints(loop_time()))
+        placing.review()
+        moving.review()
+
+    with open_pool(CONNECT_TIMEOUT_S) as pool:
+        store = base.adapter.open_store(base.settings.store_address, pool)
+        follower = Follower(store, belief, base.peers, base.telemetry)
         follower.subscribe(review)
-        sharing.subscribe(placing.review)
-        peers.on(MessageKind.view_query, ViewQuery, follower.answer_query)
-        peers.on(MessageKind.run_changes, RunChanges, sharing.on_changes)
-        await stack.enter_async_context(
-            background(
-                follower.follow_store(),
-                follower.follow_peers(addresses),
-                keep_registered(
-                    store,
-                    NODE_PREFIX + settings.name,
-                    _own_record(settings, peers),
-                ),
-                sharing.repeat(),
-                _keep_up(pool, placing, moving),
-            )
+        base.sharing.subscribe(placing.review)
+        base.peers.on(MessageKind.view_query, ViewQuery, follower.answer_query)
+        base.peers.on(
+            MessageKind.run_changes, RunChanges, base.sharing.on_changes
         )
-        for address, front in (
-            (settings.callers_address, node.front),
-            (settings.ready_address, node.admin),
-            (settings.metrics_address, node.admin),
+        async with background(
+            follower.follow_store(),
+            follower.follow_peers(lambda: neighbours.addresses),
+            keep_registered(
+                store,
+                NODE_PREFIX + base.settings.name,
+                _own_record(base.settings, base.peers),
+            ),
+            base.sharing.repeat(),
+            _keep_up(tools.pool, placing, moving),
         ):
-            await stack.enter_async_context(open_front(front, address))
-        yield node
-
+            yield
 
-def peer_addresses(belief: Belief, own_name: str) -> Mapping[str, str]:
-    """Return the peer addresses of the other nodes, by name.
 
-    :param belief: what is known of the platform's store
-    :param own_name: name of this node
-    """
-    found: dict[str, str] = {}
-    for key, content in belief.entries_under(NODE_PREFIX).items():
-        name = key.removeprefix(NODE_PREFIX)
-        if name == own_name:
-            continue
-        try:
-            record = codec.decode_json(content, NodeRecord)
-        except codec.DecodeError as error:
-            logging.warning('a node registered wrongly: %s', error)
-            continue
-        found[name] = record.peer_address
-    return found
+@contextlib.asynccontextmanager
+async def _listening(
+    settings: RelaySettings, node: Node
+) -> AsyncIterator[None]:
+    """Listen to callers, to the balancer and to readers of metrics."""
+    async with (
+        open_front(node.front, settings.callers_address),
+        open_front(node.admin, settings.ready_address),
+        open_front(node.admin, settings.metrics_address),
+    ):
+        yield
+
+
+def _read_record(content: bytes) -> NodeRecord | None:
+    try:
+        return codec.decode_json(content, NodeRecord)
+    except codec.DecodeError as error:
+        logging.warning('a node registered wrongly: %s', error)
+        return None
 
 
 def _own_record(settings: RelaySettings, peers: Peers) -> bytes:
@@ -301,4 +364,3 @@
         )
 
     return note
-
--- a/packages/node/mastichatch_node/relay/settings.py
+++ b/packages/node/mastichatch_node/relay/settings.py
@@ -82,15 +82,16 @@
     :param environment: environment variables
     :raises RelaySettingsError: naming every wrong setting
     """
-    options = vars(_parser().parse_args(arguments))
+    options = _parser().parse_args(arguments)
     given: dict[str, Any] = {}
     faults: list[str] = []
     for field in dataclasses.fields(RelaySettings):
-        variable = VARIABLE_PREFIX + field.name.upper()
-        text = options[field.name] or environment.get(variable, '')
+        source = VARIABLE_PREFIX + field.name.upper()
+        flag = getattr(options, field.name)
+        text = flag or environment.get(source, '')
         if not text:
             if field.default is dataclasses.MISSING:
-                faults.append(f'{field.name}: is required ({variable})')
+                faults.append(f'{field.name}: is required ({source})')
             continue
         fault = _fault(field.name, text)
         if fault:
--- a/packages/node/mastichatch_node/relay/sharing.py
+++ b/packages/node/mastichatch_node/relay/sharing.py
@@ -59,7 +59,7 @@
         :param run: the run as it is now
         :param tell: whether the others must know before the next whole list
         """
-        self._table.set_own(run, loop_time())
+        self._table.note_own(run, loop_time())
         if tell:
             self._send((run,), is_whole=False)
             self._notify()
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -7,13 +7,15 @@
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
-from mastichatch_core.generated.messages import ErrorKind, Run, RunState
-from mastichatch_core.relay.events import EventSplitter, event_number
+from mastichatch_core.generated.messages import ErrorKind, Ran, Run, RunState
+from mastichatch_core.relay.events import (
+    EventOrder,
+    EventSplitter,
+    MissingEventError,
+)
 from mastichatch_core.relay.model import Endpoint
-from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.attempting import (
-    FIRST_SERVER_ERROR,
     Fate,
     Result,
     fate_of,
@@ -87,12 +89,11 @@
         self._placing = placing
         self._job = job
         self._reply = reply
-        self._last_event: int | None = None
-        self._events = 0
+        self._order = EventOrder()
+        self._may_have_run = False
         self._source: Source | None = None
         self._moved: asyncio.Future[Moved | None] | None = None
         self._connection: Connection | None = None
-        self._renewed_copy: Moved | None = None
 
     @property
     def job(self) -> Job:
@@ -109,21 +110,8 @@
         """The engine that has a copy of its memory."""
         return None if self._source is None else self._source.place.copy
 
-    @property
-    def renewed_copy(self) -> Moved | None:
-        """A copy made since the run began, in place of the first one."""
-        return self._renewed_copy
-
-    def set_renewed_copy(self, copy: Moved | None) -> None:
-        """Note a copy of the run's memory, or that it is gone.
-
-        :param copy: where it lies
-        """
-        self._renewed_copy = copy
-        self._tools.sharing.note(self.run)
-
-    def drop_first_copy(self) -> None:
-        """Note that the engine with the first copy leaves."""
+    def drop_copy(self) -> None:
+        """Note that the engine with the copy leaves."""
         if self._source is not None:
             place = dataclasses.replace(self._source.place, copy=None)
             self._source = dataclasses.replace(self._source, place=place)
@@ -132,12 +120,7 @@
     @property
     def last_event(self) -> int | None:
         """Number of the last event that the caller has."""
-        return self._last_event
-
-    @property
-    def events(self) -> int:
-        """Events that the caller has."""
-        return self._events
+        return self._order.last
 
     @property
     def is_moving(self) -> bool:
@@ -151,14 +134,13 @@
         engine = job.service.engine
         tokens = 1 if engine is None else engine.tokens_per_event
         place = None if self._source is None else self._source.place
-        renewed = self._renewed_copy
-        copy = self.copy if renewed is None else renewed.endpoint
+        copy = self.copy
         return dataclasses.replace(
             new_run(job),
             state=RunState.running,
             endpoint='' if place is None else place.endpoint.instance,
             copy_at='' if copy is None else copy.instance,
-            output_tokens=self._events * tokens,
+            output_tokens=self._order.count * tokens,
         )
 
     def begin_move(self) -> 'asyncio.Future[Moved | None]':
@@ -181,24 +163,41 @@
         """
         try:
             await self._relay()
+        except MastichatchError as error:
+            raise self._true_error(error) from error
         finally:
             ended = dataclasses.replace(self.run, state=RunState.ended)
             self._tools.sharing.note(ended)
 
+    def _true_error(self, error: MastichatchError) -> MastichatchError:
+        """Return what may be said of the whole generation.
+
+        What its last attempt proves does not hold for those before it.
+        """
+        if self._order.count:
+            return MastichatchError(
+                ErrorKind.generation_lost,
+                str(error),
+                tokens_delivered=self.run.output_tokens,
+            )
+        if self._may_have_run and error.ran is Ran.no:
+            return MastichatchError(ErrorKind.outcome_unknown, str(error))
+        return error
+
     async def _relay(self) -> None:
         excluded: frozenset[str] = frozenset()
         source = Source(place=await self._placing.place(self._job, excluded))
         for _ in range(SEND_LIMIT + RESUME_LIMIT):
             self._source = source
             self._moved = None
-            self._renewed_copy = None
             result = await self._attempt(source)
+            self._may_have_run |= result.fate is Fate.unknown
             if result.fate is Fate.answered:
                 return
-            # The first copy may have been given up meanwhile.
+            # The copy may have been given up meanwhile.
             following = await self._next_source(result, self._source)
             if following is None:
-                raise self._failure(result)
+                raise _failure(result)
             source = following
         raise MastichatchError(ErrorKind.generation_lost)
 
@@ -208,48 +207,30 @@
         """Return where the generation goes on after a failed attempt."""
         moved = None if self._moved is None else await self._moved
         if moved is not None:
-            return self._from_move(moved)
+            # A new copy would fill the links that other moves still need.
+            return Source(
+                place=Place(endpoint=moved.endpoint, copy=None),
+                resumption=Resumption(
+                    address=moved.address,
+                    handle=moved.handle,
+                    last_event=self.last_event,
+                ),
+            )
         nothing_ran = result.fate in {Fate.not_sent, Fate.refused}
         if source.resumption is None and nothing_ran:
             if not self._tools.retries.spend():
                 return None
             lost = frozenset((source.place.endpoint.instance,))
             return Source(place=await self._placing.place(self._job, lost))
-        return self._from_copy(source)
-
-    def _from_move(self, moved: Moved) -> Source:
-        copy = self._placing.copy_engine(
-            self._job,
-            self.run.expected_tokens,
-            frozenset((moved.endpoint.instance,)),
-        )
-        return Source(
-            place=Place(endpoint=moved.endpoint, copy=copy),
-            resumption=Resumption(
-                address=moved.address,
-                handle=moved.handle,
-                last_event=self._last_event,
-            ),
-        )
-
-    def _from_copy(self, source: Source) -> Source | None:
-        """Return the engine with the copy as the next source."""
-        if self._renewed_copy is not None:
-            return self._from_move(self._renewed_copy)
         copy = source.place.copy
         if copy is None:
             return None
-        lost = frozenset((source.place.endpoint.instance, copy.instance))
-        run = self.run
-        following = self._placing.copy_engine(
-            self._job, run.expected_tokens, lost
-        )
         return Source(
-            place=Place(endpoint=copy, copy=following),
+            place=Place(endpoint=copy, copy=None),
             resumption=Resumption(
                 address=copy.address,
                 handle=self._job.request_id,
-                last_event=self._last_event,
+                last_event=self.last_event,
             ),
         )
 
@@ -272,7 +253,7 @@
             fate=result.fate,
             status=result.head.status if result.head else 0,
             reason=result.reason,
-            events=self._events,
+            events=self._order.count,
             left_ms=round(self._job.left_ms()),
         )
         return result
@@ -298,7 +279,11 @@
             body = await connection.read_body(ANSWER_LIMIT_BYTES)
         if tools.dialect.proves_not_run(head):
             return Result(fate=Fate.refused, head=head)
-        await self._pass_failure(head, body)
+        if self._reply.status or head.status in _PROMISES:
+            reason = f'the engine answered {head.status}'
+            raise ExchangeError(reason, was_sent=True)
+        headers = tools.dialect.answer_headers(head.headers)
+        await self._reply.send(head.status, headers, body)
         return Result(fate=Fate.answered, head=head)
 
     @contextlib.asynccontextmanager
@@ -312,13 +297,6 @@
             finally:
                 self._connection = None
 
-    async def _pass_failure(self, head: Head, body: bytes) -> None:
-        if self._reply.status or head.status in _PROMISES:
-            reason = f'the engine answered {head.status}'
-            raise ExchangeError(reason, was_sent=True)
-        headers = self._tools.dialect.answer_headers(head.headers)
-        await self._reply.send(head.status, headers, body)
-
     async def _pass_events(self, connection: Connection, head: Head) -> None:
         splitter = EventSplitter()
         while True:
@@ -335,7 +313,10 @@
 
     async def _pass(self, events: tuple[bytes, ...], head: Head) -> None:
         """Pass whole events on, each once and in order."""
-        fresh = [event for event in events if self._is_next(event)]
+        try:
+            fresh = self._order.fresh(events)
+        except MissingEventError as error:
+            raise ExchangeError(str(error), was_sent=True) from error
         if not fresh:
             return
         is_first = not self._reply.status
@@ -356,28 +337,14 @@
         headers = tools.dialect.answer_headers(head.headers)
         await self._reply.start(head.status, headers)
 
-    def _is_next(self, event: bytes) -> bool:
-        """Return whether an event is new; one that is missing ends the run."""
-        number = event_number(event)
-        if number is None:
-            return True
-        last = self._last_event
-        if last is not None and number <= last:
-            return False
-        if last is not None and number > last + 1:
-            reason = f'event {number} came after {last}'
-            raise ExchangeError(reason, was_sent=True)
-        self._last_event = number
-        self._events += 1
-        return True
 
-    def _failure(self, result: Result) -> MastichatchError:
-        if self._reply.status:
-            return MastichatchError(ErrorKind.generation_lost, result.reason)
-        if result.fate is Fate.refused:
-            return MastichatchError(ErrorKind.endpoint_refused, result.reason)
-        if result.fate is Fate.not_sent:
-            return MastichatchError(
-                ErrorKind.endpoint_unreachable, result.reason
-            )
-        return MastichatchError(ErrorKind.outcome_unknown, result.reason)
+def _failure(result: Result) -> MastichatchError:
+    """Return the failure of a generation whose last attempt failed.
+
+    :param result: the last attempt
+    """
+    if result.fate is Fate.refused:
+        return MastichatchError(ErrorKind.endpoint_refused, result.reason)
+    if result.fate is Fate.not_sent:
+        return MastichatchError(ErrorKind.endpoint_unreachable, result.reason)
+    return MastichatchError(ErrorKind.outcome_unknown, result.reason)
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -4,7 +4,7 @@
 import logging as standard_logging
 import os
 import sys
-from typing import Final, TextIO
+from typing import Final
 
 from absl import logging
 from prometheus_client import (
@@ -75,7 +75,7 @@
         """Start with a full burst."""
         super().__init__()
         self._allowed = LINE_BURST
-        self._noted_at = 0.0
+        self._noted_at = float()
         self._left_out = 0
 
     def filter(self, record: standard_logging.LogRecord) -> bool:
@@ -87,7 +87,7 @@
             return True
         elapsed = record.created - self._noted_at
         self._noted_at = record.created
-        gained = max(0.0, elapsed) * LINES_PER_S
+        gained = max(0, elapsed) * LINES_PER_S
         self._allowed = min(LINE_BURST, self._allowed + gained)
         if self._allowed < 1:
             self._left_out += 1
@@ -107,7 +107,7 @@
     """
     set_up_logging(node, level)
     handler = logging.get_absl_handler()
-    stream: TextIO = BoundedStream(sys.stdout.fileno())  # type: ignore[assignment]
+    stream = BoundedStream(sys.stdout.fileno())
     handler.python_handler.stream = stream
     handler.addFilter(LineLimit())
 
@@ -177,7 +177,7 @@
         """
         self._latency.labels(kind).observe(loop_time() - arrived_at)
 
-    def set_active(self, active: int) -> None:
+    def note_active(self, active: int) -> None:
         """Set the number of requests in progress.
 
         :param active: the number
