--- a/packages/core/mastichatch_core/relay/departure.py
+++ b/packages/core/mastichatch_core/relay/departure.py
@@ -14,6 +14,8 @@
 
 # A run with fewer tokens to go ends before its move would.
 LEAST_REMAINING_TOKENS: Final = 60
+# An output token is worth this many prompt tokens, by the users' pages.
+OUTPUT_WORTH: Final = 10
 # Memory moves between data centres at half the rate, by the platform's pages.
 REMOTE_FACTOR: Final = 2.0
 # Time for the last part of a move and for its news to reach other nodes.
@@ -39,8 +41,8 @@
 
     Moves share the engine's link one after the other, and a run stands still
     for the last part of its move. All nodes put the runs in the same order,
-    those with most tokens first, so that nothing is queued before a last
-    part, and what the notice does not suffice for is worth least.
+    those worth most for their memory first, so that nothing is queued
+    before a last part, and what the notice does not suffice for is worth least.
 
     :param run: a run at the engine
     :param runs: runs of all nodes
@@ -80,5 +82,11 @@
     return run.prompt_tokens + run.output_tokens
 
 
-def _order(run: Run) -> tuple[int, str]:
-    return -_size(run), run.request_id
+def _order(run: Run) -> tuple[float, str]:
+    """Return a rank that every node works out alike, from what never changes.
+
+    What a run is worth grows with its output, and its time on the link with
+    its memory.
+    """
+    worth = run.prompt_tokens + OUTPUT_WORTH * run.expected_tokens
+    return -worth / max(1, run.prompt_tokens), run.request_id
--- a/packages/node/mastichatch_node/relay/job.py
+++ b/packages/node/mastichatch_node/relay/job.py
@@ -78,7 +78,8 @@
 
         :param burst: this node's share of what all may save
         """
-        tokens = min(self._budget.tokens, burst)
+        gained = max(0, burst - self._budget.burst)
+        tokens = min(self._budget.tokens + gained, burst)
         self._budget = dataclasses.replace(
             self._budget, burst=burst, tokens=tokens
         )
--- a/packages/node/mastichatch_node/relay/placing.py
+++ b/packages/node/mastichatch_node/relay/placing.py
@@ -29,10 +29,10 @@
 # Outputs shorter than this end before a copy of their memory could help.
 COPIED_OUTPUT_TOKENS: Final = 100
 # Copies take room from runs, so that they are made only below this share.
-COPY_MEMORY_SHARE: Final = 0.4
+COPY_MEMORY_SHARE: Final = 0.2
 # A move within a data centre takes half the time; an engine elsewhere must be
 # emptier by this share of its memory.
-REMOTE_MEMORY_SHARE: Final = 0.4
+REMOTE_MEMORY_SHARE: Final = 1.0
 # Weight of chance in that choice, as a share of memory.
 SPREAD_MEMORY_SHARE: Final = 0.3
 # Refused callers come back spread over this time, in seconds.
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -239,6 +239,8 @@
         endpoint = source.place.endpoint
         started_at = loop_time()
         if source.resumption is not None:
+            # The engine counts it as a repeat, so that others must yield.
+            self._tools.retries.spend()
             self._tools.sharing.note(self.run)
         try:
             result = await self._exchange(source)
