Keep room for runs that move, and ask engines while the store is away

Cause: with the store down for 8 s no node learned which engines leave, and every run there was lost; with two data centres evacuated, new runs took the room that runs which had to move needed (30 moves without a destination).

--- a/packages/core/mastichatch_core/relay/belief.py
+++ b/packages/core/mastichatch_core/relay/belief.py
@@ -45,6 +45,13 @@
     evacuation_prefix: str
     note_malformed: Callable[[str, str], None]
 
+    def instance(self, key: str) -> str:
+        """Return the instance that an endpoint's key names.
+
+        :param key: key of its entry
+        """
+        return key.removeprefix(self.endpoint_prefix)
+
 
 class Belief:
     """The store's entries as this node knows them."""
@@ -106,9 +113,23 @@
         for key, until in tuple(self._lapsing.items()):
             if now >= until:
                 self._lapsing.pop(key)
-                self._endpoints.pop(self._instance(key), None)
+                self._endpoints.pop(self._decoders.instance(key), None)
         return self._endpoints
 
+    def note_leaving(self, instance: str) -> bool:
+        """Note that an endpoint says of itself that it leaves.
+
+        :param instance: the endpoint
+        :returns: whether that is news
+        """
+        endpoint = self._endpoints.get(instance)
+        if endpoint is None or endpoint.state is EndpointState.draining:
+            return False
+        self._endpoints[instance] = dataclasses.replace(
+            endpoint, state=EndpointState.draining
+        )
+        return True
+
     def entries_under(self, prefix: str) -> Mapping[str, bytes]:
         """Return the contents of the keys under a prefix.
 
@@ -220,7 +241,7 @@
                 self._take_configuration(decoders.configuration(content))
             elif key.startswith(decoders.endpoint_prefix):
                 self._lapsing.pop(key, None)
-                self._endpoints.pop(self._instance(key), None)
+                self._endpoints.pop(self._decoders.instance(key), None)
                 endpoint = decoders.endpoint(key, content)
                 self._endpoints[endpoint.instance] = endpoint
         except MalformedError as error:
@@ -234,7 +255,7 @@
     def _remove(self, key: str, now: float) -> None:
         if not key.startswith(self._decoders.endpoint_prefix):
             return
-        instance = self._instance(key)
+        instance = self._decoders.instance(key)
         endpoint = self._endpoints.get(instance)
         leaving = endpoint is None or endpoint.state is EndpointState.draining
         if leaving or not self._may_have_lapsed(now):
@@ -248,9 +269,6 @@
         restored_at = self._restored_at
         return restored_at is not None and now - restored_at < LAPSE_GRACE_S
 
-    def _instance(self, key: str) -> str:
-        return key.removeprefix(self._decoders.endpoint_prefix)
-
 
 def _forget_oldest(deleted: dict[str, int]) -> None:
     while len(deleted) > DELETIONS_KEPT:
--- a/packages/core/mastichatch_core/relay/engine_choice.py
+++ b/packages/core/mastichatch_core/relay/engine_choice.py
@@ -13,9 +13,11 @@
 from mastichatch_core.generated.messages import Run, RunState
 from mastichatch_core.relay.model import Endpoint, Engine, RequestFacts
 
-# Share of an engine's memory that runs may fill: of ten runs of the users'
-# sheets, two or three standard deviations of their growth are the rest.
-MEMORY_SHARE: Final = 0.92
+# Share of an engine's memory that new runs may fill: the rest is for those
+# that must leave another engine, about one of ten by the users' sheets.
+NEW_MEMORY_SHARE: Final = 0.85
+# Share that a run which leaves another engine may fill: it is lost otherwise.
+MOVED_MEMORY_SHARE: Final = 1.0
 # Part of the output still to come that counts as memory. Runs end at different
 # times, so that the memory of one that ends serves the growth of others.
 GROWTH_SHARE: Final = 0.35
@@ -130,6 +132,7 @@
     loads: Mapping[str, EngineLoad],
     engine: Engine,
     wish: Wish,
+    memory_share: float,
 ) -> tuple[Candidate, ...]:
     """Return the engines with room, best first.
 
@@ -137,6 +140,7 @@
     :param loads: load of each
     :param engine: capacity of one
     :param wish: what is to be placed
+    :param memory_share: share of the memory that may be filled
     """
     size = wish.prompt_tokens + GROWTH_SHARE * wish.output_tokens
     found: list[Candidate] = []
@@ -144,7 +148,7 @@
         load = loads.get(endpoint.instance) or EngineLoad()
         share = (load.memory_tokens + size) / max(1, engine.memory_tokens)
         # An empty engine takes whatever fits it at all.
-        fits = share <= MEMORY_SHARE or not load.running
+        fits = share <= memory_share or not load.running
         if not fits or load.running >= engine.batch_limit:
             continue
         found.append(
--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -9,6 +9,7 @@
 
 from mastichatch_core.generated.messages import Run, RunState
 from mastichatch_core.relay.engine_choice import (
+    NEW_MEMORY_SHARE,
     Candidate,
     EngineLoad,
     Wish,
@@ -51,7 +52,7 @@
             part=run.part,
             data_centre=data_centre,
         )
-        candidates = weigh(endpoints, loads, engine, wish)
+        candidates = weigh(endpoints, loads, engine, wish, NEW_MEMORY_SHARE)
         if candidates:
             found[run.request_id] = candidates[0]
             _occupy(loads, candidates[0].instance, run)
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -62,6 +62,8 @@
     :param proves_not_run: whether an answer proves that nothing ran
     :param is_answer_to: whether an answer belongs to a request id
     :param is_genuine: whether a success bears the endpoint's signature
+    :param says_it_leaves: asks an engine, given its address, whether it is
+        about to be taken away; ``None`` without an answer
     :param move_run: asks an engine to copy a run; arguments are its address,
         the request id, the destination's address and whether the run is to
         stop there
@@ -75,5 +77,6 @@
     proves_not_run: Callable[[Head], bool]
     is_answer_to: Callable[[Head, str], bool]
     is_genuine: Callable[[Head], bool]
+    says_it_leaves: Callable[[str], Awaitable[bool | None]]
     move_run: Callable[[str, str, str, bool], Awaitable[MoveAnswer]]
     drop_copy: Callable[[str, str], Awaitable[None]]
--- a/packages/node/mastichatch_node/relay/moving.py
+++ b/packages/node/mastichatch_node/relay/moving.py
@@ -9,6 +9,7 @@
     longest_wait_s,
     runs_before,
 )
+from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
 from mastichatch_core.relay.model import Endpoint, EndpointState
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import MoveAnswer
@@ -151,7 +152,7 @@
                 run.expected_tokens,
                 frozenset(excluded),
                 source.data_centre,
-                1,
+                MOVED_MEMORY_SHARE,
             )
             if destination is None:
                 self._decide(run.request_id, 'copy_without_destination')
--- a/packages/node/mastichatch_node/relay/placing.py
+++ b/packages/node/mastichatch_node/relay/placing.py
@@ -246,9 +246,9 @@
         }
         wish = _wish(job, output_tokens, self._tools.data_centre)
         loads = measure_loads(self._runs(job.service.name))
-        found = weigh(endpoints.values(), loads, require_engine(job), wish)
-        roomy = [one for one in found if one.memory_share <= memory_share]
-        if not roomy:
+        engine = require_engine(job)
+        found = weigh(endpoints.values(), loads, engine, wish, memory_share)
+        if not found:
             return None
 
         def price(candidate: Candidate) -> float:
@@ -262,7 +262,7 @@
                 + SPREAD_MEMORY_SHARE * spread
             )
 
-        return endpoints[min(roomy, key=price).instance]
+        return endpoints[min(found, key=price).instance]
 
     def _forget(self, job: Job) -> None:
         self._waiting.pop(job.request_id, None)
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -33,6 +33,7 @@
     suspension_clock,
 )
 from mastichatch_node.relay.front import Front, Incoming, Reply, open_front
+from mastichatch_node.relay.inquiring import inquire
 from mastichatch_node.relay.job import Retries, Tools
 from mastichatch_node.relay.moving import Moving
 from mastichatch_node.relay.placing import Placing
@@ -235,7 +236,7 @@
             relay = _create_relay(settings, tools, placing)
             moving = Moving(tools, placing, relay)
             node = Node(settings, tools, relay)
-            async with _following(base, tools, placing, moving):
+            async with _following(base, tools, placing, moving, relay):
                 async with _listening(settings, node):
                     yield node
             moving.close()
@@ -269,7 +270,11 @@
 
 @contextlib.asynccontextmanager
 async def _following(
-    base: _Base, tools: Tools, placing: Placing, moving: Moving
+    base: _Base,
+    tools: Tools,
+    placing: Placing,
+    moving: Moving,
+    relay: Relay,
 ) -> AsyncIterator[None]:
     """Keep the belief current, and let the other parts act on it."""
     belief, neighbours = base.belief, base.neighbours
@@ -301,6 +306,7 @@
                 _own_record(base.settings, base.peers),
             ),
             base.sharing.repeat(),
+            inquire(tools, follower, relay, moving),
             _keep_up(tools.pool, placing, moving),
         ):
             yield
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -91,6 +91,7 @@
         self._reply = reply
         self._order = EventOrder()
         self._may_have_run = False
+        self._excluded: frozenset[str] = frozenset()
         self._source: Source | None = None
         self._moved: asyncio.Future[Moved | None] | None = None
         self._connection: Connection | None = None
@@ -185,8 +186,8 @@
         return error
 
     async def _relay(self) -> None:
-        excluded: frozenset[str] = frozenset()
-        source = Source(place=await self._placing.place(self._job, excluded))
+        place = await self._placing.place(self._job, self._excluded)
+        source = Source(place=place)
         for _ in range(SEND_LIMIT + RESUME_LIMIT):
             self._source = source
             self._moved = None
@@ -218,10 +219,14 @@
             )
         nothing_ran = result.fate in {Fate.not_sent, Fate.refused}
         if source.resumption is None and nothing_ran:
-            if not self._tools.retries.spend():
+            # What was never sent is no repeat at any endpoint.
+            is_repeat = result.fate is Fate.refused
+            if is_repeat and not self._tools.retries.spend():
                 return None
-            lost = frozenset((source.place.endpoint.instance,))
-            return Source(place=await self._placing.place(self._job, lost))
+            self._excluded |= {source.place.endpoint.instance}
+            return Source(
+                place=await self._placing.place(self._job, self._excluded)
+            )
         copy = source.place.copy
         if copy is None:
             return None
