--- /dev/null
+++ b/tests/test_relay_readers.py
@@ -0,0 +1,98 @@
+"""Nodes that follow the store by way of a reader."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+from mastichatch_platform.__main__ import create_adapter
+
+from mastichatch_core.relay.readership import (
+    NODES_WITHOUT_READER,
+    choose_reader,
+)
+from mastichatch_node.relay.program import Node, open_node
+from mastichatch_node.relay.telemetry import Telemetry
+from tests.relay_nodes import configuration, create_settings, until
+from tests.standins.house_store import HouseStore, open_store
+
+NAMES = tuple(f'north-{number}' for number in range(6))
+# The shortest bound within which a change must be in force.
+IN_FORCE_S = 2.0
+
+
+class TestChoice:
+    def test_few_nodes_need_none(self) -> None:
+        few = NAMES[1:NODES_WITHOUT_READER]
+        assert choose_reader(NAMES[0], few, few) is None
+
+    def test_all_nodes_choose_the_same(self) -> None:
+        chosen = set()
+        for own in NAMES:
+            others = tuple(name for name in NAMES if name != own)
+            chosen.add(choose_reader(own, others, others) or own)
+        assert len(chosen) == 1
+
+    def test_silent_reader_is_replaced(self) -> None:
+        reader = choose_reader('x', NAMES, NAMES)
+        answering = tuple(name for name in NAMES if name != reader)
+        assert choose_reader('x', NAMES, answering) != reader
+
+
+@contextlib.asynccontextmanager
+async def _fleet() -> AsyncIterator[
+    tuple[HouseStore, dict[str, Node], dict[str, contextlib.AsyncExitStack]]
+]:
+    store = HouseStore()
+    async with contextlib.AsyncExitStack() as stack:
+        address = await stack.enter_async_context(open_store(store))
+        await store.put('op/config', configuration())
+        nodes: dict[str, Node] = {}
+        stacks: dict[str, contextlib.AsyncExitStack] = {}
+        for name in NAMES:
+            own = await stack.enter_async_context(contextlib.AsyncExitStack())
+            settings = create_settings(address, name=name)
+            nodes[name] = await own.enter_async_context(
+                open_node(settings, create_adapter(), Telemetry())
+            )
+            stacks[name] = own
+        await until(lambda: all(_knows_all(one) for one in nodes.values()))
+        # Whole lists go out once a second, and show that nodes answer.
+        await asyncio.sleep(2.5)
+        yield store, nodes, stacks
+
+
+def _knows_all(node: Node) -> bool:
+    return len(node.belief.entries_under('mastichatch/nodes/')) == len(NAMES)
+
+
+async def _time_of_change(store: HouseStore, nodes: list[Node]) -> float:
+    started_at = time.monotonic()
+    revision = await store.put(f'op/evacuate/z{store.revision}', {})
+    await until(lambda: all(one.belief.revision >= revision for one in nodes))
+    return time.monotonic() - started_at
+
+
+class TestFleet:
+    async def test_one_node_watches_and_all_learn(self) -> None:
+        async with _fleet() as (store, nodes, _stacks):
+            store.calls.clear()
+            took = await _time_of_change(store, list(nodes.values()))
+            await asyncio.sleep(2)
+            watches = sum('kv-watch' in call for call in store.calls)
+        assert took < IN_FORCE_S
+        # One node's watches of 1.5 s, and one for the change.
+        assert watches <= 4
+
+    async def test_change_is_known_though_the_reader_is_gone(self) -> None:
+        async with _fleet() as (store, nodes, stacks):
+            reader = choose_reader('x', NAMES, NAMES)
+            assert reader is not None
+            await stacks[reader].aclose()
+            left = [node for name, node in nodes.items() if name != reader]
+            assert await _time_of_change(store, left) < IN_FORCE_S
+
+    async def test_view_stays_young(self) -> None:
+        async with _fleet() as (_store, nodes, _stacks):
+            await asyncio.sleep(4)
+            assert all(node.is_ready for node in nodes.values())
