--- a/packages/node/mastichatch_node/relay/following.py
+++ b/packages/node/mastichatch_node/relay/following.py
@@ -12,6 +12,7 @@
 from mastichatch_core.generated.messages import (
     Envelope,
     MessageKind,
+    RunChanges,
     ViewAnswer,
     ViewQuery,
 )
@@ -42,6 +43,9 @@
 # in which a change must be in force by the users' sheets.
 READER_WAIT_MS: Final = 700
 DISTRUST_S: Final = 4.0
+# Changes reach all nodes within some hundredths of a second of each other,
+# and after the pause of a reader.
+BEHIND_S: Final = 0.3
 # Endpoints come and go in groups, and all nodes register at the start.
 PAUSE_S: Final = 0.05
 START_S: Final = 6.0
@@ -165,6 +169,7 @@
         self._distrusted_until: dict[str, float] = {}
         self._reader: str | None = None
         self._started_at = loop_time()
+        self._is_behind = False
         self._subscribers: list[Callable[[tuple[str, ...]], None]] = []
 
     @property
@@ -208,6 +213,30 @@
             turn += 1
             await self._ask(known[turn % len(known)], 0)
 
+    async def on_changes(self, message: RunChanges, envelope: Envelope) -> None:
+        """Ask a node that knows a higher revision, if this one stays behind.
+
+        An open connection to the store may carry nothing any more, which shows
+        only when its wait is over.
+
+        :param message: what the node told of its runs
+        :param envelope: who sent it
+        """
+        if message.revision <= self._belief.revision or self._is_behind:
+            return
+        self._is_behind = True
+        try:
+            await asyncio.sleep(BEHIND_S)
+            if message.revision > self._belief.revision:
+                self._telemetry.believe(
+                    'behind_another_node',
+                    revision=self._belief.revision,
+                    known=message.revision,
+                )
+                await self._ask(envelope.sender, 0)
+        finally:
+            self._is_behind = False
+
     async def answer_query(self, query: ViewQuery, envelope: Envelope) -> Reply:
         """Tell another node what this one knows, once there is news.
 
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from mastichatch_core.generated.messages import (
+    Envelope,
     MessageKind,
     RunChanges,
     ViewQuery,
@@ -207,14 +208,20 @@
         settings.peers_address, uuid.uuid4().hex, ''
     ) as peers:
         neighbours = Neighbours(settings.name, settings.data_centre)
+        belief = Belief(adapter.decoders)
         base = _Base(
             settings=settings,
             adapter=adapter,
             telemetry=telemetry,
-            belief=Belief(adapter.decoders),
+            belief=belief,
             peers=peers,
             neighbours=neighbours,
-            sharing=Sharing(settings.name, peers, lambda: neighbours.addresses),
+            sharing=Sharing(
+                settings.name,
+                peers,
+                lambda: neighbours.addresses,
+                lambda: belief.revision,
+            ),
         )
         with open_pool(CONNECT_TIMEOUT_S) as pool:
             tools = _create_tools(base, pool)
@@ -287,9 +294,12 @@
         follower.subscribe(review)
         base.sharing.subscribe(placing.review)
         base.peers.on(MessageKind.view_query, ViewQuery, follower.answer_query)
-        base.peers.on(
-            MessageKind.run_changes, RunChanges, base.sharing.on_changes
-        )
+
+        async def on_changes(message: RunChanges, envelope: Envelope) -> None:
+            await base.sharing.on_changes(message, envelope)
+            await follower.on_changes(message, envelope)
+
+        base.peers.on(MessageKind.run_changes, RunChanges, on_changes)
         async with background(
             follower.follow(),
             follower.ask_others(),
--- a/packages/node/mastichatch_node/relay/sharing.py
+++ b/packages/node/mastichatch_node/relay/sharing.py
@@ -29,13 +29,16 @@
         node: str,
         peers: Peers,
         addresses: Callable[[], Iterable[str]],
+        revision: Callable[[], int],
     ) -> None:
         """Start without runs.
 
         :param node: name of this node
         :param peers: connections to other nodes
         :param addresses: returns the peer addresses of the other nodes
+        :param revision: returns the revision that this node knows
         """
+        self._revision = revision
         self._node = node
         self._peers = peers
         self._addresses = addresses
@@ -88,6 +91,7 @@
             node=self._node,
             sequence=self._sequence,
             interval_ms=self._interval_s() * MS_PER_S,
+            revision=self._revision(),
             is_whole=is_whole,
             runs=runs,
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -362,6 +362,15 @@
             third = await call(second_address, '/book/x', request_id='r3')
             assert third.status == 200
 
+    async def test_node_behind_others_asks_them(self) -> None:
+        """The store's connections of one node carry nothing any more."""
+        async with _two_nodes(cuts=False) as (house, second_address):
+            await house.store.remove('servers/i-a')
+            # A watch that hears nothing would end after 2.5 s.
+            await asyncio.sleep(1.9)
+            answer = await call(second_address, '/book/x', request_id='r2')
+            assert answer.status == 503
+
 
 class TestStreams:
     async def test_events_are_passed_in_order(self) -> None:
@@ -530,8 +539,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _two_nodes() -> AsyncIterator[tuple[House, str]]:
-    """Run a node with a store, and one whose store falls silent."""
+async def _two_nodes(*, cuts: bool = True) -> AsyncIterator[tuple[House, str]]:
+    """Run a node with a store, and one whose store goes away, or silent."""
     one = app()
     async with open_house((one,)) as house:
         gate = _Gate(house.settings.store_address)
@@ -542,7 +551,8 @@
                 await until(lambda: node.is_ready)
                 await until(lambda: _registered(house) == 2)
                 gate.is_shut = True
-                gate.cut()
+                if cuts:
+                    gate.cut()
                 yield house, settings.callers_address
 
 
@@ -579,16 +589,17 @@
         self._writers += [writer, far_writer]
         with contextlib.suppress(OSError):
             await asyncio.gather(
-                _pump(reader, far_writer), _pump(far_reader, writer)
+                self._pump(reader, far_writer),
+                self._pump(far_reader, writer),
             )
 
-
-async def _pump(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    while data := await reader.read(65536):
-        writer.write(data)
-    writer.close()
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65536):
+            if not self.is_shut:
+                writer.write(data)
+        writer.close()
 
 
 def _registered(house: House) -> int:
