Let all nodes know which run's memory is on its way

The run is told as having a copy at its destination while its memory goes there, other runs wait for it, and the room there is counted.

--- a/packages/core/mastichatch_core/relay/departure.py
+++ b/packages/core/mastichatch_core/relay/departure.py
@@ -52,7 +52,8 @@
         for one in runs
         if one.endpoint == run.endpoint
         and _can_move(one)
-        and _order(one) < _order(run)
+        and one.request_id != run.request_id
+        and _goes_before(one, run)
     )
 
 
@@ -72,6 +73,11 @@
     return copied_s * WAIT_FACTOR
 
 
+def _goes_before(one: Run, other: Run) -> bool:
+    # One whose memory is on its way is first, whatever its rank.
+    return bool(one.copy_at) or _order(one) < _order(other)
+
+
 def _can_move(run: Run) -> bool:
     # A prompt that is still being read cannot be copied.
     has_begun = run.state is RunState.running and run.output_tokens > 0
--- a/packages/node/mastichatch_node/relay/moving.py
+++ b/packages/node/mastichatch_node/relay/moving.py
@@ -157,6 +157,7 @@
             if destination is None:
                 self._decide(run.request_id, 'copy_without_destination')
                 return None
+            generation.note_destination(destination)
             answer = await self._call(generation, source, destination, False)
             if answer.status == _OK:
                 return Moved(
@@ -164,6 +165,7 @@
                     address=source.address,
                     handle=answer.handle,
                 )
+            generation.note_destination(None)
             if answer.status == _NOT_FOUND:
                 await asyncio.sleep(NOT_BEGUN_RETRY_S)
                 continue
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -1,9 +1,7 @@
 """Relays generations, and goes on elsewhere when their engine is lost."""
 
 import asyncio
-import contextlib
 import dataclasses
-from collections.abc import AsyncIterator
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -95,6 +93,7 @@
         self._source: Source | None = None
         self._moved: asyncio.Future[Moved | None] | None = None
         self._connection: Connection | None = None
+        self._destination: Endpoint | None = None
 
     @property
     def job(self) -> Job:
@@ -118,6 +117,14 @@
             self._source = dataclasses.replace(self._source, place=place)
             self._tools.sharing.note(self.run)
 
+    def note_destination(self, destination: Endpoint | None) -> None:
+        """Tell all nodes that the run's memory is on its way, or no longer.
+
+        :param destination: the engine that it goes to
+        """
+        self._destination = destination
+        self._tools.sharing.note(self.run)
+
     @property
     def last_event(self) -> int | None:
         """Number of the last event that the caller has."""
@@ -135,7 +142,7 @@
         engine = job.service.engine
         tokens = 1 if engine is None else engine.tokens_per_event
         place = None if self._source is None else self._source.place
-        copy = self.copy
+        copy = self._destination or self.copy
         return dataclasses.replace(
             new_run(job),
             state=RunState.running,
@@ -191,6 +198,7 @@
         for _ in range(SEND_LIMIT + RESUME_LIMIT):
             self._source = source
             self._moved = None
+            self._destination = None
             result = await self._attempt(source)
             self._may_have_run |= result.fate is Fate.unknown
             if result.fate is Fate.answered:
@@ -251,6 +259,7 @@
             result = await self._exchange(source)
         except ExchangeError as error:
             result = Result(fate=fate_of(error), reason=str(error))
+        self._connection = None
         note_result(self._tools, endpoint, result, started_at)
         self._tools.telemetry.decide(
             'generation_attempted',
@@ -269,7 +278,10 @@
         tools = self._tools
         place = source.place
         copy_address = '' if place.copy is None else place.copy.address
-        async with self._connect(place.endpoint) as connection:
+        # An idle connection may have been dropped, and what is sent on it
+        # would be lost: a generation is worth more than a round trip.
+        async with borrow(tools.pool, place.endpoint.address, 0) as connection:
+            self._connection = connection
             await connection.send(
                 outgoing(
                     tools,
@@ -293,17 +305,6 @@
         await self._reply.send(head.status, headers, body)
         return Result(fate=Fate.answered, head=head)
 
-    @contextlib.asynccontextmanager
-    async def _connect(self, endpoint: Endpoint) -> AsyncIterator[Connection]:
-        # An idle connection may have been dropped, and what is sent on it
-        # would be lost: a generation is worth more than a round trip.
-        async with borrow(self._tools.pool, endpoint.address, 0) as connection:
-            self._connection = connection
-            try:
-                yield connection
-            finally:
-                self._connection = None
-
     async def _pass_events(self, connection: Connection, head: Head) -> None:
         splitter = EventSplitter()
         while True:
--- a/tests/test_relay_engines.py
+++ b/tests/test_relay_engines.py
@@ -240,6 +240,15 @@
         elsewhere = run('far', endpoint='f', output_tokens=8)
         assert not departure.runs_before(own, (own, done, unread, elsewhere))
 
+    def test_run_whose_memory_is_on_its_way_goes_first(self) -> None:
+        first, *others = sorted(
+            self.runs,
+            key=lambda one: len(departure.runs_before(one, self.runs)),
+        )
+        last = dataclasses.replace(others[-1], copy_at='f')
+        assert departure.runs_before(first, (first, last)) == (last,)
+        assert not departure.runs_before(last, (last,))
+
     def test_wait_ends_although_a_node_is_gone(self) -> None:
         wait_s = departure.longest_wait_s(self.runs[:2], ENGINE)
         assert 0.5 < wait_s < NOTICE_S
