--- a/packages/node/mastichatch_node/relay/placing.py
+++ b/packages/node/mastichatch_node/relay/placing.py
@@ -35,9 +35,11 @@
 REMOTE_MEMORY_SHARE: Final = 1.0
 # Weight of chance in that choice, as a share of memory.
 SPREAD_MEMORY_SHARE: Final = 0.3
-# Refused callers come back spread over this time, in seconds.
-RETURN_SPREAD_S: Final = 1.0
+# An engine that left is replaced, or a generation ends, about this long after
+# a refusal (1.6 generations a second end at load, by the users' sheets).
 FIRST_RETURN_S: Final = 0.5
+# Refused callers come back spread over this time, so as not to meet again.
+RETURN_SPREAD_S: Final = 1.0
 
 
 class EngineUnavailableError(MastichatchError):
@@ -87,6 +89,9 @@
         :raises EngineUnavailableError: if none has room in time
         """
         engine = require_engine(job)
+        if job.facts.prompt_tokens > engine.memory_tokens:
+            # No engine will ever have room for it.
+            raise self._unavailable(job)
         future: asyncio.Future[Candidate] = (
             asyncio.get_running_loop().create_future()
         )
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -11,7 +11,11 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.relay.belief import Belief
-from mastichatch_core.relay.model import Configuration, WorkKind
+from mastichatch_core.relay.model import (
+    Configuration,
+    RequestFacts,
+    WorkKind,
+)
 from mastichatch_core.relay.routing import (
     ViewAge,
     choose_service,
@@ -75,7 +79,7 @@
         kind = 'unknown'
         reason = 'answered'
         try:
-            job = self._create_job(request)
+            job = self._create_job(request, facts)
             kind = job.route.kind
             await self._run(job, reply)
         except MastichatchError as error:
@@ -84,14 +88,15 @@
         finally:
             self._tools.telemetry.count_answer(kind, reply.status, reason)
 
-    def _create_job(self, request: Incoming) -> Job:
+    def _create_job(self, request: Incoming, facts: RequestFacts) -> Job:
         """Decide what a request is, and where it goes.
 
+        :param request: the request
+        :param facts: what its head states
         :raises MastichatchError: if it goes nowhere
         """
         belief = self._tools.belief
         configuration = _require_configuration(belief)
-        facts = self._tools.dialect.read_facts(request.headers)
         view = ViewAge(
             age_s=belief.age(suspension_clock()),
             key_limit_s=self._key_limit_s,
--- a/tests/relay_nodes.py
+++ b/tests/relay_nodes.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -14,6 +13,7 @@
 from mastichatch_node.relay.program import Node, open_node
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.telemetry import Telemetry
+from tests.processes import free_address
 from tests.standins.house_endpoints import HouseEndpoint, open_endpoints
 from tests.standins.house_store import HouseStore, open_store
 
@@ -125,7 +125,7 @@
 def create_settings(store_address: str, **more: Any) -> RelaySettings:
     """Return settings with free ports."""
     names = ('callers', 'ready', 'peers', 'metrics')
-    addresses = {f'{name}_address': _free_address() for name in names}
+    addresses = {f'{name}_address': free_address() for name in names}
     return RelaySettings(
         **{
             'name': 'north-1',
@@ -211,9 +211,3 @@
         answer.body += event.data
     elif isinstance(event, h11.EndOfMessage):
         answer.is_whole = True
-
-
-def _free_address() -> str:
-    with socket.socket() as found:
-        found.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{found.getsockname()[1]}'
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,6 +11,7 @@
 from mastichatch_node.relay.program import NOTICE_S, open_node
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.relay_nodes import (
+    WAIT_S,
     House,
     call,
     configuration,
@@ -444,6 +445,24 @@
             writer.close()
             await until(lambda: engine.cancelled == ['r1'])
 
+    async def test_prompt_that_fits_no_engine_is_refused_at_once(self) -> None:
+        engine = app('i-e', endpoints.stream(5))
+        # A wait for room would take half of the objective.
+        document = configuration(
+            routes=[
+                route(
+                    'plan', 'streaming', 'llm', goal_ms=90000, timeout_ms=90000
+                )
+            ]
+        )
+        async with open_house((), (engine,), document) as house:
+            async with asyncio.timeout(WAIT_S):
+                answer = await house.call(
+                    '/plan/x', headers=_tokens(30000, 100), timeout_ms=90000
+                )
+        assert answer.status == 503
+        assert not engine.seen
+
     async def test_no_room_is_refused_before_the_objective(self) -> None:
         engine = app('i-e', endpoints.stream(500, 0.02))
         document = configuration(
