--- a/packages/node/mastichatch_node/relay/attempting.py
+++ b/packages/node/mastichatch_node/relay/attempting.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from enum import StrEnum
+from typing import Final
 
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.units import MS_PER_S
@@ -15,6 +16,11 @@
 )
 from mastichatch_node.relay.job import Job, Tools
 
+FIRST_SERVER_ERROR: Final = 500
+# Statuses that promise callers that nothing ran; an endpoint's own answer has
+# one of them without proof, and is not passed on.
+PROMISES: Final = frozenset((408, 421, 429, 503))
+
 
 class Fate(StrEnum):
     """How an attempt ended, as far as it is known."""
@@ -122,6 +128,3 @@
     tools.records.note_answer(
         endpoint.instance, duration_ms, now, failed=failed
     )
-
-
-FIRST_SERVER_ERROR = 500
--- a/packages/node/mastichatch_node/relay/placing.py
+++ b/packages/node/mastichatch_node/relay/placing.py
@@ -305,10 +305,7 @@
 
 
 def _shared_part(job: Job) -> str:
-    """Return the last part that other requests may share.
-
-    The very last part is the request's own, or its session's.
-    """
+    """Return the last part of the prompt, which its session shares."""
     parts = job.facts.parts
     return parts[-1].part if parts else ''
 
--- a/packages/node/mastichatch_node/relay/plain.py
+++ b/packages/node/mastichatch_node/relay/plain.py
@@ -13,6 +13,7 @@
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.attempting import (
     FIRST_SERVER_ERROR,
+    PROMISES,
     Fate,
     Result,
     fate_of,
@@ -36,10 +37,6 @@
 # Below this time left, a further attempt cannot be answered in time.
 LEAST_LEFT_MS: Final = 15.0
 
-_TOO_MANY: Final = 429
-_UNAVAILABLE: Final = 503
-_PROMISES: Final = frozenset((408, 421, _TOO_MANY, _UNAVAILABLE))
-
 
 async def relay_call(tools: Tools, job: Job, reply: Reply) -> None:
     """Relay a call, at another endpoint where that is allowed.
@@ -158,7 +155,7 @@
     if not answers or answers[-1].head is None:
         raise _failure(tried)
     head = answers[-1].head
-    if head.status in _PROMISES:
+    if head.status in PROMISES:
         # Without proof this status would promise that nothing ran.
         raise MastichatchError(ErrorKind.endpoint_failed)
     tools.telemetry.note_first_byte(job.route.kind, job.request.arrived_at)
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -14,6 +14,7 @@
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.attempting import (
+    PROMISES,
     Fate,
     Result,
     fate_of,
@@ -39,9 +40,6 @@
 RESUME_LIMIT: Final = 6
 
 _OK: Final = 200
-_TOO_MANY: Final = 429
-_UNAVAILABLE: Final = 503
-_PROMISES: Final = frozenset((408, 421, _TOO_MANY, _UNAVAILABLE))
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -298,7 +296,7 @@
             body = await connection.read_body(ANSWER_LIMIT_BYTES)
         if tools.dialect.proves_not_run(head):
             return Result(fate=Fate.refused, head=head)
-        if self._reply.status or head.status in _PROMISES:
+        if self._reply.status or head.status in PROMISES:
             reason = f'the engine answered {head.status}'
             raise ExchangeError(reason, was_sent=True)
         headers = tools.dialect.answer_headers(head.headers)
@@ -330,10 +328,8 @@
         is_first = not self._reply.status
         await self._start(head)
         await self._reply.write(b''.join(fresh))
-        if is_first:
-            self._tools.sharing.note(self.run)
-        else:
-            self._tools.sharing.note(self.run, tell=False)
+        # Later events reach other nodes with the next whole list.
+        self._tools.sharing.note(self.run, tell=is_first)
 
     async def _start(self, head: Head) -> None:
         if self._reply.status:
