Pass a grown configuration on in time over slow links

Cause: a reader passed the configuration on as it is. After big_config that is some hundred KB for each of 26 nodes, 6 s on a link of 10 Mbit/s; each node gave its reader up after a second and asked the next one, which choked in turn, until all had a view too old to serve by. A node cut off from the store never got it within the 300 ms of a question. Ruled out: a silent store (it answered all along), processor time (0.029 of a core).

--- a/packages/node/mastichatch_node/relay/following.py
+++ b/packages/node/mastichatch_node/relay/following.py
@@ -18,7 +18,8 @@
 )
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.belief import Belief
-from mastichatch_core.relay.readership import choose_reader
+from mastichatch_core.relay.packing import PackingError, pack, unpack
+from mastichatch_core.relay.readership import READERS_TRIED, choose_reader
 from mastichatch_core.relay.store import (
     HistoryGoneError,
     LeaseLapsedError,
@@ -86,14 +87,18 @@
 class Neighbours:
     """The other nodes, as they registered themselves."""
 
-    def __init__(self, own: str, data_centre: str) -> None:
+    def __init__(
+        self, own: str, data_centre: str, link_mbps: float = 0
+    ) -> None:
         """Start alone.
 
         :param own: name of this node
         :param data_centre: where it stands
+        :param link_mbps: rate of its network link
         """
         self._own = own
         self._data_centre = data_centre
+        self._link_mbps = link_mbps
         self._records: dict[str, NodeRecord] = {}
 
     @property
@@ -115,6 +120,14 @@
             if record.data_centre == self._data_centre
         )
 
+    @property
+    def links(self) -> dict[str, float]:
+        """Rates of all nodes' network links, in Mbit/s, by name."""
+        rates = {
+            name: record.link_mbps for name, record in self._records.items()
+        }
+        return {self._own: self._link_mbps, **rates}
+
     def address(self, name: str) -> str:
         """Return the peer address of a node.
 
@@ -253,7 +266,9 @@
             age_ms=self._belief.age(suspension_clock()) * MS_PER_S,
             held_ms=(loop_time() - asked_at) * MS_PER_S,
             is_current=self._in_contact,
-            entries=self._belief.changes_after(query.after),
+            entries=tuple(
+                pack(entry) for entry in self._belief.changes_after(query.after)
+            ),
         )
         return Reply(kind=MessageKind.view_answer, message=answer)
 
@@ -267,7 +282,12 @@
             if now >= self._distrusted_until.get(name, now)
         }
         neighbours = self._neighbours
-        reader = choose_reader(neighbours.own, neighbours.near, trusted)
+        distrusted = sum(now < end for end in self._distrusted_until.values())
+        reader = None
+        if distrusted < READERS_TRIED:
+            reader = choose_reader(
+                neighbours.own, neighbours.near, trusted, neighbours.links
+            )
         if reader != self._reader:
             self._reader = reader
             self._telemetry.believe('reader_changed', reader=reader or 'self')
@@ -278,7 +298,6 @@
         if await self._ask(address, READER_WAIT_MS):
             self._note_contact()
             return
-        # Until it is trusted again, this node follows the store itself.
         self._distrusted_until[reader] = loop_time() + DISTRUST_S
         self._telemetry.believe('reader_distrusted', reader=reader)
 
@@ -324,7 +343,15 @@
             return False
         if answer.revision < known or answer.age_ms == float('inf'):
             return False
-        view = StoreView(revision=answer.revision, entries=answer.entries)
+        try:
+            entries = tuple(unpack(entry) for entry in answer.entries)
+        except PackingError as error:
+            logging.warning(
+                'the view of a node cannot be read',
+                extra={'address': address, 'reason': str(error)},
+            )
+            return False
+        view = StoreView(revision=answer.revision, entries=entries)
         # It answered no earlier than this, and its age counts from there.
         verified_at = asked_at + (answer.held_ms - answer.age_ms) / MS_PER_S
         self._tell(self._belief.apply(view, verified_at, loop_time()))
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -207,7 +207,9 @@
     async with open_peers(
         settings.peers_address, uuid.uuid4().hex, ''
     ) as peers:
-        neighbours = Neighbours(settings.name, settings.data_centre)
+        neighbours = Neighbours(
+            settings.name, settings.data_centre, settings.link_mbps
+        )
         belief = Belief(adapter.decoders)
         base = _Base(
             settings=settings,
@@ -336,6 +338,7 @@
             data_centre=settings.data_centre,
             peer_address=peers.address,
             http_address=settings.callers_address,
+            link_mbps=settings.link_mbps,
         )
     )
 
--- a/packages/node/mastichatch_node/relay/settings.py
+++ b/packages/node/mastichatch_node/relay/settings.py
@@ -37,6 +37,7 @@
     :param denial_limit_ms: oldest view by which a caller may be denied
     :param retry_percent: retries of all nodes, in percent of requests
     :param retry_burst: retries of all nodes beyond that in a window
+    :param link_mbps: rate of this host's network link; zero where unknown
     :param grace_ms: time from a planned stop to its end
     :param log_level: least severe level that is logged
     """
@@ -52,6 +53,7 @@
     denial_limit_ms: float = 3500
     retry_percent: float = 20
     retry_burst: float = 50
+    link_mbps: float = 0
     grace_ms: float = 8000
     log_level: str = 'info'
 
@@ -68,6 +70,7 @@
     'denial_limit_ms': 'oldest view by which a caller may be denied',
     'retry_percent': 'retries of all nodes, in percent of requests',
     'retry_burst': 'retries of all nodes beyond that, in a window of 10 s',
+    'link_mbps': "rate of this host's network link, in Mbit/s",
     'grace_ms': 'time from a planned stop to its end',
     'log_level': 'least severe level that is logged',
 }
@@ -120,7 +123,7 @@
 
 
 def _is_number(name: str) -> bool:
-    return name.endswith('_ms') or name.startswith('retry_')
+    return name.endswith(('_ms', '_mbps')) or name.startswith('retry_')
 
 
 def _reader(name: str) -> Callable[[str], Any]:
--- a/tests/test_relay_readers.py
+++ b/tests/test_relay_readers.py
@@ -5,15 +5,20 @@
 import time
 from collections.abc import AsyncIterator
 
+import pytest
 from mastichatch_platform.__main__ import create_adapter
 
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.relay.readership import (
     NODES_WITHOUT_READER,
     choose_reader,
 )
+from mastichatch_core.units import MS_PER_S
+from mastichatch_node.peers import Peers
 from mastichatch_node.relay.program import Node, open_node
 from mastichatch_node.relay.telemetry import Telemetry
-from tests.relay_nodes import configuration, create_settings, until
+from tests.relay_nodes import configuration, create_settings, route, until
 from tests.standins.house_store import HouseStore, open_store
 
 NAMES = tuple(f'north-{number}' for number in range(6))
@@ -38,6 +43,16 @@
         answering = tuple(name for name in NAMES if name != reader)
         assert choose_reader('x', NAMES, answering) != reader
 
+    def test_reader_has_a_fast_link(self) -> None:
+        for fast in NAMES:
+            links = {name: 10.0 for name in NAMES} | {fast: 200.0}
+            assert choose_reader('x', NAMES, NAMES, links) == fast
+
+    def test_slow_links_serve_where_no_fast_one_answers(self) -> None:
+        links = {name: 10.0 for name in NAMES} | {NAMES[0]: 200.0}
+        answering = NAMES[1:]
+        assert choose_reader('x', NAMES, answering, links) in answering
+
 
 @contextlib.asynccontextmanager
 async def _fleet() -> AsyncIterator[
@@ -92,6 +107,33 @@
             left = [node for name, node in nodes.items() if name != reader]
             assert await _time_of_change(store, left) < IN_FORCE_S
 
+    async def test_change_is_known_though_all_readers_are_silent(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def stay_silent(
+            *_args: object, timeout_ms: float, **_more: object
+        ) -> None:
+            await asyncio.sleep(timeout_ms / MS_PER_S)
+            raise MastichatchError(ErrorKind.peer_unreachable)
+
+        async with _fleet() as (store, nodes, _stacks):
+            monkeypatch.setattr(Peers, 'ask', stay_silent)
+            took = await _time_of_change(store, list(nodes.values()))
+        # Two readers are tried for a second each.
+        assert took < 1.5 * IN_FORCE_S
+
+    async def test_grown_configuration_reaches_all(self) -> None:
+        async with _fleet() as (store, nodes, _stacks):
+            routes = [route(f'r{one}', 'safe', 'app') for one in range(1400)]
+            await store.put('op/config', configuration(2, routes=routes))
+            await until(
+                lambda: all(
+                    one.belief.configuration is not None
+                    and one.belief.configuration.version == 2
+                    for one in nodes.values()
+                )
+            )
+
     async def test_view_stays_young(self) -> None:
         async with _fleet() as (_store, nodes, _stacks):
             await asyncio.sleep(4)
