Move runs off engines that leave together without waiting for each other

The last part of a move then waited behind whole memories, and half of the moved plans paused for longer than callers allow (180 ms). - A run began to move beside others once its first estimate of their time was over, or when one that was moving came near its expected end. - A silent store is noticed after 2.5 s, an engine's notice is 1.5 to 2 s: all of its runs were lost. - A stream across a cut between data centres was ended after 3 s; the cut lasts 5.5. - A moving run was weighed without what it had generated. Change: destinations by links and by position among the engines that leave (core destination), turns by progress (departure.Turn) looked at after each message, one node asks each engine whether it leaves and tells the others, links may be silent for 6.5 s, near engines within two and a half runs.

--- a/packages/core/mastichatch_core/relay/departure.py
+++ b/packages/core/mastichatch_core/relay/departure.py
@@ -5,7 +5,7 @@
 takes a part of a second each on the engine's link, one after the other.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from mastichatch_core.generated.messages import Run, RunState
@@ -51,7 +51,7 @@
         one
         for one in runs
         if one.endpoint == run.endpoint
-        and _can_move(one)
+        and (bool(one.copy_at) or _can_move(one))
         and one.request_id != run.request_id
         and _goes_before(one, run)
     )
@@ -73,6 +73,37 @@
     return copied_s * WAIT_FACTOR
 
 
+class Turn:
+    """Whether a run's turn to leave an engine has come."""
+
+    def __init__(self) -> None:
+        """Start without knowing the runs before it."""
+        self._before: frozenset[str] | None = None
+        self._changed_at = float()
+
+    def has_come(
+        self, before: Collection[Run], engine: Engine, now: float
+    ) -> bool:
+        """Return whether the runs before have left, or none of them does.
+
+        The node of a run before may be silent. While one after the other
+        leaves, the rest wait, however long that takes: a transfer beside
+        theirs would only let a caller's stream stand still.
+
+        :param before: runs that leave before this one
+        :param engine: capacity of one engine
+        :param now: time in seconds
+        """
+        if not before:
+            return True
+        names = frozenset(run.request_id for run in before)
+        if names != self._before:
+            self._before = names
+            self._changed_at = now
+        longest_s = max(longest_wait_s((run,), engine) for run in before)
+        return now - self._changed_at >= longest_s
+
+
 def _goes_before(one: Run, other: Run) -> bool:
     # One whose memory is on its way is first, whatever its rank.
     return bool(one.copy_at) or _order(one) < _order(other)
--- a/packages/core/mastichatch_core/relay/engine_choice.py
+++ b/packages/core/mastichatch_core/relay/engine_choice.py
@@ -25,8 +25,12 @@
 # much as this many prompt tokens read beside it (0.12 ms of 14 tokens a ms
 # by the users' sheets, over the steps of a mean prompt's reading).
 RUN_COST_TOKENS: Final = 60
-# An engine in another data centre is preferred only if all else is equal.
-REMOTE_COST_TOKENS: Final = 40
+# A near engine may have two and a half runs more than one elsewhere: a stream
+# between data centres stalls when they are cut off from each other, but the
+# notice of an engine that leaves suffices for five or six runs only.
+REMOTE_COST_TOKENS: Final = 150
+# A prompt whose last part was sent there before is read a little faster.
+SHARED_PART_TOKENS: Final = 40
 # Mean output as a share of its limit, by the users' sheets (231 of 546
 # events), for requests whose route has shown no outputs yet.
 UNKNOWN_OUTPUT_SHARE: Final = 0.42
@@ -69,14 +73,12 @@
 class Wish:
     """What is to be placed.
 
-    :param prompt_tokens: length of the prompt
-    :param output_tokens: output to expect
+    :param memory_tokens: memory to expect of it
     :param part: last shared part of the prompt
     :param data_centre: where the request came in
     """
 
-    prompt_tokens: int
-    output_tokens: int
+    memory_tokens: float
     part: str
     data_centre: str
 
@@ -104,6 +106,17 @@
     return run.prompt_tokens + run.output_tokens + GROWTH_SHARE * to_come
 
 
+def wish_of(run: Run, data_centre: str) -> Wish:
+    """Return what a run, waiting or running, wants of an engine.
+
+    :param run: the run
+    :param data_centre: where its request came in
+    """
+    return Wish(
+        memory_tokens=memory_of(run), part=run.part, data_centre=data_centre
+    )
+
+
 def measure_loads(runs: Iterable[Run]) -> Mapping[str, EngineLoad]:
     """Return the load of each engine that something runs at.
 
@@ -142,11 +155,12 @@
     :param wish: what is to be placed
     :param memory_share: share of the memory that may be filled
     """
-    size = wish.prompt_tokens + GROWTH_SHARE * wish.output_tokens
     found: list[Candidate] = []
     for endpoint in endpoints:
         load = loads.get(endpoint.instance) or EngineLoad()
-        share = (load.memory_tokens + size) / max(1, engine.memory_tokens)
+        share = (load.memory_tokens + wish.memory_tokens) / max(
+            1, engine.memory_tokens
+        )
         # An empty engine takes whatever fits it at all.
         fits = share <= memory_share or not load.running
         if not fits or load.running >= engine.batch_limit:
@@ -166,5 +180,5 @@
     if endpoint.data_centre != wish.data_centre:
         cost += REMOTE_COST_TOKENS
     if wish.part and wish.part in load.parts:
-        cost -= REMOTE_COST_TOKENS
+        cost -= SHARED_PART_TOKENS
     return cost
--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -12,10 +12,10 @@
     NEW_MEMORY_SHARE,
     Candidate,
     EngineLoad,
-    Wish,
     measure_loads,
     memory_of,
     weigh,
+    wish_of,
 )
 from mastichatch_core.relay.model import Endpoint, Engine
 
@@ -46,12 +46,7 @@
     )
     found: dict[str, Candidate] = {}
     for run in waiting:
-        wish = Wish(
-            prompt_tokens=run.prompt_tokens,
-            output_tokens=run.expected_tokens,
-            part=run.part,
-            data_centre=data_centre,
-        )
+        wish = wish_of(run, data_centre)
         candidates = weigh(endpoints, loads, engine, wish, NEW_MEMORY_SHARE)
         if candidates:
             found[run.request_id] = candidates[0]
--- a/packages/core/mastichatch_core/relay/events.py
+++ b/packages/core/mastichatch_core/relay/events.py
@@ -85,6 +85,29 @@
         return True
 
 
+class Pause:
+    """Measures the longest time between events of a stream."""
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self._last_at: float | None = None
+        self._longest_s = float()
+
+    @property
+    def longest_s(self) -> float:
+        """Longest time between two events so far, in seconds."""
+        return self._longest_s
+
+    def note_event(self, now: float) -> None:
+        """Note that an event is passed on.
+
+        :param now: time in seconds
+        """
+        if self._last_at is not None:
+            self._longest_s = max(self._longest_s, now - self._last_at)
+        self._last_at = now
+
+
 def event_number(event: bytes) -> int | None:
     """Return the number that identifies an event.
 
--- a/packages/core/mastichatch_core/relay/runs.py
+++ b/packages/core/mastichatch_core/relay/runs.py
@@ -100,6 +100,17 @@
             if now - node.heard_at < node.silent_after_s
         )
 
+    def nodes_at(self, endpoint: str) -> frozenset[str]:
+        """Return the names of the other nodes that have runs at an endpoint.
+
+        :param endpoint: instance of the endpoint
+        """
+        return frozenset(
+            name
+            for name, node in self._nodes.items()
+            if any(run.endpoint == endpoint for run in node.runs.values())
+        )
+
     def each(self, now: float) -> Iterator[Run]:
         """Iterate over the runs of all nodes.
 
--- a/packages/node/mastichatch_node/relay/exchange.py
+++ b/packages/node/mastichatch_node/relay/exchange.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 
 READ_BYTES: Final = 65536
@@ -22,7 +23,6 @@
 # this time; below it, lost packets are still sent again.
 SILENCE_TIMEOUT_MS: Final = 3000
 PROBE_INTERVAL_S: Final = 1
-PROBE_COUNT: Final = 2
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -105,6 +105,13 @@
         """Loop time of the last use, in seconds."""
         return self._used_at
 
+    def bear_silence(self, timeout_ms: int) -> None:
+        """Keep the connection while its other end cannot be reached.
+
+        :param timeout_ms: longest time, in milliseconds
+        """
+        detect_silence(self._writer, timeout_ms)
+
     @property
     def is_idle(self) -> bool:
         """Whether the connection can carry one more exchange."""
@@ -243,27 +250,35 @@
     return Connection(address, reader, writer)
 
 
-def detect_silence(writer: asyncio.StreamWriter) -> None:
+def detect_silence(
+    writer: asyncio.StreamWriter, timeout_ms: int = SILENCE_TIMEOUT_MS
+) -> None:
     """Let the kernel end a connection whose other end went silent.
 
     :param writer: an open connection
+    :param timeout_ms: longest silence, in milliseconds
     """
     found = writer.get_extra_info('socket')
     if found is None:
         return
     options = (
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms),
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _probes(timeout_ms)),
     )
     for level, name, setting in options:
         with contextlib.suppress(OSError):
             found.setsockopt(level, name, setting)
 
 
+def _probes(timeout_ms: int) -> int:
+    """Return the unanswered probes after which a connection ends."""
+    return max(1, timeout_ms // (PROBE_INTERVAL_S * MS_PER_S) - 1)
+
+
 class ConnectionPool:
     """Idle connections, by address."""
 
--- a/packages/node/mastichatch_node/relay/moving.py
+++ b/packages/node/mastichatch_node/relay/moving.py
@@ -1,12 +1,13 @@
 """Moves this node's generations off engines that leave."""
 
 import asyncio
+import contextlib
 from collections.abc import Mapping
 from typing import Final
 
 from mastichatch_core.relay.departure import (
+    Turn,
     is_worth_moving,
-    longest_wait_s,
     runs_before,
 )
 from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
@@ -24,8 +25,8 @@
 NOT_BEGUN_RETRY_S: Final = 0.1
 # By this many events, a second and a half, the copy of a prompt is complete.
 COPIED_EVENTS: Final = 40
-# What other nodes move is known about a millisecond late.
-TURN_POLL_S: Final = 0.01
+# A turn is looked at again after news of other nodes, and after this time.
+TURN_POLL_S: Final = 0.05
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -50,6 +51,7 @@
         self._placing = placing
         self._relay = relay
         self._moves: dict[str, asyncio.Task[None]] = {}
+        self._news = asyncio.Event()
 
     def review(self) -> None:
         """Look after the generations whose engines, or copies, leave."""
@@ -76,6 +78,11 @@
         else:
             self._start(generation, endpoint)
 
+    def note_news(self) -> None:
+        """Let the runs that wait for their turn look again."""
+        self._news.set()
+        self._news = asyncio.Event()
+
     def close(self) -> None:
         """End all moves."""
         for task in self._moves.values():
@@ -124,20 +131,18 @@
         self, generation: Generation, source: Endpoint
     ) -> None:
         """Wait until the runs before this one have left the engine."""
-        started_at = loop_time()
         engine = require_engine(generation.job)
-        longest_s: float | None = None
+        turn = Turn()
         while self._is_at(generation, source):
             run = generation.run
-            runs = self._tools.sharing.table.each(loop_time())
-            before = runs_before(run, runs)
-            if longest_s is None:
-                longest_s = longest_wait_s(before, engine)
-            waited_s = loop_time() - started_at
-            has_turn = not before or waited_s >= longest_s
-            if has_turn and run.output_tokens and is_worth_moving(run):
+            now = loop_time()
+            before = runs_before(run, self._tools.sharing.table.each(now))
+            has_come = turn.has_come(before, engine, now)
+            if has_come and run.output_tokens and is_worth_moving(run):
                 return
-            await asyncio.sleep(TURN_POLL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TURN_POLL_S):
+                    await self._news.wait()
 
     async def _copy(
         self, generation: Generation, source: Endpoint
@@ -149,7 +154,7 @@
             run = generation.run
             destination = self._placing.move_engine(
                 generation.job,
-                run.expected_tokens,
+                run,
                 frozenset(excluded),
                 source.data_centre,
                 MOVED_MEMORY_SHARE,
--- a/packages/node/mastichatch_node/relay/placing.py
+++ b/packages/node/mastichatch_node/relay/placing.py
@@ -6,16 +6,16 @@
 from typing import Final
 
 from mastichatch_core import breaker as breakers
-from mastichatch_core import rendezvous
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind, Run, RunState
 from mastichatch_core.relay.belief import in_use
+from mastichatch_core.relay.destination import choose_destination
 from mastichatch_core.relay.engine_choice import (
     Candidate,
-    Wish,
     expected_output,
     measure_loads,
     weigh,
+    wish_of,
 )
 from mastichatch_core.relay.engine_queue import turns
 from mastichatch_core.relay.model import Endpoint, Engine
@@ -30,11 +30,6 @@
 COPIED_OUTPUT_TOKENS: Final = 100
 # Copies take room from runs, so that they are made only below this share.
 COPY_MEMORY_SHARE: Final = 0.2
-# A move within a data centre takes half the time; an engine elsewhere must be
-# emptier by this share of its memory.
-REMOTE_MEMORY_SHARE: Final = 1.0
-# Weight of chance in that choice, as a share of memory.
-SPREAD_MEMORY_SHARE: Final = 0.3
 # An engine that left is replaced, or a generation ends, about this long after
 # a refusal (1.6 generations a second end at load, by the users' sheets).
 FIRST_RETURN_S: Final = 0.5
@@ -221,7 +216,7 @@
             return None
         return self.move_engine(
             job,
-            run.expected_tokens,
+            dataclasses.replace(run, endpoint=endpoint.instance),
             frozenset((endpoint.instance,)),
             endpoint.data_centre,
             COPY_MEMORY_SHARE,
@@ -230,7 +225,7 @@
     def move_engine(
         self,
         job: Job,
-        output_tokens: int,
+        run: Run,
         excluded: frozenset[str],
         data_centre: str,
         memory_share: float,
@@ -238,7 +233,7 @@
         """Return the engine that a run's memory can go to, if any has room.
 
         :param job: the run's request
-        :param output_tokens: output to expect, in tokens
+        :param run: the run as it is now
         :param excluded: engines that it must not be
         :param data_centre: where its memory is; it leaves that at half the
             rate
@@ -249,25 +244,17 @@
             for one in self.usable(job.service.name)
             if one.instance not in excluded
         }
-        wish = _wish(job, output_tokens, self._tools.data_centre)
-        loads = measure_loads(self._runs(job.service.name))
+        wish = dataclasses.replace(
+            wish_of(run, self._tools.data_centre), part=''
+        )
+        runs = self._runs(job.service.name)
+        loads = measure_loads(runs)
         engine = require_engine(job)
         found = weigh(endpoints.values(), loads, engine, wish, memory_share)
         if not found:
             return None
-
-        def price(candidate: Candidate) -> float:
-            instance = candidate.instance
-            is_remote = endpoints[instance].data_centre != data_centre
-            # Runs that move at the same time should not share one link.
-            spread = rendezvous.share(instance, job.request_id)
-            return (
-                candidate.memory_share
-                + REMOTE_MEMORY_SHARE * is_remote
-                + SPREAD_MEMORY_SHARE * spread
-            )
-
-        return endpoints[min(found, key=price).instance]
+        chosen = choose_destination(found, endpoints, runs, run, data_centre)
+        return endpoints[chosen]
 
     def _forget(self, job: Job) -> None:
         self._waiting.pop(job.request_id, None)
@@ -308,12 +295,3 @@
     """Return the last part of the prompt, which its session shares."""
     parts = job.facts.parts
     return parts[-1].part if parts else ''
-
-
-def _wish(job: Job, output_tokens: int, data_centre: str) -> Wish:
-    return Wish(
-        prompt_tokens=job.facts.prompt_tokens,
-        output_tokens=output_tokens,
-        part='',
-        data_centre=data_centre,
-    )
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -36,7 +36,7 @@
     suspension_clock,
 )
 from mastichatch_node.relay.front import Front, Incoming, Reply, open_front
-from mastichatch_node.relay.inquiring import inquire
+from mastichatch_node.relay.inquiring import Inquiry
 from mastichatch_node.relay.job import Retries, Tools
 from mastichatch_node.relay.moving import Moving
 from mastichatch_node.relay.placing import Placing
@@ -295,10 +295,14 @@
         )
         follower.subscribe(review)
         base.sharing.subscribe(placing.review)
+        base.sharing.subscribe(moving.note_news)
         base.peers.on(MessageKind.view_query, ViewQuery, follower.answer_query)
 
+        inquiry = Inquiry(tools, follower, relay, moving)
+
         async def on_changes(message: RunChanges, envelope: Envelope) -> None:
             await base.sharing.on_changes(message, envelope)
+            inquiry.on_changes(message)
             await follower.on_changes(message, envelope)
 
         base.peers.on(MessageKind.run_changes, RunChanges, on_changes)
@@ -311,7 +315,7 @@
                 _own_record(base.settings, base.peers),
             ),
             base.sharing.repeat(),
-            inquire(tools, follower, relay, moving),
+            inquiry.repeat(),
             _keep_up(tools.pool, placing, moving),
         ):
             yield
--- a/packages/node/mastichatch_node/relay/sharing.py
+++ b/packages/node/mastichatch_node/relay/sharing.py
@@ -69,6 +69,13 @@
             self._send((run,), is_whole=False)
             self._notify()
 
+    def tell_leaving(self, instance: str) -> None:
+        """Tell the others that an endpoint says of itself that it leaves.
+
+        :param instance: the endpoint
+        """
+        self._send((), is_whole=False, leaving=(instance,))
+
     async def on_changes(self, message: RunChanges, envelope: Envelope) -> None:
         """Take what another node tells.
 
@@ -85,7 +92,13 @@
             await asyncio.sleep(interval_s)
             self._send(self._table.own, is_whole=True)
 
-    def _send(self, runs: tuple[Run, ...], *, is_whole: bool) -> None:
+    def _send(
+        self,
+        runs: tuple[Run, ...],
+        *,
+        is_whole: bool,
+        leaving: tuple[str, ...] = (),
+    ) -> None:
         self._sequence += 1
         message = RunChanges(
             node=self._node,
@@ -94,6 +107,7 @@
             revision=self._revision(),
             is_whole=is_whole,
             runs=runs,
+            leaving=leaving,
         )
         self._peers.send_all(
             self._addresses(), MessageKind.run_changes, message
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -10,8 +10,10 @@
     EventOrder,
     EventSplitter,
     MissingEventError,
+    Pause,
 )
 from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.attempting import (
     PROMISES,
@@ -38,6 +40,9 @@
 SEND_LIMIT: Final = 3
 # Times that one generation goes on elsewhere.
 RESUME_LIMIT: Final = 6
+# A link that is cut often comes back, and a late generation is worth more than
+# none: callers wait for 7.2 s between events, by the users' pages.
+STREAM_SILENCE_MS: Final = 6500
 
 _OK: Final = 200
 
@@ -86,6 +91,7 @@
         self._job = job
         self._reply = reply
         self._order = EventOrder()
+        self._pause = Pause()
         self._may_have_run = False
         self._excluded: frozenset[str] = frozenset()
         self._source: Source | None = None
@@ -139,12 +145,11 @@
         job = self._job
         engine = job.service.engine
         tokens = 1 if engine is None else engine.tokens_per_event
-        place = None if self._source is None else self._source.place
-        copy = self._destination or self.copy
+        endpoint, copy = self.endpoint, self._destination or self.copy
         return dataclasses.replace(
             new_run(job),
             state=RunState.running,
-            endpoint='' if place is None else place.endpoint.instance,
+            endpoint='' if endpoint is None else endpoint.instance,
             copy_at='' if copy is None else copy.instance,
             output_tokens=self._order.count * tokens,
         )
@@ -172,8 +177,7 @@
         except MastichatchError as error:
             raise self._true_error(error) from error
         finally:
-            ended = dataclasses.replace(self.run, state=RunState.ended)
-            self._tools.sharing.note(ended)
+            _note_end(self._tools, self.run, self._pause)
 
     def _true_error(self, error: MastichatchError) -> MastichatchError:
         """Return what may be said of the whole generation.
@@ -268,6 +272,7 @@
             status=result.head.status if result.head else 0,
             reason=result.reason,
             events=self._order.count,
+            longest_pause_ms=round(self._pause.longest_s * MS_PER_S),
             left_ms=round(self._job.left_ms()),
         )
         return result
@@ -280,6 +285,8 @@
         # would be lost: a generation is worth more than a round trip.
         async with borrow(tools.pool, place.endpoint.address, 0) as connection:
             self._connection = connection
+            if place.copy is None:
+                connection.bear_silence(STREAM_SILENCE_MS)
             await connection.send(
                 outgoing(
                     tools,
@@ -327,6 +334,7 @@
             return
         is_first = not self._reply.status
         await self._start(head)
+        self._pause.note_event(loop_time())
         await self._reply.write(b''.join(fresh))
         # Later events reach other nodes with the next whole list.
         self._tools.sharing.note(self.run, tell=is_first)
@@ -342,6 +350,12 @@
         await self._reply.start(head.status, headers)
 
 
+def _note_end(tools: Tools, run: Run, pause: Pause) -> None:
+    tools.sharing.note(dataclasses.replace(run, state=RunState.ended))
+    if run.output_tokens:
+        tools.telemetry.note_longest_pause(pause.longest_s)
+
+
 def _failure(result: Result) -> MastichatchError:
     """Return the failure of a generation whose last attempt failed.
 
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -22,6 +22,9 @@
 # about four lines; an incident may take several times that.
 LINES_PER_S: Final = 200.0
 LINE_BURST: Final = 400.0
+# A pause over 0.18 s makes a generation late, by the users' sheets, and callers
+# give up after 7.2 s.
+PAUSE_BUCKETS_S: Final = (0.04, 0.07, 0.1, 0.14, 0.18, 0.25, 0.5, 1, 3, 7.2)
 LATENCY_BUCKETS_S: Final = (
     0.005,
     0.01,
@@ -143,6 +146,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._pause = Histogram(
+            'mastichatch_relay_longest_pause_seconds',
+            'Longest time between two events of a generation.',
+            buckets=PAUSE_BUCKETS_S,
+            registry=self._registry,
+        )
         self._active = Gauge(
             'mastichatch_relay_active',
             'Requests in progress.',
@@ -177,6 +186,13 @@
         """
         self._latency.labels(kind).observe(loop_time() - arrived_at)
 
+    def note_longest_pause(self, pause_s: float) -> None:
+        """Count a generation by its longest time between two events.
+
+        :param pause_s: that time, in seconds
+        """
+        self._pause.observe(pause_s)
+
     def note_active(self, active: int) -> None:
         """Set the number of requests in progress.
 
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -47,6 +47,8 @@
     moves: list[dict[str, object]] = dataclasses.field(default_factory=list)
     move_status: int = 200
     stopped: set[str] = dataclasses.field(default_factory=set)
+    leaves_ms: int | None = None
+    reports: int = 0
 
     def entry(
         self, service: str, zone: str, state: str = 'ready'
@@ -90,6 +92,9 @@
         if seen.target == '/mastichatch/kv-move':
             await self._move(seen, writer)
             return
+        if seen.target == '/mastichatch/report':
+            self._report(writer)
+            return
         self.seen.append(seen)
         expected = seen.headers.get('mastichatch-expect-instance')
         if expected not in {None, self.instance}:
@@ -113,6 +118,13 @@
             self.stopped.add(body['id'])
         writer.write(plain(self.move_status, json.dumps(answer).encode()))
 
+    def _report(self, writer: asyncio.StreamWriter) -> None:
+        self.reports += 1
+        answer: dict[str, object] = {'in_flight': len(self.ran)}
+        if self.leaves_ms is not None:
+            answer['leaves_ms'] = self.leaves_ms
+        writer.write(plain(200, json.dumps(answer).encode()))
+
 
 def plain(status: int, body: bytes, headers: str = '') -> bytes:
     """Return an answer with a length."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -411,6 +411,27 @@
         resumed = second.seen[0].headers
         assert resumed['kv-from'] == f'{first.address}/h-r1'
 
+    async def test_run_moves_off_an_engine_that_only_itself_says_it_leaves(
+        self,
+    ) -> None:
+        """Found on a standard day: the store was silent for 2.5 s."""
+        first = app('i-e', endpoints.stream(120, 0.02))
+        second = app('i-f', endpoints.stream(120, 0.005))
+        async with open_house((), (first, second)) as house:
+            second_entry = second.entry('llm', 'north')
+            await house.store.remove('servers/i-f')
+            await until(lambda: len(house.node.belief.endpoints(0)) == 1)
+            work = asyncio.ensure_future(
+                house.call('/plan/x', headers=_tokens(100, 2000))
+            )
+            await until(lambda: bool(first.ran))
+            await house.store.put('servers/i-f', second_entry)
+            first.leaves_ms = 1500
+            answer = await work
+        assert answer.is_whole
+        assert _ids(answer.body) == list(range(1, 121))
+        assert [move['final'] for move in first.moves] == [False, True]
+
     async def test_refused_resumption_never_says_that_nothing_ran(
         self,
     ) -> None:
--- a/tests/test_relay_engines.py
+++ b/tests/test_relay_engines.py
@@ -10,6 +10,7 @@
 from mastichatch_core.generated.messages import Run, RunChanges, RunState
 from mastichatch_core.relay import departure
 from mastichatch_core.relay.engine_choice import (
+    GROWTH_SHARE,
     MOVED_MEMORY_SHARE,
     NEW_MEMORY_SHARE,
     Wish,
@@ -63,7 +64,7 @@
 
 def wish(tokens: int = 3000) -> Wish:
     return Wish(
-        prompt_tokens=tokens, output_tokens=900, part='', data_centre='north'
+        memory_tokens=tokens + GROWTH_SHARE * 900, part='', data_centre='north'
     )
 
 
@@ -249,12 +250,47 @@
         assert departure.runs_before(first, (first, last)) == (last,)
         assert not departure.runs_before(last, (last,))
 
+    def test_run_that_moves_is_waited_for_though_near_its_end(self) -> None:
+        own = run('own', endpoint='e', output_tokens=8)
+        ending = run('ending', endpoint='e', output_tokens=880, copy_at='f')
+        assert departure.runs_before(own, (own, ending)) == (ending,)
+
     def test_wait_ends_although_a_node_is_gone(self) -> None:
         wait_s = departure.longest_wait_s(self.runs[:2], ENGINE)
         assert 0.5 < wait_s < NOTICE_S
 
 
+class TestTurn:
+    runs = TestDeparture.runs
+
+    def test_comes_when_all_before_have_left(self) -> None:
+        turn = departure.Turn()
+        assert not turn.has_come(self.runs[:2], ENGINE, 0)
+        assert not turn.has_come(self.runs[:1], ENGINE, 0.1)
+        assert turn.has_come((), ENGINE, 0.2)
+
+    def test_waits_as_long_as_runs_leave_one_after_the_other(self) -> None:
+        """Found on a grown day: transfers began beside each other."""
+        turn = departure.Turn()
+        longest_s = departure.longest_wait_s(self.runs[:1], ENGINE)
+        for left in range(len(self.runs)):
+            now = left * longest_s * 0.9
+            assert not turn.has_come(self.runs[left:], ENGINE, now)
+
+    def test_comes_although_the_node_of_a_run_before_is_silent(self) -> None:
+        turn = departure.Turn()
+        longest_s = departure.longest_wait_s(self.runs[:1], ENGINE)
+        assert not turn.has_come(self.runs[:1], ENGINE, 0)
+        assert turn.has_come(self.runs[:1], ENGINE, longest_s)
+
+
 class TestRunTable:
+    def test_names_the_nodes_with_runs_at_an_endpoint(self) -> None:
+        table = RunTable()
+        table.note(self.changes(1, run('r1', endpoint='e')), 'one', 0)
+        assert table.nodes_at('e') == {self.changes(1).node}
+        assert not table.nodes_at('f')
+
     def changes(
         self, sequence: int, *runs: Run, whole: bool = False
     ) -> RunChanges:
