Add a randomized fault soak of real nodes

Three nodes as processes, the store and the endpoints as stand-ins behind loopback proxies, ten faults a seed that overlap (kills, planned stops, freezes, links cut, silent, one way or forgotten, a store that refuses, is silent, loses answers or compacts, endpoints that leave with notice, new configurations, keys taken away from a node that cannot learn of it). Each check is shown to fail on a record that breaks it. Found while it was written, both of the soak itself: its calm load was 24 plans on 16 slots (seeds 2, 3, 7), and it stopped a node before it had started (seed 6, exit code of the signal, no started line in its log). Between nodes there is no proxy yet.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := packages platform tools bench tests
 
-.PHONY: venv demo test format format-check lint types check bench capacity generate clean
+.PHONY: venv demo test format format-check lint types check soak bench capacity generate clean
 
 venv: $(STAMP)
 
@@ -36,6 +36,10 @@
 
 check: format-check lint types test
 
+# Plays 50 seeds of the fault soak; SOAK='--first 51 --count 20' plays others.
+soak: venv
+	PYTHONPATH=.:platform $(PYTHON) -m tests.soak $(SOAK)
+
 bench: venv
 	$(PYTHON) -m bench.main
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real nodes, faults from outside, and the promises kept."""
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,189 @@
+"""Faults from outside the nodes, in series that overlap."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from tests.soak.fleet import NODES, SERVICES, Fleet
+
+# Time over which faults begin, and how long each lasts at the most.
+SERIES_S: Final = 8.0
+LONGEST_S: Final = 3.0
+FAULTS: Final = 10
+NOTICE_S: Final = 1.5
+# Time for a planned stop, over the nodes' own limit of 8 s.
+STOP_TIMEOUT_S: Final = 12.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One fault.
+
+    :param kind: name of what strikes
+    :param target: what is struck
+    :param at_s: time from the start of the series
+    :param for_s: how long it lasts
+    """
+
+    kind: str
+    target: str
+    at_s: float
+    for_s: float
+
+
+Strike = Callable[[Fleet, str, float], Awaitable[None]]
+
+
+async def _kill(fleet: Fleet, name: str, for_s: float) -> None:
+    node = fleet.nodes[name]
+    node.is_wanted = False
+    node.process.kill()
+    await asyncio.sleep(for_s)
+    fleet.restart(name)
+
+
+async def _stop(fleet: Fleet, name: str, _for_s: float) -> None:
+    node = fleet.nodes[name]
+    node.is_wanted = False
+    # The interpreter itself ends at the signal before the node handles it.
+    had_started = node.has_started
+    node.process.terminate()
+    code = await node.process.wait(STOP_TIMEOUT_S)
+    if code and had_started:
+        fleet.records.ended.append(f'{name} (planned stop, exit code {code})')
+    fleet.restart(name)
+
+
+async def _freeze(fleet: Fleet, name: str, for_s: float) -> None:
+    process = fleet.nodes[name].process
+    process.freeze()
+    await asyncio.sleep(for_s)
+    process.wake()
+
+
+def _store_link(**change: object) -> Strike:
+    async def strike(fleet: Fleet, name: str, for_s: float) -> None:
+        proxy = fleet.nodes[name].store
+        await proxy.change(dict(change))
+        await asyncio.sleep(for_s)
+        await proxy.change({'restore': True})
+
+    return strike
+
+
+def _endpoint_link(**change: object) -> Strike:
+    async def strike(fleet: Fleet, name: str, for_s: float) -> None:
+        _, proxy = fleet.endpoints[name]
+        await proxy.change(dict(change))
+        await asyncio.sleep(for_s)
+        await proxy.change({'restore': True})
+
+    return strike
+
+
+def _store(**faults: object) -> Strike:
+    async def strike(fleet: Fleet, _name: str, for_s: float) -> None:
+        healthy = {name: getattr(fleet.store, name) for name in faults}
+        for name, fault in faults.items():
+            setattr(fleet.store, name, fault)
+        await asyncio.sleep(for_s)
+        for name, state in healthy.items():
+            setattr(fleet.store, name, state)
+
+    return strike
+
+
+async def _compact(fleet: Fleet, _name: str, _for_s: float) -> None:
+    fleet.store.oldest = fleet.store.revision
+
+
+async def _replace(fleet: Fleet, name: str, for_s: float) -> None:
+    """Let an endpoint leave with notice, and come back as another run."""
+    endpoint, proxy = fleet.endpoints[name]
+    endpoint.leaves_ms = int(NOTICE_S * 1000)
+    await fleet.register(name, 'draining')
+    await asyncio.sleep(NOTICE_S)
+    await proxy.change({'cut': True})
+    await fleet.store.remove(f'servers/{endpoint.instance}')
+    await asyncio.sleep(for_s)
+    stem, _, number = endpoint.instance.rpartition('-')
+    endpoint.instance = f'{stem}-{int(number) + 1}'
+    endpoint.leaves_ms = None
+    await proxy.change({'restore': True})
+    await fleet.register(name)
+
+
+async def _configure(fleet: Fleet, _name: str, _for_s: float) -> None:
+    await fleet.change_configuration()
+
+
+NODE_FAULTS: Final[dict[str, Strike]] = {
+    'kill': _kill,
+    'stop': _stop,
+    'freeze': _freeze,
+    'store_cut': _store_link(cut=True),
+    'store_unreachable': _store_link(blackhole=True),
+    'store_one_way': _store_link(one_way='down'),
+    'store_connections_silent': _store_link(blackhole_existing=True),
+}
+ENDPOINT_FAULTS: Final[dict[str, Strike]] = {
+    'endpoint_cut': _endpoint_link(cut=True),
+    'endpoint_unreachable': _endpoint_link(blackhole=True),
+    'endpoint_slow': _endpoint_link(delay_ms=150),
+    'endpoint_connections_silent': _endpoint_link(blackhole_existing=True),
+    'replace': _replace,
+}
+SHARED_FAULTS: Final[dict[str, Strike]] = {
+    'store_refuses': _store(refuse_status=503),
+    'store_silent': _store(is_silent=True),
+    'store_loses_answers': _store(lose_answers=True),
+    'store_compacts': _compact,
+    'configure': _configure,
+}
+STRIKES: Final = NODE_FAULTS | ENDPOINT_FAULTS | SHARED_FAULTS
+
+
+def draw_series(draws: random.Random) -> tuple[Fault, ...]:
+    """Return a series of faults, in the order of their start.
+
+    :param draws: where chance comes from
+    """
+    faults = (_draw_fault(draws) for _ in range(FAULTS))
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _draw_fault(draws: random.Random) -> Fault:
+    kind = draws.choice(sorted(STRIKES))
+    targets = NODES if kind in NODE_FAULTS else tuple(SERVICES)
+    return Fault(
+        kind=kind,
+        target=draws.choice(targets),
+        at_s=round(draws.uniform(0, SERIES_S), 2),
+        for_s=round(draws.uniform(0.2, LONGEST_S), 2),
+    )
+
+
+async def play(fleet: Fleet, series: tuple[Fault, ...]) -> None:
+    """Let a series of faults strike, and wait until all are over.
+
+    Faults of one target follow each other; those of different ones overlap.
+
+    :param fleet: what is struck
+    :param series: the faults
+    """
+    locks = {fault.target: asyncio.Lock() for fault in series}
+    shared = asyncio.Lock()
+
+    async def strike(fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        is_shared = fault.kind in SHARED_FAULTS
+        async with shared if is_shared else locks[fault.target]:
+            await STRIKES[fault.kind](fleet, fault.target, fault.for_s)
+
+    await asyncio.gather(*(strike(fault) for fault in series))
+    with contextlib.suppress(ProcessLookupError):
+        for node in fleet.nodes.values():
+            node.process.wake()
--- /dev/null
+++ b/tests/soak/load.py
@@ -0,0 +1,127 @@
+"""Callers that keep their connections open until a node closes them."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import time
+from typing import Final
+
+from tests import relay_nodes
+from tests.soak.fleet import NODES, Fleet
+from tests.soak.records import Kind, Outcome
+
+# Callers' requests a second on the whole fleet.
+REQUESTS_PER_S: Final = 40.0
+CALL_TIMEOUT_S: Final = 4.0
+# Tokens of a plan, of its output at the most, and of its parts.
+PLAN_HEADERS: Final = (
+    'Mastichatch-Model: m',
+    'Mastichatch-Token-Counts: 100,2000',
+    'Mastichatch-Prompt-Prefix: aa:60,bb:40',
+)
+# Calls of each kind at each node by which the fleet shows that it serves again;
+# the two engines have eight slots each.
+CALM_CALLS: Final = 4
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Callers:
+    """Callers of one fleet, with their open connections."""
+
+    def __init__(self, fleet: Fleet, draws: random.Random) -> None:
+        """Start without connections.
+
+        :param fleet: whom to call
+        :param draws: chance of what is called, where and when
+        """
+        self._fleet = fleet
+        self._draws = draws
+        self._numbers = itertools.count()
+        self._idle: dict[str, list[Streams]] = {name: [] for name in NODES}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def repeat(self) -> None:
+        """Call until cancelled, without waiting for answers."""
+        while True:
+            await asyncio.sleep(self._draws.expovariate(REQUESTS_PER_S))
+            kind = self._draws.choice(tuple(Kind))
+            task = asyncio.ensure_future(self._note(kind))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            self._fleet.note_ended()
+
+    async def finish(self) -> None:
+        """Wait for the answers that are still due."""
+        await asyncio.gather(*self._tasks)
+
+    async def call_all_kinds(self) -> list[Outcome]:
+        """Return the outcomes of calls of each kind at each node."""
+        return await asyncio.gather(
+            *(
+                self.call(kind, name)
+                for _ in range(CALM_CALLS)
+                for kind in Kind
+                for name in NODES
+            )
+        )
+
+    async def call(self, kind: Kind, node: str) -> Outcome:
+        """Send one request to a node and return what came back.
+
+        :param kind: kind of the request
+        :param node: name of the node
+        """
+        request_id = f'{kind}-{next(self._numbers)}'
+        sent_at = time.monotonic()
+        answer = None
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await self._exchange(kind, node, request_id)
+        return Outcome(
+            request_id=request_id,
+            kind=kind,
+            node=node,
+            sent_at=sent_at,
+            status=answer.status if answer else 0,
+            is_whole=answer.is_whole if answer else False,
+            body=answer.body if answer else b'',
+        )
+
+    async def _note(self, kind: Kind) -> None:
+        node = self._draws.choice(NODES)
+        self._fleet.records.outcomes.append(await self.call(kind, node))
+
+    async def _exchange(
+        self, kind: Kind, node: str, request_id: str
+    ) -> relay_nodes.Answer:
+        reader, writer = await self._connect(node)
+        is_kept = False
+        try:
+            headers = PLAN_HEADERS if kind is Kind.streaming else ()
+            writer.write(
+                relay_nodes.request_bytes(
+                    f'/{kind}/x', request_id=request_id, headers=headers
+                )
+            )
+            answer = await relay_nodes.read_answer(reader)
+            closes = answer.headers.get('connection', '') == 'close'
+            is_kept = answer.is_whole and not closes
+            return answer
+        finally:
+            if is_kept:
+                self._idle[node].append((reader, writer))
+            else:
+                writer.close()
+
+    async def _connect(self, node: str) -> Streams:
+        idle = self._idle[node]
+        while idle:
+            reader, writer = idle.pop()
+            if not reader.at_eof():
+                return reader, writer
+            writer.close()
+        address = self._fleet.nodes[node].addresses['callers']
+        host, _, port = address.rpartition(':')
+        return await asyncio.open_connection(host, int(port))
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,67 @@
+"""What callers and endpoints saw during a soak."""
+
+import dataclasses
+import enum
+
+
+class Kind(enum.StrEnum):
+    """Kinds of requests, named by their route."""
+
+    idempotent = 'lookup'
+    non_idempotent = 'book'
+    streaming = 'plan'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What a caller got for one request.
+
+    :param request_id: id of the request
+    :param kind: its kind
+    :param node: the node that it was sent to
+    :param sent_at: time of sending, in seconds
+    :param status: status of the answer; zero without one
+    :param is_whole: whether the answer came with its end
+    :param body: its body
+    """
+
+    request_id: str
+    kind: Kind
+    node: str
+    sent_at: float
+    status: int
+    is_whole: bool
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndpointRun:
+    """A request that an endpoint began to work on.
+
+    :param request_id: id of the request
+    :param endpoint: instance of the endpoint
+    :param started_at: time of its start, in seconds
+    :param is_resumed: whether it went on from another run's memory
+    """
+
+    request_id: str
+    endpoint: str
+    started_at: float
+    is_resumed: bool
+
+
+@dataclasses.dataclass(kw_only=True)
+class Records:
+    """All that was seen.
+
+    :param outcomes: answers to callers
+    :param runs: requests that endpoints began to work on
+    :param ended: nodes that ended without being told, with their exit codes
+    :param key_revoked_at: when the key of the soak's callers was taken away
+        for good; ``None`` if it was not
+    """
+
+    outcomes: list[Outcome] = dataclasses.field(default_factory=list)
+    runs: list[EndpointRun] = dataclasses.field(default_factory=list)
+    ended: list[str] = dataclasses.field(default_factory=list)
+    key_revoked_at: float | None = None
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -220,7 +220,7 @@
             if seen.request_id in endpoint.stopped or number == break_after:
                 writer.transport.abort()
                 return
-            event = f'id: {number}\ndata: {endpoint.instance}\n\n'.encode()
+            event = f'id: {number}\ndata: {seen.request_id}\n\n'.encode()
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
             await asyncio.sleep(gap_s)
--- a/tests/test_relay_engines.py
+++ b/tests/test_relay_engines.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+from collections.abc import Mapping
 from typing import Any
 
 from hypothesis import given
@@ -13,13 +14,18 @@
     GROWTH_SHARE,
     MOVED_MEMORY_SHARE,
     NEW_MEMORY_SHARE,
+    Candidate,
     Wish,
     expected_output,
     measure_loads,
     memory_of,
     weigh,
 )
-from mastichatch_core.relay.engine_queue import turns
+from mastichatch_core.relay.engine_queue import (
+    FIRST_EVENT_MS,
+    READING_TOKENS_PER_MS,
+    turns,
+)
 from mastichatch_core.relay.model import (
     Endpoint,
     EndpointState,
@@ -260,6 +266,56 @@
         assert 0.5 < wait_s < NOTICE_S
 
 
+class TestMoreLoadThanFits:
+    """Requests of 3,000 tokens, due in 1.8 s, before engines that are full."""
+
+    def waiting(self, count: int, age_s: float) -> list[Run]:
+        return [
+            dataclasses.replace(
+                run(f'w{age_s}-{number}'),
+                state=RunState.waiting,
+                objective_ms=1800,
+                age_ms=age_s * 1000,
+            )
+            for number in range(count)
+        ]
+
+    def turns(self, runs: list[Run], names: str) -> Mapping[str, Candidate]:
+        return turns(
+            runs,
+            [endpoint(name) for name in names],
+            ENGINE,
+            lambda one: -one.age_ms / 1000,
+            'north',
+        )
+
+    def test_new_engine_gets_only_what_it_can_begin_in_time(self) -> None:
+        """Found on a grown day: 17,000 tokens to be read at one engine."""
+        found = self.turns(self.waiting(8, 0.2), 'e')
+        read_ms = len(found) * 3000 / READING_TOKENS_PER_MS
+        assert found
+        assert 200 + read_ms + FIRST_EVENT_MS <= 1800
+
+    def test_late_request_lets_those_pass_that_can_be_on_time(self) -> None:
+        late, fresh = self.waiting(3, 1.7), self.waiting(2, 0.1)
+        found = self.turns([*late, *fresh], 'e')
+        order = list(found)
+        assert order[:2] == [one.request_id for one in fresh]
+
+    def test_late_request_waits_while_one_on_time_finds_no_room(self) -> None:
+        full = [
+            run(f'r{number}', endpoint='e', output_tokens=100)
+            for number in range(9)
+        ]
+        late, fresh = self.waiting(1, 1.7), self.waiting(1, 0.1)
+        small = [dataclasses.replace(late[0], prompt_tokens=10)]
+        assert not self.turns([*full, *small, *fresh], 'e')
+
+    def test_late_request_is_served_where_there_is_room(self) -> None:
+        late = self.waiting(1, 1.7)
+        assert list(self.turns(late, 'e')) == [late[0].request_id]
+
+
 class TestTurn:
     runs = TestDeparture.runs
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,133 @@
+"""The soak's checks, a short seeded run, and the seeds that once failed."""
+
+import dataclasses
+import pathlib
+import random
+
+import pytest
+
+from tests.soak import faults
+from tests.soak.promises import STREAM_EVENTS, broken_promises
+from tests.soak.records import EndpointRun, Kind, Outcome, Records
+from tests.soak.run import play_seed
+
+# One with the key taken away, one without; the rest is played by hand.
+SHORT_RUN = (3, 4)
+# Seeds that broke a promise, with the cause.
+REGRESSIONS: dict[int, str] = {}
+
+WHOLE_STREAM = ''.join(
+    f'id: {number}\ndata: r1\n\n' for number in range(1, STREAM_EVENTS + 1)
+).encode()
+
+
+def _outcome(**more: object) -> Outcome:
+    plain = Outcome(
+        request_id='r1',
+        kind=Kind.non_idempotent,
+        node='north-1',
+        sent_at=0,
+        status=200,
+        is_whole=True,
+        body=b'r1',
+    )
+    return dataclasses.replace(plain, **more)  # type: ignore[arg-type]
+
+
+def _stream(body: bytes, *, is_whole: bool = True) -> Outcome:
+    return _outcome(kind=Kind.streaming, body=body, is_whole=is_whole)
+
+
+def _run(started_at: float = 0, *, is_resumed: bool = False) -> EndpointRun:
+    return EndpointRun(
+        request_id='r1',
+        endpoint='app-1-0',
+        started_at=started_at,
+        is_resumed=is_resumed,
+    )
+
+
+class TestPromises:
+    @pytest.mark.parametrize(
+        'records',
+        [
+            Records(outcomes=[_outcome()], runs=[_run()]),
+            Records(
+                outcomes=[_outcome(kind=Kind.idempotent)], runs=[_run(), _run()]
+            ),
+            Records(outcomes=[_outcome(status=503, body=b'')]),
+            Records(outcomes=[_outcome(status=502, body=b'')], runs=[_run()]),
+            Records(
+                outcomes=[_stream(WHOLE_STREAM)],
+                runs=[_run(), _run(is_resumed=True)],
+            ),
+            Records(outcomes=[_stream(WHOLE_STREAM[:200], is_whole=False)]),
+            Records(runs=[_run(5.0)], key_revoked_at=0),
+        ],
+    )
+    def test_hold(self, records: Records) -> None:
+        assert not broken_promises(records)
+
+    @pytest.mark.parametrize(
+        ('records', 'fault'),
+        [
+            (
+                Records(outcomes=[_outcome()], runs=[_run(), _run()]),
+                'ran 2 times',
+            ),
+            (
+                Records(outcomes=[_outcome(status=503)], runs=[_run()]),
+                'was answered 503 and ran',
+            ),
+            (Records(outcomes=[_outcome(body=b'r2')]), "got b'r2'"),
+            (
+                Records(
+                    outcomes=[_stream(WHOLE_STREAM.replace(b'id: 7', b''))]
+                ),
+                'got events',
+            ),
+            (
+                Records(outcomes=[_stream(WHOLE_STREAM + WHOLE_STREAM)]),
+                'got events',
+            ),
+            (
+                Records(outcomes=[_stream(WHOLE_STREAM[:200])]),
+                'ended as complete',
+            ),
+            (
+                Records(outcomes=[_stream(WHOLE_STREAM.replace(b'r1', b'r2'))]),
+                'got events of',
+            ),
+            (
+                Records(runs=[_run(6.0)], key_revoked_at=0),
+                'with a key taken away',
+            ),
+            (Records(ended=['north-1 (exit code 1)']), 'ended by itself'),
+        ],
+    )
+    def test_are_seen_to_be_broken(self, records: Records, fault: str) -> None:
+        assert any(fault in line for line in broken_promises(records))
+
+
+class TestSeries:
+    def test_a_seed_gives_the_same_faults_again(self) -> None:
+        one, two = (faults.draw_series(random.Random(9)) for _ in range(2))
+        assert one == two
+
+    def test_all_kinds_of_faults_come_up(self) -> None:
+        kinds = {
+            fault.kind
+            for seed in range(60)
+            for fault in faults.draw_series(random.Random(seed))
+        }
+        assert kinds == set(faults.STRIKES)
+
+
+class TestShortRun:
+    @pytest.mark.parametrize('seed', [*SHORT_RUN, *REGRESSIONS])
+    async def test_keeps_all_promises(
+        self, seed: int, tmp_path: pathlib.Path
+    ) -> None:
+        verdict = await play_seed(seed, tmp_path)
+        assert verdict.broken == ()
+        assert verdict.served
