Pass by engines that refused a request, and keep what waits in one record

Cause: turns knew nothing of the engines that had refused a request. Now a refusing engine is left out for that request alone. What waits is one record instead of three dictionaries with the same key, and one function tells the endpoints of a service that take requests, where two stood. Test: test_request_goes_past_an_engine_that_refused_it.

--- a/packages/core/mastichatch_core/relay/belief.py
+++ b/packages/core/mastichatch_core/relay/belief.py
@@ -289,3 +289,18 @@
         if endpoint.state is EndpointState.ready
         and endpoint.data_centre not in evacuated
     )
+
+
+def usable_endpoints(
+    belief: Belief, service: str, now: float
+) -> tuple[Endpoint, ...]:
+    """Return the endpoints of a service that take new requests.
+
+    :param belief: what is known
+    :param service: name of the service
+    :param now: time in seconds
+    """
+    known = (
+        one for one in belief.endpoints(now).values() if one.service == service
+    )
+    return in_use(known, belief.evacuated())
--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import Final
 
 from mastichatch_core.generated.messages import Run, RunState
@@ -43,6 +44,8 @@
 # still to be read: the next to arrive would then be late too.
 LATE_WORK_TOKENS: Final = 3000.0
 
+_NOTHING_EXCLUDED: Final[Mapping[str, frozenset[str]]] = MappingProxyType({})
+
 
 def turns(
     runs: Iterable[Run],
@@ -51,6 +54,7 @@
     arrived_at: Callable[[Run], float],
     data_centre: str,
     now: float = 0,
+    excluded: Mapping[str, frozenset[str]] = _NOTHING_EXCLUDED,
 ) -> Mapping[str, Candidate]:
     """Return the engine of each waiting request whose turn it is.
 
@@ -67,9 +71,10 @@
     :param arrived_at: returns when a request arrived
     :param data_centre: where this node stands
     :param now: time in seconds
+    :param excluded: engines that refused a request, by its id
     """
     known = tuple(runs)
-    places = _Places(known, endpoints, engine, data_centre)
+    places = _Places(known, endpoints, engine, data_centre, excluded)
     late: list[Run] = []
     is_crowded = False
     for run in _in_line(known, arrived_at):
@@ -92,12 +97,14 @@
         endpoints: Sequence[Endpoint],
         engine: Engine,
         data_centre: str,
+        excluded: Mapping[str, frozenset[str]],
     ) -> None:
         self.found: dict[str, Candidate] = {}
         self._loads = dict(measure_loads(runs))
         self._endpoints = endpoints
         self._engine = engine
         self._data_centre = data_centre
+        self._excluded = excluded
 
     def take_in_time(self, run: Run, age_ms: float) -> bool:
         """Place a request where it is on time, and return whether it is."""
@@ -115,8 +122,12 @@
 
     def _best(self, run: Run, memory_share: float) -> Candidate | None:
         wish = wish_of(run, self._data_centre)
+        excluded = self._excluded.get(run.request_id, ())
+        endpoints = (
+            one for one in self._endpoints if one.instance not in excluded
+        )
         candidates = weigh(
-            self._endpoints, self._loads, self._engine, wish, memory_share
+            endpoints, self._loads, self._engine, wish, memory_share
         )
         return candidates[0] if candidates else None
 
--- a/packages/node/mastichatch_node/relay/placing.py
+++ b/packages/node/mastichatch_node/relay/placing.py
@@ -8,7 +8,7 @@
 from mastichatch_core import breaker as breakers
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind, Run, RunState
-from mastichatch_core.relay.belief import in_use
+from mastichatch_core.relay.belief import usable_endpoints
 from mastichatch_core.relay.destination import choose_destination
 from mastichatch_core.relay.engine_choice import (
     Candidate,
@@ -58,6 +58,20 @@
     copy: Endpoint | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Waiting:
+    """A request that waits for an engine.
+
+    :param job: the request
+    :param excluded: engines that refused it
+    :param found: is given its engine
+    """
+
+    job: Job
+    excluded: frozenset[str]
+    found: asyncio.Future[Candidate]
+
+
 class Placing:
     """Requests of this node that wait for an engine."""
 
@@ -67,9 +81,7 @@
         :param tools: what the relay works with
         """
         self._tools = tools
-        self._waiting: dict[str, asyncio.Future[Candidate]] = {}
-        self._jobs: dict[str, Job] = {}
-        self._excluded: dict[str, frozenset[str]] = {}
+        self._waiting: dict[str, _Waiting] = {}
 
     async def place(self, job: Job, excluded: frozenset[str]) -> Place:
         """Wait for a request's turn and return its engine.
@@ -87,24 +99,24 @@
         future: asyncio.Future[Candidate] = (
             asyncio.get_running_loop().create_future()
         )
-        self._waiting[job.request_id] = future
-        self._jobs[job.request_id] = job
-        self._excluded[job.request_id] = excluded
+        self._waiting[job.request_id] = _Waiting(
+            job=job, excluded=excluded, found=future
+        )
         run = new_run(job)
         self._tools.sharing.table.note_own(run, loop_time())
         try:
             candidate = await self._wait(job, run, future)
         except BaseException:
-            self._forget(job)
             ended = dataclasses.replace(run, state=RunState.ended)
             self._tools.sharing.note(ended)
             raise
-        self._forget(job)
+        finally:
+            self._waiting.pop(job.request_id, None)
         return self._settle(job, engine, run, candidate)
 
     def review(self) -> None:
         """Give engines to the requests whose turn it is."""
-        services = {job.service.name for job in self._jobs.values()}
+        services = {one.job.service.name for one in self._waiting.values()}
         for service in services:
             self._review_service(service)
 
@@ -113,14 +125,8 @@
 
         :param service: name of the service
         """
-        tools = self._tools
         now = loop_time()
-        known = (
-            one
-            for one in tools.belief.endpoints(now).values()
-            if one.service == service
-        )
-        usable = in_use(known, tools.belief.evacuated())
+        usable = usable_endpoints(self._tools.belief, service, now)
         sound = tuple(one for one in usable if self._is_sound(one, now))
         # Where all engines failed of late, some engine must still be tried.
         return sound or usable
@@ -159,30 +165,26 @@
         return EngineUnavailableError(reason, FIRST_RETURN_S + spread)
 
     def _review_service(self, service: str) -> None:
-        table = self._tools.sharing.table
-        own = [
-            job for job in self._jobs.values() if job.service.name == service
-        ]
+        own = {
+            request_id: one
+            for request_id, one in self._waiting.items()
+            if one.job.service.name == service
+        }
         if not own:
             return
-        engine = require_engine(own[0])
-        usable = self.usable(service)
         found = turns(
             self._runs(service),
-            usable,
-            engine,
-            table.arrived_at,
+            self.usable(service),
+            require_engine(next(iter(own.values())).job),
+            self._tools.sharing.table.arrived_at,
             self._tools.data_centre,
             loop_time(),
+            {name: one.excluded for name, one in own.items()},
         )
-        for job in own:
-            future = self._waiting[job.request_id]
-            candidate = found.get(job.request_id)
-            if candidate is None or future.done():
-                continue
-            if candidate.instance in self._excluded[job.request_id]:
-                continue
-            future.set_result(candidate)
+        for request_id, one in own.items():
+            candidate = found.get(request_id)
+            if candidate is not None and not one.found.done():
+                one.found.set_result(candidate)
 
     def _settle(
         self, job: Job, engine: Engine, run: Run, candidate: Candidate
@@ -256,11 +258,6 @@
         chosen = choose_destination(found, endpoints, runs, run, data_centre)
         return endpoints[chosen]
 
-    def _forget(self, job: Job) -> None:
-        self._waiting.pop(job.request_id, None)
-        self._jobs.pop(job.request_id, None)
-        self._excluded.pop(job.request_id, None)
-
 
 def require_engine(job: Job) -> Engine:
     """Return the capacity of the engines that a request needs.
--- a/packages/node/mastichatch_node/relay/plain.py
+++ b/packages/node/mastichatch_node/relay/plain.py
@@ -7,7 +7,7 @@
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
-from mastichatch_core.relay.belief import in_use
+from mastichatch_core.relay.belief import usable_endpoints
 from mastichatch_core.relay.model import Endpoint, WorkKind
 from mastichatch_core.relay.plain_choice import rank
 from mastichatch_node.clock import loop_time
@@ -63,14 +63,9 @@
 
 def _next_endpoint(tools: Tools, job: Job, used: set[str]) -> Endpoint | None:
     now = loop_time()
-    known = tools.belief.endpoints(now).values()
-    of_service = (
-        one
-        for one in known
-        if one.service == job.service.name and one.instance not in used
-    )
-    usable = in_use(of_service, tools.belief.evacuated())
-    ranked = rank(usable, tools.records, tools.data_centre, now)
+    usable = usable_endpoints(tools.belief, job.service.name, now)
+    unused = (one for one in usable if one.instance not in used)
+    ranked = rank(unused, tools.records, tools.data_centre, now)
     return ranked[0] if ranked else None
 
 
--- a/tests/test_relay_engines.py
+++ b/tests/test_relay_engines.py
@@ -317,6 +317,21 @@
         assert longest_wait_s(1.8, 39) == 3.6
         assert longest_wait_s(1.5, 1.6) < 0.8
 
+    def test_request_goes_past_an_engine_that_refused_it(self) -> None:
+        waiting = self.waiting(1, 0.1)
+        name = waiting[0].request_id
+        for refusing, left in (('e', 'f'), ('f', 'e')):
+            found = turns(
+                waiting,
+                [endpoint('e'), endpoint('f')],
+                ENGINE,
+                lambda one: 0,
+                'north',
+                0.1,
+                {name: frozenset((refusing,))},
+            )
+            assert found[name].instance == left
+
     def test_late_request_is_served_where_there_is_room(self) -> None:
         late = self.waiting(1, 1.7)
         assert list(self.turns(late, 'e')) == [late[0].request_id]
