--- a/packages/core/mastichatch_core/relay/events.py
+++ b/packages/core/mastichatch_core/relay/events.py
@@ -90,9 +90,15 @@
 
     def __init__(self) -> None:
         """Start before the first event."""
-        self._last_at: float | None = None
+        self._first_at: float | None = None
+        self._last_at = float()
         self._longest_s = float()
 
+    @property
+    def first_at(self) -> float | None:
+        """Time of the first event, in seconds; ``None`` before it."""
+        return self._first_at
+
     @property
     def longest_s(self) -> float:
         """Longest time between two events so far, in seconds."""
@@ -103,7 +109,9 @@
 
         :param now: time in seconds
         """
-        if self._last_at is not None:
+        if self._first_at is None:
+            self._first_at = now
+        else:
             self._longest_s = max(self._longest_s, now - self._last_at)
         self._last_at = now
 
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -272,6 +272,7 @@
             status=result.head.status if result.head else 0,
             reason=result.reason,
             events=self._order.count,
+            first_event_ms=_first_event_ms(self._pause, self._job),
             longest_pause_ms=round(self._pause.longest_s * MS_PER_S),
             left_ms=round(self._job.left_ms()),
         )
@@ -350,6 +351,13 @@
         await self._reply.start(head.status, headers)
 
 
+def _first_event_ms(pause: Pause, job: Job) -> int | None:
+    """Return the time from a request to its first event, if there was one."""
+    if pause.first_at is None:
+        return None
+    return round((pause.first_at - job.request.arrived_at) * MS_PER_S)
+
+
 def _note_end(tools: Tools, run: Run, pause: Pause) -> None:
     tools.sharing.note(dataclasses.replace(run, state=RunState.ended))
     if run.output_tokens:
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -14,6 +14,7 @@
     EventOrder,
     EventSplitter,
     MissingEventError,
+    Pause,
     event_number,
 )
 from mastichatch_core.relay.model import (
@@ -247,3 +248,18 @@
         text = str(caught.value)
         for name in ('store_address', 'grace_ms', 'log_level', 'name'):
             assert name in text
+
+
+class TestPause:
+    def test_is_the_longest_between_two_events(self) -> None:
+        pause = Pause()
+        for now in (5.0, 5.1, 5.5, 5.6):
+            pause.note_event(now)
+        assert round(pause.longest_s, 3) == 0.4
+        assert pause.first_at == 5
+
+    def test_is_none_before_the_second_event(self) -> None:
+        pause = Pause()
+        assert pause.first_at is None
+        pause.note_event(7)
+        assert pause.longest_s == 0
