--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.relay_nodes import (
     WAIT_S,
+    Answer,
     House,
     call,
     configuration,
@@ -373,6 +374,28 @@
             assert answer.status == 503
 
 
+@contextlib.asynccontextmanager
+async def _running_plan(
+    events: int,
+) -> AsyncIterator[
+    tuple[House, HouseEndpoint, HouseEndpoint, asyncio.Task[Answer]]
+]:
+    """Run a plan at one engine; another one is there once it has begun."""
+    first = app('i-e', endpoints.stream(events, 0.02))
+    second = app('i-f', endpoints.stream(events, 0.005))
+    async with open_house((), (first, second)) as house:
+        second_entry = second.entry('llm', 'north')
+        await house.store.remove('servers/i-f')
+        await until(lambda: len(house.node.belief.endpoints(0)) == 1)
+        work = asyncio.ensure_future(
+            house.call('/plan/x', headers=_tokens(100, 2000))
+        )
+        await until(lambda: bool(first.ran))
+        await asyncio.sleep(0.2)
+        await house.store.put('servers/i-f', second_entry)
+        yield house, first, second, work
+
+
 class TestStreams:
     async def test_events_are_passed_in_order(self) -> None:
         engine = app('i-e', endpoints.stream(5))
@@ -390,18 +413,7 @@
         assert _ids(answer.body) == [1, 2, 3]
 
     async def test_run_moves_off_an_engine_that_leaves(self) -> None:
-        first = app('i-e', endpoints.stream(60, 0.02))
-        second = app('i-f', endpoints.stream(60, 0.005))
-        async with open_house((), (first, second)) as house:
-            second_entry = second.entry('llm', 'north')
-            await house.store.remove('servers/i-f')
-            await until(lambda: len(house.node.belief.endpoints(0)) == 1)
-            work = asyncio.ensure_future(
-                house.call('/plan/x', headers=_tokens(100, 2000))
-            )
-            await until(lambda: bool(first.ran))
-            await asyncio.sleep(0.2)
-            await house.store.put('servers/i-f', second_entry)
+        async with _running_plan(60) as (house, first, second, work):
             entry = first.entry('llm', 'north', 'draining')
             await house.store.put('servers/i-e', entry)
             answer = await work
@@ -415,17 +427,7 @@
         self,
     ) -> None:
         """Found on a standard day: the store was silent for 2.5 s."""
-        first = app('i-e', endpoints.stream(120, 0.02))
-        second = app('i-f', endpoints.stream(120, 0.005))
-        async with open_house((), (first, second)) as house:
-            second_entry = second.entry('llm', 'north')
-            await house.store.remove('servers/i-f')
-            await until(lambda: len(house.node.belief.endpoints(0)) == 1)
-            work = asyncio.ensure_future(
-                house.call('/plan/x', headers=_tokens(100, 2000))
-            )
-            await until(lambda: bool(first.ran))
-            await house.store.put('servers/i-f', second_entry)
+        async with _running_plan(120) as (_house, first, _second, work):
             first.leaves_ms = 1500
             answer = await work
         assert answer.is_whole
