--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -102,12 +102,19 @@
 async def _revoke(fleet: Fleet, callers: Callers, draws: random.Random) -> None:
     """Take the key away while a node cannot learn of it."""
     node = fleet.nodes[draws.choice(sorted(fleet.nodes))]
-    change = draws.choice(('cut', 'blackhole', 'blackhole_existing'))
-    await node.store.change({change: True})
+    # A host that wakes acts on what callers sent meanwhile.
+    freezes = draws.choice((True, False))
+    if freezes:
+        node.process.freeze()
+    else:
+        link = draws.choice(('cut', 'blackhole', 'blackhole_existing'))
+        await node.store.change({link: True})
     await fleet.change_configuration(with_key=False)
     fleet.records.key_revoked_at = time.monotonic()
     async with _calling(callers):
-        await asyncio.sleep(KEY_LIMIT_S + 3 * KEY_SLACK_S)
+        await asyncio.sleep(KEY_LIMIT_S + 2 * KEY_SLACK_S)
+        node.process.wake()
+        await asyncio.sleep(2 * KEY_SLACK_S)
     await callers.finish()
 
 
