Let no run go on at a copy in a data centre that is emptied

Copies were dropped where their engine drained, not where its data centre was emptied. Ruled out: the node's view (the evacuation was known to it within 0.1 s). Change: one check, Placing.takes_runs, for copies at each change of the view and again when a run goes on. Test: test_run_does_not_go_on_at_a_copy_in_an_emptied_data_centre failed before (the run went on), passes after.

--- a/packages/node/mastichatch_node/relay/moving.py
+++ b/packages/node/mastichatch_node/relay/moving.py
@@ -68,7 +68,7 @@
         known: Mapping[str, Endpoint],
     ) -> None:
         copy = generation.copy
-        if copy is not None and not _stays(known, copy):
+        if copy is not None and not self._placing.takes_runs(copy):
             generation.drop_copy()
         if _stays(known, endpoint):
             return
--- a/packages/node/mastichatch_node/relay/placing.py
+++ b/packages/node/mastichatch_node/relay/placing.py
@@ -131,6 +131,15 @@
         # Where all engines failed of late, some engine must still be tried.
         return sound or usable
 
+    def takes_runs(self, endpoint: Endpoint) -> bool:
+        """Return whether a run may go on at an engine.
+
+        :param endpoint: the engine, as it was known at some time
+        """
+        belief = self._tools.belief
+        usable = usable_endpoints(belief, endpoint.service, loop_time())
+        return any(one.instance == endpoint.instance for one in usable)
+
     def _is_sound(self, endpoint: Endpoint, now: float) -> bool:
         record = self._tools.records.get(endpoint.instance)
         return breakers.passes(record.breaker, record.running, now)
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -238,7 +238,7 @@
                 place=await self._placing.place(self._job, self._excluded)
             )
         copy = source.place.copy
-        if copy is None:
+        if copy is None or not self._placing.takes_runs(copy):
             return None
         return Source(
             place=Place(endpoint=copy, copy=None),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -434,6 +434,27 @@
         assert _ids(answer.body) == list(range(1, 121))
         assert [move['final'] for move in first.moves] == [False, True]
 
+    async def test_run_does_not_go_on_at_a_copy_in_an_emptied_data_centre(
+        self,
+    ) -> None:
+        """Found on a standard day: EVAC, 7.1 s after the evacuation."""
+        first = app('i-e', endpoints.stream(60, 0.02, break_after=50))
+        second = app('i-f', endpoints.stream(60, 0.005))
+        document = configuration()
+        document['services'][1]['engine']['backups'] = True
+        async with open_house((), (first, second), document) as house:
+            await house.store.put('servers/i-f', second.entry('llm', 'south'))
+            work = asyncio.ensure_future(
+                house.call('/plan/x', headers=_tokens(100, 2000))
+            )
+            await until(lambda: bool(first.ran))
+            await house.store.put('op/evacuate/south', {})
+            answer = await work
+        copied_to = first.seen[0].headers['mastichatch-kv-backup']
+        assert copied_to == second.address
+        assert not answer.is_whole
+        assert not second.seen
+
     async def test_refused_resumption_never_says_that_nothing_ran(
         self,
     ) -> None:
