Count nobody as late where the assumed reading rate cannot hold

On other engines every request could count as late from its arrival, and would get only the room that is left. Where an idle engine would not begin in time by that rate, it says nothing, and the queue is as it was before.

--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -148,14 +148,20 @@
 def is_in_time(run: Run, age_ms: float, work_tokens: float) -> bool:
     """Return whether a request's first event would be on time.
 
+    Where not even an idle engine would begin in time by the rate assumed here,
+    the engines are others than those it is of, and no request counts as late.
+
     :param run: the request
     :param age_ms: time since it arrived, in milliseconds
     :param work_tokens: work ahead of it at its engine, in prompt tokens
     """
     if not run.objective_ms:
         return True
-    reading_ms = (work_tokens + run.prompt_tokens) / READING_TOKENS_PER_MS
-    return age_ms + reading_ms + FIRST_EVENT_MS <= run.objective_ms
+    own_ms = run.prompt_tokens / READING_TOKENS_PER_MS + FIRST_EVENT_MS
+    if own_ms > run.objective_ms:
+        return True
+    work_ms = work_tokens / READING_TOKENS_PER_MS
+    return age_ms + work_ms + own_ms <= run.objective_ms
 
 
 def _in_line(
--- a/tests/test_relay_engines.py
+++ b/tests/test_relay_engines.py
@@ -312,6 +312,14 @@
         small = [dataclasses.replace(late[0], prompt_tokens=10)]
         assert not self.turns([*full, *small, *fresh], 'e')
 
+    def test_objective_that_no_engine_meets_makes_nobody_late(self) -> None:
+        """Other engines, or other prompts, than those of the users' sheets."""
+        waiting = [
+            dataclasses.replace(one, objective_ms=400)
+            for one in self.waiting(4, 0.3)
+        ]
+        assert len(self.turns(waiting, 'e')) == 4
+
     def test_wait_leaves_time_for_an_answer_or_a_retry(self) -> None:
         """Found on a small day: refused only when its caller had left."""
         assert longest_wait_s(1.8, 39) == 3.6
