--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from tests.soak.fleet import NODES, SERVICES, Fleet
+from tests.standins.proxy import Proxy
 
 # Time over which faults begin, and how long each lasts at the most.
 SERIES_S: Final = 8.0
@@ -64,9 +65,9 @@
     process.wake()
 
 
-def _store_link(**change: object) -> Strike:
+def _link(find: Callable[[Fleet, str], Proxy], **change: object) -> Strike:
     async def strike(fleet: Fleet, name: str, for_s: float) -> None:
-        proxy = fleet.nodes[name].store
+        proxy = find(fleet, name)
         await proxy.change(dict(change))
         await asyncio.sleep(for_s)
         await proxy.change({'restore': True})
@@ -74,14 +75,12 @@
     return strike
 
 
-def _endpoint_link(**change: object) -> Strike:
-    async def strike(fleet: Fleet, name: str, for_s: float) -> None:
-        _, proxy = fleet.endpoints[name]
-        await proxy.change(dict(change))
-        await asyncio.sleep(for_s)
-        await proxy.change({'restore': True})
+def _store_link(**change: object) -> Strike:
+    return _link(lambda fleet, name: fleet.nodes[name].store, **change)
 
-    return strike
+
+def _endpoint_link(**change: object) -> Strike:
+    return _link(lambda fleet, name: fleet.endpoints[name][1], **change)
 
 
 def _store(**faults: object) -> Strike:
