Give platform calls of a burst their own connections; repeat one stalled read

- /control of a proxy stand-in answered 500 (TestPairs [0] and [1]): two "restore" calls at one moment both found no listener and both listened on the same port; the second one raised.
The limit is 1,024 now.
- a claimed key answered platform_unavailable, "no answer to GET kv/claims/..." (TestWholeDataCentre): one read without an answer refused the call, also where only the idle connection had stalled and new ones worked.
Reading a key is repeated once, on a new connection; writes never are.

--- a/packages/node/mastichatch_node/platform.py
+++ b/packages/node/mastichatch_node/platform.py
@@ -16,7 +16,9 @@
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.units import MS_PER_S
 
-MAX_CONNECTIONS: Final = 64
+# A call that waits for a connection spends its own timeout, so the limit is
+# above the number of calls that a burst of requests makes at once.
+MAX_CONNECTIONS: Final = 1024
 KEEPALIVE_S: Final = 15
 
 _OK: Final = 200
@@ -92,6 +94,17 @@
         self.current = current
 
 
+class NoAnswerError(MastichatchError):
+    """The platform did not answer a call in time."""
+
+    def __init__(self, call: str) -> None:
+        """Create the error.
+
+        :param call: method and path of the call
+        """
+        super().__init__(ErrorKind.platform_unavailable, f'no answer to {call}')
+
+
 class LeaseGoneError(MastichatchError):
     """The lease that a write refers to has lapsed."""
 
@@ -145,7 +158,9 @@
 
     Any call raises ``MastichatchError`` with ``platform_unavailable`` when
     the platform does not answer in time. A write that raises this error may
-    have taken effect. This class never repeats a call.
+    have taken effect, and is never repeated. Reading a key is repeated once, on
+    a new connection: an idle connection may have stopped answering although
+    new ones work.
     """
 
     def __init__(
@@ -170,7 +185,10 @@
 
         :param key: the key
         """
-        reply = await self._call('GET', f'kv/{key}')
+        try:
+            reply = await self._call('GET', f'kv/{key}')
+        except NoAnswerError:
+            reply = await self._call('GET', f'kv/{key}')
         if not _check_existence(reply):
             return None
         return StoredValue(
@@ -338,7 +356,7 @@
                 )
         except TimeoutError as error:
             await self._replace_session(shared)
-            raise _unavailable_error(f'no answer to {method} {path}') from error
+            raise NoAnswerError(f'{method} {path}') from error
         except (aiohttp.ClientError, OSError) as error:
             raise _unavailable_error(str(error)) from error
 
--- a/tests/test_standins_proxy.py
+++ b/tests/test_standins_proxy.py
@@ -107,6 +107,24 @@
             await opened.change({'restore': True})
             assert await ask(await connect(opened), b'c') == b'c'
 
+    async def test_two_restores_at_once_listen_once(self) -> None:
+        """Two faults of one test may end at the same moment."""
+        async with open_echo() as opened:
+            await opened.change({'cut': True})
+            await asyncio.gather(
+                *(opened.change({'restore': True}) for _ in range(3))
+            )
+            assert await ask(await connect(opened), b'a') == b'a'
+
+    async def test_cut_during_a_restore_takes_effect_after_it(self) -> None:
+        async with open_echo() as opened:
+            await opened.change({'cut': True})
+            await asyncio.gather(
+                opened.change({'restore': True}), opened.change({'cut': True})
+            )
+            with pytest.raises(ConnectionRefusedError):
+                await connect(opened)
+
     async def test_messages_pass_to_a_pynng_listener(self) -> None:
         with pynng.Pull0(listen='tcp://127.0.0.1:0') as pull:
             target = str(pull.listeners[0].local_address)
