Send changes of runs over slow links once, through nodes with fast links

Cause: each node sent each change of a run (370 B with its envelope) to all other nodes itself. On a host with a link of 10 Mbit/s one change to 194 nodes occupies the link for about 55 ms, to 78 nodes for 22 ms, and on 5 Mbit/s for twice that. A generation announces three changes, four more when it moves, and the full list followed in one burst too.

Change: a node whose link one change would occupy for over 8 ms sends it to one node of its data centre with a fast link, which sends it on; each chooses by rendezvous, so that the work spreads (forwarder_choice). The receivers apply a forwarded message as if it came from its node, by its incarnation and sequence. Full lists go to eight nodes at a time, spread over the interval, and still directly: they correct what a failed forwarder lost. Nested messages leave out default values, and the end of a run is announced by its id alone.

Mixed fleets: only nodes whose registration says so are asked to forward.

--- a/packages/node/mastichatch_node/codec.py
+++ b/packages/node/mastichatch_node/codec.py
@@ -19,12 +19,7 @@
 
     :param message: instance of a generated data class
     """
-    fields = {}
-    for name, default in _field_defaults(cast(Hashable, type(message))):
-        field = getattr(message, name)
-        if field != default:
-            fields[name] = field
-    return msgspec.msgpack.encode(fields)
+    return msgspec.msgpack.encode(_without_defaults(message))
 
 
 def decode(content: bytes, message_type: type[_Message]) -> _Message:
@@ -61,6 +56,19 @@
     )
 
 
+def _without_defaults(value: object) -> object:
+    if isinstance(value, tuple):
+        return [_without_defaults(item) for item in value]
+    if not dataclasses.is_dataclass(value):
+        return value
+    fields = {}
+    for name, default in _field_defaults(cast(Hashable, type(value))):
+        field = getattr(value, name)
+        if field != default:
+            fields[name] = _without_defaults(field)
+    return fields
+
+
 def _decode_with(decoder: Any, content: bytes) -> Any:
     try:
         return decoder.decode(content)
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -18,6 +18,7 @@
 )
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.store_cache import StoreCache, Decoders
+from mastichatch_core.relay.forwarder_choice import choose_forwarder
 from mastichatch_core.relay.model import ClientLimits
 from mastichatch_core.relay.plain_choice import EndpointStatsTable
 from mastichatch_core.units import MS_PER_S
@@ -244,12 +245,7 @@
             cache=cache,
             peers=peers,
             registry=registry,
-            broadcaster=RunBroadcaster(
-                settings.name,
-                peers,
-                lambda: registry.addresses,
-                lambda: cache.revision,
-            ),
+            broadcaster=_create_broadcaster(peers, registry, cache),
         )
         with open_pool(CONNECT_TIMEOUT_S) as pool:
             context = _create_context(components, pool)
@@ -265,6 +261,26 @@
             migrator.close()
 
 
+def _create_broadcaster(
+    peers: Peers, registry: NodeRegistry, cache: StoreCache
+) -> RunBroadcaster:
+    def forwarder() -> str | None:
+        heard = broadcaster.table.heard(loop_time())
+        name = choose_forwarder(
+            registry.own_name, registry.forwarders & heard, registry.links
+        )
+        return None if name is None else registry.address(name)
+
+    broadcaster = RunBroadcaster(
+        registry.own_name,
+        peers,
+        lambda: registry.addresses,
+        lambda: cache.revision,
+        forwarder,
+    )
+    return broadcaster
+
+
 def _create_context(
     components: _Components, pool: ConnectionPool
 ) -> RelayContext:
@@ -385,6 +401,7 @@
             peer_address=peers.address,
             http_address=settings.callers_address,
             link_mbps=settings.link_mbps,
+            forwards_runs=True,
         )
     )
 
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -133,6 +133,15 @@
         }
         return {self._own_name: self._link_mbps, **rates}
 
+    @property
+    def forwarders(self) -> frozenset[str]:
+        """Names of nodes in the same data centre that forward run changes."""
+        return frozenset(
+            name
+            for name in self.same_data_centre
+            if self._records[name].forwards_runs
+        )
+
     def address(self, name: str) -> str:
         """Return the peer address of a node.
 
