Make standby copies of runs that could not leave a removed engine in time

The engine's link was busy for the whole notice (0.4 s a run between data centres, three or four runs), and idle before it.

Change: where the runs of an engine cannot leave within 1 s, those with the most output to come get a copy on the emptiest other engine while they run, refreshed before the engine frees it (handle_s), if that engine stays below 0.45 of its memory; it is freed above 0.65. At the removal only the new output is copied; a run whose engine crashes goes on from its copy. No copy is made while a transfer runs or an engine leaves.

--- a/packages/core/mastichatch_core/relay/departure.py
+++ b/packages/core/mastichatch_core/relay/departure.py
@@ -43,7 +43,8 @@
     """Return the runs that leave an engine before a given run.
 
     The engine's link carries one transfer after the other, and a run is paused
-    during the last part of its move. All nodes compute the same order, by
+    during the last part of its move. All nodes compute the same order: first
+    the runs with standby copies, which take no time, then the others by
     descending value per token of memory. The last part of a move therefore
     does not wait behind other transfers, and the runs that cannot leave before
     the engine is removed are those of the least value.
@@ -68,19 +69,26 @@
     :param engine: capacity of one engine
     :returns: time in seconds
     """
-    rate = max(1.0, engine.link_bytes_per_ms)
     transfers_s = sum(
-        REMOTE_TRANSFER_FACTOR
-        * _memory_tokens(run)
-        * engine.bytes_per_token
-        / rate
-        / MS_PER_S
-        + LAST_TRANSFER_S
+        transfer_s(run, engine, is_remote=True) + LAST_TRANSFER_S
         for run in before
     )
     return transfers_s * WAIT_MARGIN_FACTOR
 
 
+def transfer_s(run: Run, engine: Engine, *, is_remote: bool) -> float:
+    """Return how long the transfer of a run's memory takes, in seconds.
+
+    :param run: the run
+    :param engine: capacity of its engine
+    :param is_remote: whether the destination is in another data centre
+    """
+    memory_bytes = _memory_tokens(run) * engine.bytes_per_token
+    rate = max(1.0, engine.link_bytes_per_ms)
+    factor = REMOTE_TRANSFER_FACTOR if is_remote else 1.0
+    return factor * memory_bytes / rate / MS_PER_S
+
+
 class DepartureGate:
     """Tracks whether a run may leave its engine."""
 
@@ -114,8 +122,17 @@
 
 
 def _leaves_before(other: Run, run: Run) -> bool:
-    # A run whose memory is already being copied leaves first.
-    return bool(other.copy_at) or _departure_key(other) < _departure_key(run)
+    return _order_key(other) < _order_key(run)
+
+
+def _order_key(run: Run) -> tuple[bool, bool, tuple[float, str]]:
+    """Return the sort key of a run among the runs that leave an engine.
+
+    A run whose memory is already being copied leaves first, and then the runs
+    with standby copies.
+    """
+    is_being_copied = bool(run.copy_at) and not run.has_standby
+    return not is_being_copied, not run.has_standby, _departure_key(run)
 
 
 def _can_move(run: Run) -> bool:
--- a/packages/core/mastichatch_core/relay/destination.py
+++ b/packages/core/mastichatch_core/relay/destination.py
@@ -51,6 +51,7 @@
         other.copy_at
         for other in runs
         if other.copy_at
+        and not other.has_standby
         and other.state is RunState.running
         and other.request_id != run.request_id
     )
--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -84,6 +84,8 @@
     :param can_back_up: whether a run's key-value cache can be copied to another
         engine while it grows
     :param tokens_per_event: output tokens in one event of a stream
+    :param copy_lifetime_s: time after which an engine frees a copy that is not
+        used, in seconds; zero if unknown
     """
 
     batch_limit: int
@@ -93,6 +95,7 @@
     can_move: bool
     can_back_up: bool
     tokens_per_event: int
+    copy_lifetime_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -49,6 +49,7 @@
 from mastichatch_node.relay.engine_placement import EnginePlacer
 from mastichatch_node.relay.relay import Relay
 from mastichatch_node.relay.settings import RelaySettings
+from mastichatch_node.relay.standby_copying import StandbyCopier
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.telemetry import Telemetry
 
@@ -375,6 +376,7 @@
             components.broadcaster.broadcast_periodically(),
             departures.poll_periodically(),
             _maintain_periodically(context.pool, placer, migrator),
+            StandbyCopier(context, placer, relay).review_periodically(),
         ):
             yield
 
--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import Mapping
 from typing import Final
 
@@ -17,7 +18,8 @@
 from mastichatch_node.relay.context import RelayContext
 from mastichatch_node.relay.engine_placement import EnginePlacer, require_engine
 from mastichatch_node.relay.relay import Relay
-from mastichatch_node.relay.streaming import Generation, RunLocation
+from mastichatch_node.relay.run_transfer import RunLocation
+from mastichatch_node.relay.streaming import Generation
 
 # Maximum number of destination engines tried for one run.
 DESTINATION_LIMIT: Final = 3
@@ -62,7 +64,10 @@
         now = loop_time()
         known = self._context.belief.endpoints(now)
         for generation in self._relay.generations:
-            if generation.endpoint is not None and not generation.is_moving:
+            if (
+                generation.endpoint is not None
+                and not generation.transfer.is_moving
+            ):
                 self._reconcile_generation(
                     generation, generation.endpoint, known
                 )
@@ -162,6 +167,16 @@
     ) -> RunLocation | None:
         """Copy a run's KV cache while the run continues."""
         excluded = {source.instance}
+        standby = generation.transfer.standby
+        if standby is not None and self._placer.accepts_runs(standby.endpoint):
+            # Only what was generated since the last transfer is copied.
+            generation.announce_destination(standby.endpoint, is_departing=True)
+            answer = await self._request_move(
+                generation, source, standby.endpoint, False
+            )
+            if answer.status == _OK:
+                return dataclasses.replace(standby, handle=answer.handle)
+            excluded.add(standby.endpoint.instance)
         tried = 0
         while tried < DESTINATION_LIMIT and self._runs_on(generation, source):
             run = generation.run
@@ -175,7 +190,7 @@
             if destination is None:
                 self._log_decision(run.request_id, 'copy_without_destination')
                 return None
-            generation.announce_destination(destination)
+            generation.announce_destination(destination, is_departing=True)
             answer = await self._request_move(
                 generation, source, destination, False
             )
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -26,6 +26,7 @@
 )
 from mastichatch_node.relay.dialect import Resumption
 from mastichatch_node.relay.http_client import (
+    SILENCE_TIMEOUT_MS,
     Connection,
     ExchangeError,
     ResponseHead,
@@ -33,6 +34,7 @@
 )
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
+from mastichatch_node.relay.run_transfer import RunLocation, RunTransfer
 from mastichatch_node.relay.engine_placement import (
     EnginePlacement,
     EnginePlacer,
@@ -53,20 +55,6 @@
 _OK: Final = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RunLocation:
-    """Location of a run's KV cache after a migration.
-
-    :param endpoint: engine on which the run continues
-    :param address: address of the engine that issued the handle
-    :param handle: identifier of the copy on that engine
-    """
-
-    endpoint: Endpoint
-    address: str
-    handle: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptSource:
     """Engine and starting point of the next attempt of a generation.
@@ -105,9 +93,8 @@
         self._may_have_run = False
         self._excluded: frozenset[str] = frozenset()
         self._source: AttemptSource | None = None
-        self._move_result: asyncio.Future[RunLocation | None] | None = None
         self._connection: Connection | None = None
-        self._destination: Endpoint | None = None
+        self._transfer = RunTransfer()
 
     @property
     def job(self) -> Job:
@@ -133,12 +120,32 @@
             )
             self._context.sharing.record(self.run)
 
-    def announce_destination(self, destination: Endpoint | None) -> None:
-        """Announce the destination of a migration to all nodes.
+    @property
+    def transfer(self) -> RunTransfer:
+        """Transfers of the run from its present engine."""
+        return self._transfer
+
+    def record_standby(self, standby: RunLocation | None) -> None:
+        """Record that a standby copy exists or no longer does.
+
+        :param standby: location of the copy; ``None`` without one
+        """
+        self._transfer.standby = standby
+        if standby is not None and self._connection is not None:
+            # A silent engine need not be waited for any longer.
+            self._connection.set_silence_timeout(SILENCE_TIMEOUT_MS)
+        self.announce_destination(None if standby is None else standby.endpoint)
+
+    def announce_destination(
+        self, destination: Endpoint | None, *, is_departing: bool = False
+    ) -> None:
+        """Announce the destination of a transfer to all nodes.
 
-        :param destination: the engine; ``None`` if the migration failed
+        :param destination: the engine; ``None`` if the transfer failed
+        :param is_departing: whether the run is to leave its engine
         """
-        self._destination = destination
+        self._transfer.destination = destination
+        self._transfer.is_departing = is_departing
         self._context.sharing.record(self.run)
 
     @property
@@ -146,23 +153,20 @@
         """Number of the last event sent to the caller, if there was one."""
         return self._order.last
 
-    @property
-    def is_moving(self) -> bool:
-        """Whether the final transfer to another engine has begun."""
-        return self._move_result is not None
-
     @property
     def run(self) -> Run:
         """The state of the generation that is announced to other nodes."""
         job = self._job
         engine = job.service.engine
         tokens = 1 if engine is None else engine.tokens_per_event
-        endpoint, copy = self.endpoint, self._destination or self.copy
+        endpoint = self.endpoint
+        copy = self._transfer.destination or self.copy
         return dataclasses.replace(
             new_run(job),
             state=RunState.running,
             endpoint='' if endpoint is None else endpoint.instance,
             copy_at='' if copy is None else copy.instance,
+            has_standby=self._transfer.has_idle_standby,
             output_tokens=self._order.count * tokens,
         )
 
@@ -172,8 +176,11 @@
         The future resolves to the new location of the run, or to ``None`` if
         the migration failed.
         """
-        self._move_result = asyncio.get_running_loop().create_future()
-        return self._move_result
+        result: asyncio.Future[RunLocation | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._transfer.result = result
+        return result
 
     def switch_to_copy(self) -> None:
         """Close the connection, so that the run resumes from its copy."""
@@ -188,32 +195,18 @@
         try:
             await self._relay()
         except MastichatchError as error:
-            raise self._overall_error(error) from error
+            raise _overall_error(
+                error, self.run.output_tokens, may_have_run=self._may_have_run
+            ) from error
         finally:
             _record_end(self._context, self.run, self._pause)
 
-    def _overall_error(self, error: MastichatchError) -> MastichatchError:
-        """Return the error that holds for all attempts of the generation.
-
-        That the last attempt did not run proves nothing about earlier ones.
-        """
-        if self._order.count:
-            return MastichatchError(
-                ErrorKind.generation_lost,
-                str(error),
-                tokens_delivered=self.run.output_tokens,
-            )
-        if self._may_have_run and error.ran is Ran.no:
-            return MastichatchError(ErrorKind.outcome_unknown, str(error))
-        return error
-
     async def _relay(self) -> None:
         placement = await self._placer.place(self._job, self._excluded)
         source = AttemptSource(placement=placement)
         for _ in range(SEND_LIMIT + RESUME_LIMIT):
             self._source = source
-            self._move_result = None
-            self._destination = None
+            self._transfer = RunTransfer()
             result = await self._attempt(source)
             self._may_have_run |= result.fate is AttemptOutcome.unknown
             if result.fate is AttemptOutcome.answered:
@@ -229,17 +222,10 @@
         self, result: AttemptResult, source: AttemptSource
     ) -> AttemptSource | None:
         """Return the source of the next attempt, or ``None`` to give up."""
-        moved = None if self._move_result is None else await self._move_result
+        result_of_move = self._transfer.result
+        moved = None if result_of_move is None else await result_of_move
         if moved is not None:
-            # A new copy would use bandwidth that other migrations need.
-            return AttemptSource(
-                placement=EnginePlacement(endpoint=moved.endpoint, copy=None),
-                resumption=Resumption(
-                    address=moved.address,
-                    handle=moved.handle,
-                    last_event=self.last_event,
-                ),
-            )
+            return _resume_at(moved, self.last_event)
         nothing_ran = result.fate in {
             AttemptOutcome.not_sent,
             AttemptOutcome.refused,
@@ -253,6 +239,9 @@
             return AttemptSource(
                 placement=await self._placer.place(self._job, self._excluded)
             )
+        standby = self._transfer.standby
+        if standby is not None and self._placer.accepts_runs(standby.endpoint):
+            return _resume_at(standby, self.last_event)
         copy = source.placement.copy
         if copy is None or not self._placer.accepts_runs(copy):
             return None
@@ -376,6 +365,37 @@
         await self._reply.start(head.status, headers)
 
 
+def _resume_at(location: RunLocation, last_event: int | None) -> AttemptSource:
+    """Return the source of an attempt that continues from a copy."""
+    # A new copy would use bandwidth that other migrations need.
+    return AttemptSource(
+        placement=EnginePlacement(endpoint=location.endpoint, copy=None),
+        resumption=Resumption(
+            address=location.address,
+            handle=location.handle,
+            last_event=last_event,
+        ),
+    )
+
+
+def _overall_error(
+    error: MastichatchError, delivered_tokens: int, *, may_have_run: bool
+) -> MastichatchError:
+    """Return the error that holds for all attempts of a generation.
+
+    That the last attempt did not run proves nothing about earlier ones.
+    """
+    if delivered_tokens:
+        return MastichatchError(
+            ErrorKind.generation_lost,
+            str(error),
+            tokens_delivered=delivered_tokens,
+        )
+    if may_have_run and error.ran is Ran.no:
+        return MastichatchError(ErrorKind.outcome_unknown, str(error))
+    return error
+
+
 def _first_event_ms(pause: PauseTimer, job: Job) -> int | None:
     """Return the time to the first event in milliseconds, if there was one."""
     if pause.first_at is None:
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -39,7 +39,8 @@
 
     ``received`` lists the received requests, ``ran`` the ids of those that were
     executed at least in part, and ``cancelled`` the ids of those whose
-    connection closed during execution.
+    connection closed during execution. ``freed`` lists the handles of copies
+    that were freed.
     """
 
     instance: str
@@ -52,6 +53,7 @@
     moves: list[dict[str, object]] = dataclasses.field(default_factory=list)
     move_status: int = 200
     stopped: set[str] = dataclasses.field(default_factory=set)
+    freed: list[str] = dataclasses.field(default_factory=list)
     leaves_ms: int | None = None
     reports: int = 0
 
@@ -97,6 +99,10 @@
         if request.target == '/mastichatch/kv-move':
             await self._move(request, writer)
             return
+        if request.target.startswith('/mastichatch/kv-handle/'):
+            self.freed.append(request.target.rpartition('/')[2])
+            writer.write(build_response(200, b'{}'))
+            return
         if request.target == '/mastichatch/report':
             self._report(writer)
             return
