Cut bytes without end, end stalled streams, count requests that are being read

- Bytes without end: interim responses were skipped for ever; an event without its blank line grew in memory; what a caller sends while its connection is closed was read whole within 0.5 s.
Each is bounded now (16 responses, 1 MiB, 1 MiB).
- A stream that sends bytes now and then but no event was kept until its deadline.
It ends when its caller would leave (2 s, four objectives or eight pauses), and goes on from a copy if there is one; a slow stream with events is not cut.
- A request body that comes byte by byte was read for ever; the whole body has 60 s now, a new checked setting (body_timeout_ms).
- Planned stop: a request that was being read did not count as in progress, so that the drain could end between its head and its end.

--- a/packages/core/mastichatch_core/relay/events.py
+++ b/packages/core/mastichatch_core/relay/events.py
@@ -4,6 +4,13 @@
 from collections.abc import Iterable
 from typing import Final
 
+# Callers abandon a stream without events after the longest of this time, this
+# multiple of its objective and this multiple of its longest pause, by the
+# specification of the platform.
+MIN_STALL_MS: Final = 2000.0
+STALL_OBJECTIVES: Final = 4.0
+STALL_PAUSES: Final = 8.0
+
 # A blank line ends an event. The format has three line endings (CR LF, LF and
 # CR), which may be mixed.
 _END: Final = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
@@ -118,6 +125,18 @@
         self._last_at = now
 
 
+def max_stall_ms(objective_ms: float, pause_ms: float) -> float:
+    """Return the time without events after which callers abandon a stream.
+
+    :param objective_ms: objective for the first event, in milliseconds
+    :param pause_ms: longest pause of a stream that is on time, in milliseconds
+    :returns: time in milliseconds
+    """
+    return max(
+        MIN_STALL_MS, STALL_OBJECTIVES * objective_ms, STALL_PAUSES * pause_ms
+    )
+
+
 def event_number(event: bytes) -> int | None:
     """Return the number in the ``id`` field of an event.
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -20,6 +20,8 @@
 # Largest response head that is accepted, which is the default of h11. Endpoints
 # send smaller ones.
 MAX_HEAD_BYTES: Final = 65536
+# Most interim responses (status 1xx) that are skipped before an answer.
+MAX_INTERIM_RESPONSES: Final = 16
 # The kernel closes a connection after about this time with unacknowledged data
 # or unanswered keepalive probes. Until then, lost packets are retransmitted.
 SILENCE_TIMEOUT_MS: Final = 3000
@@ -153,7 +155,7 @@
 
         :raises ExchangeError: if no response arrives
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return ResponseHead(
@@ -164,6 +166,7 @@
                 raise self._close_with_error(
                     'the connection ended before an answer'
                 )
+        raise self._close_with_error('too many interim responses')
 
     async def read_part(self) -> bytes | None:
         """Return the next part of the body, or ``None`` after its end.
--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -28,6 +28,8 @@
 DRAIN_IDLE_S: Final = 2.0
 # Time for the peer to read the last response; a round trip takes 2 ms.
 LINGER_S: Final = 0.5
+# Most bytes that are read and discarded meanwhile.
+LINGER_LIMIT_BYTES: Final = 1024 * 1024
 
 _HEAD_TOO_LARGE: Final = 431
 # Number of bytes of the colon, the space and CRLF in a header line.
@@ -142,13 +144,19 @@
     """Serve HTTP connections, within the configured limits."""
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], ClientLimits]
+        self,
+        handler: Handler,
+        limits: Callable[[], ClientLimits],
+        body_timeout_s: float,
     ) -> None:
         """Start without connections.
 
         :param handler: responds to requests
         :param limits: returns the limits in force
+        :param body_timeout_s: longest time for the whole body of a request, in
+            seconds
         """
+        self._body_timeout_s = body_timeout_s
         self._handler = handler
         self._limits = limits
         self._active = 0
@@ -157,7 +165,7 @@
 
     @property
     def active_requests(self) -> int:
-        """Number of requests in progress."""
+        """Number of requests that are being read or responded to."""
         return self._active
 
     @property
@@ -216,6 +224,18 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Serve one request, and return whether another one may follow."""
+        if not await self._wait_for_bytes(protocol, reader):
+            return False
+        with self._counted_as_active():
+            return await self._read_and_respond(protocol, reader, writer)
+
+    async def _read_and_respond(
+        self,
+        protocol: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Serve a request that starts, and return whether one may follow."""
         reply = ResponseWriter(protocol, writer, lambda: self.is_draining)
         try:
             request = await self._read_request(protocol, reader, writer)
@@ -243,14 +263,13 @@
         disconnect = asyncio.ensure_future(
             _wait_for_disconnect(protocol, reader)
         )
-        with self._counted_as_active():
-            try:
-                await asyncio.wait(
-                    (response, disconnect), return_when=asyncio.FIRST_COMPLETED
-                )
-            finally:
-                disconnected = not response.done()
-                await _cancel_and_wait(disconnect, response)
+        try:
+            await asyncio.wait(
+                (response, disconnect), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            disconnected = not response.done()
+            await _cancel_and_wait(disconnect, response)
         if disconnected:
             raise ConnectionResetError('the caller disconnected')
         response.result()
@@ -271,8 +290,6 @@
     ) -> IncomingRequest | None:
         """Return the next request, or ``None`` if the connection ends."""
         limits = self._limits()
-        if not await self._wait_for_bytes(protocol, reader):
-            return None
         arrived_at = loop_time()
         try:
             async with asyncio.timeout(limits.header_timeout_ms / MS_PER_S):
@@ -292,10 +309,19 @@
             target=head.target,
             host=_host_name(headers),
             headers=headers,
-            body=await _read_body(protocol, reader, limits),
+            body=await self._read_body(protocol, reader, limits),
             arrived_at=arrived_at,
         )
 
+    async def _read_body(
+        self,
+        protocol: h11.Connection,
+        reader: asyncio.StreamReader,
+        limits: ClientLimits,
+    ) -> bytes:
+        async with asyncio.timeout(self._body_timeout_s):
+            return await _read_body(protocol, reader, limits)
+
     async def _wait_for_bytes(
         self, protocol: h11.Connection, reader: asyncio.StreamReader
     ) -> bool:
@@ -482,6 +508,16 @@
     await asyncio.gather(*futures, return_exceptions=True)
 
 
+async def _discard(reader: asyncio.StreamReader) -> None:
+    """Read to the end of a stream, or up to ``LINGER_LIMIT_BYTES``."""
+    discarded = 0
+    while discarded < LINGER_LIMIT_BYTES:
+        received = await reader.read(READ_BYTES)
+        if not received:
+            return
+        discarded += len(received)
+
+
 async def _close_gracefully(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
@@ -493,7 +529,7 @@
     with contextlib.suppress(OSError, TimeoutError):
         writer.write_eof()
         async with asyncio.timeout(LINGER_S):
-            await reader.read(-1)
+            await _discard(reader)
     writer.close()
     with contextlib.suppress(OSError):
         await writer.wait_closed()
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -110,8 +110,13 @@
         self._settings = settings
         self._context = context
         self._relay = relay
-        self._caller_server = HttpServer(relay.handle, self._limits)
-        self._admin_server = HttpServer(self._answer_admin, ClientLimits)
+        body_timeout_s = settings.body_timeout_ms / MS_PER_S
+        self._caller_server = HttpServer(
+            relay.handle, self._limits, body_timeout_s
+        )
+        self._admin_server = HttpServer(
+            self._answer_admin, ClientLimits, body_timeout_s
+        )
 
     @property
     def belief(self) -> StoreCache:
--- a/packages/node/mastichatch_node/relay/settings.py
+++ b/packages/node/mastichatch_node/relay/settings.py
@@ -42,6 +42,8 @@
         in a window of 10 s
     :param link_mbps: bandwidth of this host's network link, in Mbit/s; zero if
         unknown
+    :param body_timeout_ms: longest time for the whole body of a request, in
+        milliseconds
     :param grace_ms: longest duration of a planned stop, in milliseconds
     :param log_level: least severe level that is logged
     """
@@ -58,6 +60,7 @@
     retry_percent: float = 20
     retry_burst: float = 50
     link_mbps: float = 0
+    body_timeout_ms: float = 60000
     grace_ms: float = 8000
     log_level: str = 'info'
 
@@ -75,6 +78,7 @@
     'retry_percent': 'retries of all nodes together, in percent of requests',
     'retry_burst': 'further retries of all nodes together, in a window of 10 s',
     'link_mbps': "bandwidth of this host's network link, in Mbit/s",
+    'body_timeout_ms': 'longest time for the whole body of a request, in ms',
     'grace_ms': 'longest duration of a planned stop, in ms',
     'log_level': 'least severe level that is logged',
 }
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -11,6 +11,7 @@
     EventSplitter,
     MissingEventError,
     PauseTimer,
+    max_stall_ms,
 )
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.units import MS_PER_S
@@ -42,6 +43,8 @@
 )
 
 ANSWER_LIMIT_BYTES: Final = 1024 * 1024
+# Largest event of a stream that is accepted.
+EVENT_LIMIT_BYTES: Final = 1024 * 1024
 # Maximum number of engines tried while each refuses without running the
 # request; each further engine adds latency.
 SEND_LIMIT: Final = 3
@@ -325,13 +328,13 @@
         self, connection: Connection, head: ResponseHead
     ) -> None:
         splitter = EventSplitter()
+        route = self._job.route
+        longest_s = max_stall_ms(route.objective_ms, route.pause_ms) / MS_PER_S
         while True:
-            part = await connection.read_part()
-            if part is None:
+            events = await _read_events(connection, splitter, longest_s)
+            if events is None:
                 break
-            events = splitter.feed(part)
-            if events:
-                await self._forward(events, head)
+            await self._forward(events, head)
         await self._start_reply(head)
         if splitter.rest:
             await self._reply.write(splitter.rest)
@@ -396,6 +399,32 @@
     return error
 
 
+async def _read_events(
+    connection: Connection, splitter: EventSplitter, longest_s: float
+) -> tuple[bytes, ...] | None:
+    """Return the next complete events, or ``None`` at the end of the stream.
+
+    Bytes that complete no event do not keep a stalled stream open.
+
+    :param connection: connection to the engine
+    :param splitter: splitter of the stream
+    :param longest_s: longest time without an event, in seconds
+    :raises ExchangeError: if there is no event in time, or if it is too large
+    """
+    try:
+        async with asyncio.timeout(longest_s):
+            while len(splitter.rest) <= EVENT_LIMIT_BYTES:
+                part = await connection.read_part()
+                if part is None:
+                    return None
+                events = splitter.feed(part)
+                if events:
+                    return events
+    except TimeoutError:
+        raise ExchangeError('the stream stalled', was_sent=True) from None
+    raise ExchangeError('an event is too large', was_sent=True)
+
+
 def _first_event_ms(pause: PauseTimer, job: Job) -> int | None:
     """Return the time to the first event in milliseconds, if there was one."""
     if pause.first_at is None:
