Send one message of a change to each other data centre; copy beside departures

For the first seven seconds each of the 195 nodes followed the store by itself, since it had not heard the reader of its data centre yet; a node whose readers failed watched up to twenty times a second for 4 s.

Change: a change crosses to one node of each other data centre with eight nodes or more, which sends it on; a node greets new neighbours with its full list; a node that lost its readers watches every 0.25 s at most; a standby copy is made beside transfers of other engines where six engines take part in none.

--- a/packages/core/mastichatch_core/relay/forwarder_choice.py
+++ b/packages/core/mastichatch_core/relay/forwarder_choice.py
@@ -1,12 +1,18 @@
-"""Chooses the node that sends changes of runs on for a node with a slow link.
+"""Decides to which nodes a change of a run is sent, and who sends it on.
 
-Load pattern: some two hundred nodes tell each other of every generation that
-starts, gets its first event, moves or ends. Most hosts have links of 10 Mbit/s,
-where one message to all others takes as long as the longest pause that a
-caller's stream may have. The streams of the host wait behind these messages.
+Load pattern: some two hundred nodes in five data centres tell each other of
+every generation that starts, gets its first event, moves or ends. Most hosts
+have links of 10 Mbit/s, where one message to all others takes as long as the
+longest pause that a caller's stream may have, and the streams of the host wait
+behind it. Bytes between data centres are expensive.
+
+One message crosses to each other data centre, where a node with a fast link
+sends it on to its neighbours. A node with a slow link sends its changes to a
+node with a fast link in its own data centre only.
 """
 
-from collections.abc import Collection, Mapping
+import dataclasses
+from collections.abc import Iterable
 from typing import Final
 
 from mastichatch_core import rendezvous
@@ -14,58 +20,126 @@
 
 # A message with one change of a run, with the headers of TCP and IP.
 CHANGE_BYTES: Final = 350
-# Longest time for which one message to all nodes may occupy a link. Callers
-# notice pauses of 180 ms, by the users' requirements, and a generation that
-# moves announces four changes within a few milliseconds.
+# Longest time for which one change may occupy a link. Callers notice pauses of
+# 180 ms, by the users' requirements, and a generation that moves announces four
+# changes within a few milliseconds.
 MAX_BURST_MS: Final = 8.0
+# Smaller data centres get each change directly: few messages are saved, and no
+# node depends on another one.
+MIN_FORWARDED_NODES: Final = 8
+# Lowest rate of a forwarder's link, as a share of the fastest of its data
+# centre.
+MIN_LINK_SHARE: Final = 0.5
 BITS_PER_BYTE: Final = 8
 BITS_PER_MBIT: Final = 1_000_000
 
 
-def burst_ms(node_count: int, link_mbps: float) -> float:
-    """Return how long one message to all other nodes occupies a link.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeLink:
+    """What the choice needs to know of a node.
+
+    :param name: name of the node
+    :param data_centre: its data centre
+    :param link_mbps: rate of its network link, in Mbit/s; zero if unknown
+    :param can_forward: whether it forwards changes and was heard recently
+    """
+
+    name: str
+    data_centre: str
+    link_mbps: float
+    can_forward: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Receivers:
+    """The nodes that a change is sent to.
+
+    :param final: nodes that do not send it on
+    :param for_data_centre: nodes that send it on within their data centre
+    :param for_all: node that sends it on to all others; ``None`` if the sender
+        reaches all of them
+    """
+
+    final: tuple[str, ...] = ()
+    for_data_centre: tuple[str, ...] = ()
+    for_all: str | None = None
+
 
-    :param node_count: number of the other nodes
+def burst_ms(message_count: int, link_mbps: float) -> float:
+    """Return how long copies of one message occupy a link.
+
+    :param message_count: number of copies
     :param link_mbps: rate of the link, in Mbit/s; zero if unknown
     :returns: time in milliseconds; zero for an unknown rate
     """
     if not link_mbps:
         return 0
-    bits = node_count * CHANGE_BYTES * BITS_PER_BYTE
+    bits = message_count * CHANGE_BYTES * BITS_PER_BYTE
     return bits / (link_mbps * BITS_PER_MBIT) * MS_PER_S
 
 
-def choose_forwarder(
-    own: str,
-    forwarders: Collection[str],
-    links: Mapping[str, float],
-) -> str | None:
-    """Return the node that forwards this node's changes to all others.
+def choose_receivers(own: NodeLink, others: Iterable[NodeLink]) -> Receivers:
+    """Return the nodes that this node sends one of its changes to.
+
+    Each node chooses its forwarders by itself, so that the work spreads over
+    the nodes with fast links. If a forwarder fails, its messages are lost until
+    it is no longer heard; full lists, which nodes send directly, correct the
+    others' view.
+
+    :param own: this node
+    :param others: all other nodes
+    """
+    nodes = tuple(others)
+    direct = choose_forwarded_receivers(own, nodes, own.name)
+    count = len(direct.final) + len(direct.for_data_centre)
+    if burst_ms(count, own.link_mbps) <= MAX_BURST_MS:
+        return direct
+    faster = [
+        node
+        for node in nodes
+        if node.data_centre == own.data_centre
+        and node.can_forward
+        and node.link_mbps > own.link_mbps
+    ]
+    chosen = _pick_fast(faster, own.name)
+    return direct if chosen is None else Receivers(for_all=chosen)
+
 
-    Each node chooses by itself, so that the work spreads over all nodes with
-    fast links. If the chosen one fails, its messages are lost until it is no
-    longer heard; the next full list corrects the others' view.
+def choose_forwarded_receivers(
+    own: NodeLink, others: Iterable[NodeLink], origin: str
+) -> Receivers:
+    """Return the nodes that a change must be sent to, to reach all nodes.
 
-    :param own: name of this node
-    :param forwarders: names of the nodes that forward changes and that were
-        heard recently, preferably of the same data centre
-    :param links: rates of the links of all nodes, in Mbit/s
-    :returns: name of the node; ``None`` if this node sends its changes itself
+    :param own: the node that sends it, for itself or for another node
+    :param others: all other nodes
+    :param origin: name of the node whose change it is
     """
-    others = len(links) - 1
-    own_burst_ms = burst_ms(others, links.get(own, 0))
-    if own_burst_ms <= MAX_BURST_MS:
+    by_data_centre: dict[str, list[NodeLink]] = {}
+    for other in others:
+        if other.name != origin:
+            by_data_centre.setdefault(other.data_centre, []).append(other)
+    final: list[str] = []
+    for_data_centre: list[str] = []
+    for data_centre, nodes in by_data_centre.items():
+        chosen = None
+        if data_centre != own.data_centre and len(nodes) >= MIN_FORWARDED_NODES:
+            chosen = _pick_fast(filter(_can_forward, nodes), origin)
+        if chosen is None:
+            final.extend([node.name for node in nodes])
+        else:
+            for_data_centre.append(chosen)
+    return Receivers(final=tuple(final), for_data_centre=tuple(for_data_centre))
+
+
+def _can_forward(node: NodeLink) -> bool:
+    return node.can_forward
+
+
+def _pick_fast(nodes: Iterable[NodeLink], key: str) -> str | None:
+    """Return one of the nodes with the fastest links, if there is any."""
+    links = {node.name: node.link_mbps for node in nodes}
+    if not links:
         return None
-    fast = {
-        name
-        for name in forwarders
-        if name != own and links.get(name, 0) > links.get(own, 0)
-    }
-    fastest = max((links[name] for name in fast), default=0)
-    eligible = {
-        name
-        for name in fast
-        if burst_ms(others, links[name]) <= MAX_BURST_MS
-        or links[name] >= fastest
-    }
-    return rendezvous.pick(eligible, own) if eligible else None
+    lowest_mbps = MIN_LINK_SHARE * max(links.values())
+    fast = [name for name, rate in links.items() if rate >= lowest_mbps]
+    return rendezvous.pick(fast, key)
--- a/packages/core/mastichatch_core/relay/standby_copies.py
+++ b/packages/core/mastichatch_core/relay/standby_copies.py
@@ -42,6 +42,9 @@
 DROP_MEMORY_SHARE: Final = 0.65
 # A run with less remaining output probably ends before its engine is removed.
 MIN_REMAINING_TOKENS: Final = 150
+# While runs leave an engine, standby copies are made only if this many engines
+# take part in no transfer, so that those runs find a destination.
+MIN_IDLE_ENGINES: Final = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,8 +71,9 @@
     the others can leave within ``DEPARTURE_TIME_S``. All nodes compute the same
     runs, and each node copies its own.
 
-    There is no choice while any other transfer is in progress or an engine is
-    being removed: a standby copy would delay runs that must leave in time.
+    Engines that take part in another transfer are left alone. In a small fleet
+    there is no choice during such a transfer: a standby copy would delay the
+    runs that must leave in time.
 
     :param own_ids: request ids of this node's runs
     :param runs: runs of one service, on all nodes
@@ -77,12 +81,14 @@
     :param engine: capacity of one engine
     """
     usable = {endpoint.instance: endpoint for endpoint in endpoints}
-    if any(_is_in_transfer(run, usable) for run in runs):
+    busy = _busy_engines(runs, usable)
+    idle = usable.keys() - busy
+    if busy and len(idle) < MIN_IDLE_ENGINES + 2:
         return None
     loads = measure_loads(runs)
-    for instance in usable:
+    for instance in sorted(idle):
         for run in _runs_left_behind(instance, runs, usable, engine):
-            destination = _emptiest_engine(run, usable, loads, engine)
+            destination = _emptiest_engine(run, idle, loads, engine)
             if run.request_id in own_ids and destination is not None:
                 return StandbyChoice(
                     request_id=run.request_id, instance=destination
@@ -102,11 +108,15 @@
     return is_full or load.running >= engine.batch_limit
 
 
-def _is_in_transfer(run: Run, usable: Container[str]) -> bool:
-    """Return whether a run is being copied, or must leave its engine."""
-    is_copied = bool(run.copy_at) and not run.has_standby
-    is_leaving = bool(run.endpoint) and run.endpoint not in usable
-    return is_copied or is_leaving
+def _busy_engines(runs: Iterable[Run], usable: Container[str]) -> set[str]:
+    """Return the engines that take part in a transfer, or are being removed."""
+    busy: set[str] = set()
+    for run in runs:
+        if run.copy_at and not run.has_standby:
+            busy |= {run.endpoint, run.copy_at}
+        elif run.endpoint and run.endpoint not in usable:
+            busy.add(run.endpoint)
+    return busy
 
 
 def _runs_left_behind(
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -18,7 +18,6 @@
 )
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.store_cache import StoreCache, Decoders
-from mastichatch_core.relay.forwarder_choice import choose_forwarder
 from mastichatch_core.relay.model import ClientLimits
 from mastichatch_core.relay.plain_choice import EndpointStatsTable
 from mastichatch_core.units import MS_PER_S
@@ -251,7 +250,7 @@
             cache=cache,
             peers=peers,
             registry=registry,
-            broadcaster=_create_broadcaster(peers, registry, cache),
+            broadcaster=RunBroadcaster(peers, registry, lambda: cache.revision),
         )
         with open_pool(CONNECT_TIMEOUT_S) as pool:
             context = _create_context(components, pool)
@@ -267,26 +266,6 @@
             migrator.close()
 
 
-def _create_broadcaster(
-    peers: Peers, registry: NodeRegistry, cache: StoreCache
-) -> RunBroadcaster:
-    def forwarder() -> str | None:
-        heard = broadcaster.table.heard(loop_time())
-        name = choose_forwarder(
-            registry.own_name, registry.forwarders & heard, registry.links
-        )
-        return None if name is None else registry.address(name)
-
-    broadcaster = RunBroadcaster(
-        registry.own_name,
-        peers,
-        lambda: registry.addresses,
-        lambda: cache.revision,
-        forwarder,
-    )
-    return broadcaster
-
-
 def _create_context(
     components: _Components, pool: ConnectionPool
 ) -> RelayContext:
@@ -328,9 +307,11 @@
 
     def update_components(changed: tuple[str, ...]) -> None:
         registry.update(cache)
+        # A node reads the store through a neighbour once it has heard it.
+        components.broadcaster.greet(registry.take_newcomers())
         nodes = 1 + len(registry.addresses)
-        burst = components.settings.retry_burst * RETRY_ALLOWANCE_SHARE / nodes
-        context.retries.set_burst(burst)
+        allowance = components.settings.retry_burst * RETRY_ALLOWANCE_SHARE
+        context.retries.set_burst(allowance / nodes)
         context.records.keep_only(cache.endpoints(loop_time()))
         placer.reconcile()
         migrator.reconcile()
@@ -348,12 +329,11 @@
             components.telemetry,
         )
         follower.subscribe(update_components)
-        components.broadcaster.subscribe(
-            rate_limited(placer.reconcile, PLACEMENT_INTERVAL_S)
-        )
-        components.broadcaster.subscribe(
-            rate_limited(migrator.notify_waiting, DEPARTURE_NOTIFY_INTERVAL_S)
-        )
+        for react, interval_s in (
+            (placer.reconcile, PLACEMENT_INTERVAL_S),
+            (migrator.notify_waiting, DEPARTURE_NOTIFY_INTERVAL_S),
+        ):
+            components.broadcaster.subscribe(rate_limited(react, interval_s))
         components.peers.on(
             MessageKind.view_query, ViewQuery, follower.answer_query
         )
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -3,16 +3,23 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Callable, Iterable
-from typing import Final
+from collections.abc import Callable, Container, Iterable
+from typing import Final, Protocol
 
 from mastichatch_core.generated.messages import (
     Envelope,
+    ForwardScope,
     MessageKind,
     Run,
     RunChanges,
     RunState,
 )
+from mastichatch_core.relay.forwarder_choice import (
+    NodeLink,
+    Receivers,
+    choose_forwarded_receivers,
+    choose_receivers,
+)
 from mastichatch_core.relay.runs import RunTable
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
@@ -26,6 +33,26 @@
 # A full list is sent to this many nodes at a time, spread over the interval, so
 # that callers' streams do not wait for all of them on a slow link.
 NODES_PER_SLICE: Final = 8
+# Time for which the list of the other nodes is kept. Building it takes about a
+# millisecond in a large fleet.
+LINKS_LIFETIME_S: Final = 0.2
+
+
+class NodeDirectory(Protocol):
+    """The other nodes, as far as they are registered."""
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Peer addresses of the other nodes."""
+
+    def addresses_of(self, names: Iterable[str]) -> tuple[str, ...]:
+        """Return the peer addresses of those nodes that are registered."""
+
+    def link(self) -> NodeLink:
+        """Return this node, as input to the choice of receivers."""
+
+    def other_links(self, heard: Container[str]) -> tuple[NodeLink, ...]:
+        """Return the other nodes, as input to the choice of receivers."""
 
 
 class RunBroadcaster:
@@ -33,29 +60,24 @@
 
     def __init__(
         self,
-        node: str,
         peers: Peers,
-        addresses: Callable[[], Iterable[str]],
+        directory: NodeDirectory,
         revision: Callable[[], int],
-        forwarder: Callable[[], str | None],
     ) -> None:
         """Start without runs.
 
-        :param node: name of this node
         :param peers: connections to other nodes
-        :param addresses: returns the peer addresses of the other nodes
+        :param directory: registrations of the other nodes
         :param revision: returns the latest store revision that this node has
-        :param forwarder: returns the peer address of the node that forwards
-            this node's changes; ``None`` if it sends them itself
         """
-        self._forwarder = forwarder
         self._revision = revision
-        self._node = node
         self._peers = peers
-        self._addresses = addresses
+        self._directory = directory
         self._table = RunTable()
         self._sequence = 0
         self._subscribers: list[Callable[[], None]] = []
+        self._links: tuple[NodeLink, ...] = ()
+        self._links_expire_at = -math.inf
 
     @property
     def table(self) -> RunTable:
@@ -98,8 +120,8 @@
         """
         incarnation = message.origin or envelope.incarnation
         self._table.apply_changes(message, incarnation, loop_time())
-        if message.must_forward:
-            self._forward(message, envelope.sender)
+        if message.forward_to is not ForwardScope.nobody:
+            self._forward(message)
         self._notify()
 
     async def broadcast_periodically(self) -> None:
@@ -109,13 +131,20 @@
         """
         start = 0
         while True:
-            slices = math.ceil(len(tuple(self._addresses())) / NODES_PER_SLICE)
+            slices = math.ceil(len(self._directory.addresses) / NODES_PER_SLICE)
             await asyncio.sleep(self._interval_s() / max(1, slices))
-            addresses = tuple(self._addresses())
+            addresses = self._directory.addresses
             end = start + NODES_PER_SLICE
             self._send_full_list(addresses[start:end])
             start = end if end < len(addresses) else 0
 
+    def greet(self, names: Iterable[str]) -> None:
+        """Send the full list of runs to nodes that are new to this one.
+
+        :param names: names of registered nodes
+        """
+        self._send_full_list(self._directory.addresses_of(names))
+
     def _send_full_list(self, receivers: Iterable[str]) -> None:
         message = self._create_message(self._table.own, is_whole=True)
         self._peers.send_all(receivers, MessageKind.run_changes, message)
@@ -123,26 +152,43 @@
     def _send_changes(
         self, runs: tuple[Run, ...], leaving: tuple[str, ...] = ()
     ) -> None:
-        message = self._create_message(runs, leaving=leaving)
-        forwarder = self._forwarder()
-        if forwarder is None:
+        message = dataclasses.replace(
+            self._create_message(runs, leaving=leaving),
+            origin=self._peers.incarnation,
+        )
+        own, others = self._directory.link(), self._other_links()
+        self._send_to(choose_receivers(own, others), message)
+
+    def _forward(self, message: RunChanges) -> None:
+        """Send another node's changes on."""
+        own, others = self._directory.link(), self._other_links()
+        if message.forward_to is ForwardScope.data_centre:
+            others = tuple(
+                one for one in others if one.data_centre == own.data_centre
+            )
+        receivers = choose_forwarded_receivers(own, others, message.node)
+        self._send_to(receivers, message)
+
+    def _other_links(self) -> tuple[NodeLink, ...]:
+        now = loop_time()
+        if now >= self._links_expire_at:
+            heard = self._table.heard(now)
+            self._links = self._directory.other_links(heard)
+            self._links_expire_at = now + LINKS_LIFETIME_S
+        return self._links
+
+    def _send_to(self, receivers: Receivers, message: RunChanges) -> None:
+        for_all = () if receivers.for_all is None else (receivers.for_all,)
+        for names, scope in (
+            (receivers.final, ForwardScope.nobody),
+            (receivers.for_data_centre, ForwardScope.data_centre),
+            (for_all, ForwardScope.everybody),
+        ):
             self._peers.send_all(
-                self._addresses(), MessageKind.run_changes, message
+                self._directory.addresses_of(names),
+                MessageKind.run_changes,
+                dataclasses.replace(message, forward_to=scope),
             )
-            return
-        forwarded = dataclasses.replace(
-            message, origin=self._peers.incarnation, must_forward=True
-        )
-        self._peers.send(forwarder, MessageKind.run_changes, forwarded)
-
-    def _forward(self, message: RunChanges, sender: str) -> None:
-        """Send another node's changes to all nodes but that one."""
-        receivers = (one for one in self._addresses() if one != sender)
-        self._peers.send_all(
-            receivers,
-            MessageKind.run_changes,
-            dataclasses.replace(message, must_forward=False),
-        )
 
     def _create_message(
         self,
@@ -153,7 +199,7 @@
     ) -> RunChanges:
         self._sequence += 1
         return RunChanges(
-            node=self._node,
+            node=self._directory.link().name,
             sequence=self._sequence,
             interval_ms=self._interval_s() * MS_PER_S,
             revision=self._revision(),
@@ -163,7 +209,7 @@
         )
 
     def _interval_s(self) -> float:
-        nodes = len(tuple(self._addresses()))
+        nodes = len(self._directory.addresses)
         return FULL_LIST_INTERVAL_S * max(1, nodes / NODES_PER_INTERVAL)
 
     def _notify(self) -> None:
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -3,7 +3,14 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Collection,
+    Container,
+    Iterable,
+)
 from typing import Final, Protocol
 
 from absl import logging
@@ -17,6 +24,7 @@
     ViewQuery,
 )
 from mastichatch_core.generated.records import NodeRecord
+from mastichatch_core.relay.forwarder_choice import NodeLink
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_core.relay.packing import PackingError, pack, unpack
 from mastichatch_core.relay.reader_choice import (
@@ -54,6 +62,9 @@
 # Delay between watches, which batches changes: endpoints come and go in groups,
 # and all nodes register at start-up.
 WATCH_DELAY_S: Final = 0.05
+# Many nodes of a data centre watch the store at once after a reader has failed,
+# so each of them does so less often.
+FALLBACK_WATCH_DELAY_S: Final = 0.25
 STARTUP_PERIOD_S: Final = 6.0
 STARTUP_WATCH_DELAY_S: Final = 0.4
 # Three renewals fit into a lease, so two may be lost.
@@ -105,6 +116,7 @@
         self._data_centre = data_centre
         self._link_mbps = link_mbps
         self._records: dict[str, NodeRecord] = {}
+        self._known: dict[str, str] = {}
 
     @property
     def own_name(self) -> str:
@@ -133,13 +145,56 @@
         }
         return {self._own_name: self._link_mbps, **rates}
 
-    @property
-    def forwarders(self) -> frozenset[str]:
-        """Names of nodes in the same data centre that forward run changes."""
-        return frozenset(
-            name
+    def link(self) -> NodeLink:
+        """Return this node, as input to the choice of receivers."""
+        return NodeLink(
+            name=self._own_name,
+            data_centre=self._data_centre,
+            link_mbps=self._link_mbps,
+            can_forward=True,
+        )
+
+    def other_links(self, heard: Container[str]) -> tuple[NodeLink, ...]:
+        """Return the other nodes, as input to the choice of receivers.
+
+        :param heard: names of the nodes that recently sent a message
+        """
+        return tuple(
+            NodeLink(
+                name=name,
+                data_centre=record.data_centre,
+                link_mbps=record.link_mbps,
+                can_forward=record.forwards_runs and name in heard,
+            )
+            for name, record in self._records.items()
+        )
+
+    def take_newcomers(self) -> tuple[str, ...]:
+        """Return the nodes of the same data centre that are new since then.
+
+        A node that has started again counts as new.
+        """
+        present = {
+            name: self._records[name].incarnation
             for name in self.same_data_centre
-            if self._records[name].forwards_runs
+        }
+        newcomers = tuple(
+            name
+            for name, incarnation in present.items()
+            if self._known.get(name) != incarnation
+        )
+        self._known = present
+        return newcomers
+
+    def addresses_of(self, names: Iterable[str]) -> tuple[str, ...]:
+        """Return the peer addresses of those nodes that are registered.
+
+        :param names: names of nodes
+        """
+        return tuple(
+            self._records[name].peer_address
+            for name in names
+            if name in self._records
         )
 
     def address(self, name: str) -> str:
@@ -348,8 +403,12 @@
             await asyncio.sleep(self._watch_delay_s())
 
     def _watch_delay_s(self) -> float:
-        is_new = loop_time() - self._started_at < STARTUP_PERIOD_S
-        return STARTUP_WATCH_DELAY_S if is_new else WATCH_DELAY_S
+        now = loop_time()
+        if now - self._started_at < STARTUP_PERIOD_S:
+            return STARTUP_WATCH_DELAY_S
+        if any(now < end for end in self._excluded_until.values()):
+            return FALLBACK_WATCH_DELAY_S
+        return WATCH_DELAY_S
 
     async def _query_node(self, address: str, wait_ms: float) -> bool:
         """Apply the view of another node, and return whether it is current."""
--- a/tests/test_relay_standby.py
+++ b/tests/test_relay_standby.py
@@ -164,6 +164,19 @@
         ids = {one.request_id for one in runs}
         assert choose_standby(ids, runs, ENGINES, ENGINE) is None
 
+    def test_large_fleet_copies_beside_the_transfers_of_other_engines(
+        self,
+    ) -> None:
+        """There, some engine is being removed most of the time."""
+        engines = [endpoint(f'f{number}', 'north') for number in range(7)]
+        moving = run('moving', 'removed', copy_at='f0')
+        runs = [*crowd('f5', 12), *crowd('f0', 12), moving]
+        ids = {one.request_id for one in runs}
+        choice = choose_standby(ids, runs, engines, ENGINE)
+        assert choice is not None
+        assert choice.request_id.startswith('f5')
+        assert choice.instance not in {'f0', 'f5'}
+
     def test_run_near_its_end_or_in_prefill_is_not_copied(self) -> None:
         ending = [run(f'a{n}', 'e5', output_tokens=800) for n in range(6)]
         starting = [run(f'b{n}', 'e5', output_tokens=0) for n in range(6)]
