Avoid engines that crashed, and tell all nodes of them

Change: an engine that refused a connection gets no requests for 1.5 s, one that was replaced at its address for 5 s, and the first node that notices tells the others. A connection that was not established in time counts for this node alone, since its link may be cut. If all engines are avoided, one is tried.

--- a/packages/core/mastichatch_core/relay/plain_choice.py
+++ b/packages/core/mastichatch_core/relay/plain_choice.py
@@ -38,6 +38,8 @@
     :param failure_share: moving average of the share of calls that failed
     :param updated_at: time of the last outcome, in seconds
     :param breaker: circuit breaker, which opens after consecutive failures
+    :param avoided_until: time until which the endpoint gets no requests, in
+        seconds
     """
 
     running: int = 0
@@ -45,6 +47,21 @@
     failure_share: float = 0
     updated_at: float = -math.inf
     breaker: Breaker = dataclasses.field(default_factory=Breaker)
+    avoided_until: float = -math.inf
+
+    def avoid(self, until: float) -> None:
+        """Send no requests to the endpoint for a while.
+
+        :param until: end of that time, in seconds
+        """
+        self.avoided_until = max(self.avoided_until, until)
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the endpoint gets no requests.
+
+        :param now: time in seconds
+        """
+        return now < self.avoided_until
 
 
 class EndpointStatsTable:
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -42,12 +42,20 @@
     :param head: status and headers of the answer, if one was received
     :param body: complete body of the answer
     :param reason: description of a failure, for logs and errors
+    :param is_connection_refused: whether the endpoint's host refused the
+        connection
     """
 
     fate: AttemptOutcome
     head: ResponseHead | None = None
     body: bytes = b''
     reason: str = ''
+    is_connection_refused: bool = False
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the answer; zero without one."""
+        return 0 if self.head is None else self.head.status
 
 
 def build_outgoing(
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -3,12 +3,22 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Iterable
 from typing import Final
 
 from mastichatch_core import breaker as breakers
 from mastichatch_core.errors import MastichatchError
-from mastichatch_core.generated.messages import ErrorKind, Run, RunState
+from mastichatch_core.generated.messages import (
+    ErrorKind,
+    Run,
+    RunChanges,
+    RunState,
+)
 from mastichatch_core.relay.store_cache import usable_endpoints
+from mastichatch_core.relay.avoidance import (
+    NO_CONNECTION_S,
+    shared_avoidance_s,
+)
 from mastichatch_core.relay.destination import choose_destination
 from mastichatch_core.relay.engine_choice import (
     Candidate,
@@ -22,6 +32,10 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.context import Job, RelayContext
+from mastichatch_node.relay.endpoint_attempt import (
+    AttemptOutcome,
+    AttemptResult,
+)
 
 # Shorter outputs finish before a copy of their KV cache is of any use.
 COPY_MIN_OUTPUT_TOKENS: Final = 100
@@ -134,6 +148,44 @@
         # If all circuit breakers are open, some engine must still be tried.
         return healthy or usable
 
+    def record_attempt(self, endpoint: Endpoint, result: AttemptResult) -> None:
+        """Avoid an engine that is gone, and tell all other nodes.
+
+        :param endpoint: engine of an attempt
+        :param result: result of the attempt
+        """
+        instance = endpoint.instance
+        shared_s = shared_avoidance_s(
+            is_connection_refused=result.is_connection_refused,
+            status=result.status,
+        )
+        is_known = self._context.records.get(instance).is_avoided(loop_time())
+        if shared_s:
+            self.avoid((instance,), shared_s)
+        elif result.fate is AttemptOutcome.not_sent:
+            self.avoid((instance,), NO_CONNECTION_S)
+        if shared_s and not is_known:
+            self._context.telemetry.log_state_change(
+                'engine_avoided', instance=instance, reason=result.reason
+            )
+            self._context.sharing.announce_avoidance(instance, shared_s)
+
+    def handle_changes(self, message: RunChanges) -> None:
+        """Avoid the engines that another node found to be gone.
+
+        :param message: message with their instance ids
+        """
+        self.avoid(message.avoided, message.avoided_ms / MS_PER_S)
+
+    def avoid(self, instances: Iterable[str], duration_s: float) -> None:
+        """Send no requests to some engines for a while.
+
+        :param instances: instance ids of the engines
+        :param duration_s: time in seconds
+        """
+        for instance in instances:
+            self._context.records.get(instance).avoid(loop_time() + duration_s)
+
     def accepts_runs(self, endpoint: Endpoint) -> bool:
         """Return whether a run may continue on an engine.
 
@@ -145,6 +197,8 @@
 
     def _is_healthy(self, endpoint: Endpoint, now: float) -> bool:
         record = self._context.records.get(endpoint.instance)
+        if record.is_avoided(now):
+            return False
         return breakers.allows_request(record.breaker, record.running, now)
 
     def _runs_of_service(self, service: str) -> tuple[Run, ...]:
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -35,12 +35,20 @@
 
     :param reason: description of the failure
     :param was_sent: whether any byte of the request may have been sent
+    :param is_connection_refused: whether the host refused the connection
     """
 
-    def __init__(self, reason: str, *, was_sent: bool) -> None:
-        """Store the reason, and whether the request may have been sent."""
+    def __init__(
+        self,
+        reason: str,
+        *,
+        was_sent: bool,
+        is_connection_refused: bool = False,
+    ) -> None:
+        """Store the reason, and what is known of the request."""
         super().__init__(reason)
         self.was_sent = was_sent
+        self.is_connection_refused = is_connection_refused
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -255,7 +263,11 @@
             reader, writer = await asyncio.open_connection(host, int(port))
     except (OSError, ValueError) as error:
         reason = f'no connection to {address}: {error!r}'
-        raise ExchangeError(reason, was_sent=False) from error
+        raise ExchangeError(
+            reason,
+            was_sent=False,
+            is_connection_refused=isinstance(error, ConnectionRefusedError),
+        ) from error
     configure_keepalive(writer)
     return Connection(address, reader, writer)
 
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -344,7 +344,8 @@
             message: RunChanges, envelope: Envelope
         ) -> None:
             await components.broadcaster.handle_changes(message, envelope)
-            departures.handle_changes(message)
+            for handle in (departures.handle_changes, placer.handle_changes):
+                handle(message)
             await follower.handle_changes(message, envelope)
 
         components.peers.on(
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -110,6 +110,19 @@
         """
         self._send_changes((), leaving=(instance,))
 
+    def announce_avoidance(self, instance: str, duration_s: float) -> None:
+        """Tell other nodes that an endpoint should get no requests for a while.
+
+        :param instance: instance name of the endpoint
+        :param duration_s: time in seconds
+        """
+        message = dataclasses.replace(
+            self._create_message(()),
+            avoided=(instance,),
+            avoided_ms=duration_s * MS_PER_S,
+        )
+        self._send_to_all(message)
+
     async def handle_changes(
         self, message: RunChanges, envelope: Envelope
     ) -> None:
@@ -152,12 +165,14 @@
     def _send_changes(
         self, runs: tuple[Run, ...], leaving: tuple[str, ...] = ()
     ) -> None:
-        message = dataclasses.replace(
-            self._create_message(runs, leaving=leaving),
-            origin=self._peers.incarnation,
-        )
+        self._send_to_all(self._create_message(runs, leaving=leaving))
+
+    def _send_to_all(self, message: RunChanges) -> None:
         own, others = self._directory.link(), self._other_links()
-        self._send_to(choose_receivers(own, others), message)
+        self._send_to(
+            choose_receivers(own, others),
+            dataclasses.replace(message, origin=self._peers.incarnation),
+        )
 
     def _forward(self, message: RunChanges) -> None:
         """Send another node's changes on."""
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -270,10 +270,13 @@
             result = await self._exchange(source)
         except ExchangeError as error:
             result = AttemptResult(
-                fate=outcome_of_error(error), reason=str(error)
+                fate=outcome_of_error(error),
+                reason=str(error),
+                is_connection_refused=error.is_connection_refused,
             )
         self._connection = None
         record_result(self._context, endpoint, result, started_at)
+        self._placer.record_attempt(endpoint, result)
         self._context.telemetry.log_decision(
             'generation_attempted',
             self._job.request_id,
--- /dev/null
+++ b/tests/test_relay_avoidance.py
@@ -0,0 +1,109 @@
+"""Tests of engines that crashed and look empty until the store removes them."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+from mastichatch_platform.__main__ import create_adapter
+
+from mastichatch_core.relay.avoidance import (
+    REFUSED_CONNECTION_S,
+    REPLACED_INSTANCE_S,
+    shared_avoidance_s,
+)
+from mastichatch_node.relay.program import RelayNode, open_node
+from mastichatch_node.relay.telemetry import Telemetry
+from tests.processes import free_address
+from tests.relay_nodes import (
+    RelayFixture,
+    call,
+    create_settings,
+    open_relay,
+    until,
+)
+from tests.standins import house_endpoints as endpoints
+from tests.standins.house_endpoints import HouseEndpoint
+
+TOKENS = ('Mastichatch-Model: m', 'Mastichatch-Token-Counts: 100,400')
+
+
+class TestDecision:
+    def test_refused_connection_and_replaced_instance_are_shared(self) -> None:
+        refused_s = shared_avoidance_s(is_connection_refused=True, status=0)
+        replaced_s = shared_avoidance_s(is_connection_refused=False, status=421)
+        assert refused_s == REFUSED_CONNECTION_S
+        assert replaced_s == REPLACED_INSTANCE_S
+
+    @pytest.mark.parametrize('status', [0, 200, 429, 500, 503])
+    def test_other_failures_are_not_shared(self, status: int) -> None:
+        found = shared_avoidance_s(is_connection_refused=False, status=status)
+        assert found == 0
+
+
+def engine(name: str) -> HouseEndpoint:
+    return HouseEndpoint(instance=name, script=endpoints.stream(3))
+
+
+@contextlib.asynccontextmanager
+async def open_two_nodes(
+    *engines: HouseEndpoint,
+) -> AsyncIterator[tuple[RelayFixture, str, RelayNode]]:
+    """Run two nodes that have heard of each other."""
+    async with open_relay((), engines) as relay:
+        settings = create_settings(relay.settings.store_address, name='north-2')
+        async with open_node(settings, create_adapter(), Telemetry()) as node:
+            await until(lambda: node.is_ready)
+            # The first node knows the second one once it is registered.
+            await until(lambda: len(registered(relay.node)) == 2)
+            await until(lambda: len(registered(node)) == 2)
+            yield relay, settings.callers_address, node
+
+
+def registered(node: RelayNode) -> list[str]:
+    return list(node.belief.entries_under('mastichatch/nodes/'))
+
+
+class TestCrashedEngines:
+    async def test_replaced_engine_is_tried_once_by_all_nodes(self) -> None:
+        gone, sound = engine('i-e'), engine('i-f')
+        async with open_two_nodes(gone, sound) as (relay, second, _node):
+            # Another instance answers at the address of the crashed one.
+            gone.instance = 'i-new'
+            answers = [
+                await call(
+                    address, '/plan/x', request_id=f'{n}', headers=TOKENS
+                )
+                for n in range(4)
+                for address in (relay.settings.callers_address, second)
+            ]
+        assert all(answer.is_whole for answer in answers)
+        assert len(gone.received) == 1
+        assert len(sound.received) == len(answers)
+
+    async def test_refused_connections_cost_no_retry(self) -> None:
+        gone, sound = engine('i-e'), engine('i-f')
+        async with open_two_nodes(gone, sound) as (relay, second, node):
+            crashed = gone.entry('llm', 'north') | {'address': free_address()}
+            await relay.store.put('servers/i-e', crashed)
+            await until(
+                lambda: (
+                    node.belief.endpoints(0)['i-e'].address
+                    == crashed['address']
+                )
+            )
+            for number in range(10):
+                answer = await call(
+                    second, '/plan/x', request_id=f'{number}', headers=TOKENS
+                )
+                assert answer.is_whole
+        assert len(sound.received) == 10
+
+    async def test_only_engine_is_tried_although_it_is_avoided(self) -> None:
+        one = engine('i-e')
+        async with open_two_nodes(one) as (relay, _second, _node):
+            one.instance = 'i-new'
+            refused = await relay.call('/plan/x', headers=TOKENS)
+            assert refused.status == 503
+            one.instance = 'i-e'
+            answer = await relay.call('/plan/x', headers=TOKENS)
+            assert answer.is_whole
