Forward no changes of runs beside nodes of an earlier release

A node of the last landing takes a forwarded change for one of the forwarder's incarnation, and its view of the runs would change back and forth during a rolling upgrade. Until all registered nodes say that they forward, each node sends its changes itself, as before. Test: one such node among 194 is enough.

--- a/packages/core/mastichatch_core/relay/forwarder_choice.py
+++ b/packages/core/mastichatch_core/relay/forwarder_choice.py
@@ -42,12 +42,15 @@
     :param data_centre: its data centre
     :param link_mbps: rate of its network link, in Mbit/s; zero if unknown
     :param can_forward: whether it forwards changes and was heard recently
+    :param accepts_forwarded: whether it knows the node that a forwarded change
+        comes from; earlier releases do not
     """
 
     name: str
     data_centre: str
     link_mbps: float
     can_forward: bool
+    accepts_forwarded: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,6 +93,9 @@
     :param others: all other nodes
     """
     nodes = tuple(others)
+    if not all(node.accepts_forwarded for node in nodes):
+        # Until all nodes run this release, none of them forwards.
+        return Receivers(final=tuple(node.name for node in nodes))
     direct = choose_forwarded_receivers(own, nodes, own.name)
     count = len(direct.final) + len(direct.for_data_centre)
     if burst_ms(count, own.link_mbps) <= MAX_BURST_MS:
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -165,6 +165,7 @@
                 data_centre=record.data_centre,
                 link_mbps=record.link_mbps,
                 can_forward=record.forwards_runs and name in heard,
+                accepts_forwarded=record.forwards_runs,
             )
             for name, record in self._records.items()
         )
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -134,6 +134,17 @@
         ]
         assert choose_receivers(own, silent).for_all not in {first, None}
 
+    def test_nothing_is_forwarded_beside_nodes_of_an_earlier_release(
+        self,
+    ) -> None:
+        own = SLOW[0]
+        mixed = [
+            dataclasses.replace(node, accepts_forwarded=number > 0)
+            for number, node in enumerate(others_of(own))
+        ]
+        receivers = choose_receivers(own, mixed)
+        assert len(receivers.final) == len(NODES) - 1
+
     def test_nodes_that_cannot_forward_get_changes_directly(self) -> None:
         own = SLOW[0]
         silent = [
