Follow a reused generation id to the engine that was started again

Traced: requests name the engine's boot since, so that the new generation goes to the other engine until the scheduler knows of the new boot. The test now starts generations until one is at the engine that was started again, lets the cancel arrive while that one is in progress, and checks the same as before.

--- a/tests/test_fleet_streams.py
+++ b/tests/test_fleet_streams.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import pathlib
 from collections.abc import AsyncIterator
 
@@ -12,6 +13,9 @@
 from tests.callers import Caller, Reading, answer_of, text_of
 from tests.processes import Fleet, FleetPlan, Node, open_fleet, poll_until
 
+CANCEL_DELAY_S = 4.0
+# Takes twice as long as the cancel is on its way.
+NEW_LENGTH = 400
 ENGINES = ('north-engine-0', 'south-engine-0')
 PLAN = FleetPlan(
     proxied=True,
@@ -246,8 +250,8 @@
         (handle,) = old.handles
         name = await running_engine(fleet)
         engine, link = fleet.endpoints[name], fleet.links[name]
-        # The cancel stays on its way for this long.
-        await link.control(delay_ms=800)
+        began_at = asyncio.get_running_loop().time()
+        await link.control(delay_ms=CANCEL_DELAY_S * 1000)
         cancelling = asyncio.create_task(caller.cancel(node, handle))
 
         async def on_its_way() -> bool:
@@ -257,20 +261,50 @@
         await poll_until(on_its_way, 'the cancel')
         await link.control(delay_ms=0)
         await engine.control(restart=True)
-        new = Reading()
-        reading = asyncio.create_task(
-            caller.stream(node, 'new', 120, reading=new)
-        )
+        new, reading = await start_at(fleet, node, name)
         assert await cancelling == 204
+        # The cancel comes while the new generation is in progress.
+        assert asyncio.get_running_loop().time() < began_at + CANCEL_DELAY_S
+        await asyncio.sleep(
+            began_at + CANCEL_DELAY_S + 1 - asyncio.get_running_loop().time()
+        )
         assert not new.done
         await reading
         new.check_order()
         assert new.done, new.error
-        assert new.text == answer_of('new', 120)
+        assert new.text == answer_of('new', NEW_LENGTH)
         shown = await engine.show('generations')
         assert (shown['started'], shown['cancelled']) == (2, 0)
 
 
+async def start_at(
+    fleet: Fleet, node: Node, name: str
+) -> 'tuple[Reading, asyncio.Task[Reading]]':
+    """Start a generation at an engine that was just started again.
+
+    Permits name the boot of the engine, so that requests go elsewhere until the
+    scheduler knows of the new one. These are given up.
+    """
+    caller = Caller(fleet)
+    engine = fleet.endpoints[name]
+    while True:
+        reading = Reading()
+        task = asyncio.create_task(
+            caller.stream(node, 'new', NEW_LENGTH, reading=reading)
+        )
+        await poll_until(
+            functools.partial(has_events, reading, task), 'a generation'
+        )
+        if (await engine.show('generations'))['started'] == 2:
+            return reading, task
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def has_events(reading: Reading, task: 'asyncio.Task[Reading]') -> bool:
+    return bool(reading.indexes) or task.done()
+
+
 class TestAbandonment:
     async def test_an_abandoned_generation_is_cancelled_at_its_engine(
         self, fleet: Fleet, node: Node
