Free a standby copy as soon as its run has ended

Found in reading: a copy of a run that had ended was noticed only at its next refresh, up to 2.5 s later, by a transfer that the engine answered 404, and kept its memory until the engine gave it up. The copier now looks whether the generation is still in progress. The test of freeing is stricter (no transfer after the end, a long refresh interval) and failed before.

--- a/packages/node/mastichatch_node/relay/standby_copying.py
+++ b/packages/node/mastichatch_node/relay/standby_copying.py
@@ -67,18 +67,22 @@
 
     async def _drop_unusable(self) -> None:
         for request_id, standby in tuple(self._copies.items()):
-            generation = standby.generation
-            if generation.transfer.standby is not standby.location:
-                # The generation ended, or continues on another engine.
+            transfer = standby.generation.transfer
+            if self._is_outdated(standby):
                 self._copies.pop(request_id)
                 await self._free(standby)
-            elif not generation.transfer.is_departing and self._must_drop(
-                standby
-            ):
+            elif not transfer.is_departing and self._must_drop(standby):
                 self._copies.pop(request_id)
-                generation.record_standby(None)
+                standby.generation.record_standby(None)
                 await self._free(standby)
 
+    def _is_outdated(self, standby: _Standby) -> bool:
+        """Return whether the run ended or continues on another engine."""
+        generation = standby.generation
+        is_running = generation in self._relay.generations
+        is_current = generation.transfer.standby is standby.location
+        return not is_running or not is_current
+
     def _must_drop(self, standby: _Standby) -> bool:
         destination = standby.location.endpoint
         job = standby.generation.job
@@ -185,8 +189,14 @@
         )
 
     async def _free(self, standby: _Standby) -> None:
-        if standby.generation.endpoint != standby.location.endpoint:
-            location = standby.location
+        """Free a copy, unless the run continued from it."""
+        location = standby.location
+        endpoint = standby.generation.endpoint
+        is_used = (
+            endpoint is not None
+            and endpoint.instance == location.endpoint.instance
+        )
+        if not is_used:
             await self._context.dialect.drop_copy(
                 location.address, location.handle
             )
--- a/tests/test_relay_standby.py
+++ b/tests/test_relay_standby.py
@@ -242,11 +242,11 @@
         assert chosen == 'e1'
 
 
-def document(bytes_per_token: float) -> dict[str, Any]:
+def document(bytes_per_token: float, copy_lifetime_s: float) -> dict[str, Any]:
     """Return a configuration in which a run takes long to transfer."""
     found = configuration()
     engine = found['services'][1]['engine']
-    engine |= {'kv_bytes': bytes_per_token, 'handle_s': 0.8}
+    engine |= {'kv_bytes': bytes_per_token, 'handle_s': copy_lifetime_s}
     return found
 
 
@@ -257,11 +257,11 @@
 
 @contextlib.asynccontextmanager
 async def open_plan(
-    first: HouseEndpoint, second: HouseEndpoint
+    first: HouseEndpoint, second: HouseEndpoint, copy_lifetime_s: float = 0.8
 ) -> AsyncIterator[tuple[RelayFixture, 'asyncio.Task[Response]']]:
     """Run a plan on the first engine, and add the second one then."""
     async with open_relay(
-        (), (first, second), document(SLOW_BYTES_PER_TOKEN)
+        (), (first, second), document(SLOW_BYTES_PER_TOKEN, copy_lifetime_s)
     ) as relay:
         await relay.store.remove(f'servers/{second.instance}')
         await until(lambda: len(relay.node.belief.endpoints(0)) == 1)
@@ -326,11 +326,13 @@
     async def test_copy_is_freed_when_the_run_ends(self) -> None:
         first = engine('i-e', endpoints.stream(60, 0.02))
         second = engine('i-f', endpoints.stream(60))
-        async with open_plan(first, second) as (_relay, work):
+        # The copy is not due for a refresh, which would find the run gone.
+        async with open_plan(first, second, 60) as (_relay, work):
             answer = await work
             assert answer.is_whole
-            assert first.moves
+            assert len(first.moves) == 1
             await until(lambda: first.freed == ['h-r1'])
+            assert len(first.moves) == 1
         assert not second.received
 
     async def test_copy_on_an_engine_that_leaves_is_dropped(self) -> None:
