Log what tells a crash by a prompt from other crashes

Cause of the gap: the logs didn't name the parts of a prompt, whether an engine had begun its answer, or whether it closed the connection itself, so that none of the three hypotheses could be told from the others.

generation_placed names the ids of the parts. generation_attempted and call_attempted tell whether the endpoint closed or reset the connection (silence and malformed bytes don't count), and generation_attempted the time to the head of the answer.

--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -44,6 +44,8 @@
     :param reason: description of a failure, for logs and errors
     :param is_connection_refused: whether the endpoint's host refused the
         connection
+    :param is_closed_by_peer: whether the endpoint closed or reset the
+        connection before the end of its answer
     """
 
     fate: AttemptOutcome
@@ -51,6 +53,7 @@
     body: bytes = b''
     reason: str = ''
     is_connection_refused: bool = False
+    is_closed_by_peer: bool = False
 
     @property
     def status(self) -> int:
@@ -92,12 +95,19 @@
     )
 
 
-def outcome_of_error(error: ExchangeError) -> AttemptOutcome:
-    """Return the outcome of an attempt without a complete answer.
+def result_of_error(error: ExchangeError) -> AttemptResult:
+    """Return the result of an attempt without a complete answer.
 
     :param error: failure of the exchange
     """
-    return AttemptOutcome.unknown if error.was_sent else AttemptOutcome.not_sent
+    return AttemptResult(
+        fate=AttemptOutcome.unknown
+        if error.was_sent
+        else AttemptOutcome.not_sent,
+        reason=str(error),
+        is_connection_refused=error.is_connection_refused,
+        is_closed_by_peer=error.is_closed_by_peer,
+    )
 
 
 async def read_answer_head(
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -284,6 +284,7 @@
             job.request_id,
             endpoint=endpoint.instance,
             copy_at=placed.copy_at,
+            parts=[one.part for one in job.facts.parts],
             cost=round(candidate.cost),
             memory_share=round(candidate.memory_share, 3),
             expected_tokens=run.expected_tokens,
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -36,6 +36,8 @@
     :param reason: description of the failure
     :param was_sent: whether any byte of the request may have been sent
     :param is_connection_refused: whether the host refused the connection
+    :param is_closed_by_peer: whether the peer closed or reset the connection,
+        as opposed to silence or a malformed response
     """
 
     def __init__(
@@ -44,11 +46,13 @@
         *,
         was_sent: bool,
         is_connection_refused: bool = False,
+        is_closed_by_peer: bool = False,
     ) -> None:
         """Store the reason, and what is known of the request."""
         super().__init__(reason)
         self.was_sent = was_sent
         self.is_connection_refused = is_connection_refused
+        self.is_closed_by_peer = is_closed_by_peer
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -105,6 +109,7 @@
         self._protocol = self._create_protocol()
         self._used_at = loop_time()
         self._may_have_sent = False
+        self._is_closed_by_peer = False
 
     @property
     def address(self) -> str:
@@ -156,6 +161,7 @@
             self._writer.write((head or b'') + (body or b'') + (end or b''))
             await self._writer.drain()
         except OSError as error:
+            self._record_failure(error)
             raise self._close_with_error(str(error)) from error
 
     async def read_head(self) -> ResponseHead:
@@ -237,12 +243,22 @@
             try:
                 received = await self._reader.read(READ_BYTES)
             except OSError as error:
+                self._record_failure(error)
                 raise self._close_with_error(str(error)) from error
+            self._is_closed_by_peer |= not received
             self._protocol.receive_data(received)
 
+    def _record_failure(self, error: OSError) -> None:
+        # A silent peer ends in ``ETIMEDOUT``, which is not a reset.
+        self._is_closed_by_peer |= isinstance(error, ConnectionError)
+
     def _close_with_error(self, reason: str) -> ExchangeError:
         self.close()
-        return ExchangeError(reason, was_sent=self._may_have_sent)
+        return ExchangeError(
+            reason,
+            was_sent=self._may_have_sent,
+            is_closed_by_peer=self._is_closed_by_peer,
+        )
 
     def _create_protocol(self) -> h11.Connection:
         return h11.Connection(
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -16,7 +16,7 @@
     NOT_RUN_STATUSES,
     AttemptOutcome,
     AttemptResult,
-    outcome_of_error,
+    result_of_error,
     record_result,
     build_outgoing,
     read_answer_head,
@@ -101,7 +101,7 @@
         outcome = AttemptOutcome.unknown if sent else AttemptOutcome.not_sent
         result = AttemptResult(fate=outcome, reason='no answer in time')
     except ExchangeError as error:
-        result = AttemptResult(fate=outcome_of_error(error), reason=str(error))
+        result = result_of_error(error)
     else:
         refused = context.dialect.proves_not_run(head)
         outcome = AttemptOutcome.refused if refused else AttemptOutcome.answered
@@ -115,6 +115,7 @@
         fate=result.fate,
         status=result.status,
         reason=result.reason,
+        closed_by_peer=result.is_closed_by_peer,
         left_ms=round(job.left_ms()),
     )
     return result
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -20,7 +20,7 @@
     NOT_RUN_STATUSES,
     AttemptOutcome,
     AttemptResult,
-    outcome_of_error,
+    result_of_error,
     record_result,
     build_outgoing,
     read_answer_head,
@@ -97,6 +97,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._source: AttemptSource | None = None
         self._connection: Connection | None = None
+        self._head_at: float | None = None
         self._transfer = RunTransfer()
 
     @property
@@ -261,6 +262,7 @@
         """Run or resume the generation on one engine."""
         endpoint = source.placement.endpoint
         started_at = loop_time()
+        self._head_at = None
         if source.resumption is not None:
             # Engines count a resumption as a retry. It is not subject to the
             # budget, but takes from it, which leaves fewer other retries.
@@ -269,11 +271,7 @@
         try:
             result = await self._exchange(source)
         except ExchangeError as error:
-            result = AttemptResult(
-                fate=outcome_of_error(error),
-                reason=str(error),
-                is_connection_refused=error.is_connection_refused,
-            )
+            result = result_of_error(error)
         self._connection = None
         record_result(self._context, endpoint, result, started_at)
         self._placer.record_attempt(endpoint, result)
@@ -285,8 +283,12 @@
             fate=result.fate,
             status=result.status,
             reason=result.reason,
+            closed_by_peer=result.is_closed_by_peer,
+            head_ms=_elapsed_ms(started_at, self._head_at),
             events=self._order.count,
-            first_event_ms=_first_event_ms(self._pause, self._job),
+            first_event_ms=_elapsed_ms(
+                self._job.request.arrived_at, self._pause.first_at
+            ),
             longest_pause_ms=round(self._pause.longest_s * MS_PER_S),
             left_ms=round(self._job.left_ms()),
         )
@@ -314,6 +316,7 @@
                 )
             )
             head = await read_answer_head(context, self._job, connection)
+            self._head_at = loop_time()
             if head.status == _OK:
                 await self._forward_events(connection, head)
                 return AttemptResult(fate=AttemptOutcome.answered, head=head)
@@ -428,11 +431,9 @@
     raise ExchangeError('an event is too large', was_sent=True)
 
 
-def _first_event_ms(pause: PauseTimer, job: Job) -> int | None:
-    """Return the time to the first event in milliseconds, if there was one."""
-    if pause.first_at is None:
-        return None
-    return round((pause.first_at - job.request.arrived_at) * MS_PER_S)
+def _elapsed_ms(since: float, at: float | None) -> int | None:
+    """Return the milliseconds between two loop times, if both are known."""
+    return None if at is None else round((at - since) * MS_PER_S)
 
 
 def _record_end(context: RelayContext, run: Run, pause: PauseTimer) -> None:
