--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -32,6 +32,12 @@
         """Id of the attempt, as set by the caller."""
         return self.headers.get('mastichatch-attempt-id', '')
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt."""
+        prefix = self.headers.get('mastichatch-prompt-prefix', '')
+        return tuple(one.partition(':')[0] for one in prefix.split(',') if one)
+
 
 @dataclasses.dataclass
 class HouseEndpoint:
@@ -56,6 +62,34 @@
     freed: list[str] = dataclasses.field(default_factory=list)
     leaves_ms: int | None = None
     reports: int = 0
+    version: str = 'v1'
+    crashes: int = 0
+    server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
+
+    async def open(self, port: int = 0) -> None:
+        """Listen on loopback, and set the address."""
+        self.server = await asyncio.start_server(self.accept, '127.0.0.1', port)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+
+    def crash(self) -> None:
+        """End like a process that dies: all connections close at once."""
+        self.crashes += 1
+        self.close()
+        for writer in tuple(self.writers):
+            writer.close()
+
+    async def restart(self) -> None:
+        """Listen at the same address again, as a new instance."""
+        stem, _, _ = self.instance.partition('+')
+        self.instance = f'{stem}+{self.crashes}'
+        await self.open(int(self.address.rpartition(':')[2]))
 
     def entry(
         self, service: str, zone: str, state: str = 'ready'
@@ -65,7 +99,7 @@
             'service': service,
             'address': self.address,
             'zone': zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': state,
             'cold_left_ms': 0,
@@ -77,6 +111,15 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection."""
+        self.writers.add(writer)
+        try:
+            await self._serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         number = len(self.received)
         protocol = h11.Connection(h11.SERVER)
         with contextlib.suppress(OSError, h11.ProtocolError):
@@ -266,15 +309,42 @@
     return write
 
 
+def crash_on_part(
+    part: str, otherwise: Script, *, writes_head: bool = True
+) -> Script:
+    """Return a script that crashes as it begins an answer on a prompt part.
+
+    Without ``writes_head``, nothing of the answer is sent before the crash.
+    """
+
+    async def write(
+        endpoint: HouseEndpoint,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if part not in request.parts:
+            await otherwise(endpoint, request, writer)
+            return
+        endpoint.ran.append(request.request_id)
+        if writes_head:
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+                + signature_headers(request).encode()
+                + b'Transfer-Encoding: chunked\r\n\r\n'
+            )
+            await writer.drain()
+        endpoint.crash()
+
+    return write
+
+
 @contextlib.asynccontextmanager
 async def open_endpoints(*endpoints: HouseEndpoint) -> AsyncIterator[None]:
     """Serve endpoints on loopback, and set their addresses."""
     async with contextlib.AsyncExitStack() as stack:
         for endpoint in endpoints:
-            server = await asyncio.start_server(endpoint.accept, '127.0.0.1', 0)
-            stack.callback(server.close)
-            port = server.sockets[0].getsockname()[1]
-            endpoint.address = f'127.0.0.1:{port}'
+            await endpoint.open()
+            stack.callback(endpoint.close)
         yield
 
 
