Refuse prompts with parts that crash engines

What callers saw: each request with one certain part in its prompt crashed one more engine, and each crash ended up to 14 sound streams with it.

Cause: nothing related crashes to what the runs had in common. The fleet learned that an engine was gone and placed the next request with the part as any other; a run without an event was even resumed from its copy (a query of death, spread by ordinary traffic).

Change: the node whose connection the engine closed checks that its host refuses connections, and tells all nodes which runs without an event were in progress. Events of streams prove parts to be sound. A pure judgement refuses requests that carry the unproven parts of the only possible cause (503 with the time until a trial, not run), makes others with some of them trials that run one at a time on the engine with the fewest runs, and counts by service and version of the software. Evidence travels with changes of runs and full lists, and is kept in the store under a lease for nodes that start later. Runs without an event are no longer resumed from a copy while their prompt is suspected, and those that have not begun are taken off their engines.

--- a/packages/core/mastichatch_core/errors.py
+++ b/packages/core/mastichatch_core/errors.py
@@ -97,6 +97,9 @@
     ErrorKind.no_capacity: Answer(
         503, Ran.no, RETRY_LATER_MS, 'No endpoint has room in time.'
     ),
+    ErrorKind.prompt_quarantined: Answer(
+        503, Ran.no, RETRY_LATER_MS, 'A part of the prompt crashes engines.'
+    ),
     ErrorKind.attempt_timeout: Answer(
         504, Ran.unknown, None, 'The endpoint did not answer in time.'
     ),
--- a/packages/core/mastichatch_core/relay/engine_choice.py
+++ b/packages/core/mastichatch_core/relay/engine_choice.py
@@ -51,12 +51,15 @@
     :param memory_tokens: expected memory of the runs and copies, in tokens
     :param pending_prefill_tokens: prompt tokens of runs without a first event
     :param parts: ids of the last shared prompt part of each run
+    :param has_trial: whether a run whose prompt may crash the engine has no
+        event yet
     """
 
     running: int = 0
     memory_tokens: float = 0
     pending_prefill_tokens: float = 0
     parts: set[str] = dataclasses.field(default_factory=set)
+    has_trial: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,11 +70,15 @@
     :param cost: work queued before the request, in prompt tokens
     :param memory_share: share of the engine's memory in use, including the
         request
+    :param running: number of runs and copies on the engine
+    :param has_trial: whether a run on it may crash it
     """
 
     instance: str
     cost: float
     memory_share: float
+    running: int = 0
+    has_trial: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -144,6 +151,7 @@
         load.parts.add(run.part)
         if not run.output_tokens:
             load.pending_prefill_tokens += run.prompt_tokens
+            load.has_trial |= bool(run.suspects)
         if run.copy_at:
             copy_load = loads.setdefault(run.copy_at, EngineLoad())
             copy_load.running += 1
@@ -160,6 +168,8 @@
 ) -> tuple[Candidate, ...]:
     """Return the engines that have room for a run, cheapest first.
 
+    Engines that a run may crash come last.
+
     :param endpoints: engines that accept new requests
     :param loads: load of each engine, by instance
     :param engine: capacity of one engine
@@ -181,11 +191,15 @@
                 instance=endpoint.instance,
                 cost=_cost(endpoint, load, request),
                 memory_share=share,
+                running=load.running,
+                has_trial=load.has_trial,
             )
         )
-    return tuple(
-        sorted(candidates, key=lambda item: (item.cost, item.instance))
-    )
+    return tuple(sorted(candidates, key=_preference))
+
+
+def _preference(candidate: Candidate) -> tuple[bool, float, str]:
+    return (candidate.has_trial, candidate.cost, candidate.instance)
 
 
 def _cost(
--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -9,7 +9,13 @@
 be placed on it at once and then wait for the prefill of each other's prompts.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from types import MappingProxyType
 from typing import Final
 
@@ -47,6 +53,10 @@
 # request to arrive would be late too.
 LATE_QUEUED_TOKENS: Final = 3000.0
 
+# Time after which all nodes know of a waiting request, so that only the first
+# one with a suspected part is placed.
+TRIAL_DELAY_MS: Final = 50.0
+
 _NOTHING_EXCLUDED: Final[Mapping[str, frozenset[str]]] = MappingProxyType({})
 
 
@@ -69,6 +79,9 @@
     placed in the remaining room, and only if every request that can still meet
     its objective has been placed.
 
+    Of the requests with a part that may crash engines, one runs at a time until
+    its first event.
+
     :param runs: waiting and running requests of one service, on all nodes
     :param endpoints: engines that accept new requests
     :param engine: capacity of one engine
@@ -82,7 +95,8 @@
     assignment = _Assignment(all_runs, endpoints, engine, data_centre, excluded)
     late: list[Run] = []
     has_unplaced = False
-    for run in _in_queue_order(all_runs, arrived_at):
+    ordered = _in_queue_order(all_runs, arrived_at)
+    for run in _without_blocked(ordered, all_runs, arrived_at, now):
         age_ms = (now - arrived_at(run)) * MS_PER_S
         if not meets_objective(run, age_ms, 0):
             late.append(run)
@@ -144,6 +158,9 @@
         candidates = rank_engines(
             endpoints, self._loads, self._engine, request, memory_share
         )
+        if run.suspects:
+            # If it crashes the engine, the fewest other runs are lost.
+            return min(candidates, key=lambda one: one.running, default=None)
         return candidates[0] if candidates else None
 
     def _place(self, run: Run, candidate: Candidate) -> None:
@@ -193,8 +210,33 @@
     )
 
 
+def _without_blocked(
+    ordered: Iterable[Run],
+    runs: Iterable[Run],
+    arrived_at: Callable[[Run], float],
+    now: float,
+) -> Iterator[Run]:
+    """Yield the waiting requests that are not held back by a trial.
+
+    :param ordered: waiting requests, in the order of the queue
+    :param runs: waiting and running requests
+    :param arrived_at: returns the arrival time of a request, in seconds
+    :param now: time in seconds
+    """
+    tried: set[str] = set()
+    for running in runs:
+        if running.state is RunState.running and not running.output_tokens:
+            tried.update(running.suspects)
+    for run in ordered:
+        is_known = (now - arrived_at(run)) * MS_PER_S >= TRIAL_DELAY_MS
+        if not run.suspects or (is_known and tried.isdisjoint(run.suspects)):
+            yield run
+        tried.update(run.suspects)
+
+
 def _add_to_load(loads: dict[str, EngineLoad], instance: str, run: Run) -> None:
     load = loads.setdefault(instance, EngineLoad())
     load.running += 1
     load.memory_tokens += expected_memory_tokens(run)
     load.pending_prefill_tokens += run.prompt_tokens
+    load.has_trial |= bool(run.suspects)
--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -188,6 +188,7 @@
     :param cold_ms: time after the start during which the endpoint is slow, in
         milliseconds
     :param started_ms: Unix time of the start, in milliseconds; zero if unknown
+    :param version: version of its software; empty if unknown
     """
 
     instance: str
@@ -198,6 +199,7 @@
     state: EndpointState
     cold_ms: float = 0
     started_ms: int = 0
+    version: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -13,6 +13,7 @@
 from mastichatch_core.retries import RetryBudget, deposit, withdraw
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.crash_tracking import CrashTracker
 from mastichatch_node.relay.dialect import Dialect
 from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.http_server import IncomingRequest
@@ -110,6 +111,7 @@
     :param pool: connections to endpoints
     :param dialect: wire protocol of the platform
     :param telemetry: decision log and metrics
+    :param crashes: evidence on prompts that crash engines
     """
 
     node: str
@@ -121,3 +123,4 @@
     pool: ConnectionPool
     dialect: Dialect
     telemetry: Telemetry
+    crashes: CrashTracker
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -30,6 +30,7 @@
 )
 from mastichatch_core.relay.engine_queue import max_queue_wait_s, assign_engines
 from mastichatch_core.relay.model import Endpoint, Engine
+from mastichatch_core.relay.prompt_quarantine import Verdict
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.context import Job, RelayContext
@@ -51,14 +52,19 @@
 
 
 class EngineUnavailableError(MastichatchError):
-    """No engine has room before the queue time limit.
+    """No engine may run the request now.
 
-    :param retry_after_s: delay until capacity is expected, in seconds
+    :param retry_after_s: delay until one is expected to, in seconds
     """
 
-    def __init__(self, reason: str, retry_after_s: float) -> None:
+    def __init__(
+        self,
+        reason: str,
+        retry_after_s: float,
+        kind: ErrorKind = ErrorKind.no_capacity,
+    ) -> None:
         """Store the reason and the retry delay."""
-        super().__init__(ErrorKind.no_capacity, reason)
+        super().__init__(kind, reason)
         self.retry_after_s = retry_after_s
 
 
@@ -68,10 +74,12 @@
 
     :param endpoint: engine that runs it
     :param copy: engine that keeps a copy of its KV cache, if any
+    :param suspects: parts of its prompt that may crash the engine
     """
 
     endpoint: Endpoint
     copy: Endpoint | None
+    suspects: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,11 +89,13 @@
     :param job: the request
     :param excluded: instances that refused it
     :param future: future that resolves to the assigned engine
+    :param suspects: parts of its prompt that may crash an engine
     """
 
     job: Job
     excluded: frozenset[str]
     future: asyncio.Future[Candidate]
+    suspects: tuple[str, ...] = ()
 
 
 class EnginePlacer:
@@ -104,11 +114,13 @@
     ) -> EnginePlacement:
         """Queue a request until an engine has room, and return the engine.
 
-        The run is announced to all nodes as running on that engine.
+        The run is announced to all nodes as running on that engine. A request
+        that would crash every engine is refused at once.
 
         :param job: the request
         :param excluded: instances that refused it
-        :raises EngineUnavailableError: if no engine has room in time
+        :raises EngineUnavailableError: if no engine has room in time, or if the
+            prompt would crash it
         """
         engine = require_engine(job)
         if job.facts.prompt_tokens > engine.memory_tokens:
@@ -130,7 +142,7 @@
             raise
         finally:
             self._waiting.pop(job.request_id, None)
-        return self._record_placement(job, engine, run, candidate)
+        return self._record_placement(job, engine, candidate)
 
     def reconcile(self) -> None:
         """Assign engines to the queued requests that are next in order."""
@@ -224,7 +236,12 @@
         self._assign_engines(job.service.name)
         if future.done():
             return future.result()
-        self._context.sharing.record(run)
+        # The run may have become a trial.
+        self._context.sharing.record(
+            dataclasses.replace(
+                run, suspects=self._waiting[job.request_id].suspects
+            )
+        )
         arrived_at = job.request.arrived_at
         ends_at = arrived_at + max_queue_wait_s(
             job.route.objective_ms / MS_PER_S, job.ends_at - arrived_at
@@ -244,39 +261,77 @@
         return EngineUnavailableError(reason, RETRY_AFTER_S + jitter_s)
 
     def _assign_engines(self, service: str) -> None:
-        queued = {
-            request_id: one
-            for request_id, one in self._waiting.items()
-            if one.job.service.name == service
-        }
+        usable = self.usable_engines(service)
+        queued: dict[str, _QueuedRequest] = {}
+        excluded: dict[str, frozenset[str]] = {}
+        for request_id, one in tuple(self._waiting.items()):
+            if one.job.service.name == service and not one.future.done():
+                refused = self._apply_verdicts(one, usable)
+                excluded[request_id] = one.excluded | refused
+                queued[request_id] = one
         if not queued:
             return
         assigned = assign_engines(
             self.runs_of_service(service),
-            self.usable_engines(service),
+            usable,
             require_engine(next(iter(queued.values())).job),
             self._context.sharing.table.arrived_at,
             self._context.data_centre,
             loop_time(),
-            {name: one.excluded for name, one in queued.items()},
+            excluded,
         )
-        for request_id, one in queued.items():
+        for request_id, queued_request in queued.items():
             candidate = assigned.get(request_id)
-            if candidate is not None and not one.future.done():
-                one.future.set_result(candidate)
+            if candidate is not None and not queued_request.future.done():
+                queued_request.future.set_result(candidate)
+
+    def _apply_verdicts(
+        self, queued: _QueuedRequest, usable: tuple[Endpoint, ...]
+    ) -> frozenset[str]:
+        """Refuse a queued request, or make it a trial, as its prompt demands.
+
+        :param queued: the request
+        :param usable: engines of its service that accept new requests
+        :returns: instances of the versions that must not run it
+        """
+        verdict = self._context.crashes.judge_fleet(queued.job.facts, usable)
+        if verdict.refusal is not None:
+            queued.future.set_exception(_quarantine_error(verdict.refusal))
+        elif verdict.suspects != queued.suspects:
+            self._update_suspects(queued, verdict.suspects)
+        return frozenset(
+            one.instance
+            for one in usable
+            if one.version in verdict.refused_versions
+        )
+
+    def _update_suspects(
+        self, queued: _QueuedRequest, suspects: tuple[str, ...]
+    ) -> None:
+        job = queued.job
+        self._waiting[job.request_id] = dataclasses.replace(
+            queued, suspects=suspects
+        )
+        self._context.sharing.record(
+            dataclasses.replace(new_run(job), suspects=suspects)
+        )
 
     def _record_placement(
-        self, job: Job, engine: Engine, run: Run, candidate: Candidate
+        self, job: Job, engine: Engine, candidate: Candidate
     ) -> EnginePlacement:
+        run = new_run(job)
         endpoint = self._context.belief.endpoints(loop_time())[
             candidate.instance
         ]
+        verdict = self._context.crashes.judge(job.facts, endpoint)
+        suspects = tuple(sorted(verdict.suspects))
         copy = self._choose_copy(job, engine, run, endpoint)
         placed = dataclasses.replace(
             run,
             state=RunState.running,
             endpoint=endpoint.instance,
             copy_at='' if copy is None else copy.instance,
+            suspects=suspects,
         )
         self._context.sharing.record(placed)
         self._context.telemetry.log_decision(
@@ -285,13 +340,14 @@
             endpoint=endpoint.instance,
             copy_at=placed.copy_at,
             parts=[one.part for one in job.facts.parts],
+            suspects=suspects,
             cost=round(candidate.cost),
             memory_share=round(candidate.memory_share, 3),
             expected_tokens=run.expected_tokens,
             revision=self._context.belief.revision,
             waited_ms=round((loop_time() - job.request.arrived_at) * MS_PER_S),
         )
-        return EnginePlacement(endpoint=endpoint, copy=copy)
+        return EnginePlacement(endpoint=endpoint, copy=copy, suspects=suspects)
 
     def _choose_copy(
         self, job: Job, engine: Engine, run: Run, endpoint: Endpoint
@@ -360,6 +416,17 @@
     return job.service.engine
 
 
+def _quarantine_error(refusal: Verdict) -> EngineUnavailableError:
+    parts = ', '.join(sorted(refusal.suspects))
+    left_s = max(0, refusal.until - loop_time())
+    return EngineUnavailableError(
+        f'engines crash on parts of the prompt: {parts} '
+        f'({refusal.crashes} crashes, refused for {left_s:.0f} s)',
+        left_s + random.random() * RETRY_AFTER_JITTER_S,  # noqa: S311
+        ErrorKind.prompt_quarantined,
+    )
+
+
 def new_run(job: Job) -> Run:
     """Return the run of a request, in the waiting state.
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -109,6 +109,7 @@
         self._protocol = self._create_protocol()
         self._used_at = loop_time()
         self._may_have_sent = False
+        self._is_closed = False
         self._is_closed_by_peer = False
 
     @property
@@ -216,6 +217,7 @@
 
     def close(self) -> None:
         """Abort the connection, which cancels a request in progress."""
+        self._is_closed = True
         self._writer.transport.abort()
 
     def _finish(self) -> None:
@@ -245,12 +247,13 @@
             except OSError as error:
                 self._record_failure(error)
                 raise self._close_with_error(str(error)) from error
-            self._is_closed_by_peer |= not received
+            self._is_closed_by_peer |= not received and not self._is_closed
             self._protocol.receive_data(received)
 
     def _record_failure(self, error: OSError) -> None:
         # A silent peer ends in ``ETIMEDOUT``, which is not a reset.
-        self._is_closed_by_peer |= isinstance(error, ConnectionError)
+        is_reset = isinstance(error, ConnectionError)
+        self._is_closed_by_peer |= is_reset and not self._is_closed
 
     def _close_with_error(self, reason: str) -> ExchangeError:
         self.close()
@@ -288,6 +291,20 @@
     return Connection(address, reader, writer)
 
 
+async def probe_refuses(address: str, timeout_s: float) -> bool:
+    """Return whether a host refuses connections, as without a process.
+
+    :param address: IP address and port
+    :param timeout_s: longest time to connect, in seconds
+    """
+    try:
+        connection = await connect(address, timeout_s)
+    except ExchangeError as error:
+        return error.is_connection_refused
+    connection.close()
+    return False
+
+
 def configure_keepalive(
     writer: asyncio.StreamWriter, timeout_ms: int = SILENCE_TIMEOUT_MS
 ) -> None:
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -24,6 +24,8 @@
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, open_peers
+from mastichatch_node.relay import crash_store
+from mastichatch_node.relay.crash_tracking import CrashTracker
 from mastichatch_node.relay.dialect import Dialect
 from mastichatch_node.relay.http_client import ConnectionPool, open_pool
 from mastichatch_node.relay.store_following import (
@@ -224,6 +226,7 @@
     peers: Peers
     registry: NodeRegistry
     broadcaster: RunBroadcaster
+    crashes: CrashTracker
 
 
 @contextlib.asynccontextmanager
@@ -239,24 +242,13 @@
     async with open_peers(
         settings.peers_address, uuid.uuid4().hex, ''
     ) as peers:
-        registry = NodeRegistry(
-            settings.name, settings.data_centre, settings.link_mbps
-        )
-        cache = StoreCache(adapter.decoders)
-        components = _Components(
-            settings=settings,
-            adapter=adapter,
-            telemetry=telemetry,
-            cache=cache,
-            peers=peers,
-            registry=registry,
-            broadcaster=RunBroadcaster(peers, registry, lambda: cache.revision),
-        )
+        components = _create_components(settings, adapter, telemetry, peers)
         with open_pool(CONNECT_TIMEOUT_S) as pool:
             context = _create_context(components, pool)
             placer = EnginePlacer(context)
             relay = _create_relay(settings, context, placer)
             migrator = RunMigrator(context, placer, relay)
+            _attach_evidence(components, placer, relay)
             node = RelayNode(settings, context, relay)
             async with _run_updates(
                 components, context, placer, migrator, relay
@@ -266,6 +258,29 @@
             migrator.close()
 
 
+def _create_components(
+    settings: RelaySettings,
+    adapter: Adapter,
+    telemetry: Telemetry,
+    peers: Peers,
+) -> _Components:
+    registry = NodeRegistry(
+        settings.name, settings.data_centre, settings.link_mbps
+    )
+    cache = StoreCache(adapter.decoders)
+    broadcaster = RunBroadcaster(peers, registry, lambda: cache.revision)
+    return _Components(
+        settings=settings,
+        adapter=adapter,
+        telemetry=telemetry,
+        cache=cache,
+        peers=peers,
+        registry=registry,
+        broadcaster=broadcaster,
+        crashes=CrashTracker(cache, broadcaster, telemetry),
+    )
+
+
 def _create_context(
     components: _Components, pool: ConnectionPool
 ) -> RelayContext:
@@ -280,6 +295,7 @@
         pool=pool,
         dialect=components.adapter.open_dialect(pool),
         telemetry=components.telemetry,
+        crashes=components.crashes,
     )
 
 
@@ -313,6 +329,7 @@
         allowance = components.settings.retry_burst * RETRY_ALLOWANCE_SHARE
         context.retries.set_burst(allowance / nodes)
         context.records.keep_only(cache.endpoints(loop_time()))
+        crash_store.read_evidence(components.crashes, cache)
         placer.reconcile()
         migrator.reconcile()
 
@@ -334,23 +351,8 @@
             (migrator.notify_waiting, DEPARTURE_NOTIFY_INTERVAL_S),
         ):
             components.broadcaster.subscribe(rate_limited(react, interval_s))
-        components.peers.on(
-            MessageKind.view_query, ViewQuery, follower.answer_query
-        )
-
         departures = DeparturePoller(context, follower, relay, migrator)
-
-        async def handle_run_changes(
-            message: RunChanges, envelope: Envelope
-        ) -> None:
-            await components.broadcaster.handle_changes(message, envelope)
-            for handle in (departures.handle_changes, placer.handle_changes):
-                handle(message)
-            await follower.handle_changes(message, envelope)
-
-        components.peers.on(
-            MessageKind.run_changes, RunChanges, handle_run_changes
-        )
+        _handle_messages(components, follower, departures, placer)
         async with run_in_background(
             follower.follow(),
             follower.poll_other_nodes(),
@@ -363,10 +365,46 @@
             departures.poll_periodically(),
             _maintain_periodically(context.pool, placer, migrator),
             StandbyCopier(context, placer, relay).review_periodically(),
+            crash_store.write_evidence(components.crashes, store),
         ):
             yield
 
 
+def _handle_messages(
+    components: _Components,
+    follower: StoreFollower,
+    departures: DeparturePoller,
+    placer: EnginePlacer,
+) -> None:
+    """Register the handlers of messages of other nodes."""
+
+    async def handle_run_changes(
+        message: RunChanges, envelope: Envelope
+    ) -> None:
+        await components.broadcaster.handle_changes(message, envelope)
+        for handle in (
+            departures.handle_changes,
+            placer.handle_changes,
+            components.crashes.handle_changes,
+        ):
+            handle(message)
+        await follower.handle_changes(message, envelope)
+
+    peers = components.peers
+    peers.on(MessageKind.view_query, ViewQuery, follower.answer_query)
+    peers.on(MessageKind.run_changes, RunChanges, handle_run_changes)
+
+
+def _attach_evidence(
+    components: _Components, placer: EnginePlacer, relay: Relay
+) -> None:
+    """Apply new evidence on crashes to queued requests and to runs."""
+    crashes = components.crashes
+    components.broadcaster.attach_evidence(crashes.current_evidence)
+    for react in (placer.reconcile, relay.withdraw_quarantined):
+        crashes.subscribe(react)
+
+
 @contextlib.asynccontextmanager
 async def _listen(
     settings: RelaySettings, node: RelayNode
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import math
 import random
 from collections.abc import Iterator
@@ -16,6 +17,7 @@
     RequestMetadata,
     RequestKind,
 )
+from mastichatch_core.relay.prompt_quarantine import Action
 from mastichatch_core.relay.routing import (
     ViewAge,
     choose_service,
@@ -77,6 +79,24 @@
         """
         self._refuses_generations_at = refuses_at
 
+    def withdraw_quarantined(self) -> None:
+        """Take runs off the engines that they would crash, before they do."""
+        for generation in self._generations:
+            endpoint = generation.endpoint
+            if endpoint is None:
+                continue
+            verdict = self._context.crashes.judge(
+                generation.job.facts, endpoint
+            )
+            if verdict.action is Action.refuse and generation.withdraw():
+                self._context.telemetry.log_decision(
+                    'run_withdrawn',
+                    generation.job.request_id,
+                    endpoint=endpoint.instance,
+                    suspects=sorted(verdict.suspects),
+                    crashes=verdict.crashes,
+                )
+
     async def handle(
         self, request: IncomingRequest, reply: ResponseWriter
     ) -> None:
@@ -183,12 +203,16 @@
         if reply.status:
             raise ConnectionResetError(str(error))
         retry_after_s = None
+        body = error.body(request_id)
         if isinstance(error, EngineUnavailableError):
             retry_after_s = error.retry_after_s
+            body = dataclasses.replace(
+                body, retry_after_ms=round(retry_after_s * MS_PER_S)
+            )
         await reply.send(
             error.status,
             error_headers(error, retry_after_s),
-            msgspec.json.encode(error.body(request_id)),
+            msgspec.json.encode(body),
         )
 
 
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -7,12 +7,14 @@
 from typing import Final, Protocol
 
 from mastichatch_core.generated.messages import (
+    CrashReport,
     Envelope,
     ForwardScope,
     MessageKind,
     Run,
     RunChanges,
     RunState,
+    SoundParts,
 )
 from mastichatch_core.relay.forwarder_choice import (
     NodeLink,
@@ -38,6 +40,9 @@
 LINKS_LIFETIME_S: Final = 0.2
 
 
+Evidence = tuple[tuple[CrashReport, ...], tuple[SoundParts, ...]]
+
+
 class NodeDirectory(Protocol):
     """The other nodes, as far as they are registered."""
 
@@ -78,6 +83,7 @@
         self._subscribers: list[Callable[[], None]] = []
         self._links: tuple[NodeLink, ...] = ()
         self._links_expire_at = -math.inf
+        self._current_evidence: Callable[[], Evidence] = _no_evidence
 
     @property
     def table(self) -> RunTable:
@@ -123,6 +129,28 @@
         )
         self._send_to_all(message)
 
+    def announce_evidence(
+        self,
+        crashes: tuple[CrashReport, ...],
+        sound: tuple[SoundParts, ...],
+    ) -> None:
+        """Tell other nodes of crashes, and of parts that do not cause them.
+
+        :param crashes: crashes of engines
+        :param sound: parts of prompts on which engines answered
+        """
+        message = self._create_message(())
+        self._send_to_all(
+            dataclasses.replace(message, crashes=crashes, sound=sound)
+        )
+
+    def attach_evidence(self, current_evidence: Callable[[], Evidence]) -> None:
+        """Send evidence on crashes with each full list of runs.
+
+        :param current_evidence: returns the evidence
+        """
+        self._current_evidence = current_evidence
+
     async def handle_changes(
         self, message: RunChanges, envelope: Envelope
     ) -> None:
@@ -159,7 +187,12 @@
         self._send_full_list(self._directory.addresses_of(names))
 
     def _send_full_list(self, receivers: Iterable[str]) -> None:
-        message = self._create_message(self._table.own, is_whole=True)
+        crashes, sound = self._current_evidence()
+        message = dataclasses.replace(
+            self._create_message(self._table.own, is_whole=True),
+            crashes=crashes,
+            sound=sound,
+        )
         self._peers.send_all(receivers, MessageKind.run_changes, message)
 
     def _send_changes(
@@ -232,6 +265,10 @@
             subscriber()
 
 
+def _no_evidence() -> Evidence:
+    return ((), ())
+
+
 def _announcement(run: Run) -> Run:
     """Return what other nodes need to know of a run that changed."""
     if run.state is not RunState.ended:
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -98,6 +99,7 @@
         self._source: AttemptSource | None = None
         self._connection: Connection | None = None
         self._head_at: float | None = None
+        self._is_withdrawn = False
         self._transfer = RunTransfer()
 
     @property
@@ -157,6 +159,17 @@
         """Number of the last event sent to the caller, if there was one."""
         return self._order.last
 
+    def withdraw(self) -> bool:
+        """Take the run off an engine that it would crash, unless it has begun.
+
+        :returns: whether it was taken off
+        """
+        if self._connection is None or self._head_at is not None:
+            return False
+        self._is_withdrawn = True
+        self._connection.close()
+        return True
+
     @property
     def run(self) -> Run:
         """The state of the generation that is announced to other nodes."""
@@ -172,6 +185,7 @@
             copy_at='' if copy is None else copy.instance,
             has_standby=self._transfer.has_idle_standby,
             output_tokens=self._order.count * tokens,
+            suspects=_untried_suspects(self._source, self._order),
         )
 
     def begin_move(self) -> 'asyncio.Future[RunLocation | None]':
@@ -243,11 +257,14 @@
             return AttemptSource(
                 placement=await self._placer.place(self._job, self._excluded)
             )
-        standby = self._transfer.standby
-        if standby is not None and self._placer.accepts_runs(standby.endpoint):
+        may_resume = _resumption_check(
+            self._context, self._placer, self._job, self._order
+        )
+        standby = None if self._is_withdrawn else self._transfer.standby
+        if standby is not None and may_resume(standby.endpoint):
             return _resume_at(standby, self.last_event)
-        copy = source.placement.copy
-        if copy is None or not self._placer.accepts_runs(copy):
+        copy = None if self._is_withdrawn else source.placement.copy
+        if copy is None or not may_resume(copy):
             return None
         return AttemptSource(
             placement=EnginePlacement(endpoint=copy, copy=None),
@@ -275,6 +292,10 @@
         self._connection = None
         record_result(self._context, endpoint, result, started_at)
         self._placer.record_attempt(endpoint, result)
+        if not self._order.count and _ended_like_crash(result, self._transfer):
+            await self._context.crashes.report_crash(
+                self._job.facts, endpoint, has_begun=self._head_at is not None
+            )
         self._context.telemetry.log_decision(
             'generation_attempted',
             self._job.request_id,
@@ -341,7 +362,7 @@
             if events is None:
                 break
             await self._forward(events, head)
-        await self._start_reply(head)
+        await _start_reply(self._context, self._job, self._reply, head)
         if splitter.rest:
             await self._reply.write(splitter.rest)
         await self._reply.finish()
@@ -357,21 +378,63 @@
         if not fresh:
             return
         is_first = not self._reply.status
-        await self._start_reply(head)
-        self._pause.record_event(loop_time())
+        await _start_reply(self._context, self._job, self._reply, head)
+        now = loop_time()
+        if self._pause.first_at is None and self._source is not None:
+            self._context.crashes.record_first_event(
+                self._job.facts,
+                self._source.placement.endpoint,
+                now - (self._head_at or now),
+            )
+        self._pause.record_event(now)
         await self._reply.write(b''.join(fresh))
         # Later progress reaches other nodes with the next full list of runs.
         self._context.sharing.record(self.run, announce=is_first)
 
-    async def _start_reply(self, head: ResponseHead) -> None:
-        if self._reply.status:
-            return
-        context = self._context
-        context.telemetry.observe_first_byte(
-            self._job.route.kind, self._job.request.arrived_at
+
+async def _start_reply(
+    context: RelayContext, job: Job, reply: ResponseWriter, head: ResponseHead
+) -> None:
+    if reply.status:
+        return
+    context.telemetry.observe_first_byte(job.route.kind, job.request.arrived_at)
+    await reply.start(
+        head.status, context.dialect.response_headers(head.headers)
+    )
+
+
+def _resumption_check(
+    context: RelayContext, placer: EnginePlacer, job: Job, order: EventOrder
+) -> Callable[[Endpoint], bool]:
+    """Return a function that tells whether a run may go on at an engine.
+
+    The prompt of a run without an event may have crashed its last engine.
+    """
+
+    def may_resume(endpoint: Endpoint) -> bool:
+        return placer.accepts_runs(endpoint) and (
+            order.count > 0 or context.crashes.may_repeat(job.facts, endpoint)
         )
-        headers = context.dialect.response_headers(head.headers)
-        await self._reply.start(head.status, headers)
+
+    return may_resume
+
+
+def _untried_suspects(
+    source: AttemptSource | None, order: EventOrder
+) -> tuple[str, ...]:
+    """Return the suspected parts on which no engine has answered yet."""
+    if order.count or source is None:
+        return ()
+    return source.placement.suspects
+
+
+def _ended_like_crash(result: AttemptResult, transfer: RunTransfer) -> bool:
+    """Return whether an attempt may have ended by a crash of the engine."""
+    return (
+        result.fate is AttemptOutcome.unknown
+        and result.is_closed_by_peer
+        and not transfer.is_moving
+    )
 
 
 def _resume_at(location: RunLocation, last_event: int | None) -> AttemptSource:
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -157,6 +157,11 @@
             'Requests in progress.',
             registry=self._registry,
         )
+        self._suspected = Gauge(
+            'mastichatch_relay_suspected_parts',
+            'Parts of prompts that may crash engines.',
+            registry=self._registry,
+        )
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -200,6 +205,13 @@
         """
         self._active.set(active)
 
+    def update_suspected(self, suspected: int) -> None:
+        """Set the number of prompt parts that may crash engines.
+
+        :param suspected: number of parts, over all services and versions
+        """
+        self._suspected.set(suspected)
+
     def log_decision(
         self, event: str, request_id: str, **inputs: object
     ) -> None:
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import itertools
+import json
 from collections.abc import AsyncIterator
 
+import pytest
 from mastichatch_platform.__main__ import create_adapter
 
 from mastichatch_node.relay.program import RelayNode, open_node
@@ -13,6 +15,7 @@
     RelayFixture,
     Response,
     call,
+    configuration,
     create_settings,
     open_relay,
     until,
@@ -25,6 +28,8 @@
 CRASHES_BEFORE_BOUND = 5
 REQUESTS_AFTER_BOUND = 3
 RESTART_S = 0.2
+# Time for messages between nodes, and for changes in the store.
+EXCHANGE_S = 0.6
 DEADLY = 'dead'
 SHARED = 'cafe'
 
@@ -148,3 +153,148 @@
             )
             sound = await fleet.plan(SHARED)
             assert sound.is_whole
+
+
+class TestRefusal:
+    async def test_it_says_when_to_come_back_and_that_nothing_ran(self) -> None:
+        script = endpoints.crash_on_part(DEADLY, endpoints.stream(5))
+        async with open_fleet(script) as fleet:
+            assert (await fleet.plan(SHARED)).is_whole
+            await fleet.plan(SHARED, DEADLY)
+            refused = await fleet.plan(SHARED, DEADLY)
+            assert refused.status == 503
+            body = json.loads(refused.body)
+            assert body['kind'] == 'prompt_quarantined'
+            assert body['ran'] == 'no'
+            assert body['retry_after_ms'] > 1000
+            assert float(refused.headers['retry-after']) > 1
+            assert fleet.arrivals(DEADLY) == 1
+
+    async def test_other_nodes_refuse_too_while_the_store_is_away(self) -> None:
+        script = endpoints.crash_on_part(DEADLY, endpoints.stream(5))
+        async with open_fleet(script) as fleet:
+            assert (await fleet.plan(SHARED)).is_whole
+            fleet.relay.store.refuse_status = 503
+            await fleet.plan(SHARED, DEADLY, node=0)
+            await asyncio.sleep(EXCHANGE_S)
+            refused = await fleet.plan(SHARED, DEADLY, node=1)
+            assert refused.status == 503
+            assert fleet.arrivals(DEADLY) == 1
+
+    async def test_node_that_starts_later_learns_it_from_the_store(
+        self,
+    ) -> None:
+        """After a restart of all nodes, only the store knows of the crash."""
+        script = endpoints.crash_on_part(DEADLY, endpoints.stream(5))
+        engines = (HouseEndpoint('e1', script), HouseEndpoint('e2', script))
+        async with open_relay(engines=engines) as relay:
+            plan = (SHARED, DEADLY)
+            await relay.call('/plan/x', headers=plan_headers(SHARED))
+            await relay.call('/plan/x', headers=plan_headers(*plan))
+            await until(
+                lambda: any('crashes/' in key for key in relay.store.items)
+            )
+            lone = create_settings(relay.settings.store_address, name='south-9')
+            # The new node is cut off from the old one.
+            await relay.store.remove('mastichatch/nodes/north-1')
+            async with open_node(lone, create_adapter(), Telemetry()) as node:
+                await until(lambda: node.is_ready)
+                refused = await call(
+                    lone.callers_address,
+                    '/plan/x',
+                    headers=plan_headers(*plan),
+                )
+        assert refused.status == 503
+        assert json.loads(refused.body)['kind'] == 'prompt_quarantined'
+
+
+class TestNoRepeat:
+    async def test_run_without_an_event_is_not_resumed_from_its_copy(
+        self,
+    ) -> None:
+        """The engine with the copy used to get the same prompt, and crash."""
+        script = endpoints.crash_on_part(DEADLY, endpoints.stream(5))
+        document = configuration()
+        document['services'][1]['engine']['backups'] = True
+        engines = (HouseEndpoint('e1', script), HouseEndpoint('e2', script))
+        async with open_relay(engines=engines, document=document) as relay:
+            await relay.call('/plan/x', headers=plan_headers(SHARED))
+            lost = await relay.call(
+                '/plan/x', headers=plan_headers(SHARED, DEADLY)
+            )
+            copies = [
+                request.headers.get('mastichatch-kv-backup')
+                for engine in engines
+                for request in engine.received
+            ]
+            assert any(copies)
+            assert sum(engine.crashes for engine in engines) == 1
+        assert lost.status == 502
+
+
+class TestNoCrash:
+    @pytest.mark.parametrize('script', [endpoints.reset, endpoints.hang])
+    async def test_broken_connection_of_a_living_engine_suspects_nobody(
+        self, script: endpoints.Script
+    ) -> None:
+        engines = (HouseEndpoint('e1', script),)
+        async with open_relay(engines=engines) as relay:
+            await relay.call(
+                '/plan/x', headers=plan_headers(SHARED), timeout_ms=300
+            )
+            engines[0].script = endpoints.stream(3)
+            answer = await relay.call('/plan/x', headers=plan_headers(SHARED))
+            assert answer.is_whole
+
+    async def test_end_of_a_leaving_engine_suspects_nobody(self) -> None:
+        engine = HouseEndpoint('e1', endpoints.hang)
+        async with open_relay(engines=(engine,)) as relay:
+            calling = asyncio.ensure_future(
+                relay.call('/plan/x', headers=plan_headers(SHARED, DEADLY))
+            )
+            await until(lambda: bool(engine.ran))
+            leaving = engine.entry('llm', 'north', 'draining')
+            await relay.store.put('servers/e1', leaving)
+            await asyncio.sleep(EXCHANGE_S)
+            engine.crash()
+            await calling
+            await asyncio.sleep(EXCHANGE_S)
+            assert not any('crashes/' in key for key in relay.store.items)
+            second = HouseEndpoint('e2', endpoints.stream(3))
+            async with endpoints.open_endpoints(second):
+                entry = second.entry('llm', 'north')
+                await relay.store.put('servers/e2', entry)
+                await asyncio.sleep(EXCHANGE_S)
+                answer = await relay.call(
+                    '/plan/x', headers=plan_headers(SHARED, DEADLY)
+                )
+        assert answer.is_whole
+
+
+class TestTrial:
+    async def test_first_event_of_a_trial_lets_the_others_go_on(self) -> None:
+        """An engine died for another reason while it read a rare prompt."""
+        engines = tuple(
+            HouseEndpoint(f'e{number}', endpoints.hang) for number in range(2)
+        )
+        async with open_relay(engines=engines) as relay:
+            calling = asyncio.ensure_future(
+                relay.call('/plan/x', headers=plan_headers(SHARED, 'abc'))
+            )
+            await until(lambda: any(engine.ran for engine in engines))
+            dying = next(engine for engine in engines if engine.ran)
+            for engine in engines:
+                engine.script = endpoints.stream(3, 0.05)
+            dying.crash()
+            await calling
+            answers = await asyncio.gather(
+                *(
+                    relay.call(
+                        '/plan/x',
+                        request_id=f'r{number}',
+                        headers=plan_headers(SHARED, 'abc'),
+                    )
+                    for number in range(4)
+                )
+            )
+        assert all(answer.is_whole for answer in answers)
