Take no second copy of a refusal for the answer to the next request

Report of other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of requests that ran.

It could happen here. An answer without a request id counted as the answer to whatever request waited, also on a connection that had carried others: the test's second booking was answered 503 while the endpoint ran it. A copy with its id was recognised, but one that arrived between two requests stayed unread, and cost the next request a 502.

An answer without an id now counts only on a connection without an earlier answer, and a pooled connection with unread bytes is closed instead of used again.

--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -66,7 +66,8 @@
     :param response_headers: returns the response headers for the caller
     :param proves_not_run: returns whether a response proves that the request
         was not executed
-    :param is_response_to: returns whether a response belongs to a request id
+    :param read_response_id: returns the id of the request that a response
+        belongs to, or ``None`` if it names none
     :param is_genuine: returns whether a successful response has the
         endpoint's signature
     :param query_departure: asks an engine, given its address, whether it is
@@ -82,7 +83,7 @@
     relayed_headers: Callable[[Headers, ForwardingContext], Headers]
     response_headers: Callable[[Headers], Headers]
     proves_not_run: Callable[[ResponseHead], bool]
-    is_response_to: Callable[[ResponseHead, str], bool]
+    read_response_id: Callable[[ResponseHead], str | None]
     is_genuine: Callable[[ResponseHead], bool]
     query_departure: Callable[[str], Awaitable[bool | None]]
     move_run: Callable[[str, str, str, bool], Awaitable[MoveResponse]]
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -122,7 +122,11 @@
         request or is not genuine
     """
     head = await connection.read_head()
-    if not context.dialect.is_response_to(head, job.request_id):
+    response_id = context.dialect.read_response_id(head)
+    # On a connection that was used before, an answer without an id may be a
+    # second copy of an earlier one.
+    is_unnamed = response_id is None and connection.is_new
+    if response_id != job.request_id and not is_unnamed:
         connection.close()
         reason = 'the answer belongs to another request'
         raise ExchangeError(reason, was_sent=True)
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -93,13 +93,44 @@
         return None
 
 
+class CountingReader(asyncio.StreamReader):
+    """A stream that tells whether bytes arrived that were not read."""
+
+    def __init__(self) -> None:
+        """Start without bytes."""
+        super().__init__()
+        self._unread = 0
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that were not read."""
+        return self._unread > 0
+
+    def feed_data(self, data: bytes) -> None:
+        """Add bytes that arrived.
+
+        :param data: the bytes
+        """
+        self._unread += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:  # noqa: WPS111 - inherited
+        """Return the next bytes, or none at the end of the stream.
+
+        :param n: largest number of bytes to return
+        """
+        received = await super().read(n)
+        self._unread -= len(received)
+        return received
+
+
 class Connection:
     """A client connection, which carries one request at a time."""
 
     def __init__(
         self,
         address: str,
-        reader: asyncio.StreamReader,
+        reader: CountingReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Wrap open streams; use ``connect`` to open a connection."""
@@ -109,6 +140,7 @@
         self._protocol = self._create_protocol()
         self._used_at = loop_time()
         self._may_have_sent = False
+        self._responses = 0
         self._is_closed = False
         self._is_closed_by_peer = False
 
@@ -122,6 +154,11 @@
         """Loop time of the last response or the connect, in seconds."""
         return self._used_at
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no response was received before the current one."""
+        return self._responses == 0
+
     def set_silence_timeout(self, timeout_ms: int) -> None:
         """Set how long the connection stays open while its peer is silent.
 
@@ -135,6 +172,9 @@
         states = (self._protocol.our_state, self._protocol.their_state)
         if self._reader.at_eof() or self._writer.is_closing():
             return False
+        # Bytes between two requests belong to neither of them.
+        if self._reader.has_unread:
+            return False
         return states == (h11.IDLE, h11.IDLE)
 
     async def send(self, request: OutgoingRequest) -> None:
@@ -223,6 +263,7 @@
     def _finish(self) -> None:
         """Prepare the connection for reuse, or close it."""
         self._used_at = loop_time()
+        self._responses += 1
         leftover, _ = self._protocol.trailing_data
         completed = (h11.DONE, h11.DONE)
         states = (self._protocol.our_state, self._protocol.their_state)
@@ -279,7 +320,7 @@
     host, _, port = address.rpartition(':')
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await _open_streams(host, int(port))
     except (OSError, ValueError) as error:
         reason = f'no connection to {address}: {error!r}'
         raise ExchangeError(
@@ -291,6 +332,17 @@
     return Connection(address, reader, writer)
 
 
+async def _open_streams(
+    host: str, port: int
+) -> tuple[CountingReader, asyncio.StreamWriter]:
+    loop = asyncio.get_running_loop()
+    reader = CountingReader()
+    transport, protocol = await loop.create_connection(
+        lambda: asyncio.StreamReaderProtocol(reader), host, port
+    )
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 async def probe_refuses(address: str, timeout_s: float) -> bool:
     """Return whether a host refuses connections, as without a process.
 
