Treat unframed answers of crashed servers and partial last events as cut off

Report of other operators: a server stopped in the head of its answer and closed, and callers got a 200 with an empty or short body, framed as whole.

A partial head could not become an answer here: the test cuts heads after each seventh byte and passed before. The same cause elsewhere was real: an answer with neither a length nor chunks ends with its connection, and a crash closes it like an end. A stream that ended inside an event was handed out as whole, and so were a stream and a call whose server crashed between two writes.

A stream that ends inside an event is broken off now. After an answer without framing the node checks that the server still accepts connections; if its host refuses them, the answer is cut off. Also types feed_data of the reader as its base class does.

--- a/packages/node/mastichatch_node/relay/crash_tracking.py
+++ b/packages/node/mastichatch_node/relay/crash_tracking.py
@@ -32,8 +32,6 @@
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.telemetry import Telemetry
 
-# Time limit of the connection that shows whether an engine has crashed.
-PROBE_TIMEOUT_S: Final = 0.25
 # Nodes that know a reported part to be sound answer after a random delay of up
 # to this time, unless another node has answered before.
 MAX_ANSWER_DELAY_S: Final = 0.2
@@ -184,7 +182,7 @@
         parts = shared_parts(metadata)
         if not parts or not self._is_in_use(endpoint):
             return
-        if not await probe_refuses(endpoint.address, PROBE_TIMEOUT_S):
+        if not await probe_refuses(endpoint.address):
             return
         report = CrashReport(
             instance=endpoint.instance,
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -8,8 +8,8 @@
 import contextlib
 import dataclasses
 import socket
-from collections.abc import AsyncIterator, Iterator
-from typing import Final
+from collections.abc import AsyncIterator, Iterable, Iterator
+from typing import Final, SupportsIndex
 
 import h11
 
@@ -26,9 +26,13 @@
 # or unanswered keepalive probes. Until then, lost packets are retransmitted.
 SILENCE_TIMEOUT_MS: Final = 3000
 KEEPALIVE_INTERVAL_S: Final = 1
+# Time limit of a connection that shows whether a process still exists.
+PROBE_TIMEOUT_S: Final = 0.25
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+_FRAMING_HEADERS: Final = (b'content-length', b'transfer-encoding')
+
 
 class ExchangeError(Exception):
     """A request ended without a complete response.
@@ -106,13 +110,14 @@
         """Whether bytes have arrived that were not read."""
         return self._unread > 0
 
-    def feed_data(self, data: bytes) -> None:
+    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
         """Add bytes that arrived.
 
         :param data: the bytes
         """
-        self._unread += len(data)
-        super().feed_data(data)
+        received = bytes(data)
+        self._unread += len(received)
+        super().feed_data(received)
 
     async def read(self, n: int = -1) -> bytes:  # noqa: WPS111 - inherited
         """Return the next bytes, or none at the end of the stream.
@@ -141,6 +146,7 @@
         self._used_at = loop_time()
         self._may_have_sent = False
         self._responses = 0
+        self._is_unframed = False
         self._is_closed = False
         self._is_closed_by_peer = False
 
@@ -213,10 +219,12 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return ResponseHead(
+                head = ResponseHead(
                     status=event.status_code,
                     headers=tuple(event.headers),
                 )
+                self._is_unframed = not any(map(head.get, _FRAMING_HEADERS))
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._close_with_error(
                     'the connection ended before an answer'
@@ -232,6 +240,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            await self._check_unframed_end()
             self._finish()
             return None
         raise self._close_with_error('the answer was cut off')
@@ -260,6 +269,17 @@
         self._is_closed = True
         self._writer.transport.abort()
 
+    async def _check_unframed_end(self) -> None:
+        """Check that an answer without framing was not ended by a crash.
+
+        Both close the connection in the same way.
+        """
+        if self._is_unframed and await probe_refuses(self._address):
+            raise self._close_with_error(
+                'an answer without a length ended, and the host refuses '
+                'connections since'
+            )
+
     def _finish(self) -> None:
         """Prepare the connection for reuse, or close it."""
         self._used_at = loop_time()
@@ -343,14 +363,13 @@
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
-async def probe_refuses(address: str, timeout_s: float) -> bool:
+async def probe_refuses(address: str) -> bool:
     """Return whether a host refuses connections, as without a process.
 
     :param address: IP address and port
-    :param timeout_s: longest time to connect, in seconds
     """
     try:
-        connection = await connect(address, timeout_s)
+        connection = await connect(address, PROBE_TIMEOUT_S)
     except ExchangeError as error:
         return error.is_connection_refused
     connection.close()
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -362,9 +362,13 @@
             if events is None:
                 break
             await self._forward(events, head)
-        await _start_reply(self._context, self._job, self._reply, head)
         if splitter.rest:
-            await self._reply.write(splitter.rest)
+            raise ExchangeError(
+                'the stream ended inside an event',
+                was_sent=True,
+                is_closed_by_peer=True,
+            )
+        await _start_reply(self._context, self._job, self._reply, head)
         await self._reply.finish()
 
     async def _forward(
--- a/tests/test_relay_reports.py
+++ b/tests/test_relay_reports.py
@@ -10,6 +10,7 @@
 
 # Requests of one caller, one after the other, on one kept connection.
 CALLS = 3
+PLAN = ('Mastichatch-Model: m', 'Mastichatch-Token-Counts: 100,400')
 
 
 def refusal(request_id: str | None) -> bytes:
@@ -77,3 +78,76 @@
             await asyncio.sleep(0.15)
             answer = await relay.call('/book/x', request_id='b1')
         assert answer.status == 200
+
+
+def head_of_answer(request: ReceivedRequest, framing: str) -> bytes:
+    """Return the complete head of a success."""
+    head = f'HTTP/1.1 200 OK\r\n{endpoints.signature_headers(request)}{framing}'
+    return head.encode() + b'\r\n'
+
+
+class TestCutAnswer:
+    @pytest.mark.parametrize('framing', ['', 'Content-Length: 5\r\n'])
+    async def test_no_part_of_a_head_makes_a_success(
+        self, framing: str
+    ) -> None:
+        """The server stops after each byte of its head, and closes."""
+        cuts = iter(range(1, 200, 7))
+
+        def cut(request: ReceivedRequest) -> bytes:
+            head = head_of_answer(request, framing)
+            return head[: min(next(cuts), len(head) - 1)]
+
+        app = HouseEndpoint('a1', endpoints.raw(cut, closes=True))
+        async with open_relay((app,)) as relay:
+            for number in range(20):
+                answer = await relay.call('/book/x', request_id=f'b{number}')
+                assert answer.status == 502
+
+    async def test_unframed_stream_that_ends_inside_an_event_is_cut(
+        self,
+    ) -> None:
+        """It used to be handed out as a complete stream."""
+
+        def cut(request: ReceivedRequest) -> bytes:
+            event = b'id: 1\ndata: a\n\nid: 2\ndata: b'
+            return head_of_answer(request, '') + event
+
+        engine = HouseEndpoint('e1', endpoints.raw(cut, closes=True))
+        async with open_relay(engines=(engine,)) as relay:
+            answer = await relay.call('/plan/x', headers=PLAN)
+        assert answer.body == b'id: 1\ndata: a\n\n'
+        assert not answer.is_whole
+
+    async def test_unframed_stream_that_ends_after_an_event_is_whole(
+        self,
+    ) -> None:
+        def whole(request: ReceivedRequest) -> bytes:
+            return head_of_answer(request, '') + b'id: 1\ndata: a\n\n'
+
+        engine = HouseEndpoint('e1', endpoints.raw(whole, closes=True))
+        async with open_relay(engines=(engine,)) as relay:
+            answer = await relay.call('/plan/x', headers=PLAN)
+        assert answer.is_whole
+
+    @pytest.mark.parametrize('path', ['/plan/x', '/book/x'])
+    async def test_unframed_answer_of_a_server_that_crashed_is_cut(
+        self, path: str
+    ) -> None:
+        """A crash between two events closes the connection like an end."""
+
+        async def crash(
+            endpoint: HouseEndpoint,
+            request: ReceivedRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            endpoint.ran.append(request.request_id)
+            head = head_of_answer(request, '')
+            writer.write(head + b'id: 1\ndata: a\n\n')
+            await writer.drain()
+            endpoint.crash()
+
+        app, engine = HouseEndpoint('a1', crash), HouseEndpoint('e1', crash)
+        async with open_relay((app,), (engine,)) as relay:
+            answer = await relay.call(path, headers=PLAN)
+        assert answer.status == 502 or not answer.is_whole
