Refuse calls that a planned stop would cut off

Report of other operators: in a planned stop in calm, requests that came late in the grace were taken and passed on, and cut at its end with no answer.

It could happen here: generations were refused once the load balancer had noticed the stop, but calls were taken until the end. The test's booking with 3 s of time was taken 1 s before the end.

A call whose deadline lies beyond the end of the grace (less the half second for closing) is refused as not run from 2.5 s after the signal on. Its caller goes to another node. Calls with less time are still served.

--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -146,7 +146,11 @@
     def set_draining(self) -> None:
         """Begin to drain the node for a planned stop."""
         self._caller_server.set_draining()
-        self._relay.refuse_generations_after(loop_time() + DRAIN_NOTICE_S)
+        grace_s = self._settings.grace_ms / MS_PER_S
+        self._relay.begin_draining(
+            notice_ends_at=loop_time() + DRAIN_NOTICE_S,
+            stops_at=loop_time() + grace_s - CLOSE_RESERVE_S,
+        )
 
     def _limits(self) -> ClientLimits:
         configuration = self._context.belief.configuration
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -65,19 +65,25 @@
         self._key_limit_s = key_limit_s
         self._denial_limit_s = denial_limit_s
         self._generations: set[Generation] = set()
-        self._refuses_generations_at = math.inf
+        self._notice_ends_at = math.inf
+        self._stops_at = math.inf
 
     @property
     def generations(self) -> frozenset[Generation]:
         """Generations in progress on this node."""
         return frozenset(self._generations)
 
-    def refuse_generations_after(self, refuses_at: float) -> None:
-        """Refuse new generations from a given time on.
+    def begin_draining(self, notice_ends_at: float, stops_at: float) -> None:
+        """Refuse requests that the planned stop of the node would cut off.
 
-        :param refuses_at: loop time, in seconds
+        Until the load balancer has noticed the stop, all are accepted.
+
+        :param notice_ends_at: loop time from which on they are refused, in
+            seconds
+        :param stops_at: loop time at which connections are closed, in seconds
         """
-        self._refuses_generations_at = refuses_at
+        self._notice_ends_at = notice_ends_at
+        self._stops_at = stops_at
 
     def withdraw_quarantined(self) -> None:
         """Take runs off the engines that they would crash, before they do."""
@@ -153,14 +159,12 @@
         )
 
     async def _run(self, job: Job, reply: ResponseWriter) -> None:
+        self._check_draining(job)
         if job.route.kind is not RequestKind.streaming:
             await relay_call(self._context, job, reply)
             return
         if job.service.engine is None:
             raise MastichatchError(ErrorKind.no_endpoint, 'no engines')
-        if loop_time() >= self._refuses_generations_at:
-            # The planned stop would cut off a generation that starts now.
-            raise MastichatchError(ErrorKind.draining)
         with self._tracked_generation(job, reply) as generation:
             try:
                 async with asyncio.timeout_at(job.ends_at):
@@ -168,6 +172,15 @@
             except TimeoutError:
                 raise MastichatchError(ErrorKind.attempt_timeout) from None
 
+    def _check_draining(self, job: Job) -> None:
+        """Refuse a request that may last beyond the planned stop."""
+        if loop_time() < self._notice_ends_at:
+            return
+        # How long a generation takes is not known.
+        is_generation = job.route.kind is RequestKind.streaming
+        if is_generation or job.ends_at > self._stops_at:
+            raise MastichatchError(ErrorKind.draining)
+
     @contextlib.contextmanager
     def _tracked_generation(
         self, job: Job, reply: ResponseWriter
--- a/tests/test_relay_reports.py
+++ b/tests/test_relay_reports.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mastichatch_node.relay.program import DRAIN_NOTICE_S
 from tests.relay_nodes import open_relay
 from tests.standins import house_endpoints as endpoints
 from tests.standins.house_endpoints import HouseEndpoint, ReceivedRequest
@@ -151,3 +152,24 @@
         async with open_relay((app,), (engine,)) as relay:
             answer = await relay.call(path, headers=PLAN)
         assert answer.status == 502 or not answer.is_whole
+
+
+class TestPlannedStop:
+    async def test_call_that_would_outlast_the_grace_is_refused(self) -> None:
+        """Calls taken late in the grace were cut off at its end.
+
+        The node has 4 s of grace, of which half a second is for closing. A
+        booking may take 3 s, so that one that arrives after the load balancer
+        has noticed the stop cannot be waited for.
+        """
+        app = HouseEndpoint('a1', endpoints.respond_ok)
+        async with open_relay((app,), grace_ms=4000) as relay:
+            relay.node.set_draining()
+            early = await relay.call('/book/x', request_id='b0')
+            await asyncio.sleep(DRAIN_NOTICE_S)
+            late = await relay.call('/book/x', request_id='b1', timeout_ms=3000)
+            short = await relay.call('/book/x', request_id='b2', timeout_ms=400)
+        assert (early.status, late.status, short.status) == (200, 503, 200)
+        assert app.ran == ['b0', 'b2']
+        assert b'draining' in late.body
+        assert late.headers['connection'] == 'close'
