--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -526,6 +526,11 @@
         raise
 
 
+def _log_failure(task: 'asyncio.Future[None]') -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logging.error('a background task ended', exc_info=task.exception())
+
+
 @contextlib.asynccontextmanager
 async def run_in_background(
     *coroutines: Awaitable[None],
@@ -535,6 +540,8 @@
     :param coroutines: coroutines that run until they are cancelled
     """
     tasks = [asyncio.ensure_future(one) for one in coroutines]
+    for started in tasks:
+        started.add_done_callback(_log_failure)
     try:
         yield
     finally:
