Refuse calls that crash each server they reach

The same cause elsewhere: a call of a plain service that crashes its server was sent on to a second one, and each repetition by its caller crashed two more.

A call that crashed two servers in a row counts as the cause, by the digest of its method, target and body; calls with that content are refused as not run, with the same evidence, periods and trials as prompts. A call that is suspected is sent to one server only. A crash is written to the store only by the node that knows its cause.

--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -1,15 +1,19 @@
 """The state of one relayed request, and the shared parts of the relay."""
 
 import dataclasses
+import hashlib
+from typing import Final
 
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_core.relay.model import (
+    RequestKind,
     RequestMetadata,
     Route,
     Service,
     Workspace,
 )
 from mastichatch_core.relay.plain_choice import EndpointStatsTable
+from mastichatch_core.relay.prompt_quarantine import shared_parts
 from mastichatch_core.retries import RetryBudget, deposit, withdraw
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
@@ -20,6 +24,9 @@
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.telemetry import Telemetry
 
+# Size of the digest by which calls with the same content are told.
+DIGEST_BYTES: Final = 12
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Job:
@@ -58,6 +65,19 @@
             return self.route.priority
         return workspace.priority
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """What it may have in common with other requests that crash servers.
+
+        These are the shared parts of its prompt, or the digest of a call.
+        """
+        if self.route.kind is RequestKind.streaming:
+            return shared_parts(self.facts)
+        content = b'\0'.join(
+            (self.request.method, self.request.target, self.request.body)
+        )
+        return (hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest(),)
+
     def left_ms(self) -> float:
         """Return the time until the deadline, in milliseconds."""
         return (self.ends_at - loop_time()) * MS_PER_S
--- a/packages/node/mastichatch_node/relay/crash_tracking.py
+++ b/packages/node/mastichatch_node/relay/crash_tracking.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from mastichatch_core.generated.messages import (
@@ -15,16 +15,13 @@
 from mastichatch_core.relay.model import (
     Endpoint,
     EndpointState,
-    RequestMetadata,
 )
 from mastichatch_core.relay.prompt_evidence import PartKey, PromptEvidence
 from mastichatch_core.relay.prompt_quarantine import (
-    Action,
     FleetVerdict,
     Verdict,
     judge,
     judge_versions,
-    shared_parts,
 )
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_node.clock import loop_time
@@ -44,6 +41,11 @@
 MAX_TOLD: Final = 4096
 
 
+# What a request may have in common with others: the ids of the shared parts of
+# its prompt, or the digest of a call.
+Parts = tuple[str, ...]
+
+
 class HeadTiming:
     """Whether the heads of answers tell that engines have read the prompts."""
 
@@ -106,56 +108,55 @@
         """
         self._subscribers.append(callback)
 
-    def judge(self, metadata: RequestMetadata, endpoint: Endpoint) -> Verdict:
-        """Return the verdict on a request for the version of an engine.
+    def judge(self, parts: Parts, endpoint: Endpoint) -> Verdict:
+        """Return the verdict on a request for the version of an endpoint.
 
-        :param metadata: metadata of the request
-        :param endpoint: the engine
+        :param parts: what it may have in common with other requests
+        :param endpoint: the endpoint
         """
+        if self._evidence.is_empty:
+            return Verdict()
         return judge(
             self._evidence,
             endpoint.service,
             endpoint.version,
-            shared_parts(metadata),
+            parts,
             loop_time(),
         )
 
     def judge_fleet(
-        self, metadata: RequestMetadata, endpoints: Iterable[Endpoint]
+        self, parts: Parts, endpoints: Iterable[Endpoint]
     ) -> FleetVerdict:
-        """Return the verdict on a request for all engines of its service.
+        """Return the verdict on a request for all endpoints of its service.
 
-        :param metadata: metadata of the request
-        :param endpoints: engines of its service that accept new requests
+        :param parts: what it may have in common with other requests
+        :param endpoints: endpoints of its service that accept new requests
         """
         if self._evidence.is_empty:
             return FleetVerdict()
-        return judge_versions(
-            self._evidence, endpoints, shared_parts(metadata), loop_time()
-        )
-
-    def may_repeat(self, metadata: RequestMetadata, endpoint: Endpoint) -> bool:
-        """Return whether a run without an event may go on at an engine.
-
-        :param metadata: metadata of the request
-        :param endpoint: engine with a copy of the run
-        """
-        return self.judge(metadata, endpoint).action is Action.admit
+        return judge_versions(self._evidence, endpoints, parts, loop_time())
 
     def record_first_event(
-        self, metadata: RequestMetadata, endpoint: Endpoint, head_lead_s: float
+        self, parts: Parts, endpoint: Endpoint, head_lead_s: float
     ) -> None:
         """Record that an engine answered on the parts of a prompt.
 
         Other nodes are told only of parts that are suspected.
 
-        :param metadata: metadata of the request
+        :param parts: shared parts of the prompt
         :param endpoint: the engine
         :param head_lead_s: time from the head of the answer to the event, in
             seconds
         """
         self._heads.record(head_lead_s)
-        parts = shared_parts(metadata)
+        self.record_answer(parts, endpoint)
+
+    def record_answer(self, parts: Parts, endpoint: Endpoint) -> None:
+        """Record that an endpoint answered a request.
+
+        :param parts: what it may have in common with other requests
+        :param endpoint: the endpoint
+        """
         if not parts:
             return
         proof = SoundParts(
@@ -166,7 +167,12 @@
             self._notify()
 
     async def report_crash(
-        self, metadata: RequestMetadata, endpoint: Endpoint, *, has_begun: bool
+        self,
+        parts: Parts,
+        request_id: str,
+        endpoint: Endpoint,
+        *,
+        has_begun: bool,
     ) -> None:
         """Report a crash, if one closed the connection of a run.
 
@@ -175,32 +181,30 @@
         of one which only broke off an answer can be opened again, and an engine
         that is known to leave does not count.
 
-        :param metadata: metadata of the run's request, which has no event yet
+        :param parts: shared parts of the prompt of the run, which has no event
+        :param request_id: id of its request
         :param endpoint: engine of the run
         :param has_begun: whether the engine had begun its answer
         """
-        parts = shared_parts(metadata)
-        if not parts or not self._is_in_use(endpoint):
-            return
-        if not await probe_refuses(endpoint.address):
-            return
-        report = CrashReport(
-            instance=endpoint.instance,
-            service=endpoint.service,
-            version=endpoint.version,
-            runs=(
-                CrashedRun(
-                    request_id=metadata.request_id,
-                    parts=parts,
-                    has_begun=has_begun and self._heads.are_telling,
-                ),
-            ),
-        )
-        self._unsaved.add(report.instance)
-        self.record_reports((report,))
-        self._sharing.announce_evidence(
-            (report,), _proofs_about(self._evidence, (report,))
-        )
+        if parts and await _has_crashed(self._belief, endpoint):
+            is_cause = has_begun and self._heads.are_telling
+            self._report(parts, request_id, endpoint, is_cause=is_cause)
+
+    async def report_repeated_crash(
+        self, parts: Parts, request_id: str, endpoints: Collection[Endpoint]
+    ) -> None:
+        """Report the last crash, if a call was sent on and crashed each server.
+
+        That it only met two crashes for other reasons is very unlikely.
+
+        :param parts: digest of the call
+        :param request_id: id of the call
+        :param endpoints: endpoints that closed its connection, in order
+        """
+        crashed = [await _has_crashed(self._belief, one) for one in endpoints]
+        if crashed and all(crashed):
+            last = tuple(endpoints)[-1]
+            self._report(parts, request_id, last, is_cause=True)
 
     def handle_changes(self, message: RunChanges) -> None:
         """Record the evidence of another node, and answer it.
@@ -281,9 +285,27 @@
         self._sharing.announce_evidence((), proofs)
         self._notify()
 
-    def _is_in_use(self, endpoint: Endpoint) -> bool:
-        known = self._belief.endpoints(loop_time()).get(endpoint.instance)
-        return known is not None and known.state is EndpointState.ready
+    def _report(
+        self,
+        parts: Parts,
+        request_id: str,
+        endpoint: Endpoint,
+        *,
+        is_cause: bool,
+    ) -> None:
+        run = CrashedRun(request_id=request_id, parts=parts, has_begun=is_cause)
+        report = CrashReport(
+            instance=endpoint.instance,
+            service=endpoint.service,
+            version=endpoint.version,
+            runs=(run,),
+        )
+        if is_cause:
+            self._unsaved.add(report.instance)
+        self.record_reports((report,))
+        self._sharing.announce_evidence(
+            (report,), _proofs_about(self._evidence, (report,))
+        )
 
     def _answer_later(self, report: CrashReport, received_at: float) -> None:
         task = asyncio.ensure_future(self._answer(report, received_at))
@@ -307,17 +329,23 @@
         self._sharing.announce_evidence((), proofs)
 
     def _notify(self) -> None:
-        self._log_suspects()
-        for subscriber in self._subscribers:
-            subscriber()
-
-    def _log_suspects(self) -> None:
+        """Log what changed, and call the subscribers."""
         suspected = self._evidence.suspected_parts(loop_time())
         telemetry = self._telemetry
         telemetry.update_suspected(len(suspected))
         _log_parts(telemetry, 'part_suspected', suspected - self._suspected)
         _log_parts(telemetry, 'part_cleared', self._suspected - suspected)
         self._suspected = suspected
+        for subscriber in self._subscribers:
+            subscriber()
+
+
+async def _has_crashed(belief: StoreCache, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint in use no longer accepts connections."""
+    known = belief.endpoints(loop_time()).get(endpoint.instance)
+    if known is None or known.state is not EndpointState.ready:
+        return False
+    return await probe_refuses(endpoint.address)
 
 
 def _log_parts(
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -294,9 +294,9 @@
         :param usable: engines of its service that accept new requests
         :returns: instances of the versions that must not run it
         """
-        verdict = self._context.crashes.judge_fleet(queued.job.facts, usable)
+        verdict = self._context.crashes.judge_fleet(queued.job.parts, usable)
         if verdict.refusal is not None:
-            queued.future.set_exception(_quarantine_error(verdict.refusal))
+            queued.future.set_exception(quarantine_error(verdict.refusal))
         elif verdict.suspects != queued.suspects:
             self._update_suspects(queued, verdict.suspects)
         return frozenset(
@@ -323,7 +323,7 @@
         endpoint = self._context.belief.endpoints(loop_time())[
             candidate.instance
         ]
-        verdict = self._context.crashes.judge(job.facts, endpoint)
+        verdict = self._context.crashes.judge(job.parts, endpoint)
         suspects = tuple(sorted(verdict.suspects))
         copy = self._choose_copy(job, engine, run, endpoint)
         placed = dataclasses.replace(
@@ -416,11 +416,15 @@
     return job.service.engine
 
 
-def _quarantine_error(refusal: Verdict) -> EngineUnavailableError:
+def quarantine_error(refusal: Verdict) -> EngineUnavailableError:
+    """Return the error for a request that would crash every endpoint.
+
+    :param refusal: verdict on the request
+    """
     parts = ', '.join(sorted(refusal.suspects))
     left_s = max(0, refusal.until - loop_time())
     return EngineUnavailableError(
-        f'engines crash on parts of the prompt: {parts} '
+        f'endpoints crash on parts of the request: {parts} '
         f'({refusal.crashes} crashes, refused for {left_s:.0f} s)',
         left_s + random.random() * RETRY_AFTER_JITTER_S,  # noqa: S311
         ErrorKind.prompt_quarantined,
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -92,7 +92,7 @@
             if endpoint is None:
                 continue
             verdict = self._context.crashes.judge(
-                generation.job.facts, endpoint
+                generation.job.parts, endpoint
             )
             if verdict.action is Action.refuse and generation.withdraw():
                 self._context.telemetry.log_decision(
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -21,6 +21,7 @@
     build_outgoing,
     read_answer_head,
 )
+from mastichatch_node.relay.engine_placement import quarantine_error
 from mastichatch_node.relay.http_client import ExchangeError, pooled_connection
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
@@ -36,6 +37,8 @@
 # The first attempt of an idempotent call times out after this share of the time
 # until the deadline, so that a second endpoint can still respond.
 FIRST_ATTEMPT_SHARE: Final = 0.5
+# Number of servers that a call must have crashed to count as the cause.
+MIN_REPEATED_CRASHES: Final = 2
 # With less time left, another attempt cannot complete before the deadline.
 MIN_TIME_LEFT_MS: Final = 15.0
 
@@ -52,25 +55,69 @@
     """
     context.retries.record_first_attempt()
     results: list[AttemptResult] = []
-    tried_instances: set[str] = set()
+    tried: dict[str, Endpoint] = {}
+    is_suspected = _check_quarantine(context, job)
     while True:
-        endpoint = _choose_endpoint(context, job, tried_instances)
+        endpoint = _choose_endpoint(context, job, tried)
         if endpoint is None:
             raise _create_error(results)
-        tried_instances.add(endpoint.instance)
+        tried[endpoint.instance] = endpoint
         result = await _attempt(context, job, endpoint, len(results))
         results.append(result)
-        if _is_final(context, job, results):
+        if is_suspected or _is_final(context, job, results):
             break
+    await _record_evidence(context, job, tuple(tried.values()), results)
     await _send_response(context, job, reply, results)
 
 
+def _check_quarantine(context: RelayContext, job: Job) -> bool:
+    """Refuse a call that would crash its server.
+
+    :returns: whether it may crash one, so that it must not be sent on
+    """
+    crashes = context.crashes
+    if crashes.evidence.is_empty:
+        return False
+    usable = usable_endpoints(context.belief, job.service.name, loop_time())
+    verdict = crashes.judge_fleet(job.parts, usable)
+    if verdict.refusal is not None:
+        raise quarantine_error(verdict.refusal)
+    return bool(verdict.suspects)
+
+
+async def _record_evidence(
+    context: RelayContext,
+    job: Job,
+    tried: tuple[Endpoint, ...],
+    results: list[AttemptResult],
+) -> None:
+    """Record whether a call was answered, or crashed the servers it reached.
+
+    Load pattern: a call that crashes each server is sent on to the next one,
+    and again by each retry of its caller.
+    """
+    crashes = context.crashes
+    if results[-1].fate is AttemptOutcome.answered:
+        if not crashes.evidence.is_empty:
+            crashes.record_answer(job.parts, tried[-1])
+        return
+    closed = [
+        endpoint
+        for endpoint, result in zip(tried, results, strict=True)
+        if result.fate is AttemptOutcome.unknown and result.is_closed_by_peer
+    ]
+    is_repeated = len(closed) >= MIN_REPEATED_CRASHES
+    is_trial = bool(closed and crashes.judge(job.parts, closed[-1]).suspects)
+    if is_repeated or is_trial:
+        await crashes.report_repeated_crash(job.parts, job.request_id, closed)
+
+
 def _choose_endpoint(
-    context: RelayContext, job: Job, tried_instances: set[str]
+    context: RelayContext, job: Job, tried: Container[str]
 ) -> Endpoint | None:
     now = loop_time()
     usable = usable_endpoints(context.belief, job.service.name, now)
-    untried = (one for one in usable if one.instance not in tried_instances)
+    untried = (one for one in usable if one.instance not in tried)
     ranked = rank_endpoints(untried, context.records, context.data_centre, now)
     return ranked[0] if ranked else None
 
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -294,7 +294,10 @@
         self._placer.record_attempt(endpoint, result)
         if not self._order.count and _ended_like_crash(result, self._transfer):
             await self._context.crashes.report_crash(
-                self._job.facts, endpoint, has_begun=self._head_at is not None
+                self._job.parts,
+                self._job.request_id,
+                endpoint,
+                has_begun=self._head_at is not None,
             )
         self._context.telemetry.log_decision(
             'generation_attempted',
@@ -386,7 +389,7 @@
         now = loop_time()
         if self._pause.first_at is None and self._source is not None:
             self._context.crashes.record_first_event(
-                self._job.facts,
+                self._job.parts,
                 self._source.placement.endpoint,
                 now - (self._head_at or now),
             )
@@ -416,9 +419,12 @@
     """
 
     def may_resume(endpoint: Endpoint) -> bool:
-        return placer.accepts_runs(endpoint) and (
-            order.count > 0 or context.crashes.may_repeat(job.facts, endpoint)
-        )
+        if (
+            order.count == 0
+            and context.crashes.judge(job.parts, endpoint).suspects
+        ):
+            return False
+        return placer.accepts_runs(endpoint)
 
     return may_resume
 
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -21,7 +21,7 @@
     until,
 )
 from tests.standins import house_endpoints as endpoints
-from tests.standins.house_endpoints import HouseEndpoint
+from tests.standins.house_endpoints import HouseEndpoint, ReceivedRequest
 
 # Requests that may reach engines after the fifth crash, and that crash, by the
 # rules of the users.
@@ -298,3 +298,35 @@
                 )
             )
         assert all(answer.is_whole for answer in answers)
+
+
+class TestDeadlyCall:
+    async def test_call_that_crashes_each_server_stops_reaching_them(
+        self,
+    ) -> None:
+        """Each repetition by its caller used to crash two more servers."""
+
+        async def crash(
+            endpoint: HouseEndpoint,
+            request: ReceivedRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            if request.body == b'deadly':
+                endpoint.crash()
+            else:
+                await endpoints.respond_ok(endpoint, request, writer)
+
+        apps = tuple(HouseEndpoint(f'a{number}', crash) for number in range(6))
+        async with open_relay(apps) as relay:
+            statuses = [
+                (
+                    await relay.call(
+                        '/lookup/x', request_id=f'd{number}', body=b'deadly'
+                    )
+                ).status
+                for number in range(4)
+            ]
+            sound = await relay.call('/lookup/x', body=b'other')
+            assert sum(app.crashes for app in apps) == 2
+        assert statuses == [502, 503, 503, 503]
+        assert sound.status == 200
