Let operators list, clear and pin the suspected parts of prompts

mastichatchctl quarantine list, clear, pin and unpin talk to any relay node at its metrics address (/admin/quarantine). A cleared part counts as sound on all nodes; pins are kept in the platform's store and followed from there. The handlers of messages of other nodes move to a module of their own.

Test: a part is listed, cleared, pinned and unpinned through the command line, and the second node acts on it.

--- a/packages/core/mastichatch_core/relay/prompt_quarantine.py
+++ b/packages/core/mastichatch_core/relay/prompt_quarantine.py
@@ -18,12 +18,14 @@
 from collections.abc import Collection, Iterable
 from typing import Final
 
+from mastichatch_core.generated.messages import SuspectedParts
 from mastichatch_core.relay.model import Endpoint, RequestMetadata
 from mastichatch_core.relay.prompt_evidence import (
     PromptEvidence,
     Suspicion,
     union,
 )
+from mastichatch_core.units import MS_PER_S
 
 # Time for which requests are refused after the first crash, the factor by which
 # it grows with each further one, and its limit, which is the longest time that
@@ -168,6 +170,37 @@
     )
 
 
+def list_suspected(
+    evidence: PromptEvidence, now: float
+) -> tuple[SuspectedParts, ...]:
+    """Return the suspected and pinned parts, for operators.
+
+    :param evidence: evidence on crashes
+    :param now: time in seconds
+    """
+    instances: dict[tuple[str, str, frozenset[str]], list[str]] = {}
+    for crash in evidence.crashes(now):
+        for candidates in evidence.candidate_sets(crash):
+            key = (crash.service, crash.version, candidates)
+            instances.setdefault(key, []).append(crash.instance)
+    suspected = (
+        SuspectedParts(
+            service=key[0],
+            version=key[1],
+            parts=tuple(sorted(key[2])),
+            crashes=tuple(crashed),
+            refused_ms=max(0, judge(evidence, *key, now).until - now)
+            * MS_PER_S,
+        )
+        for key, crashed in instances.items()
+    )
+    pinned = (
+        SuspectedParts(service=service, parts=(part,), is_pinned=True)
+        for service, part in sorted(evidence.pinned)
+    )
+    return (*suspected, *pinned)
+
+
 def shared_parts(metadata: RequestMetadata) -> tuple[str, ...]:
     """Return the ids of the parts of a prompt that other requests may share.
 
--- a/packages/ctl/mastichatch_ctl/main.py
+++ b/packages/ctl/mastichatch_ctl/main.py
@@ -130,6 +130,20 @@
         )
 
 
+async def _quarantine(options: Options) -> Result:
+    action = options.command.rpartition(' ')[2]
+    order = {}
+    if action != 'list':
+        order = {
+            'action': action,
+            'service': options.service,
+            'part': options.part,
+        }
+    addresses = await _node_addresses(options)
+    async with nodes.open_nodes(options.call_timeout_ms) as client:
+        return await nodes.order_quarantine(client, addresses, order)
+
+
 _COMMANDS: Final[dict[str, Command]] = {
     'validate': _validate,
     'apply': _apply,
@@ -140,6 +154,10 @@
     'status': _status,
     'explain': _explain,
     'config wait': _config_wait,
+    'quarantine list': _quarantine,
+    'quarantine clear': _quarantine,
+    'quarantine pin': _quarantine,
+    'quarantine unpin': _quarantine,
 }
 
 
--- a/packages/ctl/mastichatch_ctl/nodes.py
+++ b/packages/ctl/mastichatch_ctl/nodes.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Final, TypeVar
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import aiohttp
 import msgspec
@@ -16,6 +16,7 @@
     ErrorKind,
     ExplainAnswer,
     NodeStatus,
+    SuspectedListing,
 )
 from mastichatch_core.units import MS_PER_S
 from mastichatch_ctl.results import (
@@ -66,15 +67,42 @@
             )
         return Explanation(request_id=request_id, decisions=answer.decisions)
 
+    async def order_quarantine(
+        self, address: str, order: Mapping[str, str]
+    ) -> SuspectedListing:
+        """Give an order on suspected parts, and return what is suspected then.
+
+        :param address: HTTP address of the node
+        :param order: action, service and part; empty to give no order
+        :raises MastichatchError: with ``peer_unreachable``, or with
+            ``platform_unavailable`` where a pin could not be stored
+        """
+        query = f'?{urlencode(order)}' if order else ''
+        return await self._call(
+            'POST' if order else 'GET',
+            address,
+            f'/admin/quarantine{query}',
+            SuspectedListing,
+        )
+
     async def _get(
         self,
         address: str,
         path: str,
         answer_type: type[_Answer],
+    ) -> _Answer:
+        return await self._call('GET', address, path, answer_type)
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        answer_type: type[_Answer],
     ) -> _Answer:
         url = yarl.URL(f'http://{address}{path}', encoded=True)
         try:
-            async with self._session.get(url) as answer:
+            async with self._session.request(method, url) as answer:
                 content = await answer.read()
                 status = answer.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -143,6 +171,27 @@
     raise failure
 
 
+async def order_quarantine(
+    client: NodeClient, addresses: Sequence[str], order: Mapping[str, str]
+) -> SuspectedListing:
+    """Give an order to the first node that answers; it tells all others.
+
+    :param client: connections to nodes
+    :param addresses: addresses of the nodes' metrics
+    :param order: action, service and part; empty to give no order
+    :raises MastichatchError: with ``peer_unreachable`` where no node answers
+    """
+    failure = MastichatchError(ErrorKind.peer_unreachable, 'no node is known')
+    for address in addresses:
+        try:
+            return await client.order_quarantine(address, order)
+        except MastichatchError as error:
+            failure = error
+            if error.kind is not ErrorKind.peer_unreachable:
+                break
+    raise failure
+
+
 async def wait_for_revision(
     client: NodeClient,
     addresses: Sequence[str],
--- a/packages/ctl/mastichatch_ctl/options.py
+++ b/packages/ctl/mastichatch_ctl/options.py
@@ -52,6 +52,8 @@
     request_id: str
     revision: int
     timeout_ms: int
+    service: str
+    part: str
 
     @property
     def target(self) -> Drain:
@@ -159,6 +161,25 @@
     _add_command(commands, 'status', 'show the state of the nodes')
     explain = _add_command(commands, 'explain', "tell a request's story")
     explain.add_argument('request_id', metavar='REQUEST_ID')
+    _add_quarantine_commands(commands)
+
+
+def _add_quarantine_commands(commands: Any) -> None:
+    helped = 'parts of prompts that crash endpoints'
+    quarantine = commands.add_parser('quarantine', help=helped)
+    orders = quarantine.add_subparsers(metavar='COMMAND', required=True)
+    helps = {
+        'list': 'list the suspected parts',
+        'clear': 'treat a part as sound until it is suspected anew',
+        'pin': 'refuse all requests with a part until it is unpinned',
+        'unpin': 'lift a pin',
+    }
+    for name, explained in helps.items():
+        command = f'quarantine {name}'
+        order = _add_command(orders, name, explained, command=command)
+        if name != 'list':
+            order.add_argument('service', metavar='SERVICE')
+            order.add_argument('part', metavar='PART')
 
 
 def _add_command(
--- a/packages/ctl/mastichatch_ctl/results.py
+++ b/packages/ctl/mastichatch_ctl/results.py
@@ -2,7 +2,12 @@
 
 import dataclasses
 
-from mastichatch_core.generated.messages import Decision, ErrorKind, NodeStatus
+from mastichatch_core.generated.messages import (
+    Decision,
+    ErrorKind,
+    NodeStatus,
+    SuspectedListing,
+)
 from mastichatch_core.generated.records import Change, Drain
 from mastichatch_core.manifest import ManifestFault
 
@@ -149,4 +154,5 @@
     | FleetStatus
     | InForce
     | Explanation
+    | SuspectedListing
 )
--- a/packages/ctl/mastichatch_ctl/texts.py
+++ b/packages/ctl/mastichatch_ctl/texts.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import Final
 
-from mastichatch_core.generated.messages import Decision
+from mastichatch_core.generated.messages import Decision, SuspectedListing
 from mastichatch_core.units import MS_PER_S
 from mastichatch_ctl.results import (
     Accepted,
@@ -30,6 +30,7 @@
     'UNHEARD',
     'SCHEDULERS (waiting/free)',
 )
+_SUSPECTED_TITLES: Final = ('SERVICE', 'VERSION', 'PARTS', 'CRASHES', 'REFUSED')
 _HISTORY_TITLES: Final = ('REVISION', 'TIME', 'OPERATOR', 'SUMMARY')
 
 
@@ -89,6 +90,25 @@
     return '\n'.join(lines)
 
 
+@render.register
+def _suspected(result: SuspectedListing) -> str:
+    if not result.entries:
+        return 'no parts are suspected or pinned'
+    rows = [
+        (
+            entry.service,
+            entry.version or '-',
+            ' '.join(entry.parts),
+            str(len(entry.crashes)),
+            'pinned'
+            if entry.is_pinned
+            else f'{entry.refused_ms / MS_PER_S:.0f} s',
+        )
+        for entry in result.entries
+    ]
+    return '\n'.join(_table(_SUSPECTED_TITLES, rows))
+
+
 @render.register
 def _fleet(result: FleetStatus) -> str:
     rows = [_status_row(node) for node in result.nodes]
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -10,12 +10,6 @@
 
 from absl import logging
 
-from mastichatch_core.generated.messages import (
-    Envelope,
-    MessageKind,
-    RunChanges,
-    ViewQuery,
-)
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.store_cache import StoreCache, Decoders
 from mastichatch_core.relay.model import ClientLimits
@@ -45,7 +39,12 @@
 )
 from mastichatch_node.relay.departure_polling import DeparturePoller
 from mastichatch_node.relay.context import RetryAllowance, RelayContext
+from mastichatch_node.relay.message_handling import register_handlers
 from mastichatch_node.relay.run_migration import RunMigrator
+from mastichatch_node.relay.quarantine_orders import (
+    QUARANTINE_PATH,
+    QuarantineOrders,
+)
 from mastichatch_node.relay.rate_limiting import rate_limited
 from mastichatch_node.relay.engine_placement import EnginePlacer
 from mastichatch_node.relay.relay import Relay
@@ -100,14 +99,20 @@
     """A running relay node."""
 
     def __init__(
-        self, settings: RelaySettings, context: RelayContext, relay: Relay
+        self,
+        settings: RelaySettings,
+        context: RelayContext,
+        relay: Relay,
+        orders: QuarantineOrders,
     ) -> None:
         """Create the HTTP servers of the node.
 
         :param settings: settings of the node
         :param context: shared components of the node
         :param relay: handler of callers' requests
+        :param orders: handler of operators' orders on suspected parts
         """
+        self._orders = orders
         self._settings = settings
         self._context = context
         self._relay = relay
@@ -166,6 +171,9 @@
             headers = ((b'Content-Type', b'text/plain; version=0.0.4'),)
             await reply.send(200, headers, self._context.telemetry.text())
             return
+        if request.path == QUARANTINE_PATH:
+            await self._orders.answer(request, reply)
+            return
         status = 200 if self.is_ready else 503
         await reply.send(status, (), b'')
 
@@ -231,6 +239,7 @@
     registry: NodeRegistry
     broadcaster: RunBroadcaster
     crashes: CrashTracker
+    orders: QuarantineOrders
 
 
 @contextlib.asynccontextmanager
@@ -253,7 +262,7 @@
             relay = _create_relay(settings, context, placer)
             migrator = RunMigrator(context, placer, relay)
             _attach_evidence(components, placer, relay)
-            node = RelayNode(settings, context, relay)
+            node = RelayNode(settings, context, relay, components.orders)
             async with _run_updates(
                 components, context, placer, migrator, relay
             ):
@@ -273,6 +282,7 @@
     )
     cache = StoreCache(adapter.decoders)
     broadcaster = RunBroadcaster(peers, registry, lambda: cache.revision)
+    crashes = CrashTracker(cache, broadcaster, telemetry)
     return _Components(
         settings=settings,
         adapter=adapter,
@@ -281,7 +291,8 @@
         peers=peers,
         registry=registry,
         broadcaster=broadcaster,
-        crashes=CrashTracker(cache, broadcaster, telemetry),
+        crashes=crashes,
+        orders=QuarantineOrders(crashes),
     )
 
 
@@ -341,6 +352,7 @@
         store = components.adapter.open_store(
             components.settings.store_address, pool
         )
+        components.orders.attach_store(store)
         follower = StoreFollower(
             store,
             cache,
@@ -356,7 +368,16 @@
         ):
             components.broadcaster.subscribe(rate_limited(react, interval_s))
         departures = DeparturePoller(context, follower, relay, migrator)
-        _handle_messages(components, follower, departures, placer)
+        register_handlers(
+            components.peers,
+            components.broadcaster,
+            follower,
+            (
+                departures.handle_changes,
+                placer.handle_changes,
+                components.crashes.handle_changes,
+            ),
+        )
         async with run_in_background(
             follower.follow(),
             follower.poll_other_nodes(),
@@ -374,31 +395,6 @@
             yield
 
 
-def _handle_messages(
-    components: _Components,
-    follower: StoreFollower,
-    departures: DeparturePoller,
-    placer: EnginePlacer,
-) -> None:
-    """Register the handlers of messages of other nodes."""
-
-    async def handle_run_changes(
-        message: RunChanges, envelope: Envelope
-    ) -> None:
-        await components.broadcaster.handle_changes(message, envelope)
-        for handle in (
-            departures.handle_changes,
-            placer.handle_changes,
-            components.crashes.handle_changes,
-        ):
-            handle(message)
-        await follower.handle_changes(message, envelope)
-
-    peers = components.peers
-    peers.on(MessageKind.view_query, ViewQuery, follower.answer_query)
-    peers.on(MessageKind.run_changes, RunChanges, handle_run_changes)
-
-
 def _attach_evidence(
     components: _Components, placer: EnginePlacer, relay: Relay
 ) -> None:
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -83,7 +83,10 @@
         """Wait for changes under a prefix, and return them."""
 
     async def put(self, key: str, content: bytes, lease: int) -> None:
-        """Write a key that is deleted when its lease ends."""
+        """Write a key that is deleted when its lease ends, if it has one."""
+
+    async def remove(self, key: str) -> None:
+        """Delete a key."""
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Return the id of a new lease."""
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -5,10 +5,12 @@
 import itertools
 import json
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 from mastichatch_platform.__main__ import create_adapter
 
+from mastichatch_ctl.main import run
 from mastichatch_node.relay.program import RelayNode, open_node
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.relay_nodes import (
@@ -330,3 +332,39 @@
             assert sum(app.crashes for app in apps) == 2
         assert statuses == [502, 503, 503, 503]
         assert sound.status == 200
+
+
+class TestOperators:
+    async def test_part_is_listed_cleared_and_pinned(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        script = endpoints.crash_on_part(DEADLY, endpoints.stream(5))
+        async with open_fleet(script) as fleet:
+
+            async def control(*words: str) -> list[dict[str, Any]]:
+                address = fleet.relay.settings.metrics_address
+                code = await asyncio.to_thread(
+                    run, ('--json', '--node', address, 'quarantine', *words)
+                )
+                assert not code
+                found: list[dict[str, Any]] = json.loads(
+                    capsys.readouterr().out
+                )['entries']
+                return found
+
+            assert (await fleet.plan(SHARED)).is_whole
+            await fleet.plan(SHARED, DEADLY)
+            (entry,) = await control('list')
+            assert (entry['service'], entry['parts']) == ('llm', [DEADLY])
+            assert len(entry['crashes']) == 1
+            assert await control('clear', 'llm', DEADLY) == []
+            await asyncio.sleep(EXCHANGE_S)
+            for engine in fleet.engines:
+                engine.script = endpoints.stream(5)
+            assert (await fleet.plan(SHARED, DEADLY, node=1)).is_whole
+            await control('pin', 'llm', DEADLY)
+            await asyncio.sleep(EXCHANGE_S)
+            assert (await fleet.plan(SHARED, DEADLY, node=1)).status == 503
+            await control('unpin', 'llm', DEADLY)
+            await asyncio.sleep(EXCHANGE_S)
+            assert (await fleet.plan(SHARED, DEADLY, node=1)).is_whole
