Let the soak draw deadly prompt parts and odd answers

Two faults more: while deadly_part lasts, a fifth of the plans carry a part on which an engine crashes and comes back as a new instance; while odd_answers lasts, streams have neither length nor chunks, and calls are answered by half a head, or by an old refusal after the answer.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -115,6 +115,15 @@
     await fleet.register(name)
 
 
+def _flag(name: str) -> Strike:
+    async def strike(fleet: Fleet, _name: str, for_s: float) -> None:
+        setattr(fleet, name, True)
+        await asyncio.sleep(for_s)
+        setattr(fleet, name, False)
+
+    return strike
+
+
 async def _configure(fleet: Fleet, _name: str, _for_s: float) -> None:
     await fleet.change_configuration()
 
@@ -141,6 +150,8 @@
     'store_loses_answers': _store(lose_answers=True),
     'store_compacts': _compact,
     'configure': _configure,
+    'deadly_part': _flag('has_deadly_part'),
+    'odd_answers': _flag('has_odd_answers'),
 }
 STRIKES: Final = NODE_FAULTS | ENDPOINT_FAULTS | SHARED_FAULTS
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -27,10 +27,16 @@
     'llm-2': 'llm',
 }
 EVENT_GAP_S: Final = 0.02
+# Part of prompts that crashes engines while the fault lasts, and the time until
+# a crashed engine is back.
+DEADLY_PART: Final = 'dead'
+DOWN_S: Final = 1.0
 # Shares of calls that an endpoint refuses, fails, and runs without an answer.
 SHED_SHARE: Final = 0.04
 FAIL_SHARE: Final = 0.04
 LOSE_SHARE: Final = 0.04
+# Share of calls that are answered oddly while that fault lasts.
+ODD_SHARE: Final = 0.3
 
 _START_NODE: Final = (
     "import sys; sys.path.insert(0, 'platform');"
@@ -79,6 +85,9 @@
         self.nodes: dict[str, NodeUnderTest] = {}
         self.endpoints: dict[str, tuple[HouseEndpoint, Proxy]] = {}
         self.is_calm = False
+        self.has_deadly_part = False
+        self.has_odd_answers = False
+        self._restarts: set[asyncio.Task[None]] = set()
 
     async def add_endpoint(self, name: str, proxy: Proxy) -> None:
         """Register an endpoint whose callers come through a proxy."""
@@ -152,10 +161,18 @@
             )
         )
         if seen.target.startswith('/plan/'):
-            script = endpoints.stream(STREAM_EVENTS, EVENT_GAP_S)
+            if self.has_deadly_part and DEADLY_PART in seen.parts:
+                await self._crash(endpoint, seen, writer)
+                return
+            script = endpoints.stream(
+                STREAM_EVENTS, EVENT_GAP_S, is_framed=not self.has_odd_answers
+            )
             await script(endpoint, seen, writer)
             return
         await asyncio.sleep(EVENT_GAP_S)
+        if self.has_odd_answers and self._draws.random() < ODD_SHARE:
+            self._answer_oddly(seen, writer)
+            return
         if draw < SHED_SHARE + FAIL_SHARE:
             await endpoints.fail(endpoint, seen, writer)
         elif draw < SHED_SHARE + FAIL_SHARE + LOSE_SHARE:
@@ -168,6 +185,54 @@
                 )
             )
 
+    def _answer_oddly(
+        self, seen: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Stop inside the head of an answer, or write an old refusal again."""
+        head = endpoints.signature_headers(seen)
+        if self._draws.random() < 0.5:
+            writer.write(f'HTTP/1.1 200 OK\r\n{head}'.encode())
+            writer.close()
+            return
+        body = seen.request_id.encode()
+        writer.write(endpoints.build_response(200, body, head))
+        refusal = endpoints.build_response(
+            503, b'', 'Mastichatch-Not-Executed: 1\r\n'
+        )
+        asyncio.get_running_loop().call_later(
+            self._draws.uniform(0, 0.1), writer.write, refusal
+        )
+
+    async def _crash(
+        self,
+        endpoint: HouseEndpoint,
+        seen: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Begin an answer and crash; come back as a new instance."""
+        head = endpoints.signature_headers(seen)
+        framing = 'Transfer-Encoding: chunked\r\n\r\n'
+        writer.write(f'HTTP/1.1 200 OK\r\n{head}{framing}'.encode())
+        await writer.drain()
+        await asyncio.sleep(EVENT_GAP_S)
+        task = asyncio.ensure_future(self._restart_endpoint(endpoint))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_endpoint(self, endpoint: HouseEndpoint) -> None:
+        name = next(
+            name
+            for name, (known, _) in self.endpoints.items()
+            if known is endpoint
+        )
+        await self.endpoints[name][1].change({'cut': True})
+        await asyncio.sleep(DOWN_S)
+        await self.store.remove(f'servers/{endpoint.instance}')
+        stem, _, number = endpoint.instance.rpartition('-')
+        endpoint.instance = f'{stem}-{int(number) + 1}'
+        await self.endpoints[name][1].change({'restore': True})
+        await self.register(name)
+
 
 @contextlib.asynccontextmanager
 async def open_fleet(
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from tests import relay_nodes
-from tests.soak.fleet import NODES, Fleet
+from tests.soak.fleet import DEADLY_PART, NODES, Fleet
 from tests.soak.records import Kind, Outcome
 
 # Callers' requests a second on the whole fleet.
@@ -20,6 +20,12 @@
     'Mastichatch-Token-Counts: 100,2000',
     'Mastichatch-Prompt-Prefix: aa:60,bb:40',
 )
+DEADLY_HEADERS: Final = (
+    *PLAN_HEADERS[:2],
+    f'Mastichatch-Prompt-Prefix: aa:60,{DEADLY_PART}:20,bb:40',
+)
+# Share of plans with the deadly part, while it is deadly.
+DEADLY_SHARE: Final = 0.2
 # Calls of each kind at each node by which the fleet shows that it serves again;
 # the two engines have eight slots each.
 CALM_CALLS: Final = 4
@@ -99,7 +105,7 @@
         reader, writer = await self._connect(node)
         is_kept = False
         try:
-            headers = PLAN_HEADERS if kind is Kind.streaming else ()
+            headers = self._draw_headers(kind)
             writer.write(
                 relay_nodes.request_bytes(
                     f'/{kind}/x', request_id=request_id, headers=headers
@@ -115,6 +121,14 @@
             else:
                 writer.close()
 
+    def _draw_headers(self, kind: Kind) -> tuple[str, ...]:
+        if kind is not Kind.streaming:
+            return ()
+        is_deadly = self._fleet.has_deadly_part
+        if is_deadly and self._draws.random() < DEADLY_SHARE:
+            return DEADLY_HEADERS
+        return PLAN_HEADERS
+
     async def _connect(self, node: str) -> Streams:
         idle = self._idle[node]
         while idle:
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -276,10 +276,16 @@
 
 
 def stream(
-    count: int, gap_s: float = 0, *, break_after: int | None = None
+    count: int,
+    gap_s: float = 0,
+    *,
+    break_after: int | None = None,
+    is_framed: bool = True,
 ) -> Script:
     """Return a script that streams numbered events.
 
+    Unless ``is_framed``, the stream ends with its connection.
+
     It continues after ``Last-Event-Id``. It aborts the connection before event
     ``break_after``, and once a final move has stopped the run.
     """
@@ -292,19 +298,24 @@
         endpoint.ran.append(request.request_id)
         head = (
             'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
-            f'{signature_headers(request)}Transfer-Encoding: chunked\r\n\r\n'
+            f'{signature_headers(request)}'
         )
-        writer.write(head.encode())
+        framing = 'Transfer-Encoding: chunked\r\n\r\n' if is_framed else '\r\n'
+        writer.write((head + framing).encode())
         first = int(request.headers.get('last-event-id', '0')) + 1
         for number in range(first, count + 1):
             if request.request_id in endpoint.stopped or number == break_after:
                 writer.transport.abort()
                 return
             event = f'id: {number}\ndata: {request.request_id}\n\n'.encode()
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            chunk = b'%x\r\n%b\r\n' % (len(event), event)
+            writer.write(chunk if is_framed else event)
             await writer.drain()
             await asyncio.sleep(gap_s)
-        writer.write(b'0\r\n\r\n')
+        if is_framed:
+            writer.write(b'0\r\n\r\n')
+        else:
+            writer.close()
 
     return write
 
