Tell a node that does not answer from one with an empty view, in tests

Finding: under load 20 to 30, TestSilence::test_in_an_outage_one_heard_elsewhere_stays_expected saw once that a node of the north knew no node of its own data centre.

No node had an empty view in that run as far as can be told: a node always lists itself.

--- a/tests/fleet_status.py
+++ b/tests/fleet_status.py
@@ -23,6 +23,25 @@
         return {}
 
 
+async def read_answered_status(
+    fleet: Fleet, name: str, limit_s: float = 20
+) -> Status:
+    """Return a node's state, and ask again while the node does not answer.
+
+    A node that is short of processor time may not answer within ``TIMEOUT``.
+    That is not an empty view of the others.
+    """
+    status: Status = {}
+
+    async def answers() -> bool:
+        nonlocal status
+        status = await read_status(fleet, name)
+        return bool(status)
+
+    await poll_until(answers, f'an answer of {name}', limit_s)
+    return status
+
+
 def heard(status: Status) -> set[str]:
     """Return the names of the nodes that a node hears."""
     members = status.get('members', ())
