--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -164,7 +164,8 @@
 
         :returns: whether it was taken off
         """
-        if self._connection is None or self._head_at is not None:
+        has_begun = self._head_at is not None
+        if self._connection is None or has_begun or self._is_withdrawn:
             return False
         self._is_withdrawn = True
         self._connection.close()
