--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Shows that bytes without end from one server stop a whole process for
+# seconds. TROUBLE=0 lets that server answer like the others.
+cd "$(dirname "$0")"
+export PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
