--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Shows that a stream without a length is passed on as complete, though its
+# server was still at work on it. TROUBLE=0 leaves the server in place.
+cd "$(dirname "$0")"
+export PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
