--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -33,17 +33,22 @@
 
 
 async def read_stream(
-    front: str, path: str, request_id: str, counts: str, deadline_ms: int
+    front: str,
+    path: str,
+    request_id: str,
+    counts: str,
+    deadline_ms: int,
+    prefix: str = '',
 ) -> Stream:
     """Ask for a stream, and read it to its end."""
     host, _, port = front.rpartition(':')
     stream = Stream(request_id)
     reader, writer = await asyncio.open_connection(host, int(port))
+    prefix = prefix or f'{request_id}:{counts.split(",")[0]}'
     try:
         more = (
             f'Mastichatch-Model: m\r\nMastichatch-Token-Counts: {counts}\r\n'
-            f'Mastichatch-Prompt-Prefix: {request_id}:{counts.split(",")[0]}'
-            '\r\n'
+            f'Mastichatch-Prompt-Prefix: {prefix}\r\n'
         )
         writer.write(request('POST', path, request_id, deadline_ms, more))
         async with asyncio.timeout(deadline_ms / 1000):
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -8,6 +8,9 @@
 
 # The stand-in sends what a run holds to the server of its copy this often.
 BACKUP_INTERVAL_S = 0.2
+# By rule TWICE, the server before must not work on a run this long after it
+# went on at another server.
+STILL_AT_WORK_S = 0.4
 
 
 @dataclasses.dataclass
@@ -22,10 +25,12 @@
     """A server that generates numbered events.
 
     ``ran`` lists the ids of the requests that began to run, with the event at
-    which they did.
+    which they did, and ``doubled`` those on which a server before still worked
+    400 ms after they went on at another one.
     """
 
     known: dict[str, 'Engine'] = {}
+    doubled: list[str] = []
 
     def __init__(self, instance: str, events: int, gap_s: float, log) -> None:
         self.instance = instance
@@ -38,6 +43,8 @@
         self.unframed: set[str] = set()
         self.is_unframed = lambda number: False
         self.state = 'ready'
+        # Most servers drop a request when its connection closes.
+        self.is_dropping = True
         self._log = log
         self._server: asyncio.Server | None = None
 
@@ -151,6 +158,8 @@
         )
         run = Generation(created=first - 1)
         self.running[request_id] = run
+        if source:
+            self._watch_others(request_id)
         backup = asyncio.ensure_future(
             self._back_up(request_id, headers.get('mastichatch-kv-backup'))
         )
@@ -166,7 +175,10 @@
         closed = asyncio.ensure_future(reader.read(1))
         try:
             while run.created < self.events:
-                await asyncio.wait((closed,), timeout=self.gap_s)
+                if closed.done():
+                    await asyncio.sleep(self.gap_s)
+                else:
+                    await asyncio.wait((closed,), timeout=self.gap_s)
                 if run.is_stopped:
                     # The stream is closed without its end. Where only the end
                     # of the connection could mark the end, it is reset.
@@ -175,6 +187,9 @@
                         writer.transport.abort()
                     writer.close()
                     return
+                if closed.done() and not self.is_dropping:
+                    run.created += 1
+                    continue
                 if closed.done():
                     self._log(
                         f'{self.instance} dropped {request_id} at event '
@@ -197,6 +212,27 @@
             closed.cancel()
             await asyncio.gather(closed, return_exceptions=True)
 
+    def _watch_others(self, request_id: str) -> None:
+        """Note the servers that still work on a run that goes on here."""
+        before = [
+            other
+            for other in set(self.known.values()) - {self}
+            if request_id in other.running
+        ]
+
+        def check() -> None:
+            for other in before:
+                run = other.running.get(request_id)
+                if run is not None and not run.is_stopped:
+                    self.doubled.append(request_id)
+                    self._log(
+                        f'{other.instance} still works on {request_id}, at '
+                        f'event {run.created}, 400 ms after it went on at '
+                        f'{self.instance}'
+                    )
+
+        asyncio.get_running_loop().call_later(STILL_AT_WORK_S, check)
+
     async def _back_up(self, request_id: str, address: str | None) -> None:
         other = self.known.get(address or '')
         while other is not None:
