--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Shows that a part of prompts that crashes servers is tried without end where
+# these come back under their ids. TROUBLE=0 makes that part a sound one.
+cd "$(dirname "$0")"
+export PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
