--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -61,8 +61,15 @@
         pass
     finally:
         writer.close()
-    for event in stream.body.split(b'\n\n'):
-        for line in event.split(b'\n'):
-            if line.startswith(b'id: '):
-                stream.ids.append(int(line[4:]))
+    stream.ids = parse_ids(stream.body)
     return stream
+
+
+def parse_ids(body: bytes) -> list[int]:
+    """Return the numbers of the events in a body."""
+    return [
+        int(line[4:])
+        for event in body.split(b'\n\n')
+        for line in event.split(b'\n')
+        if line.startswith(b'id: ')
+    ]
--- a/review/standins/deadly.py
+++ b/review/standins/deadly.py
@@ -6,6 +6,10 @@
 from standins.engine import Engine
 from standins.http import Message
 
+# The store removes the entry of a server after three heartbeats of silence.
+SILENCE_S = 3.6
+ZONE = 'kathmandu-a'
+
 
 class MortalEngine(Engine):
     """A server that crashes when it begins to write an answer on one part.
@@ -19,18 +23,26 @@
     crashed_at: list[float] = []
 
     def __init__(
-        self, instance, events, gap_s, log, *, down_s, register, takes_new_ids
+        self, instance, events, gap_s, log, *, down_s, store, takes_new_ids
     ) -> None:
         super().__init__(instance, events, gap_s, log)
         self.down_s = down_s
-        self.crashes = 0
         self.born = int(time.time() * 1000)
-        self._register = register
+        self._store = store
         self._takes_new_ids = takes_new_ids
         self._stem = instance
         self._writers: set[asyncio.StreamWriter] = set()
         self._restart: asyncio.Task[None] | None = None
 
+    def register(self) -> None:
+        """Write the entry of the server to the store."""
+        self._store.put(
+            f'servers/{self.instance}', self.entry('brief-llm', ZONE)
+        )
+
+    def _unregister(self, instance: str) -> None:
+        self._store.remove(f'servers/{instance}')
+
     def entry(self, service: str, zone: str) -> dict[str, object]:
         """Return the entry of this start of the server."""
         return {**super().entry(service, zone), 'born': self.born}
@@ -66,9 +78,10 @@
             ).encode()
         )
         await writer.drain()
-        self._crash()
+        self.crash()
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
+        """End like a process that dies, and start again later."""
         self.crashes += 1
         self.crashed_at.append(asyncio.get_running_loop().time())
         lost = len(self.running)
@@ -83,12 +96,15 @@
         await asyncio.sleep(self.down_s)
         self.born = int(time.time() * 1000)
         if self._takes_new_ids:
+            asyncio.get_running_loop().call_later(
+                SILENCE_S - self.down_s, self._unregister, self.instance
+            )
             self.instance = f'{self._stem}{self.crashes}'
         host, _, port = self.address.rpartition(':')
         self._server = await asyncio.start_server(
             self._accept, host, int(port), reuse_address=True
         )
         self._log(f'{self.instance} is back')
-        self._register(self)
+        self.register()
 
 
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -45,6 +45,7 @@
         self.state = 'ready'
         # Most servers drop a request when its connection closes.
         self.is_dropping = True
+        self.crashes = 0
         self._log = log
         self._server: asyncio.Server | None = None
 
@@ -235,6 +236,9 @@
 
     async def _back_up(self, request_id: str, address: str | None) -> None:
         other = self.known.get(address or '')
-        while other is not None:
+        crashes = 0 if other is None else other.crashes
+        # A server that starts again holds nothing of before.
+        while other is not None and other.crashes == crashes:
             await asyncio.sleep(BACKUP_INTERVAL_S)
-            other.copies.add(f'{other.address}/{request_id}')
+            if other.crashes == crashes:
+                other.copies.add(f'{other.address}/{request_id}')
