--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,9 +9,9 @@
 from standins.engine import Engine
 from standins.store import Store
 
-EVENTS = 180
-GAP_S = 0.04
-STREAMS = 60
+EVENTS = 130
+GAP_S = 0.1
+STREAMS = 84
 ZONE = 'kathmandu-a'
 
 
@@ -65,7 +65,7 @@
     store = Store()
     address = await store.open(ip)
     engines = [
-        Engine(f'i-{name}', EVENTS, GAP_S, record.write) for name in 'abcd'
+        Engine(f'i-{name}', EVENTS, GAP_S, record.write) for name in 'abcdef'
     ]
     store.put('op/config', configuration())
     for engine in engines:
@@ -104,12 +104,12 @@
         tasks.append(
             asyncio.ensure_future(
                 read_stream(
-                    machine.front, '/brief/2f', request_id, '60,1300', 39000
+                    machine.front, '/brief/2f', request_id, '60,900', 39000
                 )
             )
         )
         await asyncio.sleep(0.03)
-    await asyncio.sleep(3.0)
+    await asyncio.sleep(4.5)
     if TROUBLE:
         leaving = engines[0]
         leaving.state = 'draining'
