--- a/review/4/case.py
+++ b/review/4/case.py
@@ -126,9 +126,6 @@
     store = Store()
     address = await store.open(ip)
 
-    def register(engine: MortalEngine) -> None:
-        store.put(f'servers/{engine.instance}', engine.entry('brief-llm', ZONE))
-
     engines = [
         MortalEngine(
             f'i-{name}',
@@ -136,7 +133,7 @@
             GAP_S,
             record.write,
             down_s=DOWN_S,
-            register=register,
+            store=store,
             takes_new_ids=TAKES_NEW_IDS,
         )
         for name in SERVERS
@@ -146,7 +143,7 @@
     store.put('op/config', configuration())
     for engine in engines:
         await engine.open(ip)
-        register(engine)
+        engine.register()
     bounds = {'revoke_ms': 5000, 'budget_slack': 58}
     machine = Machine('edge-kathmandu-a-1', ZONE, address, bounds)
     with tempfile.TemporaryDirectory() as folder:
