Wait until two nodes hear each other in the tests of avoided engines

A message that is sent before the connection to the peer exists is dropped by design, so that the announcement of the first node could be lost.

The checks are unchanged.

--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -129,6 +129,11 @@
         """Local copy of the platform's store."""
         return self._context.belief
 
+    @property
+    def broadcaster(self) -> RunBroadcaster:
+        """Exchange of runs with the other nodes."""
+        return self._context.sharing
+
     @property
     def caller_server(self) -> HttpServer:
         """HTTP server for callers."""
--- a/tests/test_relay_avoidance.py
+++ b/tests/test_relay_avoidance.py
@@ -13,6 +13,7 @@
     unreachable_engines,
 )
 from mastichatch_core.relay.model import Endpoint, EndpointState
+from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.program import RelayNode, open_node
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.processes import free_address
@@ -86,9 +87,15 @@
             # The first node knows the second one once it is registered.
             await until(lambda: len(registered(relay.node)) == 2)
             await until(lambda: len(registered(node)) == 2)
+            await until(lambda: bool(heard(relay.node) and heard(node)))
             yield relay, settings.callers_address, node
 
 
+def heard(node: RelayNode) -> frozenset[str]:
+    """Return the names of the nodes whose messages arrive."""
+    return node.broadcaster.table.heard(loop_time())
+
+
 def registered(node: RelayNode) -> list[str]:
     return list(node.belief.entries_under('mastichatch/nodes/'))
 
