Never take the end of a connection that this node ended for the end of an answer

Cause: switching to a copy aborts the connection; the reader then sees an end of file, which ends a body without framing. A final move has the same effect: the engine closes the stream on our order.

Fix: an end of file after close() is an error, and the end of an unframed stream after an order to stop counts only if the engine no longer had the run. The run then goes on from its copy.

--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -165,6 +165,11 @@
         """Whether no response was received before the current one."""
         return self._responses == 0
 
+    @property
+    def is_unframed(self) -> bool:
+        """Whether only the end of the connection ends the current response."""
+        return self._is_unframed
+
     def set_silence_timeout(self, timeout_ms: int) -> None:
         """Set how long the connection stays open while its peer is silent.
 
@@ -308,7 +313,10 @@
             except OSError as error:
                 self._record_failure(error)
                 raise self._close_with_error(str(error)) from error
-            self._is_closed_by_peer |= not received and not self._is_closed
+            if self._is_closed:
+                # This end of the stream is no end of the response.
+                raise self._close_with_error('this node closed the connection')
+            self._is_closed_by_peer |= not received
             self._protocol.receive_data(received)
 
     def _record_failure(self, error: OSError) -> None:
--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -18,7 +18,7 @@
 from mastichatch_node.relay.context import RelayContext
 from mastichatch_node.relay.engine_placement import EnginePlacer, require_engine
 from mastichatch_node.relay.relay import Relay
-from mastichatch_node.relay.run_transfer import RunLocation
+from mastichatch_node.relay.run_transfer import RunLocation, StopOutcome
 from mastichatch_node.relay.streaming import Generation
 
 # Maximum number of destination engines tried for one run.
@@ -41,6 +41,23 @@
     return current is not None and current.state is EndpointState.ready
 
 
+def _stop_outcome(
+    answer: MoveResponse, source: Endpoint, destination: Endpoint
+) -> StopOutcome:
+    """Return where a run can continue, given the answer to a final move."""
+    if not answer.handle:
+        return StopOutcome(had_ended=answer.status == _NOT_FOUND)
+    # If the destination has no room, the run resumes on the source.
+    was_moved = answer.status == _OK
+    return StopOutcome(
+        location=RunLocation(
+            endpoint=destination if was_moved else source,
+            address=source.address,
+            handle=answer.handle,
+        )
+    )
+
+
 class RunMigrator:
     """Starts and tracks the migrations of this node's generations."""
 
@@ -213,22 +230,15 @@
     ) -> None:
         """Stop a run, copy the rest of its KV cache, and set its location."""
         future = generation.begin_move()
-        moved: RunLocation | None = None
+        outcome = StopOutcome()
         try:
             answer = await self._request_move(
                 generation, source, copied.endpoint, True
             )
-            if answer.handle:
-                # If the destination has no room, the run resumes on the source.
-                was_moved = answer.status == _OK
-                moved = RunLocation(
-                    endpoint=copied.endpoint if was_moved else source,
-                    address=source.address,
-                    handle=answer.handle,
-                )
+            outcome = _stop_outcome(answer, source, copied.endpoint)
         finally:
             if not future.done():
-                future.set_result(moved)
+                future.set_result(outcome)
 
     async def _request_move(
         self,
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -20,6 +20,18 @@
     handle: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopOutcome:
+    """Result of an order to an engine to stop a run.
+
+    :param location: where the run can continue; ``None`` if that is unknown
+    :param had_ended: whether the engine no longer ran it
+    """
+
+    location: RunLocation | None = None
+    had_ended: bool = False
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RunTransfer:
     """Transfers of a run from the engine on which it runs.
@@ -27,20 +39,27 @@
     :param destination: engine that receives the run or its standby copy
     :param standby: complete standby copy, if there is one
     :param is_departing: whether the run is being transferred off its engine
-    :param result: resolves to the new location of the run once the last part
-        is transferred, or to ``None`` if that failed; set when the run stops
+    :param result: resolves once the last part is transferred, or that has
+        failed; set when the engine is ordered to stop the run
     """
 
     destination: Endpoint | None = None
     standby: RunLocation | None = None
     is_departing: bool = False
-    result: 'asyncio.Future[RunLocation | None] | None' = None
+    result: 'asyncio.Future[StopOutcome] | None' = None
 
     @property
     def is_moving(self) -> bool:
         """Whether the final transfer to another engine has begun."""
         return self.result is not None
 
+    async def was_stopped(self) -> bool:
+        """Return whether the run may have stopped on this node's order."""
+        if self.result is None:
+            return False
+        outcome = await self.result
+        return not outcome.had_ended
+
     @property
     def has_idle_standby(self) -> bool:
         """Whether there is a standby copy and no transfer in progress."""
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -36,7 +36,11 @@
 )
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
-from mastichatch_node.relay.run_transfer import RunLocation, RunTransfer
+from mastichatch_node.relay.run_transfer import (
+    RunLocation,
+    RunTransfer,
+    StopOutcome,
+)
 from mastichatch_node.relay.engine_placement import (
     EnginePlacement,
     EnginePlacer,
@@ -189,13 +193,9 @@
             suspects=_untried_suspects(self._source, self._order),
         )
 
-    def begin_move(self) -> 'asyncio.Future[RunLocation | None]':
-        """Begin the final transfer of a migration, and return its future.
-
-        The future resolves to the new location of the run, or to ``None`` if
-        the migration failed.
-        """
-        result: asyncio.Future[RunLocation | None] = (
+    def begin_move(self) -> 'asyncio.Future[StopOutcome]':
+        """Begin the final transfer of a migration, and return its future."""
+        result: asyncio.Future[StopOutcome] = (
             asyncio.get_running_loop().create_future()
         )
         self._transfer.result = result
@@ -242,7 +242,10 @@
     ) -> AttemptSource | None:
         """Return the source of the next attempt, or ``None`` to give up."""
         result_of_move = self._transfer.result
-        moved = None if result_of_move is None else await result_of_move
+        outcome = (
+            StopOutcome() if result_of_move is None else await result_of_move
+        )
+        moved = outcome.location
         if moved is not None:
             return _resume_at(moved, self.last_event)
         nothing_ran = result.fate in {
@@ -372,6 +375,10 @@
                 was_sent=True,
                 is_closed_by_peer=True,
             )
+        if connection.is_unframed and await self._transfer.was_stopped():
+            raise ExchangeError(
+                'the engine stopped the run on order', was_sent=True
+            )
         await _start_reply(self._context, self._job, self._reply, head)
         await self._reply.finish()
 
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from mastichatch_node.relay.http_client import OutgoingRequest
+
 Script = Callable[
     ['HouseEndpoint', 'ReceivedRequest', asyncio.StreamWriter], Awaitable[None]
 ]
@@ -58,6 +60,7 @@
     cancelled: list[str] = dataclasses.field(default_factory=list)
     moves: list[dict[str, object]] = dataclasses.field(default_factory=list)
     move_status: int = 200
+    stop_status: int = 200
     stopped: set[str] = dataclasses.field(default_factory=set)
     freed: list[str] = dataclasses.field(default_factory=list)
     leaves_ms: int | None = None
@@ -172,11 +175,12 @@
         body = json.loads(request.body)
         self.moves.append(body)
         answer = {'kv_handle': f'h-{body["id"]}', 'created': 0}
-        if body['final']:
+        status = self.stop_status if body['final'] else self.move_status
+        if status == 404:
+            answer = {}
+        elif body['final']:
             self.stopped.add(body['id'])
-        writer.write(
-            build_response(self.move_status, json.dumps(answer).encode())
-        )
+        writer.write(build_response(status, json.dumps(answer).encode()))
 
     def _report(self, writer: asyncio.StreamWriter) -> None:
         self.reports += 1
@@ -186,6 +190,13 @@
         writer.write(build_response(200, json.dumps(answer).encode()))
 
 
+def plain_request() -> OutgoingRequest:
+    """Return a request for tests of the client alone."""
+    return OutgoingRequest(
+        method=b'GET', target=b'/', headers=((b'Host', b'x'),)
+    )
+
+
 def build_response(status: int, body: bytes, headers: str = '') -> bytes:
     """Return a response with ``Content-Length``."""
     head = f'HTTP/1.1 {status} X\r\n{headers}Content-Length: {len(body)}\r\n'
@@ -281,13 +292,15 @@
     *,
     break_after: int | None = None,
     is_framed: bool = True,
+    resets_on_stop: bool = True,
 ) -> Script:
     """Return a script that streams numbered events.
 
     Unless ``is_framed``, the stream ends with its connection.
 
     It continues after ``Last-Event-Id``. It aborts the connection before event
-    ``break_after``, and once a final move has stopped the run.
+    ``break_after``, and once a final move has stopped the run, or closes it
+    then unless ``resets_on_stop``.
     """
 
     async def write(
@@ -304,7 +317,11 @@
         writer.write((head + framing).encode())
         first = int(request.headers.get('last-event-id', '0')) + 1
         for number in range(first, count + 1):
-            if request.request_id in endpoint.stopped or number == break_after:
+            is_stopped = request.request_id in endpoint.stopped
+            if is_stopped and not resets_on_stop:
+                writer.close()
+                return
+            if is_stopped or number == break_after:
                 writer.transport.abort()
                 return
             event = f'id: {number}\ndata: {request.request_id}\n\n'.encode()
--- /dev/null
+++ b/tests/test_relay_handover.py
@@ -0,0 +1,150 @@
+"""Tests of runs that go on at another engine while the first one serves."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from mastichatch_node.relay.http_client import ExchangeError, connect
+from mastichatch_node.relay.run_migration import COPY_COMPLETE_EVENTS
+from tests.relay_nodes import (
+    RelayFixture,
+    Response,
+    configuration,
+    open_relay,
+    until,
+)
+from tests.standins import house_endpoints as endpoints
+from tests.standins.house_endpoints import HouseEndpoint
+
+TOKENS = ('Mastichatch-Model: m', 'Mastichatch-Token-Counts: 100,2000')
+EVENTS = 120
+GAP_S = 0.01
+
+
+def document(*, backups: bool) -> dict[str, Any]:
+    """Return a configuration with or without backups of runs."""
+    found = configuration()
+    found['services'][1]['engine']['backups'] = backups
+    return found
+
+
+def engine(name: str, **options: Any) -> HouseEndpoint:
+    """Return an engine that streams ``EVENTS`` events."""
+    return HouseEndpoint(
+        instance=name, script=endpoints.stream(EVENTS, GAP_S, **options)
+    )
+
+
+def event_ids(answer: Response) -> list[int]:
+    lines = answer.body.decode().splitlines()
+    return [int(line[4:]) for line in lines if line.startswith('id: ')]
+
+
+@contextlib.asynccontextmanager
+async def open_plan(
+    first: HouseEndpoint, second: HouseEndpoint, *, backups: bool = True
+) -> AsyncIterator[tuple[RelayFixture, 'asyncio.Task[Response]']]:
+    """Run a plan on the first engine, with its backup on the second one."""
+    async with open_relay(
+        (), (first, second), document(backups=backups)
+    ) as relay:
+        # Only the first engine has room at the start.
+        await relay.store.put(
+            f'servers/{second.instance}', second.entry('llm', 'south')
+        )
+        await until(
+            lambda: (
+                relay.node.belief.endpoints(0)[second.instance].data_centre
+                == 'south'
+            )
+        )
+        work = asyncio.ensure_future(
+            relay.call('/plan/x', headers=TOKENS, timeout_ms=8000)
+        )
+        await until(lambda: bool(first.ran))
+        yield relay, work
+
+
+async def drain(relay: RelayFixture, leaving: HouseEndpoint) -> None:
+    """Let an engine report that it is about to leave."""
+    await relay.store.put(
+        f'servers/{leaving.instance}',
+        leaving.entry('llm', 'north', 'draining'),
+    )
+
+
+class TestStreamWithoutALength:
+    """Guards against partial streams that are passed on as complete.
+
+    The end of the connection is the end of such a stream, also where this
+    node closed the connection or ordered the engine to stop.
+    """
+
+    async def test_it_is_whole_after_its_engine_leaves_a_backup(self) -> None:
+        first = engine('i-e', is_framed=False)
+        second = engine('i-f')
+        async with open_plan(first, second) as (relay, work):
+            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await drain(relay, first)
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    async def test_it_is_whole_after_a_move_that_ends_the_connection(
+        self,
+    ) -> None:
+        first = engine('i-e', is_framed=False, resets_on_stop=False)
+        second = engine('i-f')
+        async with open_plan(first, second, backups=False) as (relay, work):
+            await asyncio.sleep(GAP_S * 10)
+            await drain(relay, first)
+            answer = await work
+        assert first.stopped
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    async def test_it_is_complete_if_it_ended_before_the_order_to_stop(
+        self,
+    ) -> None:
+        first = engine('i-e', is_framed=False)
+        first.stop_status = 404
+        second = engine('i-f')
+        async with open_plan(first, second, backups=False) as (relay, work):
+            await asyncio.sleep(GAP_S * 10)
+            await drain(relay, first)
+            answer = await work
+        assert not second.received
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    async def test_connection_that_this_node_closed_is_no_end(self) -> None:
+        """The end of file after ``close`` must not end the body."""
+        async with _open_unframed() as address:
+            connection = await connect(address, 1)
+            await connection.send(endpoints.plain_request())
+            await connection.read_head()
+            assert await connection.read_part() == b'part'
+            connection.close()
+            with pytest.raises(ExchangeError):
+                await connection.read_part()
+
+
+@contextlib.asynccontextmanager
+async def _open_unframed() -> AsyncIterator[str]:
+    """Serve an answer without a length that does not end, at an address."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        yield f'{host}:{port}'
