Bound the work for the bytes of one peer in a turn of the event loop

Cause: the splitter of events searched the whole incomplete event with each chunk, and answers in chunks were read without a turn for other tasks.

Fix: each byte is searched once, other tasks run after 64 pieces, and a piece counts as at least 64 bytes towards the limits. Bodies of callers' requests were read in the same way, and are mended too. The lag of the event loop is a metric now, and logged from 0.25 s on with the processor time.

--- a/packages/core/mastichatch_core/relay/events.py
+++ b/packages/core/mastichatch_core/relay/events.py
@@ -14,37 +14,63 @@
 # A blank line ends an event. The format has three line endings (CR LF, LF and
 # CR), which may be mixed.
 _END: Final = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
+# Length of the longest blank line, and of the line ending before it.
+_END_BYTES: Final = 4
 _ID: Final = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
 
 
 class EventSplitter:
-    """Splits the chunks of a stream into complete events."""
+    """Splits the chunks of a stream into complete events.
+
+    The work for a chunk grows with its length alone, not with that of the
+    incomplete event before it.
+    """
 
     def __init__(self) -> None:
         """Create a splitter for a new stream."""
-        self._rest = b''
+        self._chunks: list[bytes] = []
+        self._rest_bytes = 0
+        # The last bytes of the rest, which may begin the end of an event.
+        self._tail = b''
 
     @property
     def rest(self) -> bytes:
         """Bytes of the last event, which is not complete yet."""
-        return self._rest
+        return b''.join(self._chunks)
+
+    @property
+    def rest_bytes(self) -> int:
+        """Length of ``rest``, in bytes."""
+        return self._rest_bytes
 
     def feed(self, chunk: bytes) -> tuple[bytes, ...]:
         """Return the events that a chunk completes, with their blank lines.
 
         :param chunk: next bytes of the stream
         """
-        self._rest += chunk
+        self._chunks.append(chunk)
+        self._rest_bytes += len(chunk)
+        searched = self._tail + chunk
+        self._tail = searched[-_END_BYTES:]
+        if _END.search(searched) is None:
+            return ()
+        return self._split()
+
+    def _split(self) -> tuple[bytes, ...]:
+        """Remove the complete events from the rest, and return them."""
+        rest = self.rest
         events: list[bytes] = []
         start = 0
-        for end in _END.finditer(self._rest):
+        for end in _END.finditer(rest):
             # The next chunk may continue a line ending, as in CR LF.
-            is_last = end.end() == len(self._rest)
-            if is_last and self._rest.endswith(b'\r'):
+            if end.end() == len(rest) and rest.endswith(b'\r'):
                 break
-            events.append(self._rest[start : end.end()])
+            events.append(rest[start : end.end()])
             start = end.end()
-        self._rest = self._rest[start:]
+        kept = rest[start:]
+        self._chunks = [kept]
+        self._rest_bytes = len(kept)
+        self._tail = kept[-_END_BYTES:]
         return tuple(events)
 
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -15,6 +15,7 @@
 
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.turns import TurnLimiter, piece_cost_bytes
 
 READ_BYTES: Final = 65536
 # Largest response head that is accepted, which is the default of h11. Endpoints
@@ -143,6 +144,7 @@
         self._reader = reader
         self._writer = writer
         self._protocol = self._create_protocol()
+        self._turns = TurnLimiter()
         self._used_at = loop_time()
         self._may_have_sent = False
         self._responses = 0
@@ -253,7 +255,8 @@
     async def read_body(self, limit: int) -> bytes:
         """Return the complete body.
 
-        :param limit: largest accepted size, in bytes
+        :param limit: largest accepted size, in bytes; small parts count as
+            larger ones
         :raises ExchangeError: if the body is truncated or larger
         """
         parts: list[bytes] = []
@@ -262,7 +265,7 @@
             part = await self.read_part()
             if part is None:
                 return b''.join(parts)
-            size += len(part)
+            size += piece_cost_bytes(part)
             if size > limit:
                 raise self._close_with_error(
                     'the answer is larger than allowed'
@@ -307,6 +310,7 @@
                     f'malformed answer: {error}'
                 ) from error
             if event is not h11.NEED_DATA:
+                await self._turns.step()
                 return event
             try:
                 received = await self._reader.read(READ_BYTES)
--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -15,6 +15,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.http_client import Headers, configure_keepalive
+from mastichatch_node.relay.turns import TurnLimiter
 
 READ_BYTES: Final = 65536
 # Most bytes of pipelined requests that are buffered during a response.
@@ -320,7 +321,7 @@
         limits: ClientLimits,
     ) -> bytes:
         async with asyncio.timeout(self._body_timeout_s):
-            return await _read_body(protocol, reader, limits)
+            return await read_request_body(protocol, reader, limits)
 
     async def _wait_for_bytes(
         self, protocol: h11.Connection, reader: asyncio.StreamReader
@@ -451,14 +452,24 @@
     return ''
 
 
-async def _read_body(
+async def read_request_body(
     protocol: h11.Connection,
     reader: asyncio.StreamReader,
     limits: ClientLimits,
 ) -> bytes:
+    """Return the complete body of a request.
+
+    :param protocol: protocol state of the connection, after the head
+    :param reader: stream of the request
+    :param limits: limits of the body's size and pauses
+    :raises MastichatchError: if the body is too large
+    :raises ConnectionResetError: if the body is truncated
+    """
     parts: list[bytes] = []
     size = 0
+    turns = TurnLimiter()
     while True:
+        await turns.step()
         async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
             event = await _next_event(protocol, reader)
         if isinstance(event, h11.EndOfMessage):
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -51,7 +51,7 @@
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.standby_copying import StandbyCopier
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
-from mastichatch_node.relay.telemetry import Telemetry
+from mastichatch_node.relay.telemetry import Telemetry, watch_event_loop
 
 # A handshake takes 1 ms by the users' specification. A lost packet is
 # retransmitted after 1 s, which is too late for most requests.
@@ -396,6 +396,7 @@
             _maintain_periodically(context.pool, placer, migrator),
             StandbyCopier(context, placer, relay).review_periodically(),
             crash_store.write_evidence(components.crashes, store),
+            watch_event_loop(components.telemetry),
         ):
             yield
 
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -41,6 +41,7 @@
     RunTransfer,
     StopOutcome,
 )
+from mastichatch_node.relay.turns import piece_cost_bytes
 from mastichatch_node.relay.engine_placement import (
     EnginePlacement,
     EnginePlacer,
@@ -369,7 +370,7 @@
             if events is None:
                 break
             await self._forward(events, head)
-        if splitter.rest:
+        if splitter.rest_bytes:
             raise ExchangeError(
                 'the stream ended inside an event',
                 was_sent=True,
@@ -498,12 +499,14 @@
     :param longest_s: longest time without an event, in seconds
     :raises ExchangeError: if there is no event in time, or if it is too large
     """
+    size = splitter.rest_bytes
     try:
         async with asyncio.timeout(longest_s):
-            while len(splitter.rest) <= EVENT_LIMIT_BYTES:
+            while size <= EVENT_LIMIT_BYTES:
                 part = await connection.read_part()
                 if part is None:
                     return None
+                size += piece_cost_bytes(part)
                 events = splitter.feed(part)
                 if events:
                     return events
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -1,9 +1,11 @@
 """Log and metrics of the relay."""
 
+import asyncio
 import io
 import logging as standard_logging
 import os
 import sys
+import time
 from typing import Final
 
 from absl import logging
@@ -15,6 +17,7 @@
     generate_latest,
 )
 
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.logs import set_up_logging
 
@@ -25,6 +28,12 @@
 # By the users' specification, a generation is late after a pause of 0.18 s, and
 # callers time out after 7.2 s.
 PAUSE_BUCKETS_S: Final = (0.04, 0.07, 0.1, 0.14, 0.18, 0.25, 0.5, 1, 3, 7.2)
+# A turn of the event loop takes a few milliseconds.
+LAG_BUCKETS_S: Final = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 3, 10)
+# Lag from which on it is logged: readiness checks and the shortest time limits
+# of callers allow half a second.
+LAG_LOG_LIMIT_S: Final = 0.25
+LAG_PROBE_INTERVAL_S: Final = 0.25
 LATENCY_BUCKETS_S: Final = (
     0.005,
     0.01,
@@ -152,6 +161,12 @@
             buckets=PAUSE_BUCKETS_S,
             registry=self._registry,
         )
+        self._loop_lag = Histogram(
+            'mastichatch_relay_loop_lag_seconds',
+            'Delay of a timer of the event loop, probed four times a second.',
+            buckets=LAG_BUCKETS_S,
+            registry=self._registry,
+        )
         self._active = Gauge(
             'mastichatch_relay_active',
             'Requests in progress.',
@@ -198,6 +213,21 @@
         """
         self._longest_pause.observe(pause_s)
 
+    def observe_loop_lag(self, lag_s: float, processor_s: float) -> None:
+        """Record how late the event loop ran a timer, and log long delays.
+
+        :param lag_s: delay in seconds
+        :param processor_s: processor time of this process since the timer was
+            set, in seconds; little of it where the host was frozen or busy
+        """
+        self._loop_lag.observe(lag_s)
+        if lag_s >= LAG_LOG_LIMIT_S:
+            self.log_state_change(
+                'event_loop_held',
+                lag_ms=round(lag_s * MS_PER_S),
+                processor_ms=round(processor_s * MS_PER_S),
+            )
+
     def update_active(self, active: int) -> None:
         """Set the number of requests in progress.
 
@@ -231,3 +261,17 @@
         """
         self._events.labels(event).inc()
         logging.info(event, extra=inputs)
+
+
+async def watch_event_loop(telemetry: Telemetry) -> None:
+    """Measure how late the event loop runs timers, until cancelled.
+
+    :param telemetry: records the delays
+    """
+    while True:
+        due_at = loop_time() + LAG_PROBE_INTERVAL_S
+        processor_s = time.process_time()
+        await asyncio.sleep(LAG_PROBE_INTERVAL_S)
+        telemetry.observe_loop_lag(
+            max(0, loop_time() - due_at), time.process_time() - processor_s
+        )
--- a/tests/test_relay_endless.py
+++ b/tests/test_relay_endless.py
@@ -1,15 +1,32 @@
 """Tests of bytes without end: from endpoints and from callers."""
 
 import asyncio
+import json
 import time
 from collections.abc import Callable
 from typing import Any
 
+import h11
 import pytest
 
-from mastichatch_node.relay.http_client import MAX_INTERIM_RESPONSES
-from mastichatch_node.relay.http_server import LINGER_LIMIT_BYTES
+from mastichatch_core.relay.model import ClientLimits
+from mastichatch_node.relay.http_client import (
+    MAX_INTERIM_RESPONSES,
+    Connection,
+    CountingReader,
+)
+from mastichatch_node.relay.http_server import (
+    LINGER_LIMIT_BYTES,
+    read_request_body,
+)
 from mastichatch_node.relay.streaming import EVENT_LIMIT_BYTES
+from mastichatch_node.relay.telemetry import (
+    LAG_LOG_LIMIT_S,
+    LAG_PROBE_INTERVAL_S,
+    Telemetry,
+    watch_event_loop,
+)
+from mastichatch_node.relay.turns import MAX_STEPS_PER_TURN
 from tests.relay_nodes import (
     configuration,
     open_relay,
@@ -164,6 +181,140 @@
     return configuration(routes=[plan])
 
 
+class TestTurns:
+    """Guards against one peer that keeps the event loop busy.
+
+    Bytes that are ready are handled without a wait, so that a peer which sends
+    them without end decides how long all other requests wait.
+    """
+
+    @pytest.mark.parametrize('path', ['/book/x', '/plan/x'])
+    @pytest.mark.parametrize(
+        'line', [b'data: ' + b'x' * 263 + b'\n', b'd: x\n', b'x']
+    )
+    async def test_bytes_without_end_do_not_hold_up_others(
+        self, path: str, line: bytes
+    ) -> None:
+        pieces = chunk(line) * (PIECE_BYTES // len(chunk(line)))
+        sender = EndlessSender(ok_head, pieces)
+        bad = HouseEndpoint(instance='i-e', script=sender.write)
+        one = (bad,) if path == '/book/x' else ()
+        two = (bad,) if path == '/plan/x' else ()
+        async with open_relay(one, two) as relay:
+            endless = asyncio.ensure_future(
+                relay.call(path, headers=TOKENS, timeout_ms=2000)
+            )
+            longest_s = await longest_turn_s(endless)
+        assert (await endless).status == 502
+        # Rule CONFIG: an answer is due half a second after the time limit.
+        assert longest_s < 0.5
+
+    async def test_answer_in_small_chunks_is_read_in_many_turns(self) -> None:
+        count = 4000
+        reader = CountingReader()
+        reader.feed_data(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            + chunk(b'x') * count
+            + chunk(b'')
+        )
+        connection = await open_on(reader)
+        reading = asyncio.ensure_future(_read_answer(connection))
+        assert await count_turns(reading) > count / MAX_STEPS_PER_TURN
+        assert reading.result() == b'x' * count
+
+    async def test_request_in_small_chunks_is_read_in_many_turns(self) -> None:
+        count = 4000
+        protocol = h11.Connection(h11.SERVER)
+        protocol.receive_data(
+            b'POST / HTTP/1.1\r\nHost: x\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            + chunk(b'x') * count
+            + chunk(b'')
+        )
+        assert isinstance(protocol.next_event(), h11.Request)
+        reading = asyncio.ensure_future(
+            read_request_body(protocol, asyncio.StreamReader(), ClientLimits())
+        )
+        assert await count_turns(reading) > count / MAX_STEPS_PER_TURN
+        assert reading.result() == b'x' * count
+
+    async def test_event_in_too_many_pieces_is_cut(self) -> None:
+        """A piece costs more than its bytes."""
+        sender = EndlessSender(ok_head, chunk(b'x') * 1000)
+        engine = HouseEndpoint(instance='i-e', script=sender.write)
+        async with open_relay((), (engine,)) as relay:
+            answer = await relay.call(
+                '/plan/x', headers=TOKENS, timeout_ms=5000
+            )
+        assert answer.status == 502
+        assert 'too large' in json.loads(answer.body)['message']
+
+
+class TestLag:
+    async def test_held_event_loop_is_logged_and_measured(self) -> None:
+        telemetry = Telemetry()
+        watching = asyncio.ensure_future(watch_event_loop(telemetry))
+        await asyncio.sleep(0)
+        time.sleep(LAG_PROBE_INTERVAL_S + LAG_LOG_LIMIT_S)  # noqa: ASYNC251
+        await asyncio.sleep(0.01)
+        watching.cancel()
+        text = telemetry.text().decode()
+        assert 'events_total{event="event_loop_held"} 1.0' in text
+        assert 'loop_lag_seconds_count 1.0' in text
+
+
+async def longest_turn_s(task: 'asyncio.Future[Any]') -> float:
+    """Return the longest delay of a timer until a task is done, in seconds."""
+    longest_s = float()
+    while not task.done():
+        began_at = time.monotonic()
+        await asyncio.sleep(0.01)
+        longest_s = max(longest_s, time.monotonic() - began_at)
+    return longest_s
+
+
+async def count_turns(task: 'asyncio.Future[Any]') -> int:
+    """Return how often others get a turn until a task is done."""
+    turns = 0
+    while not task.done():
+        await asyncio.sleep(0)
+        turns += 1
+    return turns
+
+
+async def open_on(reader: CountingReader) -> Connection:
+    """Return a connection that reads prepared bytes and writes nowhere."""
+    transport = _NoTransport()
+    loop = asyncio.get_running_loop()
+    protocol = asyncio.StreamReaderProtocol(reader)
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    connection = Connection('127.0.0.1:1', reader, writer)
+    await connection.send(endpoints.plain_request())
+    return connection
+
+
+async def _read_answer(connection: Connection) -> bytes:
+    await connection.read_head()
+    return await connection.read_body(EVENT_LIMIT_BYTES)
+
+
+class _NoTransport(asyncio.Transport):
+    """A transport that discards what is written."""
+
+    def write(self, data: Any) -> None:
+        """Discard bytes."""
+
+    def is_closing(self) -> bool:
+        """Return that the transport is open."""
+        return False
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
 class TestStalledStreams:
     async def test_bytes_now_and_then_do_not_keep_a_stalled_stream(
         self,
