Stop a run on its engine before it resumes from a copy

Cause: a run with a backup was switched by closing its connection, which not all engines take as an order to stop. The same holds after a stall.

Fix: the engine is ordered to stop, closes the stream, and the run resumes from its backup at once; what the order transfers is freed, or used if the backup is refused. Without an answer the run stays where it is.

--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -22,6 +22,7 @@
 from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.http_server import IncomingRequest
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
+from mastichatch_node.relay.run_stopping import RunStopper
 from mastichatch_node.relay.telemetry import Telemetry
 
 # Size of the digest by which calls with the same content are told.
@@ -132,6 +133,7 @@
     :param dialect: wire protocol of the platform
     :param telemetry: decision log and metrics
     :param crashes: evidence on prompts that crash engines
+    :param stopper: stops runs that are to continue on other engines
     """
 
     node: str
@@ -144,3 +146,4 @@
     dialect: Dialect
     telemetry: Telemetry
     crashes: CrashTracker
+    stopper: RunStopper
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -41,6 +41,7 @@
 from mastichatch_node.relay.context import RetryAllowance, RelayContext
 from mastichatch_node.relay.message_handling import register_handlers
 from mastichatch_node.relay.run_migration import RunMigrator
+from mastichatch_node.relay.run_stopping import RunStopper
 from mastichatch_node.relay.quarantine_orders import (
     QUARANTINE_PATH,
     QuarantineOrders,
@@ -51,7 +52,7 @@
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.standby_copying import StandbyCopier
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
-from mastichatch_node.relay.telemetry import Telemetry, watch_event_loop
+from mastichatch_node.relay.telemetry import Telemetry
 
 # A handshake takes 1 ms by the users' specification. A lost packet is
 # retransmitted after 1 s, which is too late for most requests.
@@ -274,6 +275,7 @@
                 async with _listen(settings, node):
                     yield node
             migrator.close()
+            context.stopper.close()
 
 
 def _create_components(
@@ -304,6 +306,7 @@
 def _create_context(
     components: _Components, pool: ConnectionPool
 ) -> RelayContext:
+    dialect = components.adapter.open_dialect(pool)
     percent = int(components.settings.retry_percent * RETRY_ALLOWANCE_SHARE)
     return RelayContext(
         node=components.settings.name,
@@ -313,9 +316,10 @@
         records=EndpointStatsTable(),
         retries=RetryAllowance(percent, burst=0),
         pool=pool,
-        dialect=components.adapter.open_dialect(pool),
+        dialect=dialect,
         telemetry=components.telemetry,
         crashes=components.crashes,
+        stopper=RunStopper(dialect, components.telemetry),
     )
 
 
@@ -396,7 +400,7 @@
             _maintain_periodically(context.pool, placer, migrator),
             StandbyCopier(context, placer, relay).review_periodically(),
             crash_store.write_evidence(components.crashes, store),
-            watch_event_loop(components.telemetry),
+            components.telemetry.watch_event_loop(),
         ):
             yield
 
--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -18,7 +18,7 @@
 from mastichatch_node.relay.context import RelayContext
 from mastichatch_node.relay.engine_placement import EnginePlacer, require_engine
 from mastichatch_node.relay.relay import Relay
-from mastichatch_node.relay.run_transfer import RunLocation, StopOutcome
+from mastichatch_node.relay.run_transfer import RunLocation
 from mastichatch_node.relay.streaming import Generation
 
 # Maximum number of destination engines tried for one run.
@@ -41,23 +41,6 @@
     return current is not None and current.state is EndpointState.ready
 
 
-def _stop_outcome(
-    answer: MoveResponse, source: Endpoint, destination: Endpoint
-) -> StopOutcome:
-    """Return where a run can continue, given the answer to a final move."""
-    if not answer.handle:
-        return StopOutcome(had_ended=answer.status == _NOT_FOUND)
-    # If the destination has no room, the run resumes on the source.
-    was_moved = answer.status == _OK
-    return StopOutcome(
-        location=RunLocation(
-            endpoint=destination if was_moved else source,
-            address=source.address,
-            handle=answer.handle,
-        )
-    )
-
-
 class RunMigrator:
     """Starts and tracks the migrations of this node's generations."""
 
@@ -119,7 +102,7 @@
     def _switch_to_copy(
         self, generation: Generation, endpoint: Endpoint, copy: Endpoint
     ) -> None:
-        """Continue a run on the engine with its copy, without a transfer."""
+        """Continue a run on the engine with its copy, once it has stopped."""
         if not is_worth_moving(generation.run):
             return
         self._log_decision(
@@ -129,7 +112,7 @@
             destination=copy.instance,
             last_event=generation.last_event,
         )
-        generation.switch_to_copy()
+        generation.switch_to(copy)
 
     def _start_move(self, generation: Generation, source: Endpoint) -> None:
         """Start a migration, if possible and not already in progress."""
@@ -155,7 +138,7 @@
         if not self._runs_on(generation, source):
             await self._context.dialect.drop_copy(source.address, copied.handle)
             return
-        await self._stop_and_copy(generation, source, copied)
+        await generation.move_to(copied.endpoint)
 
     async def _wait_for_turn(
         self, generation: Generation, source: Endpoint
@@ -188,8 +171,8 @@
         if standby is not None and self._placer.accepts_runs(standby.endpoint):
             # Only what was generated since the last transfer is copied.
             generation.announce_destination(standby.endpoint, is_departing=True)
-            answer = await self._request_move(
-                generation, source, standby.endpoint, False
+            answer = await self._request_copy(
+                generation, source, standby.endpoint
             )
             if answer.status == _OK:
                 return dataclasses.replace(standby, handle=answer.handle)
@@ -208,9 +191,7 @@
                 self._log_decision(run.request_id, 'copy_without_destination')
                 return None
             generation.announce_destination(destination, is_departing=True)
-            answer = await self._request_move(
-                generation, source, destination, False
-            )
+            answer = await self._request_copy(generation, source, destination)
             if answer.status == _OK:
                 return RunLocation(
                     endpoint=destination,
@@ -225,38 +206,22 @@
             excluded.add(destination.instance)
         return None
 
-    async def _stop_and_copy(
-        self, generation: Generation, source: Endpoint, copied: RunLocation
-    ) -> None:
-        """Stop a run, copy the rest of its KV cache, and set its location."""
-        future = generation.begin_move()
-        outcome = StopOutcome()
-        try:
-            answer = await self._request_move(
-                generation, source, copied.endpoint, True
-            )
-            outcome = _stop_outcome(answer, source, copied.endpoint)
-        finally:
-            if not future.done():
-                future.set_result(outcome)
-
-    async def _request_move(
+    async def _request_copy(
         self,
         generation: Generation,
         source: Endpoint,
         destination: Endpoint,
-        final: bool,
     ) -> MoveResponse:
         started_at = loop_time()
         answer = await self._context.dialect.move_run(
             source.address,
             generation.job.request_id,
             destination.address,
-            final,
+            False,
         )
         self._log_decision(
             generation.job.request_id,
-            'run_stopped_and_copied' if final else 'run_copied',
+            'run_copied',
             source=source.instance,
             destination=destination.instance,
             status=answer.status,
--- /dev/null
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -0,0 +1,213 @@
+"""Stops runs on their engines, so that they can continue on others.
+
+Load pattern: an engine that leaves, or whose stream stalls, works on after
+its connection has closed. The run would then be generated twice at the same
+time. Only an answer of the engine proves that it has stopped.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Final, TypeVar
+
+from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.units import MS_PER_S
+from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.dialect import Dialect, MoveResponse
+from mastichatch_node.relay.run_transfer import (
+    RunLocation,
+    RunTransfer,
+    StopOutcome,
+)
+from mastichatch_node.relay.telemetry import Telemetry
+
+# A run that continues elsewhere waits this long at most for its engine to
+# answer that it has stopped: an engine that can be reached answers or stops
+# within one round trip, and no other can be told.
+STOP_WAIT_S: Final = 0.2
+# An engine refuses the order while it copies the run for another call, which
+# takes a fraction of a second.
+CONFLICT_RETRY_DELAY_S: Final = 0.05
+CONFLICT_RETRY_LIMIT: Final = 40
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
+
+StopTask = asyncio.Task[StopOutcome]
+_Result = TypeVar('_Result')
+
+
+class RunStopper:
+    """Orders engines to stop runs, and tracks the orders in progress."""
+
+    def __init__(self, dialect: Dialect, telemetry: Telemetry) -> None:
+        """Start without orders.
+
+        :param dialect: sends the orders
+        :param telemetry: logs the answers
+        """
+        self._dialect = dialect
+        self._telemetry = telemetry
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def stop(
+        self, request_id: str, source: Endpoint, destination: Endpoint
+    ) -> StopTask:
+        """Order an engine to stop a run, and to transfer it to another one.
+
+        The engine stops the run before the transfer, and closes its stream.
+
+        :param request_id: id of the run's request
+        :param source: engine of the run
+        :param destination: engine on which it is to continue
+        :returns: task that ends once the engine has answered
+        """
+        return self._start(self._stop(request_id, source, destination))
+
+    def release(self, order: StopTask) -> None:
+        """Free the copy that an order to stop has made and nobody uses.
+
+        :param order: task that ``stop`` returned
+        """
+        self._start(self._release(order))
+
+    def close(self) -> None:
+        """Cancel all orders in progress."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _start(
+        self, work: Coroutine[Any, Any, _Result]
+    ) -> asyncio.Task[_Result]:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _stop(
+        self, request_id: str, source: Endpoint, destination: Endpoint
+    ) -> StopOutcome:
+        answer = MoveResponse(status=_CONFLICT)
+        started_at = loop_time()
+        for _ in range(CONFLICT_RETRY_LIMIT):
+            answer = await self._dialect.move_run(
+                source.address, request_id, destination.address, True
+            )
+            if answer.status != _CONFLICT:
+                break
+            await asyncio.sleep(CONFLICT_RETRY_DELAY_S)
+        self._telemetry.log_decision(
+            'run_stopped_and_copied',
+            request_id,
+            source=source.instance,
+            destination=destination.instance,
+            status=answer.status,
+            took_ms=round((loop_time() - started_at) * MS_PER_S),
+        )
+        return stop_outcome(answer, source, destination)
+
+    async def _release(self, order: StopTask) -> None:
+        outcome = await asyncio.shield(order)
+        if outcome.location is not None:
+            await self._dialect.drop_copy(
+                outcome.location.address, outcome.location.handle
+            )
+
+
+class Handover:
+    """Hands the run of one generation over from engine to engine.
+
+    A run that resumes from a copy which it already had is transferred by the
+    order to stop as well. That transfer is kept until the copy has proved
+    usable.
+    """
+
+    def __init__(self, stopper: RunStopper, request_id: str) -> None:
+        """Start without an order.
+
+        :param stopper: orders engines to stop runs
+        :param request_id: id of the generation's request
+        """
+        self._stopper = stopper
+        self._request_id = request_id
+        self._transferred: StopTask | None = None
+
+    def order_stop(
+        self, transfer: RunTransfer, source: Endpoint, destination: Endpoint
+    ) -> StopTask:
+        """Order an engine to stop the run, once.
+
+        :param transfer: transfers of the run from that engine
+        :param source: the engine
+        :param destination: engine on which the run is to continue
+        """
+        order = transfer.result or self._stopper.stop(
+            self._request_id, source, destination
+        )
+        transfer.result = order
+        return order
+
+    def switch(
+        self, transfer: RunTransfer, source: Endpoint, copy: Endpoint
+    ) -> None:
+        """Order an engine to stop a run that resumes from its copy then.
+
+        :param transfer: transfers of the run from that engine
+        :param source: the engine
+        :param copy: engine with the copy
+        """
+        transfer.is_departing = True
+        transfer.has_usable_copy = True
+        self._transferred = self.order_stop(transfer, source, copy)
+
+    async def ensure_stopped(
+        self, transfer: RunTransfer, source: Endpoint, copy: Endpoint
+    ) -> None:
+        """Stop the run on an engine that did not close its connection itself.
+
+        Such an engine may work on, although this node closed the connection.
+
+        :param transfer: transfers of the run from that engine
+        :param source: the engine
+        :param copy: engine with the copy from which the run resumes
+        """
+        if transfer.result is None:
+            self._transferred = self.order_stop(transfer, source, copy)
+            await asyncio.wait((self._transferred,), timeout=STOP_WAIT_S)
+
+    async def take_transferred(self) -> RunLocation | None:
+        """Return where a stopped run can resume if its copy was unusable."""
+        order = self._transferred
+        self._transferred = None
+        if order is None:
+            return None
+        outcome = await asyncio.shield(order)
+        return outcome.location
+
+    def release(self) -> None:
+        """Free what was transferred, since the run does not need it."""
+        if self._transferred is not None:
+            self._stopper.release(self._transferred)
+        self._transferred = None
+
+
+def stop_outcome(
+    answer: MoveResponse, source: Endpoint, destination: Endpoint
+) -> StopOutcome:
+    """Return where a run can continue, given the answer to a final move.
+
+    :param answer: answer of the engine that ran it
+    :param source: that engine
+    :param destination: engine to which the run was to be transferred
+    """
+    if not answer.handle:
+        return StopOutcome(had_ended=answer.status == _NOT_FOUND)
+    # If the destination has no room, the run resumes on the source.
+    was_moved = answer.status == _OK
+    return StopOutcome(
+        location=RunLocation(
+            endpoint=destination if was_moved else source,
+            address=source.address,
+            handle=answer.handle,
+        )
+    )
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -39,14 +39,17 @@
     :param destination: engine that receives the run or its standby copy
     :param standby: complete standby copy, if there is one
     :param is_departing: whether the run is being transferred off its engine
-    :param result: resolves once the last part is transferred, or that has
-        failed; set when the engine is ordered to stop the run
+    :param result: order to the engine to stop the run, which ends once the
+        last part is transferred, or that has failed; set when it is sent
+    :param has_usable_copy: whether the run need not wait for that part, since
+        it continues from a copy that exists already
     """
 
     destination: Endpoint | None = None
     standby: RunLocation | None = None
     is_departing: bool = False
-    result: 'asyncio.Future[StopOutcome] | None' = None
+    result: 'asyncio.Task[StopOutcome] | None' = None
+    has_usable_copy: bool = False
 
     @property
     def is_moving(self) -> bool:
@@ -57,9 +60,16 @@
         """Return whether the run may have stopped on this node's order."""
         if self.result is None:
             return False
-        outcome = await self.result
+        outcome = await asyncio.shield(self.result)
         return not outcome.had_ended
 
+    async def moved_to(self) -> RunLocation | None:
+        """Return where the transfer has taken the run, if anywhere."""
+        if self.result is None or self.has_usable_copy:
+            return None
+        outcome = await asyncio.shield(self.result)
+        return outcome.location
+
     @property
     def has_idle_standby(self) -> bool:
         """Whether there is a standby copy and no transfer in progress."""
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -36,11 +36,8 @@
 )
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
-from mastichatch_node.relay.run_transfer import (
-    RunLocation,
-    RunTransfer,
-    StopOutcome,
-)
+from mastichatch_node.relay.run_transfer import RunLocation, RunTransfer
+from mastichatch_node.relay.run_stopping import Handover
 from mastichatch_node.relay.turns import piece_cost_bytes
 from mastichatch_node.relay.engine_placement import (
     EnginePlacement,
@@ -106,6 +103,7 @@
         self._head_at: float | None = None
         self._is_withdrawn = False
         self._transfer = RunTransfer()
+        self._handover = Handover(context.stopper, job.request_id)
 
     @property
     def job(self) -> Job:
@@ -194,18 +192,26 @@
             suspects=_untried_suspects(self._source, self._order),
         )
 
-    def begin_move(self) -> 'asyncio.Future[StopOutcome]':
-        """Begin the final transfer of a migration, and return its future."""
-        result: asyncio.Future[StopOutcome] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._transfer.result = result
-        return result
+    async def move_to(self, destination: Endpoint) -> None:
+        """Stop the run, and transfer the last part of it to another engine.
 
-    def switch_to_copy(self) -> None:
-        """Close the connection, so that the run resumes from its copy."""
-        if self._connection is not None:
-            self._connection.close()
+        :param destination: engine that has a copy of the rest
+        """
+        if self.endpoint is not None:
+            order = self._handover.order_stop(
+                self._transfer, self.endpoint, destination
+            )
+            await asyncio.shield(order)
+
+    def switch_to(self, copy: Endpoint) -> None:
+        """Stop the run, so that it resumes from the copy that it has.
+
+        The run resumes as soon as the engine has closed its stream.
+
+        :param copy: engine with the copy
+        """
+        if self.endpoint is not None:
+            self._handover.switch(self._transfer, self.endpoint, copy)
 
     async def relay(self) -> None:
         """Relay the generation until it ends.
@@ -219,6 +225,7 @@
                 error, self.run.output_tokens, may_have_run=self._may_have_run
             ) from error
         finally:
+            self._handover.release()
             _record_end(self._context, self.run, self._pause)
 
     async def _relay(self) -> None:
@@ -242,11 +249,7 @@
         self, result: AttemptResult, source: AttemptSource
     ) -> AttemptSource | None:
         """Return the source of the next attempt, or ``None`` to give up."""
-        result_of_move = self._transfer.result
-        outcome = (
-            StopOutcome() if result_of_move is None else await result_of_move
-        )
-        moved = outcome.location
+        moved = await self._transfer.moved_to()
         if moved is not None:
             return _resume_at(moved, self.last_event)
         nothing_ran = result.fate in {
@@ -262,23 +265,24 @@
             return AttemptSource(
                 placement=await self._placer.place(self._job, self._excluded)
             )
+        if self._is_withdrawn:
+            return None
         may_resume = _resumption_check(
             self._context, self._placer, self._job, self._order
         )
-        standby = None if self._is_withdrawn else self._transfer.standby
-        if standby is not None and may_resume(standby.endpoint):
-            return _resume_at(standby, self.last_event)
-        copy = None if self._is_withdrawn else source.placement.copy
-        if copy is None or not may_resume(copy):
-            return None
-        return AttemptSource(
-            placement=EnginePlacement(endpoint=copy, copy=None),
-            resumption=Resumption(
-                address=copy.address,
-                handle=self._job.request_id,
-                last_event=self.last_event,
-            ),
+        location = _usable_copy(
+            source, self._transfer.standby, self._job.request_id, may_resume
         )
+        if location is None:
+            location = await self._handover.take_transferred()
+        if location is None:
+            return None
+        has_run = result.fate is AttemptOutcome.unknown
+        if has_run and not result.is_closed_by_peer:
+            await self._handover.ensure_stopped(
+                self._transfer, source.placement.endpoint, location.endpoint
+            )
+        return _resume_at(location, self.last_event)
 
     async def _attempt(self, source: AttemptSource) -> AttemptResult:
         """Run or resume the generation on one engine."""
@@ -347,6 +351,7 @@
             head = await read_answer_head(context, self._job, connection)
             self._head_at = loop_time()
             if head.status == _OK:
+                self._handover.release()
                 await self._forward_events(connection, head)
                 return AttemptResult(fate=AttemptOutcome.answered, head=head)
             body = await connection.read_body(ANSWER_LIMIT_BYTES)
@@ -438,6 +443,21 @@
     return may_resume
 
 
+def _usable_copy(
+    source: AttemptSource,
+    standby: RunLocation | None,
+    request_id: str,
+    may_resume: Callable[[Endpoint], bool],
+) -> RunLocation | None:
+    """Return the copy from which a run may resume, if there is one."""
+    if standby is not None and may_resume(standby.endpoint):
+        return standby
+    copy = source.placement.copy
+    if copy is None or not may_resume(copy):
+        return None
+    return RunLocation(endpoint=copy, address=copy.address, handle=request_id)
+
+
 def _untried_suspects(
     source: AttemptSource | None, order: EventOrder
 ) -> tuple[str, ...]:
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -262,16 +262,12 @@
         self._events.labels(event).inc()
         logging.info(event, extra=inputs)
 
-
-async def watch_event_loop(telemetry: Telemetry) -> None:
-    """Measure how late the event loop runs timers, until cancelled.
-
-    :param telemetry: records the delays
-    """
-    while True:
-        due_at = loop_time() + LAG_PROBE_INTERVAL_S
-        processor_s = time.process_time()
-        await asyncio.sleep(LAG_PROBE_INTERVAL_S)
-        telemetry.observe_loop_lag(
-            max(0, loop_time() - due_at), time.process_time() - processor_s
-        )
+    async def watch_event_loop(self) -> None:
+        """Measure how late the event loop runs timers, until cancelled."""
+        while True:
+            due_at = loop_time() + LAG_PROBE_INTERVAL_S
+            processor_s = time.process_time()
+            await asyncio.sleep(LAG_PROBE_INTERVAL_S)
+            self.observe_loop_lag(
+                max(0, loop_time() - due_at), time.process_time() - processor_s
+            )
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
 
 import h11
 
@@ -48,7 +49,10 @@
     ``received`` lists the received requests, ``ran`` the ids of those that were
     executed at least in part, and ``cancelled`` the ids of those whose
     connection closed during execution. ``freed`` lists the handles of copies
-    that were freed.
+    that were freed. Unless ``drops_closed``, a run goes on after its connection
+    has closed; ``working`` holds the ids of those in progress. The first
+    ``stop_conflicts`` orders to stop are refused, and so are resumptions from
+    ``lost_handles``.
     """
 
     instance: str
@@ -61,6 +65,10 @@
     moves: list[dict[str, object]] = dataclasses.field(default_factory=list)
     move_status: int = 200
     stop_status: int = 200
+    stop_conflicts: int = 0
+    drops_closed: bool = True
+    lost_handles: set[str] = dataclasses.field(default_factory=set)
+    working: set[str] = dataclasses.field(default_factory=set)
     stopped: set[str] = dataclasses.field(default_factory=set)
     freed: list[str] = dataclasses.field(default_factory=list)
     leaves_ms: int | None = None
@@ -158,11 +166,29 @@
             headers = f'Mastichatch-Instance-Id: {self.instance}\r\n'
             writer.write(build_response(421, b'', headers))
             return
+        handle = request.headers.get('kv-from', '').rpartition('/')[2]
+        if handle in self.lost_handles:
+            await refuse(self, request, writer)
+            return
+        self.stopped.discard(request.request_id)
+        self.working.add(request.request_id)
+        try:
+            await self._work(request, reader, writer)
+        finally:
+            self.working.discard(request.request_id)
+
+    async def _work(
+        self,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         response = asyncio.ensure_future(self.script(self, request, writer))
         disconnect = asyncio.ensure_future(reader.read(1))
-        await asyncio.wait(
-            (response, disconnect), return_when=asyncio.FIRST_COMPLETED
-        )
+        ends: set[asyncio.Future[Any]] = {response}
+        if self.drops_closed:
+            ends.add(disconnect)
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         if not response.done():
             self.cancelled.append(request.request_id)
             response.cancel()
@@ -176,7 +202,10 @@
         self.moves.append(body)
         answer = {'kv_handle': f'h-{body["id"]}', 'created': 0}
         status = self.stop_status if body['final'] else self.move_status
-        if status == 404:
+        if body['final'] and self.stop_conflicts:
+            self.stop_conflicts -= 1
+            status = 409
+        if status not in {200, 503}:
             answer = {}
         elif body['final']:
             self.stopped.add(body['id'])
@@ -337,6 +366,33 @@
     return write
 
 
+def stall_after(count: int) -> Script:
+    """Return a script that sends some events, and then works on in silence.
+
+    It ends once a final move has stopped the run.
+    """
+
+    async def write(
+        endpoint: HouseEndpoint,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        endpoint.ran.append(request.request_id)
+        head = (
+            'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+            f'{signature_headers(request)}Transfer-Encoding: chunked\r\n\r\n'
+        )
+        writer.write(head.encode())
+        for number in range(1, count + 1):
+            event = b'id: %d\ndata: x\n\n' % number
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+        while request.request_id not in endpoint.stopped:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+
+    return write
+
+
 def crash_on_part(
     part: str, otherwise: Script, *, writes_head: bool = True
 ) -> Script:
--- a/tests/test_relay_endless.py
+++ b/tests/test_relay_endless.py
@@ -24,7 +24,6 @@
     LAG_LOG_LIMIT_S,
     LAG_PROBE_INTERVAL_S,
     Telemetry,
-    watch_event_loop,
 )
 from mastichatch_node.relay.turns import MAX_STEPS_PER_TURN
 from tests.relay_nodes import (
@@ -253,7 +252,7 @@
 class TestLag:
     async def test_held_event_loop_is_logged_and_measured(self) -> None:
         telemetry = Telemetry()
-        watching = asyncio.ensure_future(watch_event_loop(telemetry))
+        watching = asyncio.ensure_future(telemetry.watch_event_loop())
         await asyncio.sleep(0)
         time.sleep(LAG_PROBE_INTERVAL_S + LAG_LOG_LIMIT_S)  # noqa: ASYNC251
         await asyncio.sleep(0.01)
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -14,6 +14,7 @@
     Response,
     configuration,
     open_relay,
+    route,
     until,
 )
 from tests.standins import house_endpoints as endpoints
@@ -26,7 +27,9 @@
 
 def document(*, backups: bool) -> dict[str, Any]:
     """Return a configuration with or without backups of runs."""
-    found = configuration()
+    # A stream counts as stalled after two seconds.
+    plan = route('plan', 'streaming', 'llm', goal_ms=300, gap_aim_ms=100)
+    found = configuration(routes=[plan])
     found['services'][1]['engine']['backups'] = backups
     return found
 
@@ -148,3 +151,88 @@
     async with server:
         host, port = server.sockets[0].getsockname()
         yield f'{host}:{port}'
+
+
+class TestEngineThatWorksOn:
+    """Guards against runs that two engines generate at the same time.
+
+    Some engines do not drop a run when its connection closes.
+    """
+
+    async def test_it_is_stopped_before_the_run_resumes_from_its_backup(
+        self,
+    ) -> None:
+        first = engine('i-e')
+        first.drops_closed = False
+        second = engine('i-f')
+        async with open_plan(first, second) as (relay, work):
+            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await drain(relay, first)
+            await until(lambda: bool(second.received))
+            assert not first.working
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        assert second.received[0].headers['kv-from'] == f'{second.address}/r1'
+        # The memory that the order to stop has transferred is not needed.
+        assert first.freed == ['h-r1']
+
+    async def test_it_is_stopped_after_a_stall(self) -> None:
+        first = HouseEndpoint(
+            instance='i-e',
+            script=endpoints.stall_after(5),
+            drops_closed=False,
+        )
+        second = engine('i-f')
+        async with open_plan(first, second) as (_relay, work):
+            await until(lambda: bool(second.received))
+            assert first.working <= first.stopped
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    async def test_order_is_repeated_while_another_transfer_holds_it_up(
+        self,
+    ) -> None:
+        first = engine('i-e')
+        first.stop_conflicts = 3
+        second = engine('i-f')
+        async with open_plan(first, second) as (relay, work):
+            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await drain(relay, first)
+            answer = await work
+        assert len(first.moves) == 4
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    async def test_run_stays_where_it_is_without_an_answer_to_the_order(
+        self,
+    ) -> None:
+        first = engine('i-e')
+        first.stop_status = 500
+        second = engine('i-f')
+        async with open_plan(first, second) as (relay, work):
+            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await drain(relay, first)
+            answer = await work
+        assert not second.received
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    @pytest.mark.parametrize('status', [200, 503])
+    async def test_run_resumes_from_the_stopped_engine_if_its_backup_is_gone(
+        self, status: int
+    ) -> None:
+        """Each step that fails leaves the run a place to go on."""
+        first = engine('i-e')
+        first.stop_status = status
+        second = engine('i-f')
+        second.lost_handles.add('r1')
+        async with open_plan(first, second) as (relay, work):
+            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await drain(relay, first)
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        last = (second if status == 200 else first).received[-1]
+        assert last.headers['kv-from'] == f'{first.address}/h-r1'
