Keep all state on endpoints by their start, not by their id alone

Cause: crashes, copies and statistics were kept by the registered id, which a later start may have again.

Fix: Endpoint.instance names one start (id and time of the start), made where the entry is decoded; requests carry the registered id as before. The test of the decoding asked for the id as the instance; it asks for both now.

--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -179,7 +179,8 @@
 class Endpoint:
     """One running endpoint, as it registers itself.
 
-    :param instance: instance id, which changes with each start
+    :param instance: id of one start of the endpoint, by which all state on it
+        is kept: nothing known of one start holds for the next
     :param service: name of its service
     :param address: IP address and port
     :param data_centre: data centre of the endpoint
@@ -189,6 +190,8 @@
         milliseconds
     :param started_ms: Unix time of the start, in milliseconds; zero if unknown
     :param version: version of its software; empty if unknown
+    :param registered_id: id under which it registers, and which a later start
+        may have again
     """
 
     instance: str
@@ -200,6 +203,7 @@
     cold_ms: float = 0
     started_ms: int = 0
     version: str = ''
+    registered_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -47,13 +47,6 @@
     evacuation_prefix: str
     on_malformed: Callable[[str, str], None]
 
-    def instance(self, key: str) -> str:
-        """Return the instance id in the key of an endpoint's entry.
-
-        :param key: key of the entry
-        """
-        return key.removeprefix(self.endpoint_prefix)
-
 
 class StoreCache:
     """A node's cached copy of the store's entries."""
@@ -70,6 +63,7 @@
         self._verified_at: float | None = None
         self._configuration: Configuration | None = None
         self._endpoints: dict[str, Endpoint] = {}
+        self._instances: dict[str, str] = {}
         self._expiring: dict[str, float] = {}
         self._lost_contact = False
         self._restored_at: float | None = None
@@ -116,7 +110,7 @@
         for key, until in tuple(self._expiring.items()):
             if now >= until:
                 self._expiring.pop(key)
-                self._endpoints.pop(self._decoders.instance(key), None)
+                _remove_endpoint(self._endpoints, self._instances, key)
         return self._endpoints
 
     def mark_draining(self, instance: str) -> bool:
@@ -247,8 +241,10 @@
                 self._replace_configuration(decoders.configuration(content))
             elif key.startswith(decoders.endpoint_prefix):
                 self._expiring.pop(key, None)
-                self._endpoints.pop(self._decoders.instance(key), None)
+                # An earlier start under the same id has ended.
+                _remove_endpoint(self._endpoints, self._instances, key)
                 endpoint = decoders.endpoint(key, content)
+                self._instances[key] = endpoint.instance
                 self._endpoints[endpoint.instance] = endpoint
         except MalformedError as error:
             decoders.on_malformed(key, str(error))
@@ -261,13 +257,12 @@
     def _remove(self, key: str, now: float) -> None:
         if not key.startswith(self._decoders.endpoint_prefix):
             return
-        instance = self._decoders.instance(key)
-        endpoint = self._endpoints.get(instance)
+        endpoint = self._endpoints.get(self._instances.get(key, ''))
         is_inactive = (
             endpoint is None or endpoint.state is EndpointState.draining
         )
         if is_inactive or not self._may_have_expired(now):
-            self._endpoints.pop(instance, None)
+            _remove_endpoint(self._endpoints, self._instances, key)
             return
         # The endpoint may still exist and write its entry again.
         self._expiring[key] = (self._restored_at or now) + EXPIRY_GRACE_S
@@ -279,6 +274,13 @@
         return restored_at is not None and now - restored_at < EXPIRY_GRACE_S
 
 
+def _remove_endpoint(
+    endpoints: dict[str, Endpoint], instances: dict[str, str], key: str
+) -> None:
+    """Remove the endpoint that an entry defined."""
+    endpoints.pop(instances.pop(key, ''), None)
+
+
 def _drop_oldest(deleted: dict[str, int]) -> None:
     while len(deleted) > DELETION_LIMIT:
         deleted.pop(next(iter(deleted)))
--- a/tests/relay_nodes.py
+++ b/tests/relay_nodes.py
@@ -10,6 +10,7 @@
 import h11
 from mastichatch_platform.__main__ import create_adapter
 
+from mastichatch_core.relay.model import Endpoint
 from mastichatch_node.relay.program import RelayNode, open_node
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.telemetry import Telemetry
@@ -139,6 +140,12 @@
     )
 
 
+def known_endpoints(node: RelayNode) -> dict[str, Endpoint]:
+    """Return the endpoints that a node knows, by the id that they register."""
+    known = node.belief.endpoints(0).values()
+    return {one.registered_id: one for one in known}
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds.
 
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -74,6 +74,7 @@
     leaves_ms: int | None = None
     reports: int = 0
     version: str = 'v1'
+    born: int = 1_700_000_000_000
     crashes: int = 0
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
@@ -96,10 +97,16 @@
         for writer in tuple(self.writers):
             writer.close()
 
-    async def restart(self) -> None:
-        """Listen at the same address again, as a new instance."""
-        stem, _, _ = self.instance.partition('+')
-        self.instance = f'{stem}+{self.crashes}'
+    async def restart(self, *, keeps_id: bool = False) -> None:
+        """Listen at the same address again, as a new start of the process.
+
+        It mostly has a new id, and knows nothing of before.
+        """
+        self.born += 1
+        self.stopped.clear()
+        if not keeps_id:
+            stem, _, _ = self.instance.partition('+')
+            self.instance = f'{stem}+{self.crashes}'
         await self.open(int(self.address.rpartition(':')[2]))
 
     def entry(
@@ -115,7 +122,7 @@
             'state': state,
             'cold_left_ms': 0,
             'sequence': 1,
-            'born': 1_700_000_000_000,
+            'born': self.born,
         }
 
     async def accept(
--- a/tests/test_house_platform.py
+++ b/tests/test_house_platform.py
@@ -129,10 +129,22 @@
             b'"state":"draining","slots":6,"cold_left_ms":9,"born":77,'
             b'"something":"new"}',
         )
-        assert decoded.instance == 'i-1'
+        assert decoded.registered_id == 'i-1'
+        assert decoded.instance == 'i-1@77'
         assert decoded.data_centre == 'z'
         assert (decoded.cold_ms, decoded.started_ms) == (9, 77)
 
+    @pytest.mark.parametrize('born', [b'0', b'-5', b'1' + b'0' * 400])
+    def test_endpoint_without_a_valid_start_is_known_by_its_id(
+        self, born: bytes
+    ) -> None:
+        decoded = decode_endpoint(
+            'servers/i-1',
+            b'{"service":"app","address":"10.0.0.1:80","zone":"z",'
+            b'"state":"ready","born":%b}' % born,
+        )
+        assert decoded.instance == decoded.registered_id == 'i-1'
+
 
 class TestHeaders:
     def test_request_headers_are_decoded(self) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,6 +11,7 @@
 from mastichatch_node.relay.program import DRAIN_NOTICE_S, open_node
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.relay_nodes import (
+    known_endpoints,
     WAIT_S,
     Response,
     RelayFixture,
@@ -341,7 +342,7 @@
                 await relay.store.put(f'servers/i-{number}', content)
             await until(lambda: _revision(relay) == relay.store.revision)
             assert (await relay.call('/book/x')).status == 200
-            assert tuple(relay.node.belief.endpoints(0)) == ('i-a',)
+            assert tuple(known_endpoints(relay.node)) == ('i-a',)
 
     async def test_compacted_history_causes_a_new_listing(self) -> None:
         one, two = app('i-a'), app('i-b')
@@ -352,7 +353,7 @@
                 await relay.store.remove('servers/i-a')
                 relay.store.events.clear()
                 await until(
-                    lambda: tuple(relay.node.belief.endpoints(0)) == ('i-b',)
+                    lambda: tuple(known_endpoints(relay.node)) == ('i-b',)
                 )
 
     async def test_keys_are_refused_once_the_view_is_too_old(self) -> None:
--- a/tests/test_relay_avoidance.py
+++ b/tests/test_relay_avoidance.py
@@ -18,6 +18,7 @@
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.processes import free_address
 from tests.relay_nodes import (
+    known_endpoints,
     RelayFixture,
     call,
     create_settings,
@@ -124,8 +125,7 @@
             await relay.store.put('servers/i-e', crashed)
             await until(
                 lambda: (
-                    node.belief.endpoints(0)['i-e'].address
-                    == crashed['address']
+                    known_endpoints(node)['i-e'].address == crashed['address']
                 )
             )
             for number in range(10):
--- a/tests/test_relay_belief.py
+++ b/tests/test_relay_belief.py
@@ -69,6 +69,21 @@
         cache.apply_listing(StoreView(revision=9, entries=()), 1, 1)
         assert tuple(cache.endpoints(1)) == ('i',)
 
+    def test_new_start_under_the_same_id_replaces_the_earlier_one(
+        self,
+    ) -> None:
+        cache = filled_cache(
+            entry('servers/i', 5, server('draining') | {'born': 10}),
+            entry('servers/i', 6, server() | {'born': 20}),
+        )
+        found = cache.endpoints(1)
+        assert [one.registered_id for one in found.values()] == ['i']
+        assert [one.started_ms for one in found.values()] == [20]
+        cache.apply(
+            StoreView(revision=7, entries=(entry('servers/i', 7),)), 1, 1
+        )
+        assert not cache.endpoints(1)
+
     def test_configuration_never_goes_back(self) -> None:
         cache = filled_cache(entry('op/config', 5, configuration(version=4)))
         older = entry('op/config', 8, configuration(version=3))
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -10,6 +10,7 @@
 from mastichatch_node.relay.http_client import ExchangeError, connect
 from mastichatch_node.relay.run_migration import COPY_COMPLETE_EVENTS
 from tests.relay_nodes import (
+    known_endpoints,
     RelayFixture,
     Response,
     configuration,
@@ -60,7 +61,7 @@
         )
         await until(
             lambda: (
-                relay.node.belief.endpoints(0)[second.instance].data_centre
+                known_endpoints(relay.node)[second.instance].data_centre
                 == 'south'
             )
         )
@@ -236,3 +237,27 @@
         assert answer.is_whole
         last = (second if status == 200 else first).received[-1]
         assert last.headers['kv-from'] == f'{first.address}/h-r1'
+
+
+class TestEngineThatStartsAgainUnderItsId:
+    """Guards against copies that are used although their engine lost them."""
+
+    async def test_its_backups_are_given_up(self) -> None:
+        first, second = engine('i-e'), engine('i-f')
+        async with open_plan(first, second) as (relay, work):
+            second.crash()
+            second.lost_handles.add('r1')
+            await second.restart(keeps_id=True)
+            await relay.store.put('servers/i-f', second.entry('llm', 'south'))
+            started = second.born
+            await until(
+                lambda: known_endpoints(relay.node)['i-f'].started_ms == started
+            )
+            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await drain(relay, first)
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        # The run is moved, and nothing is asked of the lost copy.
+        sources = [one.headers['kv-from'] for one in second.received]
+        assert sources == [f'{first.address}/h-r1']
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -58,8 +58,11 @@
         relay: RelayFixture,
         second: tuple[str, RelayNode],
         engines: tuple[HouseEndpoint, ...],
+        *,
+        keep_ids: bool = False,
     ) -> None:
         """Start with both nodes."""
+        self._keep_ids = keep_ids
         self.relay = relay
         self.second_node = second[1]
         self.engines = engines
@@ -90,16 +93,16 @@
 
     async def restart_crashed(self) -> None:
         """Start engines that crashed again, until cancelled."""
-        seen = {engine.instance: 0 for engine in self.engines}
+        seen = [0 for _ in self.engines]
         while True:
             await asyncio.sleep(RESTART_S)
             for number, engine in enumerate(self.engines):
-                name = engine.instance
-                if engine.crashes == seen.get(name, 0):
+                if engine.crashes == seen[number]:
                     continue
-                await self.relay.store.remove(f'servers/{name}')
-                await engine.restart()
-                seen[engine.instance] = engine.crashes
+                if not self._keep_ids:
+                    await self.relay.store.remove(f'servers/{engine.instance}')
+                await engine.restart(keeps_id=self._keep_ids)
+                seen[number] = engine.crashes
                 await self.relay.store.put(
                     f'servers/{engine.instance}',
                     engine.entry('llm', 'north' if number % 2 else 'south'),
@@ -108,7 +111,7 @@
 
 @contextlib.asynccontextmanager
 async def open_fleet(
-    script: endpoints.Script, engine_count: int = 4
+    script: endpoints.Script, engine_count: int = 4, *, keep_ids: bool = False
 ) -> AsyncIterator[Fleet]:
     """Run two nodes in different data centres before the same engines."""
     engines = tuple(
@@ -121,7 +124,12 @@
         async with open_node(settings, create_adapter(), Telemetry()) as second:
             await until(lambda: second.is_ready)
             await _until_acquainted(relay, second)
-            fleet = Fleet(relay, (settings.callers_address, second), engines)
+            fleet = Fleet(
+                relay,
+                (settings.callers_address, second),
+                engines,
+                keep_ids=keep_ids,
+            )
             restarting = asyncio.ensure_future(fleet.restart_crashed())
             try:
                 yield fleet
@@ -157,6 +165,33 @@
             assert sound.is_whole
 
 
+class TestEnginesThatKeepTheirIds:
+    """Guards against evidence that is kept by the id of an engine alone.
+
+    Two engines that come back under their ids were taken for two crashes,
+    however often they crashed, and each new request became a trial.
+    """
+
+    async def test_requests_with_the_part_stop_reaching_two_engines(
+        self,
+    ) -> None:
+        script = endpoints.crash_on_part(DEADLY, endpoints.stream(5))
+        async with open_fleet(script, 2, keep_ids=True) as fleet:
+            for number in range(4):
+                sound = await fleet.plan(SHARED, node=number % 2)
+                assert sound.is_whole
+            for number in range(16):
+                # No two requests with the part are alike.
+                await fleet.plan(DEADLY, f'caller-{number}', node=number % 2)
+                await fleet.plan(SHARED, node=number % 2)
+                await asyncio.sleep(RESTART_S * 1.5)
+            assert fleet.arrivals(DEADLY) <= (
+                CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
+            )
+            sound = await fleet.plan(SHARED)
+            assert sound.is_whole
+
+
 class TestRefusal:
     async def test_it_says_when_to_come_back_and_that_nothing_ran(self) -> None:
         script = endpoints.crash_on_part(DEADLY, endpoints.stream(5))
