Count every error of an exchange against the endpoint that it came from

Cause: connecting raised an OverflowError, which is no OSError. It ended the caller's connection, and was not counted: a server that fails at once looks idle and draws nearly all calls. Any unforeseen error had that effect; an event with a number of more than 4,300 digits is another case.

Errors of the caller's side stay as they were. A request of which nothing was sent goes on elsewhere.

--- a/packages/core/mastichatch_core/relay/events.py
+++ b/packages/core/mastichatch_core/relay/events.py
@@ -16,6 +16,8 @@
 _END: Final = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
 # Length of the longest blank line, and of the line ending before it.
 _END_BYTES: Final = 4
+# Longest number of an event: a longer one is no number.
+_MAX_NUMBER_DIGITS: Final = 18
 _ID: Final = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
 
 
@@ -170,6 +172,7 @@
     :returns: the number; ``None`` if the field is missing or not a number
     """
     found = _ID.search(event)
-    if found is None or not found.group(1).strip().isdigit():
+    digits = b'' if found is None else found.group(1).strip()
+    if not digits.isdigit() or len(digits) > _MAX_NUMBER_DIGITS:
         return None
-    return int(found.group(1))
+    return int(digits)
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -1,9 +1,13 @@
 """Builds an attempt of a request at an endpoint, and records its result."""
 
+import contextlib
 import dataclasses
+from collections.abc import Iterator
 from enum import StrEnum
 from typing import Final
 
+from absl import logging
+
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
@@ -110,6 +114,37 @@
     )
 
 
+@contextlib.contextmanager
+def unforeseen_as_failures(
+    job: Job, endpoint: Endpoint, *, was_sent: bool
+) -> Iterator[None]:
+    """Let unforeseen errors count as failures of an endpoint.
+
+    An endpoint whose attempts end in errors that are not counted looks idle,
+    and draws ever more requests.
+
+    :param job: the request
+    :param endpoint: endpoint with which data is exchanged in the block
+    :param was_sent: whether any byte of the request may have been sent
+    """
+    try:
+        yield
+    except (ExchangeError, TimeoutError):
+        raise
+    except Exception as error:
+        logging.exception(
+            'unforeseen error in an exchange with an endpoint',
+            extra={
+                'request_id': job.request_id,
+                'endpoint': endpoint.instance,
+                'reason': repr(error),
+            },
+        )
+        raise ExchangeError(
+            f'unforeseen error: {error!r}', was_sent=was_sent
+        ) from error
+
+
 async def read_answer_head(
     context: RelayContext, job: Job, connection: Connection
 ) -> ResponseHead:
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -353,7 +353,9 @@
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await _open_streams(host, int(port))
-    except (OSError, ValueError) as error:
+    except Exception as error:
+        # The address comes from another process, and errors of other kinds
+        # than ``OSError`` are possible, such as for a port out of range.
         reason = f'no connection to {address}: {error!r}'
         raise ExchangeError(
             reason,
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -20,9 +20,14 @@
     record_result,
     build_outgoing,
     read_answer_head,
+    unforeseen_as_failures,
 )
 from mastichatch_node.relay.engine_placement import quarantine_error
-from mastichatch_node.relay.http_client import ExchangeError, pooled_connection
+from mastichatch_node.relay.http_client import (
+    Connection,
+    ExchangeError,
+    pooled_connection,
+)
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
 
@@ -135,24 +140,20 @@
     try:
         with _counted_as_running(context, endpoint):
             async with asyncio.timeout(left_s):
+                with unforeseen_as_failures(job, endpoint, was_sent=False):
+                    outgoing = build_outgoing(context, job, endpoint)
                 async with pooled_connection(
                     context.pool, endpoint.address, IDLE_LIMIT_S
                 ) as connection:
                     sent = True
-                    await connection.send(
-                        build_outgoing(context, job, endpoint)
-                    )
-                    head = await read_answer_head(context, job, connection)
-                    body = await connection.read_body(RESPONSE_LIMIT_BYTES)
+                    with unforeseen_as_failures(job, endpoint, was_sent=True):
+                        await connection.send(outgoing)
+                        result = await _read_result(context, job, connection)
     except TimeoutError:
         outcome = AttemptOutcome.unknown if sent else AttemptOutcome.not_sent
         result = AttemptResult(fate=outcome, reason='no answer in time')
     except ExchangeError as error:
         result = result_of_error(error)
-    else:
-        refused = context.dialect.proves_not_run(head)
-        outcome = AttemptOutcome.refused if refused else AttemptOutcome.answered
-        result = AttemptResult(fate=outcome, head=head, body=body)
     record_result(context, endpoint, result, started_at)
     context.telemetry.log_decision(
         'call_attempted',
@@ -168,6 +169,17 @@
     return result
 
 
+async def _read_result(
+    context: RelayContext, job: Job, connection: Connection
+) -> AttemptResult:
+    """Read the complete answer to a call."""
+    head = await read_answer_head(context, job, connection)
+    body = await connection.read_body(RESPONSE_LIMIT_BYTES)
+    refused = context.dialect.proves_not_run(head)
+    outcome = AttemptOutcome.refused if refused else AttemptOutcome.answered
+    return AttemptResult(fate=outcome, head=head, body=body)
+
+
 @contextlib.contextmanager
 def _counted_as_running(
     context: RelayContext, endpoint: Endpoint
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -25,6 +25,7 @@
     record_result,
     build_outgoing,
     read_answer_head,
+    unforeseen_as_failures,
 )
 from mastichatch_node.relay.dialect import Resumption
 from mastichatch_node.relay.http_client import (
@@ -331,6 +332,16 @@
         context = self._context
         placement = source.placement
         copy_address = '' if placement.copy is None else placement.copy.address
+        with unforeseen_as_failures(
+            self._job, placement.endpoint, was_sent=False
+        ):
+            outgoing = build_outgoing(
+                context,
+                self._job,
+                placement.endpoint,
+                copy_address=copy_address,
+                resumption=source.resumption,
+            )
         # An idle connection may be dead, and a request sent on it would be
         # lost. A new connection costs only one round trip.
         async with pooled_connection(
@@ -339,16 +350,11 @@
             self._connection = connection
             if placement.copy is None:
                 connection.set_silence_timeout(STREAM_SILENCE_TIMEOUT_MS)
-            await connection.send(
-                build_outgoing(
-                    context,
-                    self._job,
-                    placement.endpoint,
-                    copy_address=copy_address,
-                    resumption=source.resumption,
-                )
-            )
-            head = await read_answer_head(context, self._job, connection)
+            with unforeseen_as_failures(
+                self._job, placement.endpoint, was_sent=True
+            ):
+                await connection.send(outgoing)
+                head = await read_answer_head(context, self._job, connection)
             self._head_at = loop_time()
             if head.status == _OK:
                 self._handover.release()
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -439,6 +439,19 @@
         yield
 
 
+@contextlib.asynccontextmanager
+async def open_server(
+    answer: Callable[
+        [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+    ],
+) -> AsyncIterator[str]:
+    """Serve connections on loopback, and provide the address."""
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        yield f'{host}:{port}'
+
+
 async def _read(
     protocol: h11.Connection, reader: asyncio.StreamReader, number: int
 ) -> ReceivedRequest | None:
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -148,10 +148,8 @@
         await reader.read()
         writer.close()
 
-    server = await asyncio.start_server(answer, '127.0.0.1', 0)
-    async with server:
-        host, port = server.sockets[0].getsockname()
-        yield f'{host}:{port}'
+    async with endpoints.open_server(answer) as address:
+        yield address
 
 
 class TestEngineThatWorksOn:
