--- a/tests/test_relay_odd_entries.py
+++ b/tests/test_relay_odd_entries.py
@@ -1,16 +1,21 @@
 """Tests of entries in the store, and answers, that another writer made."""
 
+import asyncio
+import base64
 import json
 from typing import Any
 
 import pytest
 from mastichatch_platform.documents import decode_endpoint
+from mastichatch_platform.store import StoreClient
 
 from mastichatch_core.relay.model import MalformedError
+from mastichatch_core.relay.store import StoreUnavailableError
 from mastichatch_node.relay import service_call, streaming
 from mastichatch_node.relay.http_client import (
     ExchangeError,
     connect,
+    open_pool,
 )
 from tests.relay_nodes import known_endpoints, open_relay, until
 from tests.standins import house_endpoints as endpoints
@@ -177,3 +182,55 @@
         async with open_relay((), (bad,)) as relay:
             answered = await relay.call('/plan/x', headers=TOKENS)
         assert answered.status in {200, 502}
+
+
+class TestStoreAnswers:
+    @pytest.mark.parametrize(
+        'page',
+        [
+            {'entries': ['x'], 'at': 5},
+            {'entries': [{'key': 'k', 'revision': 1e400, 'value': ''}]},
+            {'entries': [], 'at': 10**400},
+            {'entries': [{'key': 'k', 'revision': 10**30, 'value': ''}]},
+            {'entries': [{'key': 'k', 'revision': 1, 'value': 7}], 'at': 5},
+        ],
+        ids=range(5),
+    )
+    async def test_odd_answer_is_an_outage(self, page: dict[str, Any]) -> None:
+        async with _answering(page) as address:
+            with open_pool(0.5) as pool:
+                client = StoreClient(address, pool)
+                with pytest.raises(StoreUnavailableError):
+                    await client.read_range('')
+
+    async def test_page_that_is_repeated_without_end_is_an_outage(self) -> None:
+        row = {
+            'key': 'k',
+            'revision': 1,
+            'value': base64.b64encode(b'x').decode(),
+        }
+        page = {'entries': [row], 'at': 5, 'has_more': True}
+        async with _answering(page) as address:
+            with open_pool(0.5) as pool:
+                client = StoreClient(address, pool)
+                with pytest.raises(StoreUnavailableError):
+                    async with asyncio.timeout(5):
+                        await client.read_range('')
+
+
+def _answering(page: dict[str, Any]) -> Any:
+    """Serve a page of the store at an address."""
+    content = json.dumps(page).encode()
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while not reader.at_eof():
+            try:
+                await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                break
+            writer.write(build_response(200, content))
+        writer.close()
+
+    return endpoints.open_server(answer)
