Keep background tasks running after errors of odd entries

A background task that failed, such as the one that follows the store, ended for good with one line in the log. Malformed registrations of nodes and reports of crashes were logged again with each change of the store, and a report of a crash that is dated ahead never expired.

Evidence: TestBackgroundTasks, test_odd_entry_is_logged_once and two of test_crash_of_an_odd_age_ends failed before. Odd registrations of nodes held before and hold now.

Fix: background tasks start again after half a second, an entry that cannot be decoded for any reason is malformed and is logged once, and ages are not negative.

--- a/packages/core/mastichatch_core/relay/prompt_evidence.py
+++ b/packages/core/mastichatch_core/relay/prompt_evidence.py
@@ -149,7 +149,7 @@
         :param now: time in seconds
         :returns: whether it is news
         """
-        crashed_at = now - report.age_ms / MS_PER_S
+        crashed_at = now - max(0, report.age_ms) / MS_PER_S
         if now - crashed_at >= CRASH_LIFETIME_S:
             return False
         crash = self._crashes.get(report.instance)
--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -248,6 +248,9 @@
                 self._endpoints[endpoint.instance] = endpoint
         except MalformedError as error:
             decoders.on_malformed(key, str(error))
+        except Exception as error:
+            # Another writer may have made an entry of an unforeseen kind.
+            decoders.on_malformed(key, repr(error))
 
     def _replace_configuration(self, configuration: Configuration) -> None:
         current = self._configuration
--- a/packages/node/mastichatch_node/relay/crash_store.py
+++ b/packages/node/mastichatch_node/relay/crash_store.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from absl import logging
@@ -27,18 +27,24 @@
 PIN_PREFIX: Final = 'mastichatch/pins/'
 
 
-def read_evidence(tracker: CrashTracker, belief: StoreCache) -> None:
+def read_evidence(
+    tracker: CrashTracker,
+    belief: StoreCache,
+    log_malformed: Callable[[str, str], None],
+) -> None:
     """Record the evidence in the store, and the parts that are pinned there.
 
     :param tracker: records the evidence
     :param belief: local view of the store
+    :param log_malformed: called with the key and the fault of an entry that
+        cannot be decoded
     """
     stored = belief.entries_under(CRASH_PREFIX)
     tracker.record_reports(
         report
         for key, text in stored.items()
         if not tracker.evidence.knows(key.removeprefix(CRASH_PREFIX))
-        for report in _decode_report(text)
+        for report in _decode_report(key, text, log_malformed)
     )
     names = (
         tuple(key.removeprefix(PIN_PREFIX).split('/', 1))
@@ -81,9 +87,11 @@
     await store.put(key, codec.encode_json(report), lease)
 
 
-def _decode_report(content: bytes) -> Iterator[CrashReport]:
+def _decode_report(
+    key: str, content: bytes, log_malformed: Callable[[str, str], None]
+) -> Iterator[CrashReport]:
     """Yield a stored report; a malformed one is left out."""
     try:
         yield codec.decode_json(content, CrashReport)
     except codec.DecodeError as error:
-        logging.warning('malformed report of a crash: %s', error)
+        log_malformed(key, str(error))
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -76,8 +76,6 @@
 # Share of ``key_limit_ms`` up to which an outdated view of the API keys is
 # used.
 KEY_AGE_SHARE: Final = 0.9
-# Most log lines on malformed store entries that a process writes.
-MALFORMED_LOG_LIMIT: Final = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -353,7 +351,9 @@
         allowance = components.settings.retry_burst * RETRY_ALLOWANCE_SHARE
         context.retries.set_burst(allowance / nodes)
         context.records.keep_only(cache.endpoints(loop_time()))
-        crash_store.read_evidence(components.crashes, cache)
+        crash_store.read_evidence(
+            components.crashes, cache, components.adapter.decoders.on_malformed
+        )
         placer.reconcile()
         migrator.reconcile()
 
@@ -388,19 +388,19 @@
             ),
         )
         async with run_in_background(
-            follower.follow(),
-            follower.poll_other_nodes(),
-            keep_registered(
+            follower.follow,
+            follower.poll_other_nodes,
+            lambda: keep_registered(
                 store,
                 NODE_PREFIX + components.settings.name,
                 _create_node_record(components.settings, components.peers),
             ),
-            components.broadcaster.broadcast_periodically(),
-            departures.poll_periodically(),
-            _maintain_periodically(context.pool, placer, migrator),
-            StandbyCopier(context, placer, relay).review_periodically(),
-            crash_store.write_evidence(components.crashes, store),
-            components.telemetry.watch_event_loop(),
+            components.broadcaster.broadcast_periodically,
+            departures.poll_periodically,
+            lambda: _maintain_periodically(context.pool, placer, migrator),
+            StandbyCopier(context, placer, relay).review_periodically,
+            lambda: crash_store.write_evidence(components.crashes, store),
+            components.telemetry.watch_event_loop,
         ):
             yield
 
@@ -451,19 +451,3 @@
         pool.close_idle(IDLE_CONNECTION_LIMIT_S)
         placer.reconcile()
         migrator.reconcile()
-
-
-def create_malformed_logger() -> Callable[[str, str], None]:
-    """Return a function that logs malformed entries, each fault once."""
-    logged: set[tuple[str, str]] = set()
-
-    def log_malformed(key: str, fault: str) -> None:
-        if (key, fault) in logged or len(logged) >= MALFORMED_LOG_LIMIT:
-            return
-        logged.add((key, fault))
-        logging.warning(
-            'ignoring a malformed store entry',
-            extra={'key': key, 'reason': fault},
-        )
-
-    return log_malformed
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -41,7 +41,10 @@
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, Reply
-from mastichatch_node.relay.telemetry import Telemetry
+from mastichatch_node.relay.telemetry import (
+    Telemetry,
+    create_malformed_logger,
+)
 
 # Two long polls with their answers must fit into the time for which a revoked
 # key may still be accepted (5 s, by the users' requirements).
@@ -70,6 +73,9 @@
 # Three renewals fit into a lease, so two may be lost.
 LEASE_MS: Final = 6000
 RENEWAL_INTERVAL_S: Final = 2.0
+# Delay until a background task that failed is started again.
+RESTART_DELAY_S: Final = 0.5
+Worker = Callable[[], Awaitable[None]]
 NODE_PREFIX: Final = 'mastichatch/nodes/'
 
 
@@ -118,6 +124,7 @@
         self._own_name = own_name
         self._data_centre = data_centre
         self._link_mbps = link_mbps
+        self._log_malformed = create_malformed_logger()
         self._records: dict[str, NodeRecord] = {}
         self._known: dict[str, str] = {}
 
@@ -214,13 +221,22 @@
         :param belief: local view of the platform's store
         """
         entries = belief.entries_under(NODE_PREFIX)
-        records = (_decode_record(content) for content in entries.values())
+        records = (
+            self._decode(key, content) for key, content in entries.items()
+        )
         self._records = {
             record.name: record
             for record in records
             if record is not None and record.name != self._own_name
         }
 
+    def _decode(self, key: str, content: bytes) -> NodeRecord | None:
+        try:
+            return codec.decode_json(content, NodeRecord)
+        except codec.DecodeError as error:
+            self._log_malformed(key, str(error))
+            return None
+
 
 class StoreFollower:
     """Follows the store directly, or through a reader node that watches it."""
@@ -485,14 +501,6 @@
             )
 
 
-def _decode_record(content: bytes) -> NodeRecord | None:
-    try:
-        return codec.decode_json(content, NodeRecord)
-    except codec.DecodeError as error:
-        logging.warning('malformed registration of a node: %s', error)
-        return None
-
-
 async def keep_registered(store: Store, key: str, content: bytes) -> None:
     """Keep a key registered under a lease until cancelled.
 
@@ -529,22 +537,32 @@
         raise
 
 
-def _log_failure(task: 'asyncio.Future[None]') -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logging.error('a background task ended', exc_info=task.exception())
+async def _run_again_after_errors(worker: Worker) -> None:
+    """Run a background task, and start it again if it fails.
+
+    Its input comes from other processes, one of which may cause an error that
+    nobody has foreseen. That must not end the task for good.
+    """
+    while True:
+        try:
+            await worker()
+        except Exception:
+            logging.exception('a background task failed; starting it again')
+        await asyncio.sleep(RESTART_DELAY_S)
 
 
 @contextlib.asynccontextmanager
 async def run_in_background(
-    *coroutines: Awaitable[None],
+    *workers: Worker,
 ) -> AsyncIterator[None]:
-    """Run coroutines in the background until the end of the block.
+    """Run background tasks until the end of the block.
 
-    :param coroutines: coroutines that run until they are cancelled
+    :param workers: functions whose coroutines run until they are cancelled;
+        one that fails is started again
     """
-    tasks = [asyncio.ensure_future(one) for one in coroutines]
-    for started in tasks:
-        started.add_done_callback(_log_failure)
+    tasks = [
+        asyncio.ensure_future(_run_again_after_errors(one)) for one in workers
+    ]
     try:
         yield
     finally:
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -6,6 +6,7 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from typing import Final
 
 from absl import logging
@@ -34,6 +35,8 @@
 # of callers allow half a second.
 LAG_LOG_LIMIT_S: Final = 0.25
 LAG_PROBE_INTERVAL_S: Final = 0.25
+# Most log lines on malformed store entries that a process writes.
+MALFORMED_LOG_LIMIT: Final = 200
 LATENCY_BUCKETS_S: Final = (
     0.005,
     0.01,
@@ -271,3 +274,19 @@
             self.observe_loop_lag(
                 max(0, loop_time() - due_at), time.process_time() - processor_s
             )
+
+
+def create_malformed_logger() -> Callable[[str, str], None]:
+    """Return a function that logs malformed entries, each fault once."""
+    logged: set[tuple[str, str]] = set()
+
+    def log_malformed(key: str, fault: str) -> None:
+        if (key, fault) in logged or len(logged) >= MALFORMED_LOG_LIMIT:
+            return
+        logged.add((key, fault))
+        logging.warning(
+            'ignoring a malformed store entry',
+            extra={'key': key, 'reason': fault},
+        )
+
+    return log_malformed
--- a/tests/test_relay_odd_entries.py
+++ b/tests/test_relay_odd_entries.py
@@ -9,7 +9,12 @@
 from mastichatch_platform.documents import decode_endpoint
 from mastichatch_platform.store import StoreClient
 
+from mastichatch_core.generated.messages import CrashedRun, CrashReport
 from mastichatch_core.relay.model import MalformedError
+from mastichatch_core.relay.prompt_evidence import (
+    CRASH_LIFETIME_S,
+    PromptEvidence,
+)
 from mastichatch_core.relay.store import StoreUnavailableError
 from mastichatch_node.relay import service_call, streaming
 from mastichatch_node.relay.http_client import (
@@ -17,6 +22,7 @@
     connect,
     open_pool,
 )
+from mastichatch_node.relay.store_following import run_in_background
 from tests.relay_nodes import known_endpoints, open_relay, until
 from tests.standins import house_endpoints as endpoints
 from tests.standins.house_endpoints import HouseEndpoint, build_response
@@ -184,6 +190,77 @@
         assert answered.status in {200, 502}
 
 
+class TestOwnKinds:
+    """Guards against odd entries under the keys of this project."""
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'peer_address': '127.0.0.1:99999'},
+            {'peer_address': 'x\0y:1'},
+            {'peer_address': ''},
+            {'peer_address': 'x' * 5000},
+            {'link_mbps': 1e308},
+            {'link_mbps': -1},
+            {'data_centre': '\u2603' * 100},
+            {'incarnation': 'i' * 5000},
+        ],
+        ids=range(8),
+    )
+    async def test_odd_registration_of_a_node_stops_nothing(
+        self, fields: dict[str, Any]
+    ) -> None:
+        record = {
+            'name': 'odd',
+            'incarnation': 'x',
+            'data_centre': 'north',
+            'peer_address': '127.0.0.1:9',
+            'http_address': '127.0.0.1:9',
+            'link_mbps': 1,
+            'forwards_runs': True,
+        }
+        async with open_relay((), (engine('i-e'),)) as relay:
+            await relay.store.put('mastichatch/nodes/odd', record | fields)
+            await until(
+                lambda: bool(
+                    relay.node.belief.entries_under('mastichatch/nodes/odd')
+                )
+            )
+            answer = await relay.call('/plan/x', headers=TOKENS)
+            assert answer.status == 200
+            # The view is followed still.
+            await relay.store.put('servers/i-new', entry('none'))
+            await until(lambda: 'i-new' in known_endpoints(relay.node))
+            answer = await relay.call(
+                '/plan/x', headers=TOKENS, request_id='r2'
+            )
+            assert answer.status == 200
+
+    @pytest.mark.parametrize('age_ms', [-1e308, 1e308, -1])
+    def test_crash_of_an_odd_age_ends(self, age_ms: float) -> None:
+        evidence = PromptEvidence()
+        run = CrashedRun(request_id='r', parts=('a',), has_begun=True)
+        report = CrashReport(
+            instance='i', service='s', version='v', age_ms=age_ms, runs=(run,)
+        )
+        evidence.record_crash(report, 100)
+        assert not evidence.crashes(100 + CRASH_LIFETIME_S)
+
+    async def test_odd_entry_is_logged_once(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        async with open_relay() as relay:
+            for number in range(10):
+                await relay.store.put(f'mastichatch/nodes/n{number}', number)
+                await relay.store.put(f'mastichatch/crashes/n{number}', number)
+            for number in range(5):
+                name = f'i-new-{number}'
+                await relay.store.put(f'servers/{name}', entry('none'))
+                await until(lambda: name in known_endpoints(relay.node))
+        lines = [one for one in caplog.records if 'malformed' in one.message]
+        assert len(lines) <= 20
+
+
 class TestStoreAnswers:
     @pytest.mark.parametrize(
         'page',
@@ -218,6 +295,22 @@
                         await client.read_range('')
 
 
+class TestBackgroundTasks:
+    async def test_task_that_fails_is_started_again(self) -> None:
+        """One odd entry must not end what follows the store for good."""
+        starts = 0
+
+        async def fail_once() -> None:
+            nonlocal starts
+            starts += 1
+            if starts == 1:
+                raise ZeroDivisionError('unforeseen')
+            await asyncio.Event().wait()
+
+        async with run_in_background(fail_once):
+            await until(lambda: starts == 2)
+
+
 def _answering(page: dict[str, Any]) -> Any:
     """Serve a page of the store at an address."""
     content = json.dumps(page).encode()
