Count unforeseen errors inside a stream too, and log where a run was stopped

Events of a stream and answers that are no stream are read within the same guard as the head of an answer. The line run_stopped_and_copied names the last event again, which the order to stop had dropped, and orders in progress are cancelled on every way out of a node.

--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -267,13 +267,14 @@
             migrator = RunMigrator(context, placer, relay)
             _attach_evidence(components, placer, relay)
             node = RelayNode(settings, context, relay, components.orders)
-            async with _run_updates(
-                components, context, placer, migrator, relay
-            ):
-                async with _listen(settings, node):
-                    yield node
-            migrator.close()
-            context.stopper.close()
+            async with contextlib.AsyncExitStack() as stack:
+                stack.callback(context.stopper.close)
+                stack.callback(migrator.close)
+                await stack.enter_async_context(
+                    _run_updates(components, context, placer, migrator, relay)
+                )
+                await stack.enter_async_context(_listen(settings, node))
+                yield node
 
 
 def _create_components(
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+import dataclasses
+from collections.abc import Callable, Coroutine
 from typing import Any, Final, TypeVar
 
 from mastichatch_core.relay.model import Endpoint
@@ -37,6 +38,18 @@
 _Result = TypeVar('_Result')
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoppedRun:
+    """A run that is to stop.
+
+    :param request_id: id of its request
+    :param last_event: number of the last event sent to the caller, if any
+    """
+
+    request_id: str
+    last_event: int | None
+
+
 class RunStopper:
     """Orders engines to stop runs, and tracks the orders in progress."""
 
@@ -51,18 +64,18 @@
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def stop(
-        self, request_id: str, source: Endpoint, destination: Endpoint
+        self, run: StoppedRun, source: Endpoint, destination: Endpoint
     ) -> StopTask:
         """Order an engine to stop a run, and to transfer it to another one.
 
         The engine stops the run before the transfer, and closes its stream.
 
-        :param request_id: id of the run's request
-        :param source: engine of the run
+        :param run: the run
+        :param source: its engine
         :param destination: engine on which it is to continue
         :returns: task that ends once the engine has answered
         """
-        return self._start(self._stop(request_id, source, destination))
+        return self._start(self._stop(run, source, destination))
 
     def release(self, order: StopTask) -> None:
         """Free the copy that an order to stop has made and nobody uses.
@@ -85,23 +98,24 @@
         return task
 
     async def _stop(
-        self, request_id: str, source: Endpoint, destination: Endpoint
+        self, run: StoppedRun, source: Endpoint, destination: Endpoint
     ) -> StopOutcome:
         answer = MoveResponse(status=_CONFLICT)
         started_at = loop_time()
         for _ in range(CONFLICT_RETRY_LIMIT):
             answer = await self._dialect.move_run(
-                source.address, request_id, destination.address, True
+                source.address, run.request_id, destination.address, True
             )
             if answer.status != _CONFLICT:
                 break
             await asyncio.sleep(CONFLICT_RETRY_DELAY_S)
         self._telemetry.log_decision(
             'run_stopped_and_copied',
-            request_id,
+            run.request_id,
             source=source.instance,
             destination=destination.instance,
             status=answer.status,
+            last_event=run.last_event,
             took_ms=round((loop_time() - started_at) * MS_PER_S),
         )
         return stop_outcome(answer, source, destination)
@@ -122,14 +136,16 @@
     usable.
     """
 
-    def __init__(self, stopper: RunStopper, request_id: str) -> None:
+    def __init__(
+        self, stopper: RunStopper, current_run: Callable[[], StoppedRun]
+    ) -> None:
         """Start without an order.
 
         :param stopper: orders engines to stop runs
-        :param request_id: id of the generation's request
+        :param current_run: returns the state of the run
         """
         self._stopper = stopper
-        self._request_id = request_id
+        self._current_run = current_run
         self._transferred: StopTask | None = None
 
     def order_stop(
@@ -142,7 +158,7 @@
         :param destination: engine on which the run is to continue
         """
         order = transfer.result or self._stopper.stop(
-            self._request_id, source, destination
+            self._current_run(), source, destination
         )
         transfer.result = order
         return order
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -1,6 +1,7 @@
 """Relays generations, and resumes them on other engines after a failure."""
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Callable
 from typing import Final
@@ -38,7 +39,7 @@
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
 from mastichatch_node.relay.run_transfer import RunLocation, RunTransfer
-from mastichatch_node.relay.run_stopping import Handover
+from mastichatch_node.relay.run_stopping import Handover, StoppedRun
 from mastichatch_node.relay.turns import piece_cost_bytes
 from mastichatch_node.relay.engine_placement import (
     EnginePlacement,
@@ -104,7 +105,12 @@
         self._head_at: float | None = None
         self._is_withdrawn = False
         self._transfer = RunTransfer()
-        self._handover = Handover(context.stopper, job.request_id)
+        self._handover = Handover(
+            context.stopper,
+            lambda: StoppedRun(
+                request_id=job.request_id, last_event=self.last_event
+            ),
+        )
 
     @property
     def job(self) -> Job:
@@ -350,17 +356,16 @@
             self._connection = connection
             if placement.copy is None:
                 connection.set_silence_timeout(STREAM_SILENCE_TIMEOUT_MS)
-            with unforeseen_as_failures(
-                self._job, placement.endpoint, was_sent=True
-            ):
+            with _failures_of(self._job, source):
                 await connection.send(outgoing)
                 head = await read_answer_head(context, self._job, connection)
             self._head_at = loop_time()
             if head.status == _OK:
                 self._handover.release()
-                await self._forward_events(connection, head)
+                await self._forward_events(connection, head, source)
                 return AttemptResult(fate=AttemptOutcome.answered, head=head)
-            body = await connection.read_body(ANSWER_LIMIT_BYTES)
+            with _failures_of(self._job, source):
+                body = await connection.read_body(ANSWER_LIMIT_BYTES)
         if context.dialect.proves_not_run(head):
             return AttemptResult(fate=AttemptOutcome.refused, head=head)
         if self._reply.status or head.status in NOT_RUN_STATUSES:
@@ -371,16 +376,18 @@
         return AttemptResult(fate=AttemptOutcome.answered, head=head)
 
     async def _forward_events(
-        self, connection: Connection, head: ResponseHead
+        self, connection: Connection, head: ResponseHead, source: AttemptSource
     ) -> None:
         splitter = EventSplitter()
         route = self._job.route
         longest_s = max_stall_ms(route.objective_ms, route.pause_ms) / MS_PER_S
         while True:
-            events = await _read_events(connection, splitter, longest_s)
-            if events is None:
+            with _failures_of(self._job, source):
+                events = await _read_events(connection, splitter, longest_s)
+                fresh = _fresh_events(self._order, events)
+            if fresh is None:
                 break
-            await self._forward(events, head)
+            await self._forward(fresh, head)
         if splitter.rest_bytes:
             raise ExchangeError(
                 'the stream ended inside an event',
@@ -395,13 +402,9 @@
         await self._reply.finish()
 
     async def _forward(
-        self, events: tuple[bytes, ...], head: ResponseHead
+        self, fresh: tuple[bytes, ...], head: ResponseHead
     ) -> None:
-        """Forward complete events to the caller, each once and in order."""
-        try:
-            fresh = self._order.drop_repeated(events)
-        except MissingEventError as error:
-            raise ExchangeError(str(error), was_sent=True) from error
+        """Forward complete events that the caller does not have yet."""
         if not fresh:
             return
         is_first = not self._reply.status
@@ -419,6 +422,29 @@
         self._context.sharing.record(self.run, announce=is_first)
 
 
+def _failures_of(
+    job: Job, source: AttemptSource
+) -> contextlib.AbstractContextManager[None]:
+    endpoint = source.placement.endpoint
+    return unforeseen_as_failures(job, endpoint, was_sent=True)
+
+
+def _fresh_events(
+    order: EventOrder, events: tuple[bytes, ...] | None
+) -> tuple[bytes, ...] | None:
+    """Return the events that the caller does not have yet.
+
+    :returns: ``None`` at the end of the stream
+    :raises ExchangeError: if an event was skipped
+    """
+    if events is None:
+        return None
+    try:
+        return order.drop_repeated(events)
+    except MissingEventError as error:
+        raise ExchangeError(str(error), was_sent=True) from error
+
+
 async def _start_reply(
     context: RelayContext, job: Job, reply: ResponseWriter, head: ResponseHead
 ) -> None:
