Take an event number of any length for malformed in the product's interface

The same cause as in the relay: int() refuses to convert more than 4,300 digits, and the ValueError ended the caller's stream as an unhandled error. The test failed before. The relay on the house platform does not run this code.

--- a/packages/core/mastichatch_core/events.py
+++ b/packages/core/mastichatch_core/events.py
@@ -13,6 +13,8 @@
 
 DONE: Final = b'data: [DONE]'
 EVENT_LIMIT_BYTES: Final = 1_048_576
+# Longest event number; ``int`` refuses to convert much longer ones.
+_MAX_NUMBER_DIGITS: Final = 18
 _SEPARATOR: Final = b'\n\n'
 _ID_PREFIX: Final = b'id: '
 
@@ -68,7 +70,7 @@
     def _parse(self, block: bytes) -> TokenEvent:
         head, _, line = block.partition(b'\n')
         number = head.removeprefix(self._prefix)
-        if not number.isdigit():
+        if not number.isdigit() or len(number) > _MAX_NUMBER_DIGITS:
             raise _malformed_event_error(block)
         if not line.startswith(b'data:') or b'\n' in line:
             raise _malformed_event_error(block)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -50,6 +50,8 @@
             b'id: g1:x\ndata: {}\n\n',
             b'data: {}\n\n',
             b'id: g1:0\ndata: {}\ndata: {}\n\n',
+            # ``int`` refuses to convert more than 4,300 digits.
+            b'id: g1:' + b'9' * 5000 + b'\ndata: {}\n\n',
         ],
     )
     def test_rejects_foreign_and_malformed_events(self, data: bytes) -> None:
