Take a run off its engine only once its copy has proved usable

The order to stop starts a transfer of the whole memory, 185 to 259 ms each on the link of an engine with 1.7 s of notice, and delayed the runs that have no backup.

Now the run resumes at the engine with its copy first, while its own engine goes on. Once the copy has proved usable, the connection to its own engine is closed; 0.1 s later that engine is ordered to stop, which transfers nothing where it has dropped the run. A backup that is refused is given up, and nothing is lost.

Tests: the bound is that of the rule (0.4 s for two engines on one run), and a backup that is refused leaves the run where it is.

--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -15,6 +15,7 @@
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import Dialect, MoveResponse
 from mastichatch_node.relay.run_transfer import (
+    PreparedResumption,
     RunLocation,
     RunTransfer,
     StopOutcome,
@@ -25,6 +26,9 @@
 # answer that it has stopped: an engine that can be reached answers or stops
 # within one round trip, and no other can be told.
 STOP_WAIT_S: Final = 0.2
+# Time for an engine to drop a run whose connection was closed. It must not work
+# on for 0.4 s, by the rules of the platform.
+DROP_DELAY_S: Final = 0.1
 # An engine refuses the order while it copies the run for another call, which
 # takes a fraction of a second.
 CONFLICT_RETRY_DELAY_S: Final = 0.05
@@ -64,7 +68,11 @@
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def stop(
-        self, run: StoppedRun, source: Endpoint, destination: Endpoint
+        self,
+        run: StoppedRun,
+        source: Endpoint,
+        destination: Endpoint,
+        delay_s: float = 0,
     ) -> StopTask:
         """Order an engine to stop a run, and to transfer it to another one.
 
@@ -73,9 +81,10 @@
         :param run: the run
         :param source: its engine
         :param destination: engine on which it is to continue
+        :param delay_s: time to wait before the order is sent, in seconds
         :returns: task that ends once the engine has answered
         """
-        return self._start(self._stop(run, source, destination))
+        return self._start(self._stop(run, source, destination, delay_s))
 
     def release(self, order: StopTask) -> None:
         """Free the copy that an order to stop has made and nobody uses.
@@ -98,8 +107,13 @@
         return task
 
     async def _stop(
-        self, run: StoppedRun, source: Endpoint, destination: Endpoint
+        self,
+        run: StoppedRun,
+        source: Endpoint,
+        destination: Endpoint,
+        delay_s: float,
     ) -> StopOutcome:
+        await asyncio.sleep(delay_s)
         answer = MoveResponse(status=_CONFLICT)
         started_at = loop_time()
         for _ in range(CONFLICT_RETRY_LIMIT):
@@ -164,17 +178,60 @@
         return order
 
     def switch(
-        self, transfer: RunTransfer, source: Endpoint, copy: Endpoint
+        self,
+        transfer: RunTransfer,
+        preparation: Coroutine[Any, Any, PreparedResumption | None],
+        leave: Callable[[], None],
+        give_up: Callable[[], None],
     ) -> None:
-        """Order an engine to stop a run that resumes from its copy then.
+        """Resume the run from its copy while its engine goes on with it.
 
         :param transfer: transfers of the run from that engine
-        :param source: the engine
-        :param copy: engine with the copy
+        :param preparation: resumes the run up to the head of the answer
+        :param leave: closes the connection to the engine, once the copy has
+            proved usable
+        :param give_up: gives the copy up, if it has not
         """
+
+        def finish(switch: asyncio.Task[PreparedResumption | None]) -> None:
+            if transfer.switch is not switch or switch.cancelled():
+                return
+            if not switch.exception() and switch.result() is not None:
+                leave()
+                return
+            transfer.switch = None
+            transfer.is_departing = False
+            give_up()
+
         transfer.is_departing = True
-        transfer.has_usable_copy = True
-        self._transferred = self.order_stop(transfer, source, copy)
+        transfer.switch = asyncio.ensure_future(preparation)
+        transfer.switch.add_done_callback(finish)
+
+    def end(self, transfer: RunTransfer) -> None:
+        """Free all that the run does not need once it has ended.
+
+        :param transfer: transfers of the run from its last engine
+        """
+        self.release()
+        switch = transfer.switch
+        if switch is None or switch.cancel() or switch.cancelled():
+            return
+        prepared = None if switch.exception() else switch.result()
+        if prepared is not None:
+            prepared.connection.close()
+
+    def confirm_stopped(self, source: Endpoint, destination: Endpoint) -> None:
+        """Stop a run that went on elsewhere, if its engine has not dropped it.
+
+        Most engines have when their connection closed, and transfer nothing.
+
+        :param source: engine whose connection this node has closed
+        :param destination: engine on which the run goes on
+        """
+        order = self._stopper.stop(
+            self._current_run(), source, destination, DROP_DELAY_S
+        )
+        self._stopper.release(order)
 
     async def ensure_stopped(
         self, transfer: RunTransfer, source: Endpoint, copy: Endpoint
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from mastichatch_core.relay.model import Endpoint
+from mastichatch_node.relay.http_client import Connection, ResponseHead
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -20,6 +21,20 @@
     handle: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PreparedResumption:
+    """A resumption of a run that another engine has accepted.
+
+    :param endpoint: the engine
+    :param connection: connection on which it streams the run
+    :param head: head of its answer
+    """
+
+    endpoint: Endpoint
+    connection: Connection
+    head: ResponseHead
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StopOutcome:
     """Result of an order to an engine to stop a run.
@@ -41,20 +56,20 @@
     :param is_departing: whether the run is being transferred off its engine
     :param result: order to the engine to stop the run, which ends once the
         last part is transferred, or that has failed; set when it is sent
-    :param has_usable_copy: whether the run need not wait for that part, since
-        it continues from a copy that exists already
+    :param switch: attempt to resume the run from its copy, which ends once the
+        engine with the copy has answered; set when it is sent
     """
 
     destination: Endpoint | None = None
     standby: RunLocation | None = None
     is_departing: bool = False
     result: 'asyncio.Task[StopOutcome] | None' = None
-    has_usable_copy: bool = False
+    switch: 'asyncio.Task[PreparedResumption | None] | None' = None
 
     @property
     def is_moving(self) -> bool:
-        """Whether the final transfer to another engine has begun."""
-        return self.result is not None
+        """Whether the change to another engine has begun."""
+        return self.result is not None or self.switch is not None
 
     async def was_stopped(self) -> bool:
         """Return whether the run may have stopped on this node's order."""
@@ -63,9 +78,17 @@
         outcome = await asyncio.shield(self.result)
         return not outcome.had_ended
 
+    async def prepared(self) -> PreparedResumption | None:
+        """Return the resumption that another engine has accepted, if any."""
+        if self.switch is None:
+            return None
+        prepared = await self.switch
+        self.switch = None
+        return prepared
+
     async def moved_to(self) -> RunLocation | None:
         """Return where the transfer has taken the run, if anywhere."""
-        if self.result is None or self.has_usable_copy:
+        if self.result is None:
             return None
         outcome = await asyncio.shield(self.result)
         return outcome.location
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -33,12 +33,17 @@
     SILENCE_TIMEOUT_MS,
     Connection,
     ExchangeError,
+    OutgoingRequest,
     ResponseHead,
     pooled_connection,
 )
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
-from mastichatch_node.relay.run_transfer import RunLocation, RunTransfer
+from mastichatch_node.relay.run_transfer import (
+    PreparedResumption,
+    RunLocation,
+    RunTransfer,
+)
 from mastichatch_node.relay.run_stopping import Handover, StoppedRun
 from mastichatch_node.relay.turns import piece_cost_bytes
 from mastichatch_node.relay.engine_placement import (
@@ -59,6 +64,9 @@
 # often recovers, and a late event is better than none: callers wait 7.2 s
 # between events, by the users' requirements.
 STREAM_SILENCE_TIMEOUT_MS: Final = 6500
+# An engine admits a resumption before all other requests, and answers once it
+# has read what its copy lacks.
+PREPARE_TIMEOUT_S: Final = 1.0
 
 _OK: Final = 200
 
@@ -69,10 +77,17 @@
 
     :param placement: engine of the attempt, and engine with the copy
     :param resumption: location of the KV cache, if the run is resumed
+    :param prepared: resumption that the engine has accepted already
     """
 
     placement: EnginePlacement
     resumption: Resumption | None = None
+    prepared: PreparedResumption | None = None
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether a run goes on that has begun on another engine."""
+        return self.resumption is not None or self.prepared is not None
 
 
 class Generation:
@@ -211,14 +226,28 @@
             await asyncio.shield(order)
 
     def switch_to(self, copy: Endpoint) -> None:
-        """Stop the run, so that it resumes from the copy that it has.
+        """Resume the run from its copy, and take it off its engine then.
 
-        The run resumes as soon as the engine has closed its stream.
+        The engine goes on until the copy has proved usable. If it has not, the
+        copy is given up.
 
         :param copy: engine with the copy
         """
-        if self.endpoint is not None:
-            self._handover.switch(self._transfer, self.endpoint, copy)
+        location = RunLocation(
+            endpoint=copy, address=copy.address, handle=self._job.request_id
+        )
+        source = _resume_at(location, self.last_event)
+
+        def leave() -> None:
+            if self._connection is not None:
+                self._connection.close()
+
+        self._handover.switch(
+            self._transfer,
+            _prepare(self._context, self._job, source),
+            leave,
+            self.drop_copy,
+        )
 
     async def relay(self) -> None:
         """Relay the generation until it ends.
@@ -232,7 +261,7 @@
                 error, self.run.output_tokens, may_have_run=self._may_have_run
             ) from error
         finally:
-            self._handover.release()
+            self._handover.end(self._transfer)
             _record_end(self._context, self.run, self._pause)
 
     async def _relay(self) -> None:
@@ -256,14 +285,16 @@
         self, result: AttemptResult, source: AttemptSource
     ) -> AttemptSource | None:
         """Return the source of the next attempt, or ``None`` to give up."""
-        moved = await self._transfer.moved_to()
-        if moved is not None:
-            return _resume_at(moved, self.last_event)
+        handed_over = await _handed_over(
+            self._transfer, self._handover, source, self.last_event
+        )
+        if handed_over is not None:
+            return handed_over
         nothing_ran = result.fate in {
             AttemptOutcome.not_sent,
             AttemptOutcome.refused,
         }
-        if source.resumption is None and nothing_ran:
+        if not source.is_resumed and nothing_ran:
             # A request that was never sent does not count as a retry.
             is_repeat = result.fate is AttemptOutcome.refused
             if is_repeat and not self._context.retries.try_spend():
@@ -296,7 +327,7 @@
         endpoint = source.placement.endpoint
         started_at = loop_time()
         self._head_at = None
-        if source.resumption is not None:
+        if source.is_resumed:
             # Engines count a resumption as a retry. It is not subject to the
             # budget, but takes from it, which leaves fewer other retries.
             self._context.retries.try_spend()
@@ -319,7 +350,7 @@
             'generation_attempted',
             self._job.request_id,
             endpoint=endpoint.instance,
-            resumed=source.resumption is not None,
+            resumed=source.is_resumed,
             fate=result.fate,
             status=result.status,
             reason=result.reason,
@@ -336,29 +367,12 @@
 
     async def _exchange(self, source: AttemptSource) -> AttemptResult:
         context = self._context
-        placement = source.placement
-        copy_address = '' if placement.copy is None else placement.copy.address
-        with unforeseen_as_failures(
-            self._job, placement.endpoint, was_sent=False
-        ):
-            outgoing = build_outgoing(
-                context,
-                self._job,
-                placement.endpoint,
-                copy_address=copy_address,
-                resumption=source.resumption,
-            )
-        # An idle connection may be dead, and a request sent on it would be
-        # lost. A new connection costs only one round trip.
-        async with pooled_connection(
-            context.pool, placement.endpoint.address, 0
-        ) as connection:
+
+        def record_connection(connection: Connection) -> None:
             self._connection = connection
-            if placement.copy is None:
-                connection.set_silence_timeout(STREAM_SILENCE_TIMEOUT_MS)
-            with _failures_of(self._job, source):
-                await connection.send(outgoing)
-                head = await read_answer_head(context, self._job, connection)
+
+        opened = _open_answer(context, self._job, source, record_connection)
+        async with opened as (connection, head):
             self._head_at = loop_time()
             if head.status == _OK:
                 self._handover.release()
@@ -366,14 +380,7 @@
                 return AttemptResult(fate=AttemptOutcome.answered, head=head)
             with _failures_of(self._job, source):
                 body = await connection.read_body(ANSWER_LIMIT_BYTES)
-        if context.dialect.proves_not_run(head):
-            return AttemptResult(fate=AttemptOutcome.refused, head=head)
-        if self._reply.status or head.status in NOT_RUN_STATUSES:
-            reason = f'the engine answered {head.status}'
-            raise ExchangeError(reason, was_sent=True)
-        headers = context.dialect.response_headers(head.headers)
-        await self._reply.send(head.status, headers, body)
-        return AttemptResult(fate=AttemptOutcome.answered, head=head)
+            return await _pass_on(context, self._reply, head, body)
 
     async def _forward_events(
         self, connection: Connection, head: ResponseHead, source: AttemptSource
@@ -422,6 +429,115 @@
         self._context.sharing.record(self.run, announce=is_first)
 
 
+def _build_request(
+    context: RelayContext, job: Job, source: AttemptSource
+) -> OutgoingRequest:
+    placement = source.placement
+    with unforeseen_as_failures(job, placement.endpoint, was_sent=False):
+        return build_outgoing(
+            context,
+            job,
+            placement.endpoint,
+            copy_address=''
+            if placement.copy is None
+            else placement.copy.address,
+            resumption=source.resumption,
+        )
+
+
+@contextlib.asynccontextmanager
+async def _open_answer(
+    context: RelayContext,
+    job: Job,
+    source: AttemptSource,
+    on_connect: Callable[[Connection], None],
+) -> AsyncIterator[tuple[Connection, ResponseHead]]:
+    """Send a request, unless its answer has begun, and read the head.
+
+    :param context: shared components of the relay
+    :param job: the request
+    :param source: engine and starting point
+    :param on_connect: called with the connection before the request is sent
+    """
+    endpoint, prepared = source.placement.endpoint, source.prepared
+    if prepared is not None:
+        on_connect(prepared.connection)
+        with contextlib.closing(prepared.connection):
+            yield prepared.connection, prepared.head
+        return
+    outgoing = _build_request(context, job, source)
+    # An idle connection may be dead, and a request sent on it would be lost. A
+    # new connection costs only one round trip.
+    async with pooled_connection(
+        context.pool, endpoint.address, 0
+    ) as connection:
+        on_connect(connection)
+        if source.placement.copy is None:
+            connection.set_silence_timeout(STREAM_SILENCE_TIMEOUT_MS)
+        with _failures_of(job, source):
+            await connection.send(outgoing)
+            head = await read_answer_head(context, job, connection)
+        yield connection, head
+
+
+async def _pass_on(
+    context: RelayContext,
+    reply: ResponseWriter,
+    head: ResponseHead,
+    body: bytes,
+) -> AttemptResult:
+    """Pass an answer that is no stream on to the caller, if that is allowed.
+
+    :raises ExchangeError: if it is not
+    """
+    if context.dialect.proves_not_run(head):
+        return AttemptResult(fate=AttemptOutcome.refused, head=head)
+    if reply.status or head.status in NOT_RUN_STATUSES:
+        reason = f'the engine answered {head.status}'
+        raise ExchangeError(reason, was_sent=True)
+    headers = context.dialect.response_headers(head.headers)
+    await reply.send(head.status, headers, body)
+    return AttemptResult(fate=AttemptOutcome.answered, head=head)
+
+
+async def _prepare(
+    context: RelayContext, job: Job, source: AttemptSource
+) -> PreparedResumption | None:
+    """Resume a run on another engine, up to the head of its answer.
+
+    :returns: ``None`` if the engine does not accept it in time
+    """
+    endpoint = source.placement.endpoint
+    connection: Connection | None = None
+    head: ResponseHead | None = None
+    reason = ''
+    try:
+        async with asyncio.timeout(PREPARE_TIMEOUT_S):
+            outgoing = _build_request(context, job, source)
+            connection = await context.pool.take(endpoint.address, 0)
+            with _failures_of(job, source):
+                await connection.send(outgoing)
+                head = await read_answer_head(context, job, connection)
+    except (TimeoutError, ExchangeError) as error:
+        reason = repr(error)
+    finally:
+        is_accepted = head is not None and head.status == _OK
+        if connection is not None and not is_accepted:
+            connection.close()
+    context.telemetry.log_decision(
+        'run_resumption_prepared',
+        job.request_id,
+        endpoint=endpoint.instance,
+        status=0 if head is None else head.status,
+        reason=reason,
+    )
+    if connection is None or head is None or not is_accepted:
+        return None
+    return PreparedResumption(
+        endpoint=endpoint, connection=connection, head=head
+    )
+
+
 def _failures_of(
     job: Job, source: AttemptSource
 ) -> contextlib.AbstractContextManager[None]:
@@ -475,6 +591,22 @@
     return may_resume
 
 
+async def _handed_over(
+    transfer: RunTransfer,
+    handover: Handover,
+    source: AttemptSource,
+    last_event: int | None,
+) -> AttemptSource | None:
+    """Return where a hand-over has taken a run, if anywhere."""
+    prepared = await transfer.prepared()
+    if prepared is None:
+        moved = await transfer.moved_to()
+        return None if moved is None else _resume_at(moved, last_event)
+    handover.confirm_stopped(source.placement.endpoint, prepared.endpoint)
+    placement = EnginePlacement(endpoint=prepared.endpoint, copy=None)
+    return AttemptSource(placement=placement, prepared=prepared)
+
+
 def _usable_copy(
     source: AttemptSource,
     standby: RunLocation | None,
