--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -115,6 +115,24 @@
     await fleet.register(name)
 
 
+async def _restart(fleet: Fleet, name: str, for_s: float) -> None:
+    """Let an endpoint crash, and start again under the id that it had."""
+    await fleet.restart_endpoint(name, for_s, keeps_id=True)
+
+
+async def _add_odd_entry(fleet: Fleet, _name: str, for_s: float) -> None:
+    """Let another writer add entries that name impossible endpoints."""
+    for service in set(SERVICES.values()):
+        endpoint, _ = fleet.endpoints['app-1']
+        entry = endpoint.entry(service, 'north')
+        entry['address'] = '127.0.0.1:99999'
+        # It sorts before the others, and looks idle.
+        await fleet.store.put(f'servers/a-odd-{service}', entry)
+    await asyncio.sleep(for_s)
+    for service in set(SERVICES.values()):
+        await fleet.store.remove(f'servers/a-odd-{service}')
+
+
 def _flag(name: str) -> Strike:
     async def strike(fleet: Fleet, _name: str, for_s: float) -> None:
         setattr(fleet, name, True)
@@ -143,6 +161,7 @@
     'endpoint_slow': _endpoint_link(delay_ms=150),
     'endpoint_connections_silent': _endpoint_link(blackhole_existing=True),
     'replace': _replace,
+    'restart': _restart,
 }
 SHARED_FAULTS: Final[dict[str, Strike]] = {
     'store_refuses': _store(refuse_status=503),
@@ -152,6 +171,7 @@
     'configure': _configure,
     'deadly_part': _flag('has_deadly_part'),
     'odd_answers': _flag('has_odd_answers'),
+    'odd_entry': _add_odd_entry,
 }
 STRIKES: Final = NODE_FAULTS | ENDPOINT_FAULTS | SHARED_FAULTS
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -35,6 +35,8 @@
 SHED_SHARE: Final = 0.04
 FAIL_SHARE: Final = 0.04
 LOSE_SHARE: Final = 0.04
+# Share of crashed engines that come back under the id that they had.
+KEPT_ID_SHARE: Final = 0.5
 # Share of calls that are answered oddly while that fault lasts.
 ODD_SHARE: Final = 0.3
 
@@ -225,12 +227,27 @@
             for name, (known, _) in self.endpoints.items()
             if known is endpoint
         )
-        await self.endpoints[name][1].change({'cut': True})
-        await asyncio.sleep(DOWN_S)
-        await self.store.remove(f'servers/{endpoint.instance}')
-        stem, _, number = endpoint.instance.rpartition('-')
-        endpoint.instance = f'{stem}-{int(number) + 1}'
-        await self.endpoints[name][1].change({'restore': True})
+        keeps_id = self._draws.random() < KEPT_ID_SHARE
+        await self.restart_endpoint(name, DOWN_S, keeps_id=keeps_id)
+
+    async def restart_endpoint(
+        self, name: str, down_s: float, *, keeps_id: bool
+    ) -> None:
+        """Let an endpoint lose all connections, and start again.
+
+        :param name: the endpoint
+        :param down_s: time until it is back, in seconds
+        :param keeps_id: whether it registers under the id that it had
+        """
+        endpoint, proxy = self.endpoints[name]
+        await proxy.change({'cut': True})
+        await asyncio.sleep(down_s)
+        endpoint.born += 1
+        if not keeps_id:
+            await self.store.remove(f'servers/{endpoint.instance}')
+            stem, _, number = endpoint.instance.rpartition('-')
+            endpoint.instance = f'{stem}-{int(number) + 1}'
+        await proxy.change({'restore': True})
         await self.register(name)
 
 
