--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -128,6 +128,11 @@
         """Local copy of the platform's store."""
         return self._context.belief
 
+    @property
+    def relay(self) -> Relay:
+        """Handler of callers' requests, with the generations in progress."""
+        return self._relay
+
     @property
     def broadcaster(self) -> RunBroadcaster:
         """Exchange of runs with the other nodes."""
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -75,6 +75,16 @@
         yield relay, work
 
 
+async def until_backed_up(relay: RelayFixture) -> None:
+    """Wait until the backup of the run counts as complete."""
+    await until(
+        lambda: any(
+            (one.last_event or 0) >= COPY_COMPLETE_EVENTS
+            for one in relay.node.relay.generations
+        )
+    )
+
+
 async def drain(relay: RelayFixture, leaving: HouseEndpoint) -> None:
     """Let an engine report that it is about to leave."""
     await relay.store.put(
@@ -94,7 +104,7 @@
         first = engine('i-e', is_framed=False)
         second = engine('i-f')
         async with open_plan(first, second) as (relay, work):
-            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await until_backed_up(relay)
             await drain(relay, first)
             answer = await work
         assert event_ids(answer) == list(range(1, EVENTS + 1))
@@ -185,7 +195,7 @@
         first.drops_closed = False
         second = engine('i-f')
         async with open_plan(first, second) as (relay, work):
-            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await until_backed_up(relay)
             await drain(relay, first)
             await until(lambda: bool(second.received))
             assert await doubled_s(first, second, work) < MAX_DOUBLED_S
@@ -217,7 +227,7 @@
         first.stop_conflicts = 3
         second = engine('i-f')
         async with open_plan(first, second) as (relay, work):
-            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await until_backed_up(relay)
             await drain(relay, first)
             answer = await work
             await until(lambda: len(first.moves) == 4)
@@ -233,7 +243,7 @@
         second = engine('i-f')
         second.lost_handles.add('r1')
         async with open_plan(first, second) as (relay, work):
-            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await until_backed_up(relay)
             await drain(relay, first)
             answer = await work
         assert len(second.received) == 1
@@ -251,7 +261,7 @@
         second = engine('i-f')
         second.lost_handles.add('r1')
         async with open_plan(first, second) as (relay, work):
-            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await until_backed_up(relay)
             await drain(relay, first)
             answer = await work
         assert event_ids(answer) == list(range(1, EVENTS + 1))
@@ -274,7 +284,7 @@
             await until(
                 lambda: known_endpoints(relay.node)['i-f'].started_ms == started
             )
-            await asyncio.sleep(COPY_COMPLETE_EVENTS * GAP_S * 1.5)
+            await until_backed_up(relay)
             await drain(relay, first)
             answer = await work
         assert event_ids(answer) == list(range(1, EVENTS + 1))
@@ -319,7 +329,7 @@
             lost_handles={'r1'} if is_backup_lost else set(),
         )
         async with open_plan(first, second) as (relay, work):
-            await asyncio.sleep(COPY_COMPLETE_EVENTS * gap_s * 1.2)
+            await until_backed_up(relay)
             await drain(relay, first)
             assert await doubled_s(first, second, work) < MAX_DOUBLED_S
             answer = await work
