--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -102,7 +102,7 @@
     def _switch_to_copy(
         self, generation: Generation, endpoint: Endpoint, copy: Endpoint
     ) -> None:
-        """Continue a run on the engine with its copy, once it has stopped."""
+        """Continue a run on the engine with its copy, without a transfer."""
         if not is_worth_moving(generation.run):
             return
         self._log_decision(
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -132,7 +132,7 @@
             last_event=run.last_event,
             took_ms=round((loop_time() - started_at) * MS_PER_S),
         )
-        return stop_outcome(answer, source, destination)
+        return _stop_outcome(answer, source, destination)
 
     async def _release(self, order: StopTask) -> None:
         outcome = await asyncio.shield(order)
@@ -145,9 +145,10 @@
 class Handover:
     """Hands the run of one generation over from engine to engine.
 
-    A run that resumes from a copy which it already had is transferred by the
-    order to stop as well. That transfer is kept until the copy has proved
-    usable.
+    Where the run can be resumed from a copy while its engine goes on, the
+    engine is left once the copy has proved usable. Where this node has closed
+    the connection already, the engine is ordered to stop first. That order also
+    transfers the run, and this is kept until the copy has proved usable.
     """
 
     def __init__(
@@ -264,7 +265,7 @@
         self._transferred = None
 
 
-def stop_outcome(
+def _stop_outcome(
     answer: MoveResponse, source: Endpoint, destination: Endpoint
 ) -> StopOutcome:
     """Return where a run can continue, given the answer to a final move.
