Log which engines may be at work on a run that goes on elsewhere

Each run now has a record of the engines to which its request was sent and that have not proved that they ended; run_resumed lists them, a counter tells how often there are any, and run_resumption_prepared has its duration.

No behaviour changes.

--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -11,6 +11,7 @@
 from typing import Any, Final, TypeVar
 
 from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.run_engines import RunEngines
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import Dialect, MoveResponse
@@ -152,14 +153,19 @@
     """
 
     def __init__(
-        self, stopper: RunStopper, current_run: Callable[[], StoppedRun]
+        self,
+        stopper: RunStopper,
+        engines: RunEngines,
+        current_run: Callable[[], StoppedRun],
     ) -> None:
         """Start without an order.
 
         :param stopper: orders engines to stop runs
+        :param engines: engines that may be at work on the run
         :param current_run: returns the state of the run
         """
         self._stopper = stopper
+        self._engines = engines
         self._current_run = current_run
         self._transferred: StopTask | None = None
 
@@ -172,9 +178,10 @@
         :param source: the engine
         :param destination: engine on which the run is to continue
         """
-        order = transfer.result or self._stopper.stop(
-            self._current_run(), source, destination
-        )
+        if transfer.result is not None:
+            return transfer.result
+        order = self._stopper.stop(self._current_run(), source, destination)
+        order.add_done_callback(lambda done: self._record_stop(source, done))
         transfer.result = order
         return order
 
@@ -232,6 +239,7 @@
         order = self._stopper.stop(
             self._current_run(), source, destination, DROP_DELAY_S
         )
+        order.add_done_callback(lambda done: self._record_stop(source, done))
         self._stopper.release(order)
 
     async def ensure_stopped(
@@ -264,6 +272,13 @@
             self._stopper.release(self._transferred)
         self._transferred = None
 
+    def _record_stop(self, source: Endpoint, order: StopTask) -> None:
+        if order.cancelled() or order.exception() is not None:
+            return
+        outcome = order.result()
+        if outcome.had_ended or outcome.location is not None:
+            self._engines.record_proof(source)
+
 
 def _stop_outcome(
     answer: MoveResponse, source: Endpoint, destination: Endpoint
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -16,6 +16,7 @@
     max_stall_ms,
 )
 from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.run_engines import RunEngines
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.endpoint_attempt import (
@@ -120,8 +121,10 @@
         self._head_at: float | None = None
         self._is_withdrawn = False
         self._transfer = RunTransfer()
+        self._engines = RunEngines()
         self._handover = Handover(
             context.stopper,
+            self._engines,
             lambda: StoppedRun(
                 request_id=job.request_id, last_event=self.last_event
             ),
@@ -244,7 +247,7 @@
 
         self._handover.switch(
             self._transfer,
-            _prepare(self._context, self._job, source),
+            _prepare(self._context, self._job, source, self._engines),
             leave,
             self.drop_copy,
         )
@@ -327,7 +330,10 @@
         endpoint = source.placement.endpoint
         started_at = loop_time()
         self._head_at = None
+        if source.prepared is None:
+            self._engines.record_request(endpoint, started_at)
         if source.is_resumed:
+            _log_resumption(self._context, self._job, self._engines, endpoint)
             # Engines count a resumption as a retry. It is not subject to the
             # budget, but takes from it, which leaves fewer other retries.
             self._context.retries.try_spend()
@@ -337,6 +343,7 @@
         except ExchangeError as error:
             result = result_of_error(error)
         self._connection = None
+        _record_ending(self._engines, endpoint, result)
         record_result(self._context, endpoint, result, started_at)
         self._placer.record_attempt(endpoint, result)
         if not self._order.count and _ended_like_crash(result, self._transfer):
@@ -374,6 +381,7 @@
         opened = _open_answer(context, self._job, source, record_connection)
         async with opened as (connection, head):
             self._head_at = loop_time()
+            self._engines.record_answer(source.placement.endpoint)
             if head.status == _OK:
                 self._handover.release()
                 await self._forward_events(connection, head, source)
@@ -501,16 +509,25 @@
 
 
 async def _prepare(
-    context: RelayContext, job: Job, source: AttemptSource
+    context: RelayContext,
+    job: Job,
+    source: AttemptSource,
+    engines: RunEngines,
 ) -> PreparedResumption | None:
     """Resume a run on another engine, up to the head of its answer.
 
+    :param context: shared components of the relay
+    :param job: the request
+    :param source: the engine, and the copy on it
+    :param engines: engines that may be at work on the run
     :returns: ``None`` if the engine does not accept it in time
     """
     endpoint = source.placement.endpoint
     connection: Connection | None = None
     head: ResponseHead | None = None
     reason = ''
+    started_at = loop_time()
+    engines.record_request(endpoint, started_at)
     try:
         async with asyncio.timeout(PREPARE_TIMEOUT_S):
             outgoing = _build_request(context, job, source)
@@ -530,7 +547,12 @@
         endpoint=endpoint.instance,
         status=0 if head is None else head.status,
         reason=reason,
+        took_ms=_elapsed_ms(started_at, loop_time()),
     )
+    if head is not None and context.dialect.proves_not_run(head):
+        engines.record_proof(endpoint)
+    elif not is_accepted:
+        engines.record_disconnect(endpoint, 'given up')
     if connection is None or head is None or not is_accepted:
         return None
     return PreparedResumption(
@@ -538,6 +560,41 @@
     )
 
 
+def _record_ending(
+    engines: RunEngines, endpoint: Endpoint, result: AttemptResult
+) -> None:
+    """Record what the end of an attempt tells about its engine."""
+    if result.fate is not AttemptOutcome.unknown:
+        engines.record_proof(endpoint)
+    elif result.is_closed_by_peer:
+        engines.record_disconnect(endpoint, 'closed by the peer')
+    else:
+        engines.record_disconnect(endpoint, 'closed by this node')
+
+
+def _log_resumption(
+    context: RelayContext, job: Job, engines: RunEngines, endpoint: Endpoint
+) -> None:
+    """Log on which other engines a run that is resumed may be at work."""
+    now = loop_time()
+    possible = engines.except_for(endpoint)
+    context.telemetry.count_resumption(is_alone=not possible)
+    context.telemetry.log_decision(
+        'run_resumed',
+        job.request_id,
+        endpoint=endpoint.instance,
+        possibly_at_work=[
+            {
+                'endpoint': work.endpoint.instance,
+                'sent_ms_ago': _elapsed_ms(work.sent_at, now),
+                'has_begun': work.has_begun,
+                'ending': work.ending,
+            }
+            for work in possible
+        ],
+    )
+
+
 def _failures_of(
     job: Job, source: AttemptSource
 ) -> contextlib.AbstractContextManager[None]:
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -145,6 +145,12 @@
             ('outcome',),
             registry=self._registry,
         )
+        self._resumptions = Counter(
+            'mastichatch_relay_resumptions',
+            'Resumed runs, by whether another engine may be at work on them.',
+            ('others',),
+            registry=self._registry,
+        )
         self._events = Counter(
             'mastichatch_relay_events',
             'Changes of what the node believes, by event.',
@@ -201,6 +207,13 @@
         """
         self._attempts.labels(outcome).inc()
 
+    def count_resumption(self, *, is_alone: bool) -> None:
+        """Count a run that is resumed on an engine.
+
+        :param is_alone: whether no other engine may be at work on it
+        """
+        self._resumptions.labels('none' if is_alone else 'possible').inc()
+
     def observe_first_byte(self, kind: str, arrived_at: float) -> None:
         """Record the time to the first byte of a response.
 
