--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -52,7 +52,7 @@
     that were freed. Unless ``drops_closed``, a run goes on after its connection
     has closed; ``working`` holds the ids of those in progress. The first
     ``stop_conflicts`` orders to stop are refused, and so are resumptions from
-    ``lost_handles``.
+    ``lost_handles``. A resumption is answered after ``resume_delay_s``.
     """
 
     instance: str
@@ -68,6 +68,7 @@
     stop_conflicts: int = 0
     drops_closed: bool = True
     lost_handles: set[str] = dataclasses.field(default_factory=set)
+    resume_delay_s: float = 0
     working: set[str] = dataclasses.field(default_factory=set)
     stopped: set[str] = dataclasses.field(default_factory=set)
     freed: list[str] = dataclasses.field(default_factory=list)
@@ -329,6 +330,7 @@
     break_after: int | None = None,
     is_framed: bool = True,
     resets_on_stop: bool = True,
+    cut_after: int | None = None,
 ) -> Script:
     """Return a script that streams numbered events.
 
@@ -336,7 +338,8 @@
 
     It continues after ``Last-Event-Id``. It aborts the connection before event
     ``break_after``, and once a final move has stopped the run, or closes it
-    then unless ``resets_on_stop``.
+    then unless ``resets_on_stop``. After event ``cut_after`` the connection is
+    reset on the way, and the run goes on unless the endpoint notices.
     """
 
     async def write(
@@ -345,6 +348,8 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         endpoint.ran.append(request.request_id)
+        if 'kv-from' in request.headers:
+            await asyncio.sleep(endpoint.resume_delay_s)
         head = (
             'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
             f'{signature_headers(request)}'
@@ -362,8 +367,12 @@
                 return
             event = f'id: {number}\ndata: {request.request_id}\n\n'.encode()
             chunk = b'%x\r\n%b\r\n' % (len(event), event)
-            writer.write(chunk if is_framed else event)
-            await writer.drain()
+            # A run whose connection has ended goes on all the same.
+            with contextlib.suppress(ConnectionError):
+                writer.write(chunk if is_framed else event)
+                await writer.drain()
+            if number == cut_after:
+                writer.transport.abort()
             await asyncio.sleep(gap_s)
         if is_framed:
             writer.write(b'0\r\n\r\n')
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -52,20 +52,21 @@
 
 @contextlib.asynccontextmanager
 async def open_plan(
-    first: HouseEndpoint, second: HouseEndpoint, *, backups: bool = True
+    first: HouseEndpoint, *others: HouseEndpoint, backups: bool = True
 ) -> AsyncIterator[tuple[RelayFixture, 'asyncio.Task[Response]']]:
-    """Run a plan on the first engine, with its backup on the second one."""
+    """Run a plan on the first engine, with its backup on another one."""
     async with open_relay(
-        (), (first, second), document(backups=backups)
+        (), (first, *others), document(backups=backups)
     ) as relay:
         # Only the first engine has room at the start.
-        await relay.store.put(
-            f'servers/{second.instance}', second.entry('llm', 'south')
-        )
+        for other in others:
+            await relay.store.put(
+                f'servers/{other.instance}', other.entry('llm', 'south')
+            )
         await until(
-            lambda: (
-                known_endpoints(relay.node)[second.instance].data_centre
-                == 'south'
+            lambda: all(
+                known_endpoints(relay.node)[one.instance].data_centre == 'south'
+                for one in others
             )
         )
         work = asyncio.ensure_future(
@@ -165,15 +166,19 @@
         yield address
 
 
+def working_engines(engines: tuple[HouseEndpoint, ...]) -> int:
+    """Return how many engines work on the run."""
+    return sum('r1' in one.working - one.stopped for one in engines)
+
+
 async def doubled_s(
-    first: HouseEndpoint, second: HouseEndpoint, work: 'asyncio.Task[Any]'
+    work: 'asyncio.Task[Any]', *engines: HouseEndpoint
 ) -> float:
     """Return how long two engines work on the same run, in seconds."""
     began_at: float | None = None
     longest_s = float()
     while not work.done():
-        is_doubled = bool((first.working - first.stopped) & second.working)
-        if not is_doubled:
+        if working_engines(engines) < 2:
             began_at = None
         else:
             began_at = began_at or time.monotonic()
@@ -198,7 +203,7 @@
             await until_backed_up(relay)
             await drain(relay, first)
             await until(lambda: bool(second.received))
-            assert await doubled_s(first, second, work) < MAX_DOUBLED_S
+            assert await doubled_s(work, first, second) < MAX_DOUBLED_S
             answer = await work
             # What the order to stop has transferred is not needed.
             await until(lambda: first.freed == ['h-r1'])
@@ -270,6 +275,49 @@
         assert last.headers['kv-from'] == f'{first.address}/h-r1'
 
 
+class TestRunAtWorkOnTwoEngines:
+    """Guards against runs that resume before another engine has stopped.
+
+    A path resets the stream, or the engine with the copy answers late, and the
+    engine before works on.
+    """
+
+    async def test_engine_whose_stream_was_reset_on_the_way_is_stopped(
+        self,
+    ) -> None:
+        first = engine('i-e', cut_after=50)
+        first.drops_closed = False
+        second = engine('i-f')
+        async with open_plan(first, second) as (_relay, work):
+            assert await doubled_s(work, first, second) < MAX_DOUBLED_S
+            answer = await work
+        assert second.received
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    @pytest.mark.parametrize('drops_closed', [True, False])
+    @pytest.mark.parametrize('delay_s', [0.05, 0.35, 0.6, 1.3])
+    async def test_engine_is_left_before_a_slow_copy_answers(
+        self, delay_s: float, drops_closed: bool
+    ) -> None:
+        engines = tuple(
+            HouseEndpoint(
+                instance=name,
+                script=endpoints.stream(EVENTS, GAP_S * 2),
+                drops_closed=drops_closed,
+                resume_delay_s=delay_s,
+            )
+            for name in ('i-e', 'i-f', 'i-g')
+        )
+        async with open_plan(*engines) as (relay, work):
+            await until_backed_up(relay)
+            await drain(relay, engines[0])
+            assert await doubled_s(work, *engines) < MAX_DOUBLED_S
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+
 class TestEngineThatStartsAgainUnderItsId:
     """Guards against copies that are used although their engine lost them."""
 
@@ -331,7 +379,7 @@
         async with open_plan(first, second) as (relay, work):
             await until_backed_up(relay)
             await drain(relay, first)
-            assert await doubled_s(first, second, work) < MAX_DOUBLED_S
+            assert await doubled_s(work, first, second) < MAX_DOUBLED_S
             answer = await work
         assert event_ids(answer) == list(range(1, count + 1))
         # Only the end of the connection ends this stream, and the engine did
