Let a run go on elsewhere only once its engines have proved to have stopped

Callers saw a run generated twice: on one machine with its real process, six engines and 84 streams, 15 runs went on at another engine while the one before still worked on them 400 ms later, when streams were reset on the way, or when the engine with the copy answered after 300, 600 or 1,300 ms; in the last case again at a third engine.

Cause: the end of a connection was taken for the end of the run, a resumption was asked for while the source went on for up to 1.1 s, and one that was given up was forgotten. The class is one: a run may be at work on each engine that it was ever sent to, until that engine's answer proves otherwise. The record of these engines now decides:

- Before a run goes on anywhere, all engines in the record are ordered to stop it.
An order is repeated until it is proved (moved, or kept with a handle; not known there any more; no process at the address).
A 404 of an engine that has not begun its answer is no such proof, since the request may be in its queue.
A 503 without a handle is none either.
- A resumption that nobody waits for is stopped.

A test of standby copies took a reset for a crash, and asked that no order to stop is sent. The engine now crashes in it, and a second test asks for the order where only the stream is reset.

--- a/packages/core/mastichatch_core/relay/run_engines.py
+++ b/packages/core/mastichatch_core/relay/run_engines.py
@@ -8,10 +8,19 @@
 """
 
 import dataclasses
+from enum import StrEnum
 
 from mastichatch_core.relay.model import Endpoint
 
 
+class Ending(StrEnum):
+    """How the connection to an engine ended, which proves nothing."""
+
+    by_peer = 'closed by the peer'
+    by_node = 'closed by this node'
+    given_up = 'given up'
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineWork:
     """An engine that may be at work on a run.
@@ -19,13 +28,13 @@
     :param endpoint: the engine
     :param sent_at: loop time at which the request was sent to it, in seconds
     :param has_begun: whether it has begun its answer
-    :param ending: how its connection ended; empty while it is open
+    :param ending: how its connection ended; ``None`` while it is open
     """
 
     endpoint: Endpoint
     sent_at: float
     has_begun: bool = False
-    ending: str = ''
+    ending: Ending | None = None
 
 
 class RunEngines:
@@ -52,7 +61,7 @@
         """
         self._update(endpoint, has_begun=True)
 
-    def record_disconnect(self, endpoint: Endpoint, ending: str) -> None:
+    def record_disconnect(self, endpoint: Endpoint, ending: Ending) -> None:
         """Record that the connection to an engine has ended.
 
         :param endpoint: the engine
@@ -67,6 +76,21 @@
         """
         self._works.pop(endpoint.instance, None)
 
+    def has(self, endpoint: Endpoint) -> bool:
+        """Return whether an engine may be at work on the run.
+
+        :param endpoint: the engine
+        """
+        return endpoint.instance in self._works
+
+    def has_begun(self, endpoint: Endpoint) -> bool:
+        """Return whether an engine has begun its answer, or has ended since.
+
+        :param endpoint: the engine
+        """
+        work = self._works.get(endpoint.instance)
+        return work is None or work.has_begun
+
     def except_for(self, endpoint: Endpoint | None) -> tuple[EngineWork, ...]:
         """Return the engines that may be at work, except for one.
 
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -45,16 +45,37 @@
     resumption: Resumption | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MoveOrder:
+    """Order to an engine to copy a run to another engine.
+
+    :param address: address of the engine that executes the run
+    :param request_id: id of the run's request
+    :param target: address of the destination engine
+    :param is_final: whether the run stops at the source
+    :param on_connect: called once a connection to the engine is established
+    """
+
+    address: str
+    request_id: str
+    target: str
+    is_final: bool = False
+    on_connect: Callable[[], None] | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MoveResponse:
-    """Response of an engine to a request to copy a run to another engine.
+    """Response of an engine to an order to copy a run to another engine.
 
     :param status: HTTP status; zero without a response
     :param handle: identifier of the copy; empty without one
+    :param is_connection_refused: whether the engine's host refused the
+        connection
     """
 
     status: int
     handle: str = ''
+    is_connection_refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,9 +93,7 @@
         endpoint's signature
     :param query_departure: asks an engine, given its address, whether it is
         about to be removed; returns ``None`` without a response
-    :param move_run: asks an engine to copy a run; arguments are the engine's
-        address, the request id, the destination's address and whether the run
-        stops at the source
+    :param move_run: orders an engine to copy a run
     :param drop_copy: asks an engine to free a copy; arguments are the engine's
         address and the handle
     """
@@ -86,5 +105,5 @@
     read_response_id: Callable[[ResponseHead], str | None]
     is_genuine: Callable[[ResponseHead], bool]
     query_departure: Callable[[str], Awaitable[bool | None]]
-    move_run: Callable[[str, str, str, bool], Awaitable[MoveResponse]]
+    move_run: Callable[[MoveOrder], Awaitable[MoveResponse]]
     drop_copy: Callable[[str, str], Awaitable[None]]
--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -14,7 +14,7 @@
 from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
 from mastichatch_core.relay.model import Endpoint, EndpointState
 from mastichatch_node.clock import loop_time
-from mastichatch_node.relay.dialect import MoveResponse
+from mastichatch_node.relay.dialect import MoveOrder, MoveResponse
 from mastichatch_node.relay.context import RelayContext
 from mastichatch_node.relay.engine_placement import EnginePlacer, require_engine
 from mastichatch_node.relay.relay import Relay
@@ -214,10 +214,11 @@
     ) -> MoveResponse:
         started_at = loop_time()
         answer = await self._context.dialect.move_run(
-            source.address,
-            generation.job.request_id,
-            destination.address,
-            False,
+            MoveOrder(
+                address=source.address,
+                request_id=generation.job.request_id,
+                target=destination.address,
+            )
         )
         self._log_decision(
             generation.job.request_id,
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
+from typing import Final
 
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_node.relay.http_client import Connection, ResponseHead
 
 
+# Longest time for which the outcome of an order is waited for: transfers may be
+# queued before it.
+OUTCOME_WAIT_S: Final = 4.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RunLocation:
     """Location of a copy of a run's KV cache.
@@ -41,10 +48,80 @@
 
     :param location: where the run can continue; ``None`` if that is unknown
     :param had_ended: whether the engine no longer ran it
+    :param has_stopped: whether the engine is not at work on it
     """
 
     location: RunLocation | None = None
     had_ended: bool = False
+    has_stopped: bool = False
+
+
+class StopOrder:
+    """An order to an engine to stop a run, which is repeated if necessary."""
+
+    def __init__(self, source: Endpoint) -> None:
+        """Start without an answer.
+
+        :param source: the engine
+        """
+        self._source = source
+        self._is_delivered = False
+        self._cleared = asyncio.Event()
+        self.task: asyncio.Task[StopOutcome] | None = None
+        # Whether its copy of the run is used or was freed.
+        self.is_settled = False
+
+    @property
+    def source(self) -> Endpoint:
+        """The engine."""
+        return self._source
+
+    @property
+    def is_delivered(self) -> bool:
+        """Whether a connection to the engine was established."""
+        return self._is_delivered
+
+    @property
+    def cleared(self) -> asyncio.Event:
+        """Set once the run may go on at another engine."""
+        return self._cleared
+
+    def record_delivery(self) -> None:
+        """Record that a connection to the engine was established."""
+        self._is_delivered = True
+
+    def cancel(self) -> None:
+        """Stop repeating the order."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def on_result(self, callback: Callable[[StopOutcome], None]) -> None:
+        """Call a function with the outcome, unless the order fails.
+
+        :param callback: the function
+        """
+
+        def report(task: asyncio.Task[StopOutcome]) -> None:
+            if not task.cancelled() and task.exception() is None:
+                callback(task.result())
+
+        if self.task is not None:
+            self.task.add_done_callback(report)
+
+    def known_location(self) -> RunLocation | None:
+        """Return where the order has taken the run, if that is known yet."""
+        task = self.task
+        if task is None or not task.done() or task.cancelled():
+            return None
+        return None if task.exception() else task.result().location
+
+    async def result(self) -> StopOutcome:
+        """Return the outcome; without one in time, that nothing is known."""
+        if self.task is not None:
+            await asyncio.wait((self.task,), timeout=OUTCOME_WAIT_S)
+            if self.task.done() and not self.task.cancelled():
+                return self.task.result()
+        return StopOutcome()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -54,8 +131,7 @@
     :param destination: engine that receives the run or its standby copy
     :param standby: complete standby copy, if there is one
     :param is_departing: whether the run is being transferred off its engine
-    :param result: order to the engine to stop the run, which ends once the
-        last part is transferred, or that has failed; set when it is sent
+    :param stop_order: order to the engine to stop the run; set when it is sent
     :param switch: attempt to resume the run from its copy, which ends once the
         engine with the copy has answered; set when it is sent
     """
@@ -63,19 +139,19 @@
     destination: Endpoint | None = None
     standby: RunLocation | None = None
     is_departing: bool = False
-    result: 'asyncio.Task[StopOutcome] | None' = None
+    stop_order: StopOrder | None = None
     switch: 'asyncio.Task[PreparedResumption | None] | None' = None
 
     @property
     def is_moving(self) -> bool:
         """Whether the change to another engine has begun."""
-        return self.result is not None or self.switch is not None
+        return self.stop_order is not None or self.switch is not None
 
     async def was_stopped(self) -> bool:
         """Return whether the run may have stopped on this node's order."""
-        if self.result is None:
+        if self.stop_order is None:
             return False
-        outcome = await asyncio.shield(self.result)
+        outcome = await self.stop_order.result()
         return not outcome.had_ended
 
     async def prepared(self) -> PreparedResumption | None:
@@ -86,13 +162,6 @@
         self.switch = None
         return prepared
 
-    async def moved_to(self) -> RunLocation | None:
-        """Return where the transfer has taken the run, if anywhere."""
-        if self.result is None:
-            return None
-        outcome = await asyncio.shield(self.result)
-        return outcome.location
-
     @property
     def has_idle_standby(self) -> bool:
         """Whether there is a standby copy and no transfer in progress."""
--- a/packages/node/mastichatch_node/relay/standby_copying.py
+++ b/packages/node/mastichatch_node/relay/standby_copying.py
@@ -10,6 +10,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.context import RelayContext
+from mastichatch_node.relay.dialect import MoveOrder
 from mastichatch_node.relay.engine_placement import EnginePlacer, require_engine
 from mastichatch_node.relay.relay import Relay
 from mastichatch_node.relay.run_transfer import RunLocation
@@ -146,7 +147,11 @@
         if generation.transfer.standby is None:
             generation.announce_destination(destination)
         answer = await self._context.dialect.move_run(
-            source.address, request_id, destination.address, False
+            MoveOrder(
+                address=source.address,
+                request_id=request_id,
+                target=destination.address,
+            )
         )
         self._context.telemetry.log_decision(
             'standby_copied',
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -16,7 +16,7 @@
     max_stall_ms,
 )
 from mastichatch_core.relay.model import Endpoint
-from mastichatch_core.relay.run_engines import RunEngines
+from mastichatch_core.relay.run_engines import Ending, RunEngines
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.endpoint_attempt import (
@@ -65,9 +65,6 @@
 # often recovers, and a late event is better than none: callers wait 7.2 s
 # between events, by the users' requirements.
 STREAM_SILENCE_TIMEOUT_MS: Final = 6500
-# An engine admits a resumption before all other requests, and answers once it
-# has read what its copy lacks.
-PREPARE_TIMEOUT_S: Final = 1.0
 
 _OK: Final = 200
 
@@ -223,10 +220,9 @@
         :param destination: engine that has a copy of the rest
         """
         if self.endpoint is not None:
-            order = self._handover.order_stop(
-                self._transfer, self.endpoint, destination
-            )
-            await asyncio.shield(order)
+            order = self._handover.order_stop(self.endpoint, destination)
+            self._transfer.stop_order = order
+            await order.result()
 
     def switch_to(self, copy: Endpoint) -> None:
         """Resume the run from its copy, and take it off its engine then.
@@ -236,6 +232,8 @@
 
         :param copy: engine with the copy
         """
+        if self.endpoint is None:
+            return
         location = RunLocation(
             endpoint=copy, address=copy.address, handle=self._job.request_id
         )
@@ -247,6 +245,8 @@
 
         self._handover.switch(
             self._transfer,
+            self.endpoint,
+            copy,
             _prepare(self._context, self._job, source, self._engines),
             leave,
             self.drop_copy,
@@ -264,7 +264,7 @@
                 error, self.run.output_tokens, may_have_run=self._may_have_run
             ) from error
         finally:
-            self._handover.end(self._transfer)
+            self._handover.end(self._transfer, self.endpoint)
             _record_end(self._context, self.run, self._pause)
 
     async def _relay(self) -> None:
@@ -318,12 +318,10 @@
             location = await self._handover.take_transferred()
         if location is None:
             return None
-        has_run = result.fate is AttemptOutcome.unknown
-        if has_run and not result.is_closed_by_peer:
-            await self._handover.ensure_stopped(
-                self._transfer, source.placement.endpoint, location.endpoint
-            )
-        return _resume_at(location, self.last_event)
+        await self._handover.ensure_alone(
+            location.endpoint, source.placement.endpoint
+        )
+        return _resume_at(self._handover.newest_copy(location), self.last_event)
 
     async def _attempt(self, source: AttemptSource) -> AttemptResult:
         """Run or resume the generation on one engine."""
@@ -331,7 +329,7 @@
         started_at = loop_time()
         self._head_at = None
         if source.prepared is None:
-            self._engines.record_request(endpoint, started_at)
+            self._handover.begin_at(endpoint)
         if source.is_resumed:
             _log_resumption(self._context, self._job, self._engines, endpoint)
             # Engines count a resumption as a retry. It is not subject to the
@@ -394,8 +392,7 @@
         self, connection: Connection, head: ResponseHead, source: AttemptSource
     ) -> None:
         splitter = EventSplitter()
-        route = self._job.route
-        longest_s = max_stall_ms(route.objective_ms, route.pause_ms) / MS_PER_S
+        longest_s = _longest_stall_s(self._job)
         while True:
             with _failures_of(self._job, source):
                 events = await _read_events(connection, splitter, longest_s)
@@ -437,6 +434,12 @@
         self._context.sharing.record(self.run, announce=is_first)
 
 
+def _longest_stall_s(job: Job) -> float:
+    """Return how long a stream may be silent, in seconds."""
+    route = job.route
+    return max_stall_ms(route.objective_ms, route.pause_ms) / MS_PER_S
+
+
 def _build_request(
     context: RelayContext, job: Job, source: AttemptSource
 ) -> OutgoingRequest:
@@ -520,23 +523,23 @@
     :param job: the request
     :param source: the engine, and the copy on it
     :param engines: engines that may be at work on the run
-    :returns: ``None`` if the engine does not accept it in time
+    :returns: ``None`` if the engine does not accept it before the stream counts
+        as stalled
     """
     endpoint = source.placement.endpoint
     connection: Connection | None = None
     head: ResponseHead | None = None
-    reason = ''
+    failure: Exception | None = None
     started_at = loop_time()
-    engines.record_request(endpoint, started_at)
     try:
-        async with asyncio.timeout(PREPARE_TIMEOUT_S):
+        async with asyncio.timeout(_longest_stall_s(job)):
             outgoing = _build_request(context, job, source)
             connection = await context.pool.take(endpoint.address, 0)
             with _failures_of(job, source):
                 await connection.send(outgoing)
                 head = await read_answer_head(context, job, connection)
     except (TimeoutError, ExchangeError) as error:
-        reason = repr(error)
+        failure = error
     finally:
         is_accepted = head is not None and head.status == _OK
         if connection is not None and not is_accepted:
@@ -546,20 +549,30 @@
         job.request_id,
         endpoint=endpoint.instance,
         status=0 if head is None else head.status,
-        reason=reason,
+        reason='' if failure is None else repr(failure),
         took_ms=_elapsed_ms(started_at, loop_time()),
     )
-    if head is not None and context.dialect.proves_not_run(head):
+    if _did_not_run(context, head, failure):
         engines.record_proof(endpoint)
-    elif not is_accepted:
-        engines.record_disconnect(endpoint, 'given up')
     if connection is None or head is None or not is_accepted:
         return None
+    engines.record_answer(endpoint)
     return PreparedResumption(
         endpoint=endpoint, connection=connection, head=head
     )
 
 
+def _did_not_run(
+    context: RelayContext,
+    head: ResponseHead | None,
+    failure: Exception | None,
+) -> bool:
+    """Return whether an engine has refused a request, or never got it."""
+    if head is not None:
+        return context.dialect.proves_not_run(head)
+    return isinstance(failure, ExchangeError) and not failure.was_sent
+
+
 def _record_ending(
     engines: RunEngines, endpoint: Endpoint, result: AttemptResult
 ) -> None:
@@ -567,9 +580,9 @@
     if result.fate is not AttemptOutcome.unknown:
         engines.record_proof(endpoint)
     elif result.is_closed_by_peer:
-        engines.record_disconnect(endpoint, 'closed by the peer')
+        engines.record_disconnect(endpoint, Ending.by_peer)
     else:
-        engines.record_disconnect(endpoint, 'closed by this node')
+        engines.record_disconnect(endpoint, Ending.by_node)
 
 
 def _log_resumption(
@@ -656,10 +669,16 @@
 ) -> AttemptSource | None:
     """Return where a hand-over has taken a run, if anywhere."""
     prepared = await transfer.prepared()
+    former = source.placement.endpoint
     if prepared is None:
-        moved = await transfer.moved_to()
-        return None if moved is None else _resume_at(moved, last_event)
-    handover.confirm_stopped(source.placement.endpoint, prepared.endpoint)
+        if transfer.stop_order is None:
+            return None
+        moved = await handover.take(transfer.stop_order)
+        if moved is None:
+            return None
+        await handover.ensure_alone(moved.endpoint, former)
+        return _resume_at(moved, last_event)
+    handover.confirm_stopped(former, prepared.endpoint)
     placement = EnginePlacement(endpoint=prepared.endpoint, copy=None)
     return AttemptSource(placement=placement, prepared=prepared)
 
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -331,6 +331,7 @@
     is_framed: bool = True,
     resets_on_stop: bool = True,
     cut_after: int | None = None,
+    crashes: bool = False,
 ) -> Script:
     """Return a script that streams numbered events.
 
@@ -339,7 +340,8 @@
     It continues after ``Last-Event-Id``. It aborts the connection before event
     ``break_after``, and once a final move has stopped the run, or closes it
     then unless ``resets_on_stop``. After event ``cut_after`` the connection is
-    reset on the way, and the run goes on unless the endpoint notices.
+    reset on the way, and the run goes on unless the endpoint notices. Before
+    event ``break_after`` it ``crashes`` instead of losing one connection.
     """
 
     async def write(
@@ -362,6 +364,9 @@
             if is_stopped and not resets_on_stop:
                 writer.close()
                 return
+            if crashes and number == break_after:
+                endpoint.crash()
+                return
             if is_stopped or number == break_after:
                 writer.transport.abort()
                 return
--- a/tests/test_relay_standby.py
+++ b/tests/test_relay_standby.py
@@ -288,7 +288,8 @@
     async def test_run_goes_on_from_its_standby_copy_after_a_crash(
         self,
     ) -> None:
-        first = engine('i-e', endpoints.stream(80, 0.03, break_after=60))
+        script = endpoints.stream(80, 0.03, break_after=60, crashes=True)
+        first = engine('i-e', script)
         second = engine('i-f', endpoints.stream(80, 0.005))
         async with open_plan(first, second) as (_relay, work):
             answer = await work
@@ -300,6 +301,21 @@
         assert resumed['kv-from'] == f'{first.address}/h-r1'
         assert resumed['last-event-id'] == '59'
 
+    async def test_engine_that_lives_on_is_stopped_before_its_run_goes_on(
+        self,
+    ) -> None:
+        first = engine('i-e', endpoints.stream(80, 0.03, break_after=60))
+        second = engine('i-f', endpoints.stream(80, 0.005))
+        async with open_plan(first, second) as (_relay, work):
+            answer = await work
+        assert answer.is_whole
+        assert event_ids(answer) == list(range(1, 81))
+        assert [move['final'] for move in first.moves].count(True) == 1
+        assert [move['target'] for move in first.moves][-1] == second.address
+        resumed = second.received[0].headers
+        assert resumed['kv-from'] == f'{first.address}/h-r1'
+        assert resumed['last-event-id'] == '59'
+
     async def test_departure_transfers_to_the_standby_engine(self) -> None:
         first = engine('i-e', endpoints.stream(200, 0.02))
         second = engine('i-f', endpoints.stream(200, 0.002))
