Cancel a generation that is given up before it starts on another engine

What callers saw: nothing; two engines worked on one request.

Cause: a generation whose connection broke four times before its first event is given up and started on another engine, and the order to cancel it was sent in the background.

The new test failed before: the second engine started first.

A generation whose first answer was lost has no id by which it could be cancelled; that case is left.

--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -375,7 +375,8 @@
         is_gone = error.kind is ErrorKind.not_found
         if is_gone or attempt.failures >= MAX_RESUME_FAILURES:
             if not is_gone:
-                self._cancel_in_background(attempt.endpoint, attempt.handle)
+                # The engine may work on, and the generation may start anew.
+                await self._cancel_given_up(attempt.endpoint, attempt.handle)
             raise MastichatchError(
                 ErrorKind.generation_lost,
                 str(error),
@@ -383,6 +384,23 @@
             ) from error
         await asyncio.sleep(RESUME_DELAY_S * attempt.failures)
 
+    async def _cancel_given_up(
+        self,
+        endpoint: Endpoint,
+        handle: GenerationHandle,
+    ) -> None:
+        """Cancel a generation at its engine, even if the caller leaves."""
+        task = asyncio.get_running_loop().create_task(
+            self._engines.cancel(
+                endpoint.address,
+                handle.generation,
+                handle.boot_id,
+            ),
+        )
+        self._cancel_tasks.add(task)
+        task.add_done_callback(self._cancel_tasks.discard)
+        await asyncio.shield(task)
+
     @contextlib.contextmanager
     def _releasing_permit(self, attempt: _GenerationAttempt) -> Iterator[None]:
         """Release the permit at the end of the block, with the outcome."""
@@ -461,21 +479,6 @@
             reason=f'{error.kind}: {error}',
         )
 
-    def _cancel_in_background(
-        self,
-        endpoint: Endpoint,
-        handle: GenerationHandle,
-    ) -> None:
-        task = asyncio.get_running_loop().create_task(
-            self._engines.cancel(
-                endpoint.address,
-                handle.generation,
-                handle.boot_id,
-            ),
-        )
-        self._cancel_tasks.add(task)
-        task.add_done_callback(self._cancel_tasks.discard)
-
 
 def _is_engine_lost(error: MastichatchError, delivered: int) -> bool:
     """Return whether an engine was lost before it generated a token."""
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -1,6 +1,8 @@
 """Tests of how often a generation is started on another engine."""
 
-from collections.abc import AsyncGenerator
+import asyncio
+import contextlib
+from collections.abc import AsyncGenerator, AsyncIterator
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -58,3 +60,80 @@
             pass
     assert raised.value.kind is kind
     assert started == starts
+
+
+class _Engines:
+    """Engines that begin a generation, break its stream, and work on."""
+
+    def __init__(self) -> None:
+        self.acts: list[str] = []
+
+    @contextlib.asynccontextmanager
+    async def start(
+        self, address: str, *_: object, **named: object
+    ) -> AsyncIterator[Any]:
+        self.acts.append(f'start {address}')
+
+        async def batches() -> AsyncIterator[Any]:
+            raise MastichatchError(ErrorKind.endpoint_failed)
+            yield
+
+        yield SimpleNamespace(boot_id='b', generation='g', batches=batches)
+
+    @contextlib.asynccontextmanager
+    async def resume(self, *_: object, **named: object) -> AsyncIterator[Any]:
+        raise MastichatchError(ErrorKind.endpoint_failed)
+        yield
+
+    async def cancel(self, address: str, *_: object) -> None:
+        await asyncio.sleep(0.5)
+        self.acts.append(f'cancelled {address}')
+
+
+class _Quiet:
+    """Takes the place of components that only record."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *positional, **named: True
+
+
+class TestGenerationGivenUp:
+    """Guards against a generation that two engines work on.
+
+    Its engine cannot be reached for a while, and is not known to have ended.
+    """
+
+    @pytest.mark.looptime
+    async def test_it_is_cancelled_before_it_starts_elsewhere(self) -> None:
+        engines = _Engines()
+        tested = Generations(
+            cast(Any, engines),
+            cast(Any, _Quiet()),
+            cast(Any, _Quiet()),
+            cast(Any, _Quiet()),
+        )
+        names = iter(('a', 'b'))
+        catalogue = SimpleNamespace(
+            endpoints={
+                name: SimpleNamespace(name=name, address=name) for name in 'ab'
+            },
+            service=lambda _: SimpleNamespace(idle_timeout_ms=1000),
+        )
+
+        async def acquire(_: object) -> Any:
+            return SimpleNamespace(
+                endpoint=next(names),
+                boot_id='b',
+                term=SimpleNamespace(number=1),
+            )
+
+        request = PermitRequest(
+            request_id='r', attempt=0, service='s', workspace='w', node='n'
+        )
+        with pytest.raises(MastichatchError):
+            batches = tested.start(
+                request, b'', cast(Any, catalogue), acquire, whole=False
+            )
+            async for _ in batches:
+                pass
+        assert engines.acts[:3] == ['start a', 'cancelled a', 'start b']
