Send nothing new to an endpoint whose answers say that it leaves

Cause: only the store and the reports of engines were read for this, and an entry that said 'ready' took an announcement back.

The head of each answer is now read for it, of calls, streams, refusals, reports and moves alike, since all pass the client of the pool. The node marks the endpoint as draining at once and tells the other nodes, as it does for reports; runs on it leave. The mark holds until the next start of the endpoint, whatever the store or a node says of it. Without a known start the former behaviour holds.

--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -64,6 +64,7 @@
         self._configuration: Configuration | None = None
         self._endpoints: dict[str, Endpoint] = {}
         self._instances: dict[str, str] = {}
+        self._leaving: dict[str, int] = {}
         self._expiring: dict[str, float] = {}
         self._lost_contact = False
         self._restored_at: float | None = None
@@ -116,12 +117,19 @@
     def mark_draining(self, instance: str) -> bool:
         """Mark an endpoint as draining after it announced its shutdown.
 
+        That holds until its next start, whatever the store or other nodes say
+        of it. An endpoint without a known start is draining until its next
+        entry, since a later start would not be told from it.
+
         :param instance: instance id of the endpoint
         :returns: whether the endpoint was known and not yet draining
         """
         endpoint = self._endpoints.get(instance)
         if endpoint is None or endpoint.state is EndpointState.draining:
             return False
+        if endpoint.started_ms:
+            self._leaving[instance] = self._revision
+            _drop_oldest(self._leaving)
         self._endpoints[instance] = dataclasses.replace(
             endpoint, state=EndpointState.draining
         )
@@ -244,6 +252,10 @@
                 # An earlier start under the same id has ended.
                 _remove_endpoint(self._endpoints, self._instances, key)
                 endpoint = decoders.endpoint(key, content)
+                if endpoint.instance in self._leaving:
+                    endpoint = dataclasses.replace(
+                        endpoint, state=EndpointState.draining
+                    )
                 self._instances[key] = endpoint.instance
                 self._endpoints[endpoint.instance] = endpoint
         except MalformedError as error:
@@ -289,6 +301,19 @@
         deleted.pop(next(iter(deleted)))
 
 
+def endpoint_at(cache: StoreCache, address: str, now: float) -> Endpoint | None:
+    """Return the endpoint at an address, the one that started last.
+
+    :param cache: cached entries of the store
+    :param address: IP address and port
+    :param now: time in seconds
+    """
+    found = (
+        one for one in cache.endpoints(now).values() if one.address == address
+    )
+    return max(found, key=lambda one: one.started_ms, default=None)
+
+
 def select_usable(
     endpoints: Iterable[Endpoint], evacuated: frozenset[str]
 ) -> tuple[Endpoint, ...]:
--- a/packages/node/mastichatch_node/relay/departure_polling.py
+++ b/packages/node/mastichatch_node/relay/departure_polling.py
@@ -1,7 +1,8 @@
-"""Polls engines for announcements of their departure.
+"""Collects announcements of endpoints that they are about to leave.
 
-The store reports departures too, but it may be unresponsive for seconds before
-that is detected, and the notice that an engine gives is shorter.
+They make them in each of their answers, and engines in their reports. The store
+reports departures too, but it may be unresponsive for seconds before that is
+detected, and the notice that an engine gives is shorter.
 """
 
 import asyncio
@@ -10,9 +11,11 @@
 from mastichatch_core import rendezvous
 from mastichatch_core.generated.messages import RunChanges
 from mastichatch_core.relay.model import Endpoint, EndpointState
+from mastichatch_core.relay.store_cache import endpoint_at
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.store_following import StoreFollower
 from mastichatch_node.relay.context import RelayContext
+from mastichatch_node.relay.http_client import ResponseHead
 from mastichatch_node.relay.run_migration import RunMigrator
 from mastichatch_node.relay.relay import Relay
 
@@ -22,7 +25,7 @@
 
 
 class DeparturePoller:
-    """Collects departure notices from engines and from other nodes."""
+    """Collects departure notices from endpoints and from other nodes."""
 
     def __init__(
         self,
@@ -64,6 +67,20 @@
                 ):
                     self._context.sharing.announce_departure(endpoint.instance)
 
+    def read_answer(self, address: str, head: ResponseHead) -> None:
+        """Record an announcement in an answer of an endpoint.
+
+        :param address: address of the endpoint
+        :param head: status and headers of the answer
+        """
+        if not self._context.dialect.says_leaving(head):
+            return
+        endpoint = endpoint_at(self._context.belief, address, loop_time())
+        if endpoint is not None and self._record_departure(
+            endpoint.instance, 'its answer'
+        ):
+            self._context.sharing.announce_departure(endpoint.instance)
+
     def handle_changes(self, message: RunChanges) -> None:
         """Apply the departure notices that another node received.
 
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -89,6 +89,8 @@
         was not executed
     :param read_response_id: returns the id of the request that a response
         belongs to, or ``None`` if it names none
+    :param says_leaving: returns whether an endpoint announces its shutdown in
+        a response
     :param is_genuine: returns whether a successful response has the
         endpoint's signature
     :param query_departure: asks an engine, given its address, whether it is
@@ -103,6 +105,7 @@
     response_headers: Callable[[Headers], Headers]
     proves_not_run: Callable[[ResponseHead], bool]
     read_response_id: Callable[[ResponseHead], str | None]
+    says_leaving: Callable[[ResponseHead], bool]
     is_genuine: Callable[[ResponseHead], bool]
     query_departure: Callable[[str], Awaitable[bool | None]]
     move_run: Callable[[MoveOrder], Awaitable[MoveResponse]]
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -8,7 +8,7 @@
 import contextlib
 import dataclasses
 import socket
-from collections.abc import AsyncIterator, Iterable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from typing import Final, SupportsIndex
 
 import h11
@@ -151,6 +151,7 @@
         self._is_unframed = False
         self._is_closed = False
         self._is_closed_by_peer = False
+        self._observe_head: Callable[[str, ResponseHead], None] | None = None
 
     @property
     def address(self) -> str:
@@ -172,6 +173,15 @@
         """Whether only the end of the connection ends the current response."""
         return self._is_unframed
 
+    def observe_heads(
+        self, observe: Callable[[str, ResponseHead], None]
+    ) -> None:
+        """Call a function with the address and the head of each response.
+
+        :param observe: the function
+        """
+        self._observe_head = observe
+
     def set_silence_timeout(self, timeout_ms: int) -> None:
         """Set how long the connection stays open while its peer is silent.
 
@@ -231,6 +241,8 @@
                     headers=tuple(event.headers),
                 )
                 self._is_unframed = not any(map(head.get, _FRAMING_HEADERS))
+                if self._observe_head is not None:
+                    self._observe_head(self._address, head)
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._close_with_error(
@@ -434,12 +446,22 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[Connection]] = {}
         self._opened = 0
+        self._observe_head: Callable[[str, ResponseHead], None] | None = None
 
     @property
     def opened(self) -> int:
         """Number of connections opened so far."""
         return self._opened
 
+    def observe_heads(
+        self, observe: Callable[[str, ResponseHead], None]
+    ) -> None:
+        """Call a function with the address and the head of each response.
+
+        :param observe: the function, for connections that are opened from now
+        """
+        self._observe_head = observe
+
     async def take(self, address: str, idle_limit_s: float) -> Connection:
         """Return an idle connection, or open a new one.
 
@@ -456,7 +478,10 @@
                 return connection
             connection.close()
         self._opened += 1
-        return await connect(address, self._connect_timeout_s)
+        connection = await connect(address, self._connect_timeout_s)
+        if self._observe_head is not None:
+            connection.observe_heads(self._observe_head)
+        return connection
 
     def release(self, connection: Connection) -> None:
         """Keep a connection for reuse, or close it if it is not idle.
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -383,6 +383,7 @@
         ):
             components.broadcaster.subscribe(rate_limited(react, interval_s))
         departures = DeparturePoller(context, follower, relay, migrator)
+        context.pool.observe_heads(departures.read_answer)
         register_handlers(
             components.peers,
             components.broadcaster,
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -5,7 +5,7 @@
 import dataclasses
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 import h11
 
@@ -42,6 +42,25 @@
         return tuple(one.partition(':')[0] for one in prefix.split(',') if one)
 
 
+class AnnouncingWriter:
+    """Adds headers to the answers that are written to a stream."""
+
+    def __init__(self, writer: asyncio.StreamWriter, headers: str) -> None:
+        """Wrap a stream."""
+        self._writer = writer
+        self._headers = headers.encode()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._writer, name)
+
+    def write(self, data: bytes) -> None:
+        """Write bytes, with the headers if they begin an answer."""
+        if data.startswith(b'HTTP/1.1 '):
+            status, _, rest = data.partition(b'\r\n')
+            data = status + b'\r\n' + self._headers + rest
+        self._writer.write(data)
+
+
 @dataclasses.dataclass
 class HouseEndpoint:
     """An endpoint, whose ``script`` responds to requests.
@@ -52,7 +71,8 @@
     that were freed. Unless ``drops_closed``, a run goes on after its connection
     has closed; ``working`` holds the ids of those in progress. The first
     ``stop_conflicts`` orders to stop are refused, and so are resumptions from
-    ``lost_handles``. A resumption is answered after ``resume_delay_s``.
+    ``lost_handles``. All answers carry ``said_headers``. A resumption is
+    answered after ``resume_delay_s``.
     """
 
     instance: str
@@ -69,6 +89,7 @@
     drops_closed: bool = True
     lost_handles: set[str] = dataclasses.field(default_factory=set)
     resume_delay_s: float = 0
+    said_headers: str = ''
     working: set[str] = dataclasses.field(default_factory=set)
     stopped: set[str] = dataclasses.field(default_factory=set)
     freed: list[str] = dataclasses.field(default_factory=list)
@@ -146,7 +167,10 @@
                 request = await _read(protocol, reader, number)
                 if request is None:
                     break
-                await self._answer(request, reader, writer)
+                said = AnnouncingWriter(writer, self.said_headers)
+                await self._answer(
+                    request, reader, cast(asyncio.StreamWriter, said)
+                )
                 if writer.is_closing():
                     break
                 protocol = h11.Connection(h11.SERVER)
