Leave an endpoint alone for the time that it asks for in a refusal

Cause: Retry-After of endpoints was not read.

Each answer with 503 is now read for it. For the time given, and a random quarter of it more (2 s at most), so that nodes do not return together, the node sends that endpoint no calls, generations, resumptions, reports, copies or releases; an order to stop a run is sent all the same. After that, calls get the endpoint's slots back over two seconds. If all endpoints of a service have asked for time, requests are refused at once with the time until the first of them. Values that are no positive number ask for nothing; none counts for more than 300 s. The pause is kept with the statistics of one start of the endpoint.

--- a/packages/core/mastichatch_core/relay/plain_choice.py
+++ b/packages/core/mastichatch_core/relay/plain_choice.py
@@ -14,6 +14,7 @@
 from mastichatch_core import breaker as breakers
 from mastichatch_core.breaker import Breaker
 from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.server_pauses import calls_after_pause
 
 # Weight of one call in the moving averages, which cover about five calls.
 MEAN_WEIGHT: Final = 0.2
@@ -40,6 +41,7 @@
     :param breaker: circuit breaker, which opens after consecutive failures
     :param avoided_until: time until which the endpoint gets no requests, in
         seconds
+    :param paused_until: end of the time that the endpoint asked for, in seconds
     """
 
     running: int = 0
@@ -48,6 +50,7 @@
     updated_at: float = -math.inf
     breaker: Breaker = dataclasses.field(default_factory=Breaker)
     avoided_until: float = -math.inf
+    paused_until: float = -math.inf
 
     def avoid(self, until: float) -> None:
         """Send no requests to the endpoint for a while.
@@ -56,6 +59,20 @@
         """
         self.avoided_until = max(self.avoided_until, until)
 
+    def pause(self, until: float) -> None:
+        """Leave the endpoint alone, since it asked for time.
+
+        :param until: end of that time, in seconds
+        """
+        self.paused_until = max(self.paused_until, until)
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether the endpoint wants nothing from this node.
+
+        :param now: time in seconds
+        """
+        return now < self.paused_until
+
     def is_avoided(self, now: float) -> bool:
         """Return whether the endpoint gets no requests.
 
@@ -123,6 +140,26 @@
         breakers.record_failure(stats.breaker, reached=reached, now=now)
 
 
+def split_paused(
+    endpoints: Iterable[Endpoint], table: EndpointStatsTable, now: float
+) -> tuple[tuple[Endpoint, ...], float | None]:
+    """Return the endpoints that may be called, and when the next one may.
+
+    :param endpoints: endpoints that accept new requests
+    :param table: statistics of the endpoints
+    :param now: time in seconds
+    :returns: the endpoints that have not asked for time, and the time in
+        seconds until the first other one may be called; ``None`` without one
+    """
+    known = tuple(endpoints)
+    paused_until = {
+        one.instance: table.get(one.instance).paused_until for one in known
+    }
+    active = tuple(one for one in known if now >= paused_until[one.instance])
+    left_s = [until - now for until in paused_until.values() if until > now]
+    return active, min(left_s, default=None)
+
+
 def rank_endpoints(
     endpoints: Iterable[Endpoint],
     table: EndpointStatsTable,
@@ -131,8 +168,9 @@
 ) -> tuple[Endpoint, ...]:
     """Return the endpoints in the order in which to try them.
 
-    Endpoints with an open circuit breaker come last. They are not left out,
-    because some endpoint must be tried even if all breakers are open.
+    Endpoints with an open circuit breaker come last, and so do those that have
+    all the calls that they may have after a pause. They are not left out,
+    because some endpoint must be tried even if that holds for all.
 
     :param endpoints: endpoints that accept new requests
     :param table: statistics of the endpoints
@@ -143,6 +181,8 @@
     def cost(endpoint: Endpoint) -> tuple[bool, float, str]:
         stats = table.get(endpoint.instance)
         is_allowed = breakers.allows_request(stats.breaker, stats.running, now)
+        since_s = now - stats.paused_until
+        is_allowed &= stats.running < calls_after_pause(endpoint.slots, since_s)
         return (
             not is_allowed,
             _expected_ms(endpoint, stats, data_centre, now),
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -91,6 +91,8 @@
         belongs to, or ``None`` if it names none
     :param says_leaving: returns whether an endpoint announces its shutdown in
         a response
+    :param read_pause_s: returns the time for which an endpoint that turns a
+        request away wants no others, in seconds; ``None`` without a valid one
     :param is_genuine: returns whether a successful response has the
         endpoint's signature
     :param query_departure: asks an engine, given its address, whether it is
@@ -106,6 +108,7 @@
     proves_not_run: Callable[[ResponseHead], bool]
     read_response_id: Callable[[ResponseHead], str | None]
     says_leaving: Callable[[ResponseHead], bool]
+    read_pause_s: Callable[[ResponseHead], float | None]
     is_genuine: Callable[[ResponseHead], bool]
     query_departure: Callable[[str], Awaitable[bool | None]]
     move_run: Callable[[MoveOrder], Awaitable[MoveResponse]]
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -30,6 +30,7 @@
 )
 from mastichatch_core.relay.engine_queue import max_queue_wait_s, assign_engines
 from mastichatch_core.relay.model import Endpoint, Engine
+from mastichatch_core.relay.plain_choice import split_paused
 from mastichatch_core.relay.prompt_quarantine import Verdict
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
@@ -126,6 +127,7 @@
         if job.facts.prompt_tokens > engine.memory_tokens:
             # The prompt exceeds the memory of every engine.
             raise self._unavailable(job)
+        refuse_if_all_paused(self._context, job)
         future: asyncio.Future[Candidate] = (
             asyncio.get_running_loop().create_future()
         )
@@ -156,7 +158,11 @@
         :param service: name of the service
         """
         now = loop_time()
-        usable = usable_endpoints(self._context.belief, service, now)
+        usable, _ = split_paused(
+            usable_endpoints(self._context.belief, service, now),
+            self._context.records,
+            now,
+        )
         healthy = tuple(one for one in usable if self._is_healthy(one, now))
         # If all circuit breakers are open, some engine must still be tried.
         return healthy or usable
@@ -212,8 +218,10 @@
 
         :param endpoint: the engine; the state given in it may be out of date
         """
-        belief = self._context.belief
-        usable = usable_endpoints(belief, endpoint.service, loop_time())
+        now = loop_time()
+        if self._context.records.get(endpoint.instance).is_paused(now):
+            return False
+        usable = usable_endpoints(self._context.belief, endpoint.service, now)
         return any(one.instance == endpoint.instance for one in usable)
 
     def _is_healthy(self, endpoint: Endpoint, now: float) -> bool:
@@ -416,6 +424,25 @@
     return job.service.engine
 
 
+def refuse_if_all_paused(context: RelayContext, job: Job) -> None:
+    """Refuse a request if all endpoints of its service have asked for time.
+
+    :param context: shared components of the relay
+    :param job: the request
+    :raises EngineUnavailableError: with the time until the first of them is
+        expected to have room
+    """
+    now = loop_time()
+    usable = usable_endpoints(context.belief, job.service.name, now)
+    active, left_s = split_paused(usable, context.records, now)
+    if active or left_s is None:
+        return
+    jitter_s = random.random() * RETRY_AFTER_JITTER_S  # noqa: S311
+    raise EngineUnavailableError(
+        'all endpoints have asked for time', left_s + jitter_s
+    )
+
+
 def quarantine_error(refusal: Verdict) -> EngineUnavailableError:
     """Return the error for a request that would crash every endpoint.
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -98,6 +98,9 @@
         return None
 
 
+HeadObserver = Callable[[str, ResponseHead], None]
+
+
 class CountingReader(asyncio.StreamReader):
     """A stream that tells whether bytes arrived that were not read."""
 
@@ -151,7 +154,7 @@
         self._is_unframed = False
         self._is_closed = False
         self._is_closed_by_peer = False
-        self._observe_head: Callable[[str, ResponseHead], None] | None = None
+        self._observers: list[HeadObserver] = []
 
     @property
     def address(self) -> str:
@@ -173,14 +176,12 @@
         """Whether only the end of the connection ends the current response."""
         return self._is_unframed
 
-    def observe_heads(
-        self, observe: Callable[[str, ResponseHead], None]
-    ) -> None:
+    def observe_heads(self, observer: HeadObserver) -> None:
         """Call a function with the address and the head of each response.
 
-        :param observe: the function
+        :param observer: the function
         """
-        self._observe_head = observe
+        self._observers.append(observer)
 
     def set_silence_timeout(self, timeout_ms: int) -> None:
         """Set how long the connection stays open while its peer is silent.
@@ -241,8 +242,8 @@
                     headers=tuple(event.headers),
                 )
                 self._is_unframed = not any(map(head.get, _FRAMING_HEADERS))
-                if self._observe_head is not None:
-                    self._observe_head(self._address, head)
+                for observe in self._observers:
+                    observe(self._address, head)
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._close_with_error(
@@ -446,21 +447,19 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[Connection]] = {}
         self._opened = 0
-        self._observe_head: Callable[[str, ResponseHead], None] | None = None
+        self._observers: list[HeadObserver] = []
 
     @property
     def opened(self) -> int:
         """Number of connections opened so far."""
         return self._opened
 
-    def observe_heads(
-        self, observe: Callable[[str, ResponseHead], None]
-    ) -> None:
+    def observe_heads(self, observer: HeadObserver) -> None:
         """Call a function with the address and the head of each response.
 
-        :param observe: the function, for connections that are opened from now
+        :param observer: the function, for connections that are opened from now
         """
-        self._observe_head = observe
+        self._observers.append(observer)
 
     async def take(self, address: str, idle_limit_s: float) -> Connection:
         """Return an idle connection, or open a new one.
@@ -479,8 +478,8 @@
             connection.close()
         self._opened += 1
         connection = await connect(address, self._connect_timeout_s)
-        if self._observe_head is not None:
-            connection.observe_heads(self._observe_head)
+        for observer in self._observers:
+            connection.observe_heads(observer)
         return connection
 
     def release(self, connection: Connection) -> None:
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -13,7 +13,6 @@
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.store_cache import StoreCache, Decoders
 from mastichatch_core.relay.model import ClientLimits
-from mastichatch_core.relay.plain_choice import EndpointStatsTable
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
@@ -49,6 +48,7 @@
 from mastichatch_node.relay.rate_limiting import rate_limited
 from mastichatch_node.relay.engine_placement import EnginePlacer
 from mastichatch_node.relay.relay import Relay
+from mastichatch_node.relay.server_pausing import PauseKeeper
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.standby_copying import StandbyCopier
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
@@ -310,14 +310,15 @@
 def _create_context(
     components: _Components, pool: ConnectionPool
 ) -> RelayContext:
-    dialect = components.adapter.open_dialect(pool)
+    keeper = PauseKeeper(components.cache, components.telemetry)
+    dialect = keeper.attach(pool, components.adapter.open_dialect(pool))
     percent = int(components.settings.retry_percent * RETRY_ALLOWANCE_SHARE)
     return RelayContext(
         node=components.settings.name,
         data_centre=components.settings.data_centre,
         belief=components.cache,
         sharing=components.broadcaster,
-        records=EndpointStatsTable(),
+        records=keeper.records,
         retries=RetryAllowance(percent, burst=0),
         pool=pool,
         dialect=dialect,
--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -119,6 +119,8 @@
         key = generation.job.request_id
         if key in self._moves or not require_engine(generation.job).can_move:
             return
+        if self._context.records.get(source.instance).is_paused(loop_time()):
+            return
         task = asyncio.ensure_future(self._move(generation, source))
         self._moves[key] = task
         task.add_done_callback(lambda done: self._finish_move(key, done))
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -9,7 +9,7 @@
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.relay.store_cache import usable_endpoints
 from mastichatch_core.relay.model import Endpoint, RequestKind
-from mastichatch_core.relay.plain_choice import rank_endpoints
+from mastichatch_core.relay.plain_choice import rank_endpoints, split_paused
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.endpoint_attempt import (
     FIRST_SERVER_ERROR,
@@ -22,7 +22,10 @@
     read_answer_head,
     unforeseen_as_failures,
 )
-from mastichatch_node.relay.engine_placement import quarantine_error
+from mastichatch_node.relay.engine_placement import (
+    quarantine_error,
+    refuse_if_all_paused,
+)
 from mastichatch_node.relay.http_client import (
     Connection,
     ExchangeError,
@@ -65,6 +68,8 @@
     while True:
         endpoint = _choose_endpoint(context, job, tried)
         if endpoint is None:
+            if not any(map(_may_have_run, results)):
+                refuse_if_all_paused(context, job)
             raise _create_error(results)
         tried[endpoint.instance] = endpoint
         result = await _attempt(context, job, endpoint, len(results))
@@ -121,7 +126,11 @@
     context: RelayContext, job: Job, tried: Container[str]
 ) -> Endpoint | None:
     now = loop_time()
-    usable = usable_endpoints(context.belief, job.service.name, now)
+    usable, _ = split_paused(
+        usable_endpoints(context.belief, job.service.name, now),
+        context.records,
+        now,
+    )
     untried = (one for one in usable if one.instance not in tried)
     ranked = rank_endpoints(untried, context.records, context.data_centre, now)
     return ranked[0] if ranked else None
@@ -210,13 +219,14 @@
         return True
     if job.route.kind is not RequestKind.idempotent:
         return True
-    ran = sum(
-        one.fate in {AttemptOutcome.answered, AttemptOutcome.unknown}
-        for one in results
-    )
+    ran = sum(map(_may_have_run, results))
     return ran >= job.route.attempts or not context.retries.try_spend()
 
 
+def _may_have_run(result: AttemptResult) -> bool:
+    return result.fate in {AttemptOutcome.answered, AttemptOutcome.unknown}
+
+
 def _is_server_error(result: AttemptResult) -> bool:
     return result.head is not None and result.head.status >= FIRST_SERVER_ERROR
 
