Answer a refused HEAD request instead of closing its connection

What callers saw: a HEAD request that was refused got a closed connection and no status. Cause: the body of the error was given to the protocol, which allows none in an answer to HEAD and raised. The body is left out now.

--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -83,12 +83,17 @@
         self._is_last = is_last
         self._writer = writer
         self._status = 0
+        self._omits_body = False
 
     @property
     def status(self) -> int:
         """HTTP status of the response; zero before it starts."""
         return self._status
 
+    def omit_body(self) -> None:
+        """Send no body, since the request has the method HEAD."""
+        self._omits_body = True
+
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response.
 
@@ -134,7 +139,11 @@
         return h11.Response(status_code=status, headers=list(headers))
 
     def _emit(self, *events: h11.Event) -> None:
-        parts = [self._protocol.send(event) or b'' for event in events]
+        parts = [
+            self._protocol.send(event) or b''
+            for event in events
+            if not (self._omits_body and isinstance(event, h11.Data))
+        ]
         self._writer.write(b''.join(parts))
 
 
@@ -248,6 +257,8 @@
             return False
         if request is None:
             return False
+        if request.method == b'HEAD':
+            reply.omit_body()
         await self._respond(protocol, reader, request, reply)
         states = (protocol.our_state, protocol.their_state)
         return states == (h11.DONE, h11.DONE) and not self.is_draining
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
-from mastichatch_platform.__main__ import create_adapter
+from mastichatch_platform.program import create_adapter
 
 from mastichatch_node.relay.program import DRAIN_NOTICE_S, open_node
 from mastichatch_node.relay.telemetry import Telemetry
@@ -296,6 +296,19 @@
                 assert (await read_answer(reader)).body == b'mine'
             writer.close()
 
+    async def test_refused_head_request_is_answered_without_a_body(
+        self,
+    ) -> None:
+        """The body of the error used to end the connection instead."""
+        async with open_relay((app(),)) as relay:
+            reader, writer = await _connect(relay)
+            writer.write(request_bytes('/nowhere/', method='HEAD'))
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 404 ')
+            writer.write(request_bytes('/book/x', request_id='r2'))
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+
     async def test_early_error_keeps_the_caller_connection_open(self) -> None:
         async with open_relay((app(),)) as relay:
             reader, writer = await _connect(relay)
