--- a/tests/relay_nodes.py
+++ b/tests/relay_nodes.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import h11
-from mastichatch_platform.__main__ import create_adapter
+from mastichatch_platform.program import create_adapter
 
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_node.relay.program import RelayNode, open_node
--- a/tests/test_relay_avoidance.py
+++ b/tests/test_relay_avoidance.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
-from mastichatch_platform.__main__ import create_adapter
+from mastichatch_platform.program import create_adapter
 
 from mastichatch_core.relay.avoidance import (
     REFUSED_CONNECTION_S,
--- a/tests/test_relay_belief.py
+++ b/tests/test_relay_belief.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from mastichatch_platform.__main__ import create_decoders
+from mastichatch_platform.program import create_decoders
 
 from mastichatch_core.generated.messages import ViewEntry
 from mastichatch_core.relay.store_cache import (
--- a/tests/test_relay_poison_heads.py
+++ b/tests/test_relay_poison_heads.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from mastichatch_platform.__main__ import create_adapter
+from mastichatch_platform.program import create_adapter
 
 from mastichatch_core.relay.runs import MAX_MISSED_INTERVALS
 from mastichatch_node.clock import loop_time
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from mastichatch_platform.__main__ import create_adapter
+from mastichatch_platform.program import create_adapter
 
 from mastichatch_ctl.main import run
 from mastichatch_node.relay.program import RelayNode, open_node
--- a/tests/test_relay_readers.py
+++ b/tests/test_relay_readers.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
-from mastichatch_platform.__main__ import create_adapter
+from mastichatch_platform.program import create_adapter
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
