--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -105,15 +105,12 @@
     :param name: unique name
     :param health_path: path of its health check
     :param connection_limit: highest number of connections to an endpoint
-    :param cold_rate: highest number of requests per second to an endpoint that
-        has just started; zero for no limit
     :param engine: capacity of its engines; ``None`` for a plain service
     """
 
     name: str
     health_path: str
     connection_limit: int
-    cold_rate: float
     engine: Engine | None
 
 
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -68,7 +68,6 @@
     name='llm',
     health_path='',
     connection_limit=50,
-    cold_rate=0,
     engine=Engine(
         batch_limit=8,
         memory_tokens=100000,
