Keep an endpoint's notice also where the store had said before that it leaves

What callers saw: nothing yet, found on reading. An endpoint that the store had as draining, and that said so itself, was taken for ready again when the store wrote so during the same start. Cause: the notice was recorded only where it changed the state. The new test failed before.

--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -125,11 +125,13 @@
         :returns: whether the endpoint was known and not yet draining
         """
         endpoint = self._endpoints.get(instance)
-        if endpoint is None or endpoint.state is EndpointState.draining:
+        if endpoint is None:
             return False
         if endpoint.started_ms:
             self._leaving[instance] = self._revision
             _drop_oldest(self._leaving)
+        if endpoint.state is EndpointState.draining:
+            return False
         self._endpoints[instance] = dataclasses.replace(
             endpoint, state=EndpointState.draining
         )
--- a/tests/test_relay_server_notices.py
+++ b/tests/test_relay_server_notices.py
@@ -70,6 +70,19 @@
             await call_often(relay, 'b')
             assert len(leaving.received) == received
 
+    async def test_it_stays_away_if_the_store_had_said_so_before(self) -> None:
+        leaving, other = app('a-1'), app('a-2')
+        async with open_relay((leaving, other)) as relay:
+            entry = leaving.entry('app', 'north', 'draining')
+            await relay.store.put('servers/a-1', entry)
+            await until(
+                lambda: state_of(relay, 'a-1') is EndpointState.draining
+            )
+            instance = known_endpoints(relay.node)['a-1'].instance
+            assert not relay.node.belief.mark_draining(instance)
+            await rewrite_entry(relay, leaving)
+            assert state_of(relay, 'a-1') is EndpointState.draining
+
     async def test_it_is_used_again_once_it_has_started_anew(self) -> None:
         leaving = app('a-1')
         leaving.said_headers = LEAVING
