Log what the proof that an engine has stopped rests on

The log said 'gone' of an engine that refused the order to stop, and not whether other connections to it were open. ProcessSigns tracks them by address; run_stopped_and_copied tells refused and open. No decision reads them yet.

--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from mastichatch_core.relay.process_signs import ProcessSigns
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.turns import TurnLimiter, piece_cost_bytes
@@ -101,6 +102,10 @@
 HeadObserver = Callable[[str, ResponseHead], None]
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 class CountingReader(asyncio.StreamReader):
     """A stream that tells whether bytes arrived that were not read."""
 
@@ -108,6 +113,22 @@
         """Start without bytes."""
         super().__init__()
         self._unread = 0
+        self._has_ended = False
+        self._on_bytes: Callable[[], None] = _ignore
+        self._on_end: Callable[[], None] = _ignore
+
+    def observe(
+        self, on_bytes: Callable[[], None], on_end: Callable[[], None]
+    ) -> None:
+        """Call functions when bytes arrive, and at the end.
+
+        :param on_bytes: called when bytes have arrived
+        :param on_end: called once, when the connection has ended; at once if
+            it has
+        """
+        self._on_bytes, self._on_end = on_bytes, on_end
+        if self._has_ended:
+            self._report_end()
 
     @property
     def has_unread(self) -> bool:
@@ -121,8 +142,22 @@
         """
         received = bytes(data)
         self._unread += len(received)
+        self._on_bytes()
         super().feed_data(received)
 
+    def feed_eof(self) -> None:
+        """End the stream."""
+        self._report_end()
+        super().feed_eof()
+
+    def set_exception(self, exc: Exception) -> None:
+        """End the stream with an error.
+
+        :param exc: the error
+        """
+        self._report_end()
+        super().set_exception(exc)
+
     async def read(self, n: int = -1) -> bytes:  # noqa: WPS111 - inherited
         """Return the next bytes, or none at the end of the stream.
 
@@ -132,6 +167,11 @@
         self._unread -= len(received)
         return received
 
+    def _report_end(self) -> None:
+        self._has_ended = True
+        on_end, self._on_end = self._on_end, _ignore
+        on_end()
+
 
 class Connection:
     """A client connection, which carries one request at a time."""
@@ -355,39 +395,49 @@
         )
 
 
-async def connect(address: str, timeout_s: float) -> Connection:
+async def connect(
+    address: str, timeout_s: float, signs: ProcessSigns | None = None
+) -> Connection:
     """Open a connection.
 
     :param address: IP address and port
     :param timeout_s: longest time to connect, in seconds
+    :param signs: records what the connection shows of the peer's process
     :raises ExchangeError: if the connection is not established in time
     """
     host, _, port = address.rpartition(':')
+    signs = ProcessSigns() if signs is None else signs
+    reader = CountingReader()
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await _open_streams(host, int(port))
+            writer = await _open_stream(reader, host, int(port))
     except Exception as error:
         # The address comes from another process, and errors of other kinds
         # than ``OSError`` are possible, such as for a port out of range.
         reason = f'no connection to {address}: {error!r}'
+        is_refused = isinstance(error, ConnectionRefusedError)
+        if is_refused:
+            signs.record_refusal(address, loop_time())
         raise ExchangeError(
-            reason,
-            was_sent=False,
-            is_connection_refused=isinstance(error, ConnectionRefusedError),
+            reason, was_sent=False, is_connection_refused=is_refused
         ) from error
+    signs.record_connect(address)
+    reader.observe(
+        lambda: signs.record_bytes(address, loop_time()),
+        lambda: signs.record_end(address),
+    )
     configure_keepalive(writer)
     return Connection(address, reader, writer)
 
 
-async def _open_streams(
-    host: str, port: int
-) -> tuple[CountingReader, asyncio.StreamWriter]:
+async def _open_stream(
+    reader: CountingReader, host: str, port: int
+) -> asyncio.StreamWriter:
     loop = asyncio.get_running_loop()
-    reader = CountingReader()
     transport, protocol = await loop.create_connection(
         lambda: asyncio.StreamReaderProtocol(reader), host, port
     )
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+    return asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
 async def probe_refuses(address: str) -> bool:
@@ -446,9 +496,15 @@
         """
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[Connection]] = {}
+        self._signs = ProcessSigns()
         self._opened = 0
         self._observers: list[HeadObserver] = []
 
+    @property
+    def signs(self) -> ProcessSigns:
+        """What the connections show of the processes behind them."""
+        return self._signs
+
     @property
     def opened(self) -> int:
         """Number of connections opened so far."""
@@ -477,7 +533,9 @@
                 return connection
             connection.close()
         self._opened += 1
-        connection = await connect(address, self._connect_timeout_s)
+        connection = await connect(
+            address, self._connect_timeout_s, self._signs
+        )
         for observer in self._observers:
             connection.observe_heads(observer)
         return connection
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -324,7 +324,7 @@
         dialect=dialect,
         telemetry=components.telemetry,
         crashes=components.crashes,
-        stopper=RunStopper(dialect, components.telemetry),
+        stopper=RunStopper(dialect, components.telemetry, pool),
     )
 
 
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -27,6 +27,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import Dialect, MoveOrder, MoveResponse
+from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.run_transfer import (
     PreparedResumption,
     RunLocation,
@@ -76,12 +77,16 @@
 class RunStopper:
     """Orders engines to stop runs, and tracks the orders in progress."""
 
-    def __init__(self, dialect: Dialect, telemetry: Telemetry) -> None:
+    def __init__(
+        self, dialect: Dialect, telemetry: Telemetry, pool: ConnectionPool
+    ) -> None:
         """Start without orders.
 
         :param dialect: sends the orders
         :param telemetry: logs the answers
+        :param pool: connections to engines
         """
+        self._pool = pool
         self._dialect = dialect
         self._telemetry = telemetry
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -168,6 +173,8 @@
             destination=destination.instance,
             status=answer.status,
             proof=proof,
+            refused=answer.is_connection_refused,
+            open=self._pool.signs.is_open(source.address),
             tries=tries,
             last_event=run.last_event,
             took_ms=round((loop_time() - started_at) * MS_PER_S),
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -23,6 +23,7 @@
     Service,
 )
 from mastichatch_core.relay.plain_choice import EndpointStatsTable
+from mastichatch_core.relay.process_signs import ProcessSigns
 from mastichatch_core.relay.prompt_quarantine import Verdict
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.context import Job, RelayContext, RetryAllowance
@@ -288,6 +289,7 @@
         self.scenario = scenario
         self.handles = itertools.count()
         self.reusable: set[str] = set()
+        self.signs = ProcessSigns()
         names = ('first', 'copy', 'third')
         self.engines = {name: EmulatedEngine(name, scenario) for name in names}
         self.first, self.copy, self.third = self.engines.values()
@@ -503,7 +505,7 @@
         dialect=dialect,
         telemetry=cast(Any, _Quiet()),
         crashes=cast(Any, _Crashes()),
-        stopper=RunStopper(dialect, cast(Any, _Quiet())),
+        stopper=RunStopper(dialect, cast(Any, _Quiet()), cast(Any, fleet)),
     )
 
 
