--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -94,6 +94,11 @@
         true one: ``reset``, ``conflict``, ``no_room`` or ``full``
     :param queues: whether the engine with the copy does not know a run before
         it begins its answer
+    :param listener_delay_s: time after the trouble at which the first engine
+        stops listening, and serves what it has; ``None`` if it does not
+    :param stop_delay_s: time until the first engine obeys an order to stop
+    :param is_entry_lost: whether the first engine's entry is lost in the
+        trouble, besides
     """
 
     trouble: str
@@ -103,6 +108,9 @@
     has_copy: bool = True
     order_faults: tuple[str, ...] = ()
     queues: bool = False
+    listener_delay_s: float | None = None
+    stop_delay_s: float = 0
+    is_entry_lost: bool = False
 
 
 class EmulatedRun:
@@ -146,6 +154,8 @@
         self.order_faults: list[str] = []
         self.trouble = ''
         self.is_gone = False
+        self.is_listening = True
+        self.stop_delay_s = 0.0
         self.connections: list[EmulatedConnection] = []
 
     @property
@@ -153,6 +163,10 @@
         """The run on which it is at work, if any."""
         return next((one for one in self.runs if one.is_working), None)
 
+    def stop_listening(self) -> None:
+        """Accept no new connections, and serve the open ones."""
+        self.is_listening = False
+
     def crash(self) -> None:
         """End at once."""
         self.is_gone = True
@@ -170,6 +184,8 @@
             return MoveResponse(status=0)
         if fault in {'conflict', 'no_room'}:
             return MoveResponse(status=409 if fault == 'conflict' else 503)
+        if order.is_final:
+            await asyncio.sleep(self.stop_delay_s)
         run = self.run
         if run is None or (self.scenario.queues and not run.has_head):
             return MoveResponse(status=404)
@@ -295,6 +311,7 @@
         self.first, self.copy, self.third = self.engines.values()
         self.copy.head_delay_s = scenario.head_delay_s
         self.first.order_faults = list(scenario.order_faults)
+        self.first.stop_delay_s = scenario.stop_delay_s
         if scenario.has_copy:
             self.copy.copies.add('copy/r1')
 
@@ -332,6 +349,10 @@
     def begin_trouble(self) -> None:
         """Let the trouble of the scenario happen to the first engine."""
         self.first.trouble = self.scenario.trouble
+        if self.scenario.listener_delay_s is not None:
+            asyncio.get_running_loop().call_later(
+                self.scenario.listener_delay_s, self.first.stop_listening
+            )
         if self.scenario.trouble == 'crash':
             self.first.crash()
         elif self.scenario.trouble == 'reset':
@@ -361,7 +382,9 @@
 
     async def _connect(self, address: str) -> None:
         await asyncio.sleep(2 * self.scenario.latency_s)
-        if self.engines[address].is_gone:
+        engine = self.engines[address]
+        if engine.is_gone or not engine.is_listening:
+            self.signs.record_refusal(address, loop_time())
             raise ExchangeError(
                 'refused', was_sent=False, is_connection_refused=True
             )
@@ -461,7 +484,11 @@
     def endpoints(self, now: float) -> MappingProxyType[str, Endpoint]:
         engines = self.fleet.engines.items()
         return MappingProxyType(
-            {name: engine.endpoint for name, engine in engines}
+            {
+                name: engine.endpoint
+                for name, engine in engines
+                if not (engine.trouble and self.fleet.scenario.is_entry_lost)
+            }
         )
 
 
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -72,7 +72,8 @@
     has closed; ``working`` holds the ids of those in progress. The first
     ``stop_conflicts`` orders to stop are refused, and so are resumptions from
     ``lost_handles``. All answers carry ``said_headers``. A resumption is
-    answered after ``resume_delay_s``.
+    answered after ``resume_delay_s``, and an order to stop takes effect after
+    ``stop_delay_s``.
     """
 
     instance: str
@@ -86,6 +87,7 @@
     move_status: int = 200
     stop_status: int = 200
     stop_conflicts: int = 0
+    stop_delay_s: float = 0
     drops_closed: bool = True
     lost_handles: set[str] = dataclasses.field(default_factory=set)
     resume_delay_s: float = 0
@@ -232,6 +234,8 @@
     ) -> None:
         body = json.loads(request.body)
         self.moves.append(body)
+        if body['final']:
+            await asyncio.sleep(self.stop_delay_s)
         answer = {'kv_handle': f'h-{body["id"]}', 'created': 0}
         status = self.stop_status if body['final'] else self.move_status
         if body['final'] and self.stop_conflicts:
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -1,6 +1,7 @@
 """Tests of runs that go on at another engine while the first one serves."""
 
 import asyncio
+import collections
 import contextlib
 import time
 from collections.abc import AsyncIterator
@@ -167,14 +168,17 @@
 
 
 def working_engines(engines: tuple[HouseEndpoint, ...]) -> int:
-    """Return how many engines work on the run."""
-    return sum('r1' in one.working - one.stopped for one in engines)
+    """Return how many engines work on the same run, at most."""
+    at_work = collections.Counter(
+        run for one in engines for run in one.working - one.stopped
+    )
+    return max(at_work.values(), default=0)
 
 
 async def doubled_s(
-    work: 'asyncio.Task[Any]', *engines: HouseEndpoint
+    work: 'asyncio.Future[Any]', *engines: HouseEndpoint
 ) -> float:
-    """Return how long two engines work on the same run, in seconds."""
+    """Return how long two engines work on one run, in seconds."""
     began_at: float | None = None
     longest_s = float()
     while not work.done():
@@ -318,6 +322,111 @@
         assert answer.is_whole
 
 
+class TestEngineThatCannotBeStopped:
+    """Guards against signs that are taken for the end of a run.
+
+    An engine that stops in order closes its listener first, and serves its
+    streams to their end. Others obey an order to stop late. Neither drops a run
+    whose connection closes.
+    """
+
+    @pytest.mark.parametrize('delay_s', [0, 0.05])
+    async def test_closed_listener_is_no_end_of_a_run_that_is_served(
+        self, delay_s: float
+    ) -> None:
+        first = HouseEndpoint(
+            instance='i-e',
+            script=endpoints.stream(EVENTS, GAP_S * 2),
+            drops_closed=False,
+        )
+        second = engine('i-f')
+        async with open_plan(first, second) as (relay, work):
+            # One of them may be stopped on an idle connection.
+            plans = asyncio.gather(
+                work,
+                *(
+                    relay.call(
+                        '/plan/x',
+                        headers=TOKENS,
+                        timeout_ms=8000,
+                        request_id=name,
+                    )
+                    for name in ('r2', 'r3', 'r4')
+                ),
+            )
+            await until(lambda: len(first.working) == 4)
+            await until(
+                lambda: all(
+                    (one.last_event or 0) >= COPY_COMPLETE_EVENTS
+                    for one in relay.node.relay.generations
+                )
+            )
+            await drain(relay, first)
+            await asyncio.sleep(delay_s)
+            first.close()
+            assert await doubled_s(plans, first, second) < MAX_DOUBLED_S
+            answers = await plans
+        for answer in answers:
+            assert event_ids(answer) == list(range(1, EVENTS + 1))
+            assert answer.is_whole
+
+    async def test_closed_listener_is_no_end_of_a_run_that_is_to_move(
+        self,
+    ) -> None:
+        first = engine('i-e')
+        first.drops_closed = False
+        second = engine('i-f')
+        async with open_plan(first, second, backups=False) as (relay, work):
+            await asyncio.sleep(GAP_S * 10)
+            first.close()
+            await drain(relay, first)
+            assert await doubled_s(work, first, second) < MAX_DOUBLED_S
+            answer = await work
+        assert not second.received
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    @pytest.mark.parametrize('delay_s', [0.8, 1.6, 2.5])
+    async def test_late_order_after_a_reset_is_waited_for(
+        self, delay_s: float
+    ) -> None:
+        first = HouseEndpoint(
+            instance='i-e',
+            script=endpoints.stream(400, GAP_S, cut_after=50),
+            drops_closed=False,
+            stop_delay_s=delay_s,
+        )
+        second = HouseEndpoint(
+            instance='i-f', script=endpoints.stream(400, GAP_S)
+        )
+        async with open_plan(first, second) as (_relay, work):
+            assert await doubled_s(work, first, second) < MAX_DOUBLED_S
+            answer = await work
+        assert second.received
+        assert event_ids(answer) == list(range(1, 401))
+        assert answer.is_whole
+
+    async def test_run_leaves_its_copy_if_its_engine_does_not_stop_in_time(
+        self,
+    ) -> None:
+        first = HouseEndpoint(
+            instance='i-e',
+            script=endpoints.stream(300, GAP_S),
+            drops_closed=False,
+            stop_delay_s=0.8,
+        )
+        second = HouseEndpoint(
+            instance='i-f', script=endpoints.stream(300, GAP_S)
+        )
+        async with open_plan(first, second) as (relay, work):
+            await until_backed_up(relay)
+            await drain(relay, first)
+            assert await doubled_s(work, first, second) < MAX_DOUBLED_S
+            answer = await work
+        assert event_ids(answer) == list(range(1, 301))
+        assert answer.is_whole
+
+
 class TestEngineThatStartsAgainUnderItsId:
     """Guards against copies that are used although their engine lost them."""
 
