Take a refused connection and a late answer for no proof that an engine has stopped

Cause: a sign of one thing was taken for a proof of another. A refused connection counted as the end of the process, a second without an answer as the end of the run, and a run left its engine for its copy before anything showed that an order could reach it. The log showed 'gone' with another connection open.

A process counts as ended only if it refuses, the run's connection was closed by it, and no other one is open or delivers bytes after the refusal. A run goes on elsewhere once all engines have proved, or accept and refuse no connection at all; otherwise it stays while its events come, or ends as broken off after 10 s. Before a run switches to its copy a connection for the order is opened; one run of an engine switches first, and takes itself back off the copy if the proof has not come 0.33 s after the resumption was sent, and the others then move with their engine stopped first. A run is not moved between two of its attempts. An order to an engine that has not begun is repeated to the deadline.

--- a/packages/core/mastichatch_core/relay/process_signs.py
+++ b/packages/core/mastichatch_core/relay/process_signs.py
@@ -6,40 +6,55 @@
 its connections at once, so that one that stays open shows that it lives.
 """
 
+import dataclasses
+from collections.abc import Callable, Container
 from typing import Final
 
 # Bytes that arrive this long after a refused connection were sent after it.
 SIGN_DELAY_S: Final = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class OpenConnection:
+    """An open connection.
+
+    :param address: IP address and port of the peer
+    :param is_reading: returns whether its end would be noticed, as it would not
+        while nothing is read
+    """
+
+    address: str
+    is_reading: Callable[[], bool]
+
+
 class ProcessSigns:
     """Open connections, refusals and signs of life, by address."""
 
     def __init__(self) -> None:
         """Start without connections."""
-        self._open: dict[str, int] = {}
+        self._open: dict[str, set[OpenConnection]] = {}
         self._refused_at: dict[str, float] = {}
         self._serving: set[str] = set()
 
-    def record_connect(self, address: str) -> None:
+    def record_connect(self, connection: OpenConnection) -> None:
         """Record that a connection was established: a process listens.
 
-        :param address: IP address and port
+        :param connection: the connection
         """
-        self._open[address] = self._open.get(address, 0) + 1
+        address = connection.address
+        self._open.setdefault(address, set()).add(connection)
         self._refused_at.pop(address, None)
         self._serving.discard(address)
 
-    def record_end(self, address: str) -> None:
+    def record_end(self, connection: OpenConnection) -> None:
         """Record that a connection has ended.
 
-        :param address: IP address and port
+        :param connection: the connection
         """
-        left = self._open.get(address, 0) - 1
-        if left > 0:
-            self._open[address] = left
-        else:
-            self._open.pop(address, None)
+        known = self._open.get(connection.address, set())
+        known.discard(connection)
+        if not known:
+            self._open.pop(connection.address, None)
 
     def record_refusal(self, address: str, now: float) -> None:
         """Record that a connection was refused.
@@ -59,20 +74,22 @@
         if refused_at is not None and now - refused_at >= SIGN_DELAY_S:
             self._serving.add(address)
 
-    def forget(self, address: str) -> None:
-        """Forget what was seen of a process that no longer matters.
+    def keep_only(self, addresses: Container[str]) -> None:
+        """Forget all other processes to which no connection is open.
 
-        :param address: IP address and port
+        :param addresses: IP addresses and ports to keep
         """
-        self._refused_at.pop(address, None)
-        self._serving.discard(address)
+        for address in tuple(self._refused_at):
+            if address not in addresses and address not in self._open:
+                self._refused_at.pop(address)
+                self._serving.discard(address)
 
     def is_open(self, address: str) -> bool:
-        """Return whether a connection to an address is open.
+        """Return whether a connection to an address is known to be open.
 
         :param address: IP address and port
         """
-        return address in self._open
+        return any(one.is_reading() for one in self._open.get(address, ()))
 
     def is_serving(self, address: str) -> bool:
         """Return whether a process serves although it refuses connections.
@@ -87,3 +104,17 @@
         :param address: IP address and port
         """
         return address in self._refused_at
+
+    def has_ended(self, address: str) -> bool:
+        """Return whether a process that has closed a connection has ended.
+
+        It has if connections are refused, and none is left that its end would
+        have closed as well.
+
+        :param address: IP address and port
+        """
+        return (
+            self.refuses(address)
+            and not self.is_serving(address)
+            and not self.is_open(address)
+        )
--- a/packages/core/mastichatch_core/relay/run_engines.py
+++ b/packages/core/mastichatch_core/relay/run_engines.py
@@ -91,6 +91,23 @@
         work = self._works.get(endpoint.instance)
         return work is None or work.has_begun
 
+    def was_closed_by_peer(self, endpoint: Endpoint) -> bool:
+        """Return whether an engine's connection has ended, unless by this node.
+
+        :param endpoint: the engine
+        """
+        work = self._works.get(endpoint.instance)
+        return work is not None and work.ending is Ending.by_peer
+
+    def sent_at(self, endpoint: Endpoint) -> float | None:
+        """Return when the request was sent to an engine, in seconds.
+
+        :param endpoint: the engine
+        :returns: ``None`` if it is not at work on the run
+        """
+        work = self._works.get(endpoint.instance)
+        return None if work is None else work.sent_at
+
     def except_for(self, endpoint: Endpoint | None) -> tuple[EngineWork, ...]:
         """Return the engines that may be at work, except for one.
 
--- a/packages/core/mastichatch_core/relay/run_stops.py
+++ b/packages/core/mastichatch_core/relay/run_stops.py
@@ -19,15 +19,16 @@
 # Time for an engine to drop a run whose connection was closed: one that has
 # done so answers the order at once and transfers nothing.
 DROP_DELAY_S: Final = 0.02
+# A run that has resumed from its copy leaves it if its former engine has not
+# proved by then that it has stopped, in seconds since the resumption was sent.
+SWITCH_PROOF_LIMIT_S: Final = 0.33
 # A run waits this long for an engine to which no connection can be established,
 # and that no order can reach.
 UNREACHABLE_WAIT_S: Final = 0.2
-# A run waits this long for the answer of an engine that accepted a connection.
-# Callers wait two seconds at least for the next event.
-STOP_WAIT_S: Final = 1.0
-# An engine that has not begun its answer may have the request in its queue.
-LATE_START_S: Final = 3.0
-# An order is repeated for this time.
+# While an engine does not answer an order, the way to it is checked this often.
+REACH_CHECK_INTERVAL_S: Final = 0.5
+# An order is repeated for this time. A run whose engine has proved nothing by
+# then ends as broken off, since callers do not wait for longer.
 ORDER_LIMIT_S: Final = 10.0
 FIRST_REPEAT_DELAY_S: Final = 0.02
 MAX_REPEAT_DELAY_S: Final = 1.0
@@ -39,11 +40,23 @@
 _NO_ROOM: Final = 503
 
 
+class Reach(StrEnum):
+    """What the last attempt to connect to an engine has shown.
+
+    ``none``: nothing answers, or the attempt has not ended. ``refused``: its
+    host answers, and nobody listens. ``accepted``: a connection is established.
+    """
+
+    none = 'none'
+    refused = 'refused'
+    accepted = 'accepted'
+
+
 class StopProof(StrEnum):
     """What the answer to an order to stop says of the engine.
 
     ``stopped``: it was at work, and is no longer. ``ended``: it is not at work.
-    ``gone``: no process listens at its address. ``not_begun``: it is not at
+    ``gone``: its process has ended. ``not_begun``: it is not at
     work, but may begin. ``none``: it may be at work.
     """
 
@@ -68,18 +81,18 @@
     status: int,
     *,
     has_handle: bool,
-    is_connection_refused: bool,
+    has_process_ended: bool,
     has_begun: bool,
 ) -> StopProof:
     """Return what an answer to an order to stop proves.
 
     :param status: HTTP status of the answer; zero without one
     :param has_handle: whether it names the copy that the engine has made
-    :param is_connection_refused: whether the engine's host refused the
-        connection
+    :param has_process_ended: whether the engine's process has ended; that a
+        connection is refused does not show it
     :param has_begun: whether the engine had begun its answer to the request
     """
-    if is_connection_refused:
+    if has_process_ended:
         return StopProof.gone
     if has_handle and status in {_OK, _NO_ROOM}:
         return StopProof.stopped
@@ -89,7 +102,11 @@
 
 
 def repeat_delay_s(
-    proof: StopProof, status: int, tries: int, elapsed_s: float
+    proof: StopProof,
+    status: int,
+    tries: int,
+    elapsed_s: float,
+    left_s: float,
 ) -> float | None:
     """Return the delay before an order is repeated, in seconds.
 
@@ -97,12 +114,14 @@
     :param status: HTTP status of the last answer; zero without one
     :param tries: number of orders sent so far
     :param elapsed_s: time since the first order, in seconds
+    :param left_s: time until the run's deadline, in seconds
     :returns: ``None`` if it is not repeated
     """
+    if proof is StopProof.not_begun:
+        # The engine may have the request in its queue up to its deadline.
+        return QUEUED_REPEAT_DELAY_S if left_s > 0 else None
     if proof.is_final or elapsed_s >= ORDER_LIMIT_S:
         return None
-    if proof is StopProof.not_begun:
-        return QUEUED_REPEAT_DELAY_S if elapsed_s < LATE_START_S else None
     if status == _CONFLICT:
         # The engine copies the run for another call.
         return FIRST_REPEAT_DELAY_S
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -71,11 +71,14 @@
     :param handle: identifier of the copy; empty without one
     :param is_connection_refused: whether the engine's host refused the
         connection
+    :param is_unreachable: whether no connection was established for any other
+        reason
     """
 
     status: int
     handle: str = ''
     is_connection_refused: bool = False
+    is_unreachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from mastichatch_core.relay.process_signs import ProcessSigns
+from mastichatch_core.relay.process_signs import OpenConnection, ProcessSigns
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.turns import TurnLimiter, piece_cost_bytes
@@ -114,6 +114,7 @@
         super().__init__()
         self._unread = 0
         self._has_ended = False
+        self._source: asyncio.BaseTransport | None = None
         self._on_bytes: Callable[[], None] = _ignore
         self._on_end: Callable[[], None] = _ignore
 
@@ -126,7 +127,8 @@
         :param on_end: called once, when the connection has ended; at once if
             it has
         """
-        self._on_bytes, self._on_end = on_bytes, on_end
+        self._on_bytes = on_bytes
+        self._on_end = on_end
         if self._has_ended:
             self._report_end()
 
@@ -158,6 +160,19 @@
         self._report_end()
         super().set_exception(exc)
 
+    def set_transport(self, transport: asyncio.BaseTransport) -> None:
+        """Set the transport, which is paused while too much is unread.
+
+        :param transport: transport of the connection
+        """
+        super().set_transport(transport)
+        self._source = transport
+
+    def is_reading(self) -> bool:
+        """Return whether bytes and the end of the connection are noticed."""
+        source = self._source
+        return isinstance(source, asyncio.ReadTransport) and source.is_reading()
+
     async def read(self, n: int = -1) -> bytes:  # noqa: WPS111 - inherited
         """Return the next bytes, or none at the end of the stream.
 
@@ -169,7 +184,8 @@
 
     def _report_end(self) -> None:
         self._has_ended = True
-        on_end, self._on_end = self._on_end, _ignore
+        on_end = self._on_end
+        self._on_end = _ignore
         on_end()
 
 
@@ -421,10 +437,11 @@
         raise ExchangeError(
             reason, was_sent=False, is_connection_refused=is_refused
         ) from error
-    signs.record_connect(address)
+    opened = OpenConnection(address, reader.is_reading)
+    signs.record_connect(opened)
     reader.observe(
         lambda: signs.record_bytes(address, loop_time()),
-        lambda: signs.record_end(address),
+        lambda: signs.record_end(opened),
     )
     configure_keepalive(writer)
     return Connection(address, reader, writer)
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -357,7 +357,7 @@
         nodes = 1 + len(registry.addresses)
         allowance = components.settings.retry_burst * RETRY_ALLOWANCE_SHARE
         context.retries.set_burst(allowance / nodes)
-        context.records.keep_only(cache.endpoints(loop_time()))
+        _forget_former_endpoints(context)
         crash_store.read_evidence(
             components.crashes, cache, components.adapter.decoders.on_malformed
         )
@@ -413,6 +413,15 @@
             yield
 
 
+def _forget_former_endpoints(context: RelayContext) -> None:
+    known = context.belief.endpoints(loop_time())
+    context.records.keep_only(known)
+    context.stopper.gate.keep_only(known)
+    context.pool.signs.keep_only(
+        {endpoint.address for endpoint in known.values()}
+    )
+
+
 def _attach_evidence(
     components: _Components, placer: EnginePlacer, relay: Relay
 ) -> None:
--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -13,6 +13,7 @@
 )
 from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
 from mastichatch_core.relay.model import Endpoint, EndpointState
+from mastichatch_core.relay.switch_gate import Leaving
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import MoveOrder, MoveResponse
 from mastichatch_node.relay.context import RelayContext
@@ -66,7 +67,7 @@
         for generation in self._relay.generations:
             if (
                 generation.endpoint is not None
-                and not generation.transfer.is_moving
+                and generation.transfer.may_leave
             ):
                 self._reconcile_generation(
                     generation, generation.endpoint, known
@@ -84,9 +85,15 @@
         if _is_ready(known, endpoint):
             return
         events = generation.last_event or 0
-        if generation.copy is not None and events >= COPY_COMPLETE_EVENTS:
-            self._switch_to_copy(generation, endpoint, generation.copy)
-        else:
+        gate = self._context.stopper.gate
+        now = loop_time()
+        leaving = gate.judge(endpoint.instance, now)
+        copy = generation.copy if events >= COPY_COMPLETE_EVENTS else None
+        if copy is not None and leaving is Leaving.switch:
+            self._switch_to_copy(generation, endpoint, copy)
+        elif (copy is None or leaving is Leaving.move) and not gate.is_refusing(
+            endpoint.instance, now
+        ):
             self._start_move(generation, endpoint)
 
     def notify_waiting(self) -> None:
@@ -222,6 +229,10 @@
                 target=destination.address,
             )
         )
+        if answer.is_connection_refused:
+            self._context.stopper.gate.record_refusal(
+                source.instance, loop_time()
+            )
         self._log_decision(
             generation.job.request_id,
             'run_copied',
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Final, TypeVar
 
 from mastichatch_core.relay.model import Endpoint
@@ -18,16 +18,19 @@
     COPY_ANSWER_LIMIT_S,
     DROP_DELAY_S,
     OVERLAP_LIMIT_S,
-    STOP_WAIT_S,
+    REACH_CHECK_INTERVAL_S,
+    SWITCH_PROOF_LIMIT_S,
     UNREACHABLE_WAIT_S,
+    Reach,
     StopProof,
     read_stop_answer,
     repeat_delay_s,
 )
+from mastichatch_core.relay.switch_gate import SwitchGate
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import Dialect, MoveOrder, MoveResponse
-from mastichatch_node.relay.http_client import ConnectionPool
+from mastichatch_node.relay.http_client import ConnectionPool, ExchangeError
 from mastichatch_node.relay.run_transfer import (
     PreparedResumption,
     RunLocation,
@@ -48,10 +51,12 @@
 
     :param request_id: id of its request
     :param last_event: number of the last event sent to the caller, if any
+    :param ends_at: loop time of its deadline, in seconds
     """
 
     request_id: str
     last_event: int | None
+    ends_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,14 +94,39 @@
         self._pool = pool
         self._dialect = dialect
         self._telemetry = telemetry
+        self._gate = SwitchGate()
         self._tasks: set[asyncio.Task[Any]] = set()
 
+    @property
+    def telemetry(self) -> Telemetry:
+        """Log and metrics."""
+        return self._telemetry
+
+    @property
+    def gate(self) -> SwitchGate:
+        """What switches of runs have shown of their engines."""
+        return self._gate
+
+    async def check_reach(self, endpoint: Endpoint) -> Reach:
+        """Connect to an engine, and keep the connection for an order.
+
+        :param endpoint: the engine
+        """
+        try:
+            connection = await self._pool.take(endpoint.address, 0)
+        except ExchangeError as error:
+            if error.is_connection_refused:
+                return Reach.refused
+            return Reach.none
+        self._pool.release(connection)
+        return Reach.accepted
+
     def stop(
         self,
         run: StoppedRun,
         source: Endpoint,
         destination: Endpoint,
-        has_begun: Callable[[], bool],
+        engines: RunEngines,
         delay_s: float = 0,
     ) -> StopOrder:
         """Order an engine to stop a run, and to transfer it to another one.
@@ -107,12 +137,12 @@
         :param run: the run
         :param source: its engine
         :param destination: engine on which it is to continue
-        :param has_begun: returns whether the engine has begun its answer
+        :param engines: engines that may be at work on the run
         :param delay_s: time to wait before the order is sent, in seconds
         """
         order = StopOrder(source=source)
-        order.task = self._start(
-            self._stop(order, run, destination, has_begun, delay_s)
+        order.task = self.start(
+            self._stop(order, run, destination, engines, delay_s)
         )
         return order
 
@@ -121,16 +151,20 @@
 
         :param order: order that ``stop`` returned
         """
-        self._start(self._release(order))
+        self.start(self._release(order))
 
     def close(self) -> None:
         """Cancel all orders in progress."""
         for task in self._tasks:
             task.cancel()
 
-    def _start(
+    def start(
         self, work: Coroutine[Any, Any, _Result]
     ) -> asyncio.Task[_Result]:
+        """Run a coroutine that belongs to an order.
+
+        :param work: the coroutine, which is cancelled when the node stops
+        """
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -141,7 +175,7 @@
         order: StopOrder,
         run: StoppedRun,
         destination: Endpoint,
-        has_begun: Callable[[], bool],
+        engines: RunEngines,
         delay_s: float,
     ) -> StopOutcome:
         source = order.source
@@ -150,7 +184,7 @@
             request_id=run.request_id,
             target=destination.address,
             is_final=True,
-            on_connect=order.record_delivery,
+            on_connect=lambda: order.record_reach(Reach.accepted),
         )
         answer, proof = MoveResponse(status=0), StopProof.none
         started_at = loop_time() + delay_s
@@ -160,11 +194,19 @@
             await asyncio.sleep(pause_s)
             answer = await self._dialect.move_run(move)
             tries += 1
-            proof = _proof(answer, has_begun=has_begun())
+            if answer.is_connection_refused:
+                order.record_reach(Reach.refused)
+            elif answer.is_unreachable:
+                order.record_reach(Reach.none)
+            proof = self._read_proof(answer, source, engines)
             if proof.allows_resumption:
                 order.cleared.set()
             pause_s = repeat_delay_s(
-                proof, answer.status, tries, loop_time() - started_at
+                proof,
+                answer.status,
+                tries,
+                loop_time() - started_at,
+                run.ends_at - loop_time(),
             )
         self._telemetry.log_decision(
             'run_stopped_and_copied',
@@ -181,6 +223,21 @@
         )
         return _stop_outcome(answer, proof, source, destination)
 
+    def _read_proof(
+        self, answer: MoveResponse, source: Endpoint, engines: RunEngines
+    ) -> StopProof:
+        has_process_ended = (
+            answer.is_connection_refused
+            and engines.was_closed_by_peer(source)
+            and self._pool.signs.has_ended(source.address)
+        )
+        return read_stop_answer(
+            answer.status,
+            has_handle=bool(answer.handle),
+            has_process_ended=has_process_ended,
+            has_begun=engines.has_begun(source),
+        )
+
     async def _release(self, order: StopOrder) -> None:
         outcome = await order.result()
         if outcome.location is not None:
@@ -217,6 +274,7 @@
         self._engines = engines
         self._current_run = current_run
         self._orders: dict[str, StopOrder] = {}
+        self._choose_other: Callable[[], Endpoint]
 
     def begin_at(self, endpoint: Endpoint) -> None:
         """Record that the run is about to be sent to an engine.
@@ -245,7 +303,7 @@
             self._current_run(),
             source,
             destination,
-            lambda: self._engines.has_begun(source),
+            self._engines,
             delay_s,
         )
         order.on_result(lambda outcome: self._record_stop(source, outcome))
@@ -273,10 +331,10 @@
                 return
             transfer.switch = None
             transfer.is_departing = False
-            resumption.give_up()
 
-        self.begin_at(resumption.copy)
         transfer.is_departing = True
+        self._choose_other = resumption.choose_other
+        self._stopper.gate.record_switch(source.instance, loop_time())
         transfer.switch = asyncio.ensure_future(
             self._switch(transfer, source, resumption)
         )
@@ -297,31 +355,60 @@
             prepared.connection.close()
             self._abandon(prepared.endpoint, source)
 
-    def confirm_stopped(self, source: Endpoint, destination: Endpoint) -> None:
+    def confirm_stopped(
+        self, source: Endpoint, prepared: PreparedResumption
+    ) -> None:
         """Stop a run that went on elsewhere, if its engine has not dropped it.
 
         Most engines have when their connection closed, and transfer nothing.
+        Without a proof in time, the run leaves the engine where it went on.
 
         :param source: engine whose connection this node has closed
-        :param destination: engine on which the run goes on
+        :param prepared: the resumption
         """
-        self.order_stop(source, destination, DROP_DELAY_S)
+        order = self.order_stop(source, prepared.endpoint, DROP_DELAY_S)
+        self._stopper.start(self._confirm(order, prepared))
 
     async def ensure_alone(
         self, destination: Endpoint, source: Endpoint
-    ) -> None:
-        """Wait until no engine is at work on the run, as far as can be told.
+    ) -> bool:
+        """Wait until no engine is at work on the run.
 
         The end of a connection is no proof, whoever has closed it.
 
         :param destination: engine on which the run is to continue
         :param source: engine of the last attempt
+        :returns: whether all engines have proved it or cannot be reached, so
+            that the run may go on
         """
         orders = [
             self.order_stop(work.endpoint, _other(destination, source, work))
             for work in self._engines.except_for(None)
         ]
-        await asyncio.gather(*map(_wait_for_proof, orders))
+        proofs = await asyncio.gather(*map(self._wait_for_proof, orders))
+        if all(proofs):
+            return True
+        self._stopper.telemetry.log_decision(
+            'run_not_resumed',
+            self._current_run().request_id,
+            possibly_at_work=_describe(self._engines.except_for(None)),
+        )
+        return False
+
+    def log_resumption(self, endpoint: Endpoint) -> None:
+        """Log on which other engines a run that is resumed may be at work.
+
+        :param endpoint: engine on which it is resumed
+        """
+        possible = self._engines.except_for(endpoint)
+        telemetry = self._stopper.telemetry
+        telemetry.count_resumption(is_alone=not possible)
+        telemetry.log_decision(
+            'run_resumed',
+            self._current_run().request_id,
+            endpoint=endpoint.instance,
+            possibly_at_work=_describe(possible),
+        )
 
     def newest_copy(self, location: RunLocation) -> RunLocation:
         """Return the copy that an order has made in place of an older one.
@@ -370,24 +457,118 @@
         resumption: CopyResumption,
     ) -> PreparedResumption | None:
         """Prepare a resumption, and leave the source in time."""
+        # An order must be able to reach the engine once it is left.
+        reach = await self._stopper.check_reach(source)
+        if reach is not Reach.accepted:
+            self._stopper.gate.record_refusal(source.instance, loop_time())
+            return None
         prepared: PreparedResumption | None = None
+        self.begin_at(resumption.copy)
         attempt = asyncio.ensure_future(resumption.prepare())
         try:
             await asyncio.wait((attempt,), timeout=OVERLAP_LIMIT_S)
             if not attempt.done():
                 order = self.order_stop(source, resumption.choose_other())
                 transfer.stop_order = order
-                await _wait_for_copy(attempt, order, resumption.copy)
+                await self._wait_for_copy(attempt, order, resumption.copy)
             prepared = None if attempt.cancelled() else attempt.result()
         finally:
             attempt.cancel()
             if prepared is None:
+                self._stopper.gate.record_end(source.instance)
                 self._abandon(resumption.copy, source)
+                resumption.give_up()
         return prepared
 
+    async def _wait_for_copy(
+        self,
+        attempt: asyncio.Task[PreparedResumption | None],
+        order: StopOrder,
+        copy: Endpoint,
+    ) -> None:
+        """Wait for the engine with a copy, or until the run can leave it.
+
+        The attempt is cancelled if the source does not stop in time.
+        """
+        proving = asyncio.ensure_future(
+            _is_cleared(order, SWITCH_PROOF_LIMIT_S - OVERLAP_LIMIT_S)
+        )
+        await asyncio.wait(
+            (attempt, proving), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not attempt.done() and not proving.result():
+            self._stopper.gate.record_proof(
+                order.source.instance, is_in_time=False
+            )
+            await self._retrieve(copy)
+            attempt.cancel()
+        proving.cancel()
+        await asyncio.wait(
+            (attempt,), timeout=COPY_ANSWER_LIMIT_S - SWITCH_PROOF_LIMIT_S
+        )
+        if not attempt.done():
+            location = (await order.result()).location
+            if (
+                location is not None
+                and location.endpoint.instance != copy.instance
+            ):
+                attempt.cancel()
+        await asyncio.wait((attempt,))
+
+    async def _confirm(
+        self, order: StopOrder, prepared: PreparedResumption
+    ) -> None:
+        """Take a run off its copy if its former engine stops too late."""
+        sent_at = self._engines.sent_at(prepared.endpoint)
+        if sent_at is None:
+            return
+        left_s = sent_at + SWITCH_PROOF_LIMIT_S - loop_time()
+        is_in_time = await _is_cleared(order, max(0, left_s))
+        self._stopper.gate.record_proof(
+            order.source.instance, is_in_time=is_in_time
+        )
+        is_excused = order.reach is Reach.none
+        if is_in_time or is_excused:
+            self.release()
+            return
+        if not self._engines.has(prepared.endpoint):
+            return
+        await self._retrieve(prepared.endpoint)
+        prepared.connection.close()
+
+    async def _retrieve(self, copy: Endpoint) -> None:
+        """Stop a run on the engine with its copy, to go on elsewhere.
+
+        The order goes before the connection is closed: the engine may drop a
+        run whose connection closed, and with it what its resumption needs.
+
+        :param copy: engine where the run has resumed
+        """
+        order = self.order_stop(copy, self._choose_other())
+        await _is_cleared(order, OVERLAP_LIMIT_S)
+
+    async def _wait_for_proof(self, order: StopOrder) -> bool:
+        """Wait until a run may go on elsewhere, and return whether it may.
+
+        It may once its engine has proved to have stopped, or cannot be reached.
+        """
+        if await _is_cleared(order, UNREACHABLE_WAIT_S):
+            return True
+        while not order.is_over:
+            if order.reach is Reach.none:
+                return True
+            if await _is_cleared(order, REACH_CHECK_INTERVAL_S):
+                return True
+            if order.reach is Reach.accepted:
+                order.record_reach(
+                    await self._stopper.check_reach(order.source)
+                )
+        return order.cleared.is_set()
+
     def _abandon(self, endpoint: Endpoint, other: Endpoint) -> None:
         """Stop a resumption that nobody waits for, if it may be at work."""
-        if self._engines.has(endpoint):
+        is_ordered = endpoint.instance in self._orders
+        if self._engines.has(endpoint) and not is_ordered:
             self._engines.record_disconnect(endpoint, Ending.given_up)
             order = self.order_stop(endpoint, other, DROP_DELAY_S)
             order.is_settled = True
@@ -398,30 +579,26 @@
             self._engines.record_proof(source)
 
 
-async def _wait_for_copy(
-    attempt: asyncio.Task[PreparedResumption | None],
-    order: StopOrder,
-    copy: Endpoint,
-) -> None:
-    """Wait for the engine with a copy, or until the run can go on elsewhere."""
-    await asyncio.wait(
-        (attempt,), timeout=COPY_ANSWER_LIMIT_S - OVERLAP_LIMIT_S
-    )
-    if not attempt.done():
-        location = (await order.result()).location
-        if location is not None and location.endpoint.instance != copy.instance:
-            attempt.cancel()
-    await asyncio.wait((attempt,))
+async def _is_cleared(order: StopOrder, limit_s: float) -> bool:
+    """Return whether a run may go on elsewhere within a time, in seconds."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await order.cleared.wait()
+    return order.cleared.is_set()
 
 
-async def _wait_for_proof(order: StopOrder) -> None:
-    """Wait until a run may go on elsewhere, or its engine cannot be reached."""
-    for limit_s in (UNREACHABLE_WAIT_S, STOP_WAIT_S - UNREACHABLE_WAIT_S):
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(limit_s):
-                await order.cleared.wait()
-        if not order.is_delivered:
-            return
+def _describe(works: Iterable[EngineWork]) -> list[dict[str, object]]:
+    """Return engines that may be at work on a run, for the log."""
+    now = loop_time()
+    return [
+        {
+            'endpoint': work.endpoint.instance,
+            'sent_ms_ago': round((now - work.sent_at) * MS_PER_S),
+            'has_begun': work.has_begun,
+            'ending': work.ending,
+        }
+        for work in works
+    ]
 
 
 def _other(
@@ -435,15 +612,6 @@
     return source if is_same else destination
 
 
-def _proof(answer: MoveResponse, *, has_begun: bool) -> StopProof:
-    return read_stop_answer(
-        answer.status,
-        has_handle=bool(answer.handle),
-        is_connection_refused=answer.is_connection_refused,
-        has_begun=has_begun,
-    )
-
-
 def _stop_outcome(
     answer: MoveResponse,
     proof: StopProof,
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.run_stops import Reach
 from mastichatch_node.relay.http_client import Connection, ResponseHead
 
 
@@ -65,7 +66,7 @@
         :param source: the engine
         """
         self._source = source
-        self._is_delivered = False
+        self._reach = Reach.none
         self._cleared = asyncio.Event()
         self.task: asyncio.Task[StopOutcome] | None = None
         # Whether its copy of the run is used or was freed.
@@ -77,18 +78,26 @@
         return self._source
 
     @property
-    def is_delivered(self) -> bool:
-        """Whether a connection to the engine was established."""
-        return self._is_delivered
+    def reach(self) -> Reach:
+        """What the last attempt to connect to the engine has shown."""
+        return self._reach
+
+    @property
+    def is_over(self) -> bool:
+        """Whether it is no longer repeated."""
+        return self.task is None or self.task.done()
 
     @property
     def cleared(self) -> asyncio.Event:
         """Set once the run may go on at another engine."""
         return self._cleared
 
-    def record_delivery(self) -> None:
-        """Record that a connection to the engine was established."""
-        self._is_delivered = True
+    def record_reach(self, reach: Reach) -> None:
+        """Record what an attempt to connect to the engine has shown.
+
+        :param reach: what it has shown
+        """
+        self._reach = reach
 
     def cancel(self) -> None:
         """Stop repeating the order."""
@@ -134,6 +143,7 @@
     :param stop_order: order to the engine to stop the run; set when it is sent
     :param switch: attempt to resume the run from its copy, which ends once the
         engine with the copy has answered; set when it is sent
+    :param has_ended: whether the attempt on that engine has ended
     """
 
     destination: Endpoint | None = None
@@ -141,12 +151,21 @@
     is_departing: bool = False
     stop_order: StopOrder | None = None
     switch: 'asyncio.Task[PreparedResumption | None] | None' = None
+    has_ended: bool = False
 
     @property
     def is_moving(self) -> bool:
         """Whether the change to another engine has begun."""
         return self.stop_order is not None or self.switch is not None
 
+    @property
+    def may_leave(self) -> bool:
+        """Whether the run may begin to leave its engine.
+
+        Between two attempts it is decided elsewhere where it goes on.
+        """
+        return not self.is_moving and not self.has_ended
+
     async def was_stopped(self) -> bool:
         """Return whether the run may have stopped on this node's order."""
         if self.stop_order is None:
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -128,7 +128,9 @@
             context.stopper,
             self._engines,
             lambda: StoppedRun(
-                request_id=job.request_id, last_event=self.last_event
+                request_id=job.request_id,
+                last_event=self.last_event,
+                ends_at=job.ends_at,
             ),
         )
 
@@ -224,7 +226,7 @@
 
         :param destination: engine that has a copy of the rest
         """
-        if self.endpoint is not None:
+        if self.endpoint is not None and not self._transfer.has_ended:
             order = self._handover.order_stop(self.endpoint, destination)
             self._transfer.stop_order = order
             await order.result()
@@ -295,7 +297,7 @@
             self._may_have_run |= result.fate is AttemptOutcome.unknown
             if result.fate is AttemptOutcome.answered:
                 return
-            # The copy may have been dropped during the attempt.
+
             next_source = await self._next_source(result, self._source)
             if next_source is None:
                 raise _attempt_error(result)
@@ -311,6 +313,8 @@
         )
         if handed_over is not None:
             return handed_over
+        # A switch that has failed has dropped the copy.
+        source = self._source or source
         nothing_ran = result.fate in {
             AttemptOutcome.not_sent,
             AttemptOutcome.refused,
@@ -334,11 +338,10 @@
         )
         if location is None:
             location = await self._handover.take_transferred()
-        if location is None:
-            return None
-        await self._handover.ensure_alone(
+        if location is None or not await self._handover.ensure_alone(
             location.endpoint, source.placement.endpoint
-        )
+        ):
+            return None
         return _resume_at(self._handover.newest_copy(location), self.last_event)
 
     async def _attempt(self, source: AttemptSource) -> AttemptResult:
@@ -349,7 +352,7 @@
         if source.prepared is None:
             self._handover.begin_at(endpoint)
         if source.is_resumed:
-            _log_resumption(self._context, self._job, self._engines, endpoint)
+            self._handover.log_resumption(endpoint)
             # Engines count a resumption as a retry. It is not subject to the
             # budget, but takes from it, which leaves fewer other retries.
             self._context.retries.try_spend()
@@ -359,6 +362,7 @@
         except ExchangeError as error:
             result = result_of_error(error)
         self._connection = None
+        self._transfer.has_ended = True
         _record_ending(self._engines, endpoint, result)
         record_result(self._context, endpoint, result, started_at)
         self._placer.record_attempt(endpoint, result)
@@ -399,7 +403,8 @@
             self._head_at = loop_time()
             self._engines.record_answer(source.placement.endpoint)
             if head.status == _OK:
-                self._handover.release()
+                if source.prepared is None:
+                    self._handover.release()
                 await self._forward_events(connection, head, source)
                 return AttemptResult(fate=AttemptOutcome.answered, head=head)
             with _failures_of(self._job, source):
@@ -603,29 +608,6 @@
         engines.record_disconnect(endpoint, Ending.by_node)
 
 
-def _log_resumption(
-    context: RelayContext, job: Job, engines: RunEngines, endpoint: Endpoint
-) -> None:
-    """Log on which other engines a run that is resumed may be at work."""
-    now = loop_time()
-    possible = engines.except_for(endpoint)
-    context.telemetry.count_resumption(is_alone=not possible)
-    context.telemetry.log_decision(
-        'run_resumed',
-        job.request_id,
-        endpoint=endpoint.instance,
-        possibly_at_work=[
-            {
-                'endpoint': work.endpoint.instance,
-                'sent_ms_ago': _elapsed_ms(work.sent_at, now),
-                'has_begun': work.has_begun,
-                'ending': work.ending,
-            }
-            for work in possible
-        ],
-    )
-
-
 def _failures_of(
     job: Job, source: AttemptSource
 ) -> contextlib.AbstractContextManager[None]:
@@ -694,9 +676,10 @@
         moved = await handover.take(transfer.stop_order)
         if moved is None:
             return None
-        await handover.ensure_alone(moved.endpoint, former)
+        if not await handover.ensure_alone(moved.endpoint, former):
+            return None
         return _resume_at(moved, last_event)
-    handover.confirm_stopped(former, prepared.endpoint)
+    handover.confirm_stopped(former, prepared)
     placement = EnginePlacement(endpoint=prepared.endpoint, copy=None)
     return AttemptSource(placement=placement, prepared=prepared)
 
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -321,7 +321,9 @@
         return EmulatedConnection(self.engines[address])
 
     def release(self, connection: EmulatedConnection) -> None:
-        """Close a connection."""
+        """Close a connection, or keep it for an order."""
+        if connection.task is None:
+            self.reusable.add(connection.address)
         connection.close()
 
     async def move_run(self, order: MoveOrder) -> MoveResponse:
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -33,7 +33,14 @@
 def document(*, backups: bool) -> dict[str, Any]:
     """Return a configuration with or without backups of runs."""
     # A stream counts as stalled after two seconds.
-    plan = route('plan', 'streaming', 'llm', goal_ms=300, gap_aim_ms=100)
+    plan = route(
+        'plan',
+        'streaming',
+        'llm',
+        goal_ms=300,
+        gap_aim_ms=100,
+        timeout_ms=20000,
+    )
     found = configuration(routes=[plan])
     found['services'][1]['engine']['backups'] = backups
     return found
@@ -351,10 +358,11 @@
                         timeout_ms=8000,
                         request_id=name,
                     )
-                    for name in ('r2', 'r3', 'r4')
+                    for name in ('r2', 'r3', 'r4', 'r5', 'r6')
                 ),
             )
-            await until(lambda: len(first.working) == 4)
+            await until(lambda: len(first.ran) + len(second.ran) == 6)
+            assert len(first.working) > 2
             await until(
                 lambda: all(
                     (one.last_event or 0) >= COPY_COMPLETE_EVENTS
