Explore runs behind a closed listener whose stream ends, so that each sign is needed

With the check of signs taken out, the exploration found nothing, since the check before a switch hides it. Two more tests: the stream is reset or stalls, and the listener is closed. They fail without the check.

--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -23,7 +23,7 @@
     Service,
 )
 from mastichatch_core.relay.plain_choice import EndpointStatsTable
-from mastichatch_core.relay.process_signs import ProcessSigns
+from mastichatch_core.relay.process_signs import OpenConnection, ProcessSigns
 from mastichatch_core.relay.prompt_quarantine import Verdict
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.context import Job, RelayContext, RetryAllowance
@@ -314,6 +314,12 @@
         self.first.stop_delay_s = scenario.stop_delay_s
         if scenario.has_copy:
             self.copy.copies.add('copy/r1')
+        # Another run of this node, whose connection only a crash closes.
+        self.signs.record_connect(
+            OpenConnection(
+                self.first.endpoint.address, lambda: not self.first.is_gone
+            )
+        )
 
     async def take(self, address: str, idle_limit_s: float) -> Any:
         """Open a connection."""
--- a/tests/test_relay_handover_times.py
+++ b/tests/test_relay_handover_times.py
@@ -93,6 +93,34 @@
         assert not doubled
         assert not broken
 
+    @pytest.mark.parametrize('trouble', ['reset', 'stall'])
+    async def test_run_behind_a_closed_listener_is_not_taken_for_ended(
+        self, trouble: str
+    ) -> None:
+        faults = [
+            Scenario(
+                trouble=trouble,
+                head_delay_s=head_delay_s,
+                drops_closed=drops_closed,
+                listener_delay_s=listener_delay_s,
+                is_entry_lost=is_entry_lost,
+            )
+            for (
+                head_delay_s,
+                drops_closed,
+                listener_delay_s,
+                is_entry_lost,
+            ) in itertools.product(
+                HEAD_DELAYS_S,
+                (True, False),
+                (0, 0.001, 0.004, 0.02, 0.05, 0.3),
+                (True, False),
+            )
+        ]
+        # The run may break off: nothing shows that it has ended.
+        doubled, _ = await play_all(faults, lambda _: False)
+        assert not doubled
+
     @pytest.mark.parametrize('trouble', ['drain', 'reset'])
     async def test_run_waits_for_an_engine_that_stops_late(
         self, trouble: str
