Restart a generation elsewhere only if its engine has answered the cancellation

A generation whose stream broke and could not be resumed was cancelled and started on another engine, whatever came of the cancellation: a time-out or an error counted as its end, so that two engines could work on it. cancel() now tells whether the engine has ended it, does not know it or accepts no connection; otherwise the caller gets generation_lost. The new test failed before: 'start b' after an unanswered cancellation.

--- a/packages/core/mastichatch_core/errors.py
+++ b/packages/core/mastichatch_core/errors.py
@@ -176,6 +176,13 @@
         )
 
 
+class UnprovedEndError(MastichatchError):
+    """A generation was given up, and its engine may work on.
+
+    It must not start on another engine.
+    """
+
+
 class PermitLapsedError(MastichatchError):
     """Raised if a permit, or the right to run, lapsed before sending.
 
--- a/packages/node/mastichatch_node/engines.py
+++ b/packages/node/mastichatch_node/engines.py
@@ -176,8 +176,12 @@
         address: str,
         generation: str,
         boot_id: str,
-    ) -> None:
-        """Cancel a generation; connection errors and time-outs are ignored.
+    ) -> bool:
+        """Cancel a generation, and return whether it is known to have ended.
+
+        It is if the engine says so or does not know it, or if no connection
+        to the engine can be established any more. An engine that accepts a
+        connection and does neither may work on.
 
         The boot id prevents a late cancel from ending a generation that has
         the same id in a later boot of the engine.
@@ -186,13 +190,23 @@
         :param generation: id of the generation
         :param boot_id: id of the boot that the generation belongs to
         """
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        timeout = aiohttp.ClientTimeout(
+            total=_CANCEL_TIMEOUT_S, sock_connect=self._connect_timeout_s
+        )
+        try:
             async with self._session.delete(
                 f'http://{address}/v1/generations/{generation}',
                 headers={'Boot-Id': boot_id},
-                timeout=aiohttp.ClientTimeout(total=_CANCEL_TIMEOUT_S),
-            ):
-                return
+                timeout=timeout,
+            ) as response:
+                return (
+                    response.status < _HTTP_REDIRECT
+                    or response.status == _HTTP_NOT_FOUND
+                )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return True
+        except (aiohttp.ClientError, TimeoutError):
+            return False
 
     async def load(self, endpoint: str, address: str) -> EndpointObservation:
         """Return an engine's load, or an observation that it is unreachable.
--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -19,7 +19,11 @@
 from typing import Final
 
 from mastichatch_core.catalogue import Catalogue
-from mastichatch_core.errors import MastichatchError, PermitLapsedError
+from mastichatch_core.errors import (
+    MastichatchError,
+    PermitLapsedError,
+    UnprovedEndError,
+)
 from mastichatch_core.events import TokenEvent, undelivered_events
 from mastichatch_core.generated.manifest import Endpoint, Service
 from mastichatch_core.generated.messages import (
@@ -175,7 +179,7 @@
         self._permits = permits
         self._decisions = decisions
         self._metrics = metrics
-        self._cancel_tasks: set[asyncio.Task[None]] = set()
+        self._cancel_tasks: set[asyncio.Task[bool]] = set()
 
     async def start(
         self,
@@ -374,9 +378,15 @@
         attempt.failures += 1
         is_gone = error.kind is ErrorKind.not_found
         if is_gone or attempt.failures >= MAX_RESUME_FAILURES:
-            if not is_gone:
-                # The engine may work on, and the generation may start anew.
-                await self._cancel_given_up(attempt.endpoint, attempt.handle)
+            # The engine may work on, and the generation may start anew.
+            if not is_gone and not await self._cancel_given_up(
+                attempt.endpoint, attempt.handle
+            ):
+                raise UnprovedEndError(
+                    ErrorKind.generation_lost,
+                    f'{error}; its engine may work on',
+                    tokens_delivered=attempt.next_index,
+                ) from error
             raise MastichatchError(
                 ErrorKind.generation_lost,
                 str(error),
@@ -388,8 +398,11 @@
         self,
         endpoint: Endpoint,
         handle: GenerationHandle,
-    ) -> None:
-        """Cancel a generation at its engine, even if the caller leaves."""
+    ) -> bool:
+        """Cancel a generation at its engine, even if the caller leaves.
+
+        :returns: whether it is known to have ended
+        """
         task = asyncio.get_running_loop().create_task(
             self._engines.cancel(
                 endpoint.address,
@@ -399,7 +412,7 @@
         )
         self._cancel_tasks.add(task)
         task.add_done_callback(self._cancel_tasks.discard)
-        await asyncio.shield(task)
+        return await asyncio.shield(task)
 
     @contextlib.contextmanager
     def _releasing_permit(self, attempt: _GenerationAttempt) -> Iterator[None]:
@@ -443,6 +456,8 @@
                 str(error),
                 tokens_delivered=delivered,
             ) from error
+        if isinstance(error, UnprovedEndError):
+            raise error
         lapsed = isinstance(error, PermitLapsedError)
         if error.kind not in _RETRYABLE_KINDS and not lapsed:
             raise error
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -65,8 +65,9 @@
 class _Engines:
     """Engines that begin a generation, break its stream, and work on."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, obeys: bool = True) -> None:
         self.acts: list[str] = []
+        self._obeys = obeys
 
     @contextlib.asynccontextmanager
     async def start(
@@ -85,9 +86,10 @@
         raise MastichatchError(ErrorKind.endpoint_failed)
         yield
 
-    async def cancel(self, address: str, *_: object) -> None:
+    async def cancel(self, address: str, *_: object) -> bool:
         await asyncio.sleep(0.5)
         self.acts.append(f'cancelled {address}')
+        return self._obeys
 
 
 class _Quiet:
@@ -106,6 +108,18 @@
     @pytest.mark.looptime
     async def test_it_is_cancelled_before_it_starts_elsewhere(self) -> None:
         engines = _Engines()
+        await self._generate(engines)
+        assert engines.acts[:3] == ['start a', 'cancelled a', 'start b']
+
+    @pytest.mark.looptime
+    async def test_it_starts_nowhere_else_if_its_engine_may_work_on(
+        self,
+    ) -> None:
+        engines = _Engines(obeys=False)
+        await self._generate(engines)
+        assert engines.acts == ['start a', 'cancelled a']
+
+    async def _generate(self, engines: _Engines) -> None:
         tested = Generations(
             cast(Any, engines),
             cast(Any, _Quiet()),
@@ -136,4 +150,3 @@
             )
             async for _ in batches:
                 pass
-        assert engines.acts[:3] == ['start a', 'cancelled a', 'start b']
