Take a refused connection for no crash while other connections are served

An answer without a length that ended, and a prompt whose engine closed its connection, were taken for a crash if the host refused a connection. A program that stops in order refuses too: callers got 502 for whole answers, and parts of prompts became suspects. Both now read ProcessSigns: other connections end within 0.25 s, or deliver bytes. Where neither shows, the answer counts as cut off and no crash is reported. The test with a served call beside failed before with 502; with a crash it is 502 before and after.

--- a/packages/node/mastichatch_node/relay/crash_tracking.py
+++ b/packages/node/mastichatch_node/relay/crash_tracking.py
@@ -25,7 +25,8 @@
 )
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_node.clock import loop_time
-from mastichatch_node.relay.http_client import probe_refuses
+from mastichatch_core.relay.process_signs import ProcessSigns
+from mastichatch_node.relay.http_client import probe_process
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.telemetry import Telemetry
 
@@ -78,14 +79,17 @@
         belief: StoreCache,
         sharing: RunBroadcaster,
         telemetry: Telemetry,
+        signs: ProcessSigns,
     ) -> None:
         """Start without evidence.
 
         :param belief: local view of the platform's store
         :param sharing: sends evidence to the other nodes
         :param telemetry: event log and metrics
+        :param signs: what connections show of the processes of endpoints
         """
         self._belief = belief
+        self._signs = signs
         self._sharing = sharing
         self._telemetry = telemetry
         self._evidence = PromptEvidence()
@@ -186,7 +190,7 @@
         :param endpoint: engine of the run
         :param has_begun: whether the engine had begun its answer
         """
-        if parts and await _has_crashed(self._belief, endpoint):
+        if parts and await _has_crashed(self._belief, self._signs, endpoint):
             is_cause = has_begun and self._heads.are_telling
             self._report(parts, request_id, endpoint, is_cause=is_cause)
 
@@ -201,7 +205,10 @@
         :param request_id: id of the call
         :param endpoints: endpoints that closed its connection, in order
         """
-        crashed = [await _has_crashed(self._belief, one) for one in endpoints]
+        crashed = [
+            await _has_crashed(self._belief, self._signs, one)
+            for one in endpoints
+        ]
         if crashed and all(crashed):
             last = tuple(endpoints)[-1]
             self._report(parts, request_id, last, is_cause=True)
@@ -340,12 +347,14 @@
             subscriber()
 
 
-async def _has_crashed(belief: StoreCache, endpoint: Endpoint) -> bool:
-    """Return whether an endpoint in use no longer accepts connections."""
+async def _has_crashed(
+    belief: StoreCache, signs: ProcessSigns, endpoint: Endpoint
+) -> bool:
+    """Return whether the process of an endpoint in use has ended."""
     known = belief.endpoints(loop_time()).get(endpoint.instance)
     if known is None or known.state is not EndpointState.ready:
         return False
-    return await probe_refuses(endpoint.address)
+    return bool(await probe_process(endpoint.address, signs))
 
 
 def _log_parts(
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -30,6 +30,10 @@
 KEEPALIVE_INTERVAL_S: Final = 1
 # Time limit of a connection that shows whether a process still exists.
 PROBE_TIMEOUT_S: Final = 0.25
+# Time within which other connections to a process that refuses new ones end, or
+# deliver bytes.
+PROBE_SIGN_S: Final = 0.25
+PROBE_SIGN_INTERVAL_S: Final = 0.01
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -197,9 +201,11 @@
         address: str,
         reader: CountingReader,
         writer: asyncio.StreamWriter,
+        signs: ProcessSigns | None = None,
     ) -> None:
         """Wrap open streams; use ``connect`` to open a connection."""
         self._address = address
+        self._signs = ProcessSigns() if signs is None else signs
         self._reader = reader
         self._writer = writer
         self._protocol = self._create_protocol()
@@ -351,7 +357,10 @@
 
         Both close the connection in the same way.
         """
-        if self._is_unframed and await probe_refuses(self._address):
+        if not self._is_unframed:
+            return
+        # Where nothing shows whether the process lives, the end may be a crash.
+        if await probe_process(self._address, self._signs) is not False:
             raise self._close_with_error(
                 'an answer without a length ended, and the host refuses '
                 'connections since'
@@ -444,7 +453,7 @@
         lambda: signs.record_end(opened),
     )
     configure_keepalive(writer)
-    return Connection(address, reader, writer)
+    return Connection(address, reader, writer, signs)
 
 
 async def _open_stream(
@@ -457,17 +466,32 @@
     return asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
-async def probe_refuses(address: str) -> bool:
-    """Return whether a host refuses connections, as without a process.
+async def probe_process(address: str, signs: ProcessSigns) -> bool | None:
+    """Return whether a process that has closed a connection has ended.
+
+    A process that ends closes all of its connections at once. One that stops in
+    order refuses connections and serves the open ones.
 
     :param address: IP address and port
+    :param signs: what the connections show of the process
+    :returns: ``None`` if it refuses connections, and neither shows
     """
     try:
-        connection = await connect(address, PROBE_TIMEOUT_S)
+        connection = await connect(address, PROBE_TIMEOUT_S, signs)
     except ExchangeError as error:
-        return error.is_connection_refused
-    connection.close()
-    return False
+        if not error.is_connection_refused:
+            return False
+    else:
+        connection.close()
+        return False
+    ends_at = loop_time() + PROBE_SIGN_S
+    while loop_time() < ends_at:
+        if signs.has_ended(address) or signs.is_serving(address):
+            break
+        await asyncio.sleep(PROBE_SIGN_INTERVAL_S)
+    if signs.is_serving(address):
+        return False
+    return signs.has_ended(address) or None
 
 
 def configure_keepalive(
@@ -506,14 +530,17 @@
 class ConnectionPool:
     """Pool of idle connections, by address."""
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(
+        self, connect_timeout_s: float, signs: ProcessSigns | None = None
+    ) -> None:
         """Start empty.
 
         :param connect_timeout_s: longest time to connect, in seconds
+        :param signs: records what the connections show of processes
         """
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[Connection]] = {}
-        self._signs = ProcessSigns()
+        self._signs = ProcessSigns() if signs is None else signs
         self._opened = 0
         self._observers: list[HeadObserver] = []
 
@@ -614,12 +641,15 @@
 
 
 @contextlib.contextmanager
-def open_pool(connect_timeout_s: float) -> Iterator[ConnectionPool]:
+def open_pool(
+    connect_timeout_s: float, signs: ProcessSigns | None = None
+) -> Iterator[ConnectionPool]:
     """Provide a pool, and close its idle connections after the block.
 
     :param connect_timeout_s: longest time to connect, in seconds
+    :param signs: records what the connections show of processes
     """
-    pool = ConnectionPool(connect_timeout_s)
+    pool = ConnectionPool(connect_timeout_s, signs)
     try:
         yield pool
     finally:
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -10,11 +10,10 @@
 
 from absl import logging
 
-from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.store_cache import StoreCache, Decoders
 from mastichatch_core.relay.model import ClientLimits
+from mastichatch_core.relay.process_signs import ProcessSigns
 from mastichatch_core.units import MS_PER_S
-from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, open_peers
 from mastichatch_node.relay import crash_store
@@ -38,6 +37,7 @@
 )
 from mastichatch_node.relay.departure_polling import DeparturePoller
 from mastichatch_node.relay.context import RetryAllowance, RelayContext
+from mastichatch_node.relay.node_record import create_node_record
 from mastichatch_node.relay.message_handling import register_handlers
 from mastichatch_node.relay.run_migration import RunMigrator
 from mastichatch_node.relay.run_stopping import RunStopper
@@ -248,6 +248,7 @@
     registry: NodeRegistry
     broadcaster: RunBroadcaster
     crashes: CrashTracker
+    signs: ProcessSigns
     orders: QuarantineOrders
 
 
@@ -265,7 +266,7 @@
         settings.peers_address, uuid.uuid4().hex, ''
     ) as peers:
         components = _create_components(settings, adapter, telemetry, peers)
-        with open_pool(CONNECT_TIMEOUT_S) as pool:
+        with open_pool(CONNECT_TIMEOUT_S, components.signs) as pool:
             context = _create_context(components, pool)
             placer = EnginePlacer(context)
             relay = _create_relay(settings, context, placer)
@@ -293,7 +294,8 @@
     )
     cache = StoreCache(adapter.decoders)
     broadcaster = RunBroadcaster(peers, registry, lambda: cache.revision)
-    crashes = CrashTracker(cache, broadcaster, telemetry)
+    signs = ProcessSigns()
+    crashes = CrashTracker(cache, broadcaster, telemetry, signs)
     return _Components(
         settings=settings,
         adapter=adapter,
@@ -303,6 +305,7 @@
         registry=registry,
         broadcaster=broadcaster,
         crashes=crashes,
+        signs=signs,
         orders=QuarantineOrders(crashes),
     )
 
@@ -401,7 +404,7 @@
             lambda: keep_registered(
                 store,
                 NODE_PREFIX + components.settings.name,
-                _create_node_record(components.settings, components.peers),
+                create_node_record(components.settings, components.peers),
             ),
             components.broadcaster.broadcast_periodically,
             departures.poll_periodically,
@@ -445,20 +448,6 @@
         yield
 
 
-def _create_node_record(settings: RelaySettings, peers: Peers) -> bytes:
-    return codec.encode_json(
-        NodeRecord(
-            name=settings.name,
-            incarnation=peers.incarnation,
-            data_centre=settings.data_centre,
-            peer_address=peers.address,
-            http_address=settings.callers_address,
-            link_mbps=settings.link_mbps,
-            forwards_runs=True,
-        )
-    )
-
-
 async def _maintain_periodically(
     pool: ConnectionPool, placer: EnginePlacer, migrator: RunMigrator
 ) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -279,6 +279,40 @@
             answer = await relay.call('/book/x')
         assert (answer.status, answer.body) == (200, b'whole body')
 
+    @pytest.mark.parametrize('is_serving', [True, False])
+    async def test_answer_without_a_length_is_whole_behind_a_closed_listener(
+        self, is_serving: bool
+    ) -> None:
+        """A refusal is no sign of a crash while other calls are served."""
+
+        async def answer(
+            endpoint: HouseEndpoint,
+            request: endpoints.ReceivedRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            endpoint.ran.append(request.request_id)
+            sign = endpoints.signature_headers(request)
+            writer.write(f'HTTP/1.1 200 OK\r\n{sign}\r\n'.encode())
+            if request.request_id == 'slow':
+                for _ in range(60):
+                    writer.write(b'x')
+                    await asyncio.sleep(0.02)
+            elif not is_serving:
+                endpoint.crash()
+            else:
+                endpoint.close()
+                writer.write(b'whole body')
+            writer.close()
+
+        async with open_relay((app('i-a', answer),)) as relay:
+            slow = asyncio.ensure_future(
+                relay.call('/book/x', request_id='slow')
+            )
+            await asyncio.sleep(0.2)
+            got = await relay.call('/book/x')
+            await slow
+        assert got.status == (200 if is_serving else 502)
+
     async def test_surplus_answer_is_discarded(self) -> None:
         def send_twice(seen: endpoints.ReceivedRequest) -> bytes:
             ok = endpoints.build_response(
