Hold the bytes of all peers within one budget of the process

What callers saw: a process that a server's bytes had filled was killed, and the requests of all its callers ended. Cause: each message was bounded and their sum was not (up to 16 MiB for each answer, 4 MiB for each body), bodies were copied up to four times, and a whole answer was written to the buffer of a caller that did not read.

A body is taken for with its declared length before it is read, or refused with 503 at once; a request that may have run is kept. An answer of over 64 KiB is passed on as it comes; one that is cut then does not look complete. Bodies are written in pieces, and a read adds 64 KiB at most. The product's interface reads reports, orders and the platform's answers with a limit. An endpoint whose answer was given up counts as failed. Metric by purpose, and buffer_given_up in the log.

--- a/packages/node/mastichatch_node/orders.py
+++ b/packages/node/mastichatch_node/orders.py
@@ -12,6 +12,7 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.placement import ORDER_TIMEOUT_S, EngineState, Order
+from mastichatch_node.reports import REPORT_LIMIT_BYTES, read_bounded
 
 _JSON_HEADERS: Final = types.MappingProxyType(
     {'Content-Type': 'application/json'},
@@ -54,7 +55,7 @@
             async with self._session.get(_orders_url(address)) as response:
                 response.raise_for_status()
                 report = msgspec.json.decode(
-                    await response.read(),
+                    await read_bounded(response, REPORT_LIMIT_BYTES),
                     type=_StateReport,
                 )
         return EngineState(
--- a/packages/node/mastichatch_node/peers.py
+++ b/packages/node/mastichatch_node/peers.py
@@ -29,6 +29,12 @@
     Failure,
     MessageKind,
 )
+from mastichatch_core.relay.byte_budget import (
+    BudgetExceededError,
+    ByteBudget,
+    HeldBuffer,
+    Purpose,
+)
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node import codec
 from mastichatch_node.connections import Connections
@@ -36,6 +42,8 @@
 FRAME_LIMIT_BYTES: Final = 4 * 1024 * 1024
 RECEIVE_BATCH_FRAMES: Final = 64
 TASK_LIMIT: Final = 20_000
+# Budget of a node that sets none.
+UNLIMITED_BYTES: Final = 2**62
 IDLE_CONNECTION_S: Final = 60.0
 
 _Message = TypeVar('_Message')
@@ -92,6 +100,7 @@
         address: str,
         incarnation: str,
         listener: pynng.Pull0,
+        budget: ByteBudget,
     ) -> None:
         """Store the listener; call ``open_peers`` to create an instance."""
         self._address = address
@@ -105,6 +114,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._correlation = 0
         self._counts: collections.Counter[str] = collections.Counter()
+        self._budget = budget
 
     @property
     def address(self) -> str:
@@ -302,12 +312,17 @@
         except codec.DecodeError:
             self._counts['bad'] += 1
             return
+        held = _hold_message(self._budget, envelope)
+        if held is None:
+            self._counts['bad'] += 1
+            return
         self._counts['received'] += 1
         task = self._loop.create_task(
             self._run_handler(route.handler, message, envelope),
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: held.close())
 
     async def _run_handler(
         self,
@@ -354,6 +369,7 @@
     address: str,
     incarnation: str,
     advertised: str = '',
+    budget: ByteBudget | None = None,
 ) -> AsyncIterator[Peers]:
     """Listen for other nodes.
 
@@ -361,11 +377,18 @@
     :param incarnation: unique id of this run of the process
     :param advertised: address at which other nodes reach this node, if it
         differs from the listening address
+    :param budget: holds the bytes of messages that are being handled; one for
+        which it has no room is dropped
     """
     listener = pynng.Pull0(recv_max_size=FRAME_LIMIT_BYTES)
     bound = listener.listen(f'tcp://{address}')
     reachable_address = advertised or str(bound.local_address)
-    peers = Peers(reachable_address, incarnation, listener)
+    peers = Peers(
+        reachable_address,
+        incarnation,
+        listener,
+        budget or ByteBudget(UNLIMITED_BYTES),
+    )
     with (
         contextlib.closing(peers),
         _receive_from_listener(listener.recv_fd, peers),
@@ -391,6 +414,16 @@
         peers.close_idle()
 
 
+def _hold_message(budget: ByteBudget, envelope: Envelope) -> HeldBuffer | None:
+    """Hold the bytes of a message, unless there is no room for them."""
+    held = budget.open(Purpose.peer, envelope.sender)
+    try:
+        held.grow(len(envelope.body))
+    except BudgetExceededError:
+        return None
+    return held
+
+
 def _incarnation_mismatch(incarnation: str) -> MastichatchError:
     return MastichatchError(
         ErrorKind.peer_unreachable,
--- a/packages/node/mastichatch_node/platform.py
+++ b/packages/node/mastichatch_node/platform.py
@@ -15,11 +15,14 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.units import MS_PER_S
+from mastichatch_node.reports import read_bounded
 
 # A call that waits for a connection spends its own timeout, so the limit is
 # above the number of calls that a burst of requests makes at once.
 MAX_CONNECTIONS: Final = 1024
 KEEPALIVE_S: Final = 15
+# Largest answer of the platform that is accepted.
+ANSWER_LIMIT_BYTES: Final = 8 * 1024 * 1024
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -351,7 +354,7 @@
             ):
                 return _Reply(
                     status=response.status,
-                    body=await response.read(),
+                    body=await read_bounded(response, ANSWER_LIMIT_BYTES),
                     headers=response.headers,
                 )
         except TimeoutError as error:
--- a/packages/node/mastichatch_node/relay/crash_tracking.py
+++ b/packages/node/mastichatch_node/relay/crash_tracking.py
@@ -25,8 +25,8 @@
 )
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_node.clock import loop_time
-from mastichatch_core.relay.process_signs import ProcessSigns
 from mastichatch_node.relay.http_client import probe_process
+from mastichatch_node.relay.resources import Resources
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.telemetry import Telemetry
 
@@ -79,17 +79,17 @@
         belief: StoreCache,
         sharing: RunBroadcaster,
         telemetry: Telemetry,
-        signs: ProcessSigns,
+        resources: Resources,
     ) -> None:
         """Start without evidence.
 
         :param belief: local view of the platform's store
         :param sharing: sends evidence to the other nodes
         :param telemetry: event log and metrics
-        :param signs: what connections show of the processes of endpoints
+        :param resources: what connections show of the processes of endpoints
         """
         self._belief = belief
-        self._signs = signs
+        self._resources = resources
         self._sharing = sharing
         self._telemetry = telemetry
         self._evidence = PromptEvidence()
@@ -190,7 +190,9 @@
         :param endpoint: engine of the run
         :param has_begun: whether the engine had begun its answer
         """
-        if parts and await _has_crashed(self._belief, self._signs, endpoint):
+        if parts and await _has_crashed(
+            self._belief, self._resources, endpoint
+        ):
             is_cause = has_begun and self._heads.are_telling
             self._report(parts, request_id, endpoint, is_cause=is_cause)
 
@@ -206,7 +208,7 @@
         :param endpoints: endpoints that closed its connection, in order
         """
         crashed = [
-            await _has_crashed(self._belief, self._signs, one)
+            await _has_crashed(self._belief, self._resources, one)
             for one in endpoints
         ]
         if crashed and all(crashed):
@@ -348,13 +350,13 @@
 
 
 async def _has_crashed(
-    belief: StoreCache, signs: ProcessSigns, endpoint: Endpoint
+    belief: StoreCache, resources: Resources, endpoint: Endpoint
 ) -> bool:
     """Return whether the process of an endpoint in use has ended."""
     known = belief.endpoints(loop_time()).get(endpoint.instance)
     if known is None or known.state is not EndpointState.ready:
         return False
-    return bool(await probe_process(endpoint.address, signs))
+    return bool(await probe_process(endpoint.address, resources))
 
 
 def _log_parts(
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -13,12 +13,21 @@
 
 import h11
 
+from mastichatch_core.relay.byte_budget import (
+    BudgetExceededError,
+    ByteBudget,
+    HeldBuffer,
+    Purpose,
+)
 from mastichatch_core.relay.process_signs import OpenConnection, ProcessSigns
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.resources import Resources
 from mastichatch_node.relay.turns import TurnLimiter, piece_cost_bytes
 
 READ_BYTES: Final = 65536
+# Reading pauses while twice as many bytes are unread.
+UNREAD_LIMIT_BYTES: Final = 32768
 # Largest response head that is accepted, which is the default of h11. Endpoints
 # send smaller ones.
 MAX_HEAD_BYTES: Final = 65536
@@ -37,6 +46,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Reason of exchanges that end since the process holds too many bytes.
+NO_ROOM: Final = 'no room for more bytes of the answer'
+
 _FRAMING_HEADERS: Final = (b'content-length', b'transfer-encoding')
 
 
@@ -113,9 +125,14 @@
 class CountingReader(asyncio.StreamReader):
     """A stream that tells whether bytes arrived that were not read."""
 
-    def __init__(self) -> None:
-        """Start without bytes."""
-        super().__init__()
+    def __init__(self, budget: ByteBudget, owner: str) -> None:
+        """Start without bytes.
+
+        :param budget: holds the bytes that were not read
+        :param owner: address of the peer
+        """
+        super().__init__(limit=UNREAD_LIMIT_BYTES)
+        self._held = budget.open(Purpose.unread, owner, self.cut)
         self._unread = 0
         self._has_ended = False
         self._source: asyncio.BaseTransport | None = None
@@ -147,10 +164,20 @@
         :param data: the bytes
         """
         received = bytes(data)
+        try:
+            self._held.grow(len(received))
+        except BudgetExceededError:
+            return
         self._unread += len(received)
         self._on_bytes()
         super().feed_data(received)
 
+    def cut(self) -> None:
+        """Fail reads, and discard what arrives: there is no room for it."""
+        self.set_exception(BudgetExceededError())
+        if isinstance(self._source, asyncio.ReadTransport):
+            self._source.resume_reading()
+
     def feed_eof(self) -> None:
         """End the stream."""
         self._report_end()
@@ -171,6 +198,13 @@
         """
         super().set_transport(transport)
         self._source = transport
+        # Otherwise a single read may add 256 KB.
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+
+    @property
+    def owner(self) -> str:
+        """Who sends the bytes."""
+        return self._held.owner
 
     def is_reading(self) -> bool:
         """Return whether bytes and the end of the connection are noticed."""
@@ -184,14 +218,23 @@
         """
         received = await super().read(n)
         self._unread -= len(received)
+        self._held.shrink(len(received))
+        if self._has_ended and not self._unread:
+            self._held.close()
         return received
 
     def _report_end(self) -> None:
         self._has_ended = True
+        if not self._unread:
+            self._held.close()
         on_end = self._on_end
         self._on_end = _ignore
         on_end()
 
+    def release(self) -> None:
+        """Return the bytes that nobody will read to the budget."""
+        self._held.close()
+
 
 class Connection:
     """A client connection, which carries one request at a time."""
@@ -201,14 +244,16 @@
         address: str,
         reader: CountingReader,
         writer: asyncio.StreamWriter,
-        signs: ProcessSigns | None = None,
+        resources: Resources,
     ) -> None:
         """Wrap open streams; use ``connect`` to open a connection."""
         self._address = address
-        self._signs = ProcessSigns() if signs is None else signs
+        self._resources = resources
         self._reader = reader
         self._writer = writer
-        self._protocol = self._create_protocol()
+        self._protocol = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
         self._turns = TurnLimiter()
         self._used_at = loop_time()
         self._may_have_sent = False
@@ -285,8 +330,9 @@
         end = self._protocol.send(h11.EndOfMessage())
         self._may_have_sent = True
         try:
-            self._writer.write((head or b'') + (body or b'') + (end or b''))
-            await self._writer.drain()
+            await write_slowly(
+                self._writer, (head or b'', body or b'', end or b'')
+            )
         except OSError as error:
             self._record_failure(error)
             raise self._close_with_error(str(error)) from error
@@ -327,30 +373,39 @@
             return None
         raise self._close_with_error('the answer was cut off')
 
-    async def read_body(self, limit: int) -> bytes:
+    async def read_body(self, limit: int, purpose: Purpose) -> bytes:
         """Return the complete body.
 
         :param limit: largest accepted size, in bytes; small parts count as
             larger ones
-        :raises ExchangeError: if the body is truncated or larger
+        :param purpose: what it is held for
+        :raises ExchangeError: if the body is truncated or larger, or there is
+            no room for it
         """
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = await self.read_part()
-            if part is None:
-                return b''.join(parts)
-            size += piece_cost_bytes(part)
-            if size > limit:
+        with self.hold(purpose) as held:
+            body, is_complete = await read_beginning(self, limit, held)
+            if not is_complete:
                 raise self._close_with_error(
                     'the answer is larger than allowed'
                 )
-            parts.append(part)
+            return body
+
+    def hold(
+        self, purpose: Purpose
+    ) -> contextlib.AbstractContextManager[HeldBuffer]:
+        """Provide a buffer for bytes of this connection.
+
+        :param purpose: what the bytes are held for
+        """
+        return self._resources.budget.hold(
+            purpose, self._address, self._reader.cut
+        )
 
     def close(self) -> None:
         """Abort the connection, which cancels a request in progress."""
         self._is_closed = True
         self._writer.transport.abort()
+        self._reader.release()
 
     async def _check_unframed_end(self) -> None:
         """Check that an answer without framing was not ended by a crash.
@@ -360,7 +415,7 @@
         if not self._is_unframed:
             return
         # Where nothing shows whether the process lives, the end may be a crash.
-        if await probe_process(self._address, self._signs) is not False:
+        if await probe_process(self._address, self._resources) is not False:
             raise self._close_with_error(
                 'an answer without a length ended, and the host refuses '
                 'connections since'
@@ -390,16 +445,21 @@
             if event is not h11.NEED_DATA:
                 await self._turns.step()
                 return event
-            try:
-                received = await self._reader.read(READ_BYTES)
-            except OSError as error:
-                self._record_failure(error)
-                raise self._close_with_error(str(error)) from error
-            if self._is_closed:
-                # This end of the stream is no end of the response.
-                raise self._close_with_error('this node closed the connection')
-            self._is_closed_by_peer |= not received
-            self._protocol.receive_data(received)
+            self._protocol.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
+        try:
+            received = await self._reader.read(READ_BYTES)
+        except OSError as error:
+            self._record_failure(error)
+            raise self._close_with_error(str(error)) from error
+        except BudgetExceededError as error:
+            raise self._close_with_error(NO_ROOM) from error
+        if self._is_closed:
+            # This end of the stream is no end of the response.
+            raise self._close_with_error('this node closed the connection')
+        self._is_closed_by_peer |= not received
+        return received
 
     def _record_failure(self, error: OSError) -> None:
         # A silent peer ends in ``ETIMEDOUT``, which is not a reset.
@@ -414,25 +474,20 @@
             is_closed_by_peer=self._is_closed_by_peer,
         )
 
-    def _create_protocol(self) -> h11.Connection:
-        return h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-
 
 async def connect(
-    address: str, timeout_s: float, signs: ProcessSigns | None = None
+    address: str, timeout_s: float, resources: Resources
 ) -> Connection:
     """Open a connection.
 
     :param address: IP address and port
     :param timeout_s: longest time to connect, in seconds
-    :param signs: records what the connection shows of the peer's process
+    :param resources: what all connections share
     :raises ExchangeError: if the connection is not established in time
     """
     host, _, port = address.rpartition(':')
-    signs = ProcessSigns() if signs is None else signs
-    reader = CountingReader()
+    signs = resources.signs
+    reader = CountingReader(resources.budget, address)
     try:
         async with asyncio.timeout(timeout_s):
             writer = await _open_stream(reader, host, int(port))
@@ -453,7 +508,60 @@
         lambda: signs.record_end(opened),
     )
     configure_keepalive(writer)
-    return Connection(address, reader, writer, signs)
+    return Connection(address, reader, writer, resources)
+
+
+async def read_beginning(
+    connection: Connection, limit: int, held: HeldBuffer
+) -> tuple[bytes, bool]:
+    """Return the body of a response up to a size, and whether it is complete.
+
+    :param connection: connection, after the head of the response
+    :param limit: size from which on no more is read, in bytes; small parts
+        count as larger ones
+    :param held: holds the body
+    :raises ExchangeError: if the body is truncated, or there is no room
+    """
+    parts: list[bytes] = []
+    size = 0
+    while size <= limit:
+        part = await connection.read_part()
+        if part is None:
+            return b''.join(parts), True
+        size += piece_cost_bytes(part)
+        hold_part(connection, held, part)
+        parts.append(part)
+    return b''.join(parts), False
+
+
+def hold_part(connection: Connection, held: HeldBuffer, part: bytes) -> None:
+    """Hold a part of the body of a response.
+
+    :param connection: connection of the response, which is closed on failure
+    :param held: holds the bytes
+    :param part: the part
+    :raises ExchangeError: if there is no room for it
+    """
+    try:
+        held.grow(piece_cost_bytes(part))
+    except BudgetExceededError as error:
+        connection.close()
+        raise ExchangeError(NO_ROOM, was_sent=True) from error
+
+
+async def write_slowly(
+    writer: asyncio.StreamWriter, parts: Iterable[bytes]
+) -> None:
+    """Write bytes as the peer reads them, so that few are buffered.
+
+    :param writer: stream of the peer
+    :param parts: the bytes
+    """
+    for part in parts:
+        view = memoryview(part)
+        for start in range(0, len(part), READ_BYTES):
+            writer.write(view[start : start + READ_BYTES])
+            await writer.drain()
 
 
 async def _open_stream(
@@ -466,32 +574,38 @@
     return asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
-async def probe_process(address: str, signs: ProcessSigns) -> bool | None:
+async def probe_process(address: str, resources: Resources) -> bool | None:
     """Return whether a process that has closed a connection has ended.
 
     A process that ends closes all of its connections at once. One that stops in
     order refuses connections and serves the open ones.
 
     :param address: IP address and port
-    :param signs: what the connections show of the process
+    :param resources: tell what the connections show of the process
     :returns: ``None`` if it refuses connections, and neither shows
     """
+    signs = resources.signs
     try:
-        connection = await connect(address, PROBE_TIMEOUT_S, signs)
+        connection = await connect(address, PROBE_TIMEOUT_S, resources)
     except ExchangeError as error:
         if not error.is_connection_refused:
             return False
     else:
         connection.close()
         return False
+    await _wait_for_sign(address, signs)
+    if signs.is_serving(address):
+        return False
+    return signs.has_ended(address) or None
+
+
+async def _wait_for_sign(address: str, signs: ProcessSigns) -> None:
+    """Wait until something shows whether a process lives, for a short time."""
     ends_at = loop_time() + PROBE_SIGN_S
     while loop_time() < ends_at:
         if signs.has_ended(address) or signs.is_serving(address):
-            break
+            return
         await asyncio.sleep(PROBE_SIGN_INTERVAL_S)
-    if signs.is_serving(address):
-        return False
-    return signs.has_ended(address) or None
 
 
 def configure_keepalive(
@@ -530,24 +644,27 @@
 class ConnectionPool:
     """Pool of idle connections, by address."""
 
-    def __init__(
-        self, connect_timeout_s: float, signs: ProcessSigns | None = None
-    ) -> None:
+    def __init__(self, connect_timeout_s: float, resources: Resources) -> None:
         """Start empty.
 
         :param connect_timeout_s: longest time to connect, in seconds
-        :param signs: records what the connections show of processes
+        :param resources: what all connections share
         """
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[Connection]] = {}
-        self._signs = ProcessSigns() if signs is None else signs
+        self._resources = resources
         self._opened = 0
         self._observers: list[HeadObserver] = []
 
     @property
     def signs(self) -> ProcessSigns:
         """What the connections show of the processes behind them."""
-        return self._signs
+        return self._resources.signs
+
+    @property
+    def budget(self) -> ByteBudget:
+        """The bytes that are held for peers."""
+        return self._resources.budget
 
     @property
     def opened(self) -> int:
@@ -578,7 +695,7 @@
             connection.close()
         self._opened += 1
         connection = await connect(
-            address, self._connect_timeout_s, self._signs
+            address, self._connect_timeout_s, self._resources
         )
         for observer in self._observers:
             connection.observe_heads(observer)
@@ -642,14 +759,14 @@
 
 @contextlib.contextmanager
 def open_pool(
-    connect_timeout_s: float, signs: ProcessSigns | None = None
+    connect_timeout_s: float, resources: Resources
 ) -> Iterator[ConnectionPool]:
     """Provide a pool, and close its idle connections after the block.
 
     :param connect_timeout_s: longest time to connect, in seconds
-    :param signs: records what the connections show of processes
+    :param resources: what all connections share
     """
-    pool = ConnectionPool(connect_timeout_s, signs)
+    pool = ConnectionPool(connect_timeout_s, resources)
     try:
         yield pool
     finally:
--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -11,10 +11,21 @@
 
 from mastichatch_core.errors import ANSWERS, MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.relay.byte_budget import (
+    BudgetExceededError,
+    ByteBudget,
+    HeldBuffer,
+    Purpose,
+)
 from mastichatch_core.relay.model import ClientLimits
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
-from mastichatch_node.relay.http_client import Headers, configure_keepalive
+from mastichatch_node.relay.http_client import (
+    CountingReader,
+    Headers,
+    configure_keepalive,
+    write_slowly,
+)
 from mastichatch_node.relay.turns import TurnLimiter
 
 READ_BYTES: Final = 65536
@@ -32,10 +43,20 @@
 # Most bytes that are read and discarded meanwhile.
 LINGER_LIMIT_BYTES: Final = 1024 * 1024
 
+_REQUEST_ERRORS: Final = (
+    MastichatchError,
+    BudgetExceededError,
+    h11.RemoteProtocolError,
+)
 _HEAD_TOO_LARGE: Final = 431
 # Number of bytes of the colon, the space and CRLF in a header line.
 _HEADER_SEPARATORS: Final = 4
-_CALLER_ERRORS: Final = (OSError, h11.ProtocolError, asyncio.CancelledError)
+_CALLER_ERRORS: Final = (
+    OSError,
+    BudgetExceededError,
+    h11.ProtocolError,
+    asyncio.CancelledError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -102,12 +123,14 @@
         :param body: complete body
         """
         framing = (b'Content-Length', str(len(body)).encode())
-        self._emit(
+        parts = self._encode(
             self._head(status, (*headers, framing)),
             h11.Data(data=body),
             h11.EndOfMessage(),
         )
-        await self._writer.drain()
+        if len(body) < READ_BYTES:
+            parts = (b''.join(parts),)
+        await write_slowly(self._writer, parts)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body follows in parts.
@@ -139,12 +162,14 @@
         return h11.Response(status_code=status, headers=list(headers))
 
     def _emit(self, *events: h11.Event) -> None:
-        parts = [
+        self._writer.write(b''.join(self._encode(*events)))
+
+    def _encode(self, *events: h11.Event) -> tuple[bytes, ...]:
+        return tuple(
             self._protocol.send(event) or b''
             for event in events
             if not (self._omits_body and isinstance(event, h11.Data))
-        ]
-        self._writer.write(b''.join(parts))
+        )
 
 
 Handler = Callable[[IncomingRequest, ResponseWriter], Awaitable[None]]
@@ -158,6 +183,7 @@
         handler: Handler,
         limits: Callable[[], ClientLimits],
         body_timeout_s: float,
+        budget: ByteBudget,
     ) -> None:
         """Start without connections.
 
@@ -165,10 +191,13 @@
         :param limits: returns the limits in force
         :param body_timeout_s: longest time for the whole body of a request, in
             seconds
+        :param budget: holds the bytes of callers
         """
+        self._budget = budget
         self._body_timeout_s = body_timeout_s
         self._handler = handler
         self._limits = limits
+        self._accepted = 0
         self._active = 0
         self._draining_since: float | None = None
         self._connections: set[asyncio.Task[None]] = set()
@@ -187,14 +216,22 @@
         """Close connections after their next response, or once idle."""
         self._draining_since = loop_time()
 
+    def create_protocol(self) -> asyncio.StreamReaderProtocol:
+        """Return the protocol of a connection that is accepted."""
+        self._accepted += 1
+        reader = CountingReader(self._budget, f'caller {self._accepted}')
+        return asyncio.StreamReaderProtocol(reader, self.accept)
+
     async def accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection until it ends.
 
-        :param reader: stream of the requests
+        :param reader: stream of the requests, from ``create_protocol``
         :param writer: stream of the responses
         """
+        if not isinstance(reader, CountingReader):
+            raise TypeError('the reader does not count its bytes')
         task = asyncio.current_task()
         if task is not None:
             self._connections.add(task)
@@ -210,6 +247,8 @@
         except Exception:
             logging.exception('unhandled error on an HTTP connection')
             writer.transport.abort()
+        finally:
+            reader.release()
 
     def close(self) -> None:
         """Cancel the tasks of all connections."""
@@ -217,7 +256,7 @@
             task.cancel()
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: CountingReader, writer: asyncio.StreamWriter
     ) -> None:
         protocol = h11.Connection(
             h11.SERVER,
@@ -230,7 +269,7 @@
     async def _serve_one(
         self,
         protocol: h11.Connection,
-        reader: asyncio.StreamReader,
+        reader: CountingReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Serve one request, and return whether another one may follow."""
@@ -242,31 +281,36 @@
     async def _read_and_respond(
         self,
         protocol: h11.Connection,
-        reader: asyncio.StreamReader,
+        reader: CountingReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Serve a request that starts, and return whether one may follow."""
         reply = ResponseWriter(protocol, writer, lambda: self.is_draining)
-        try:
-            request = await self._read_request(protocol, reader, writer)
-        except h11.RemoteProtocolError as error:
-            await _send_error(protocol, reply, _convert_protocol_error(error))
-            return False
-        except MastichatchError as error:
-            await _send_error(protocol, reply, error)
-            return False
-        if request is None:
-            return False
-        if request.method == b'HEAD':
-            reply.omit_body()
-        await self._respond(protocol, reader, request, reply)
+        with self._budget.hold(
+            Purpose.request, reader.owner, reader.cut
+        ) as held:
+            try:
+                request = await self._read_request(
+                    protocol, reader, writer, held
+                )
+            except _REQUEST_ERRORS as error:
+                held.close()
+                await _send_error(protocol, reply, _convert_error(error))
+                return False
+            if request is None:
+                return False
+            # From here on the request may run, so that it is not given up.
+            held.keep()
+            if request.method == b'HEAD':
+                reply.omit_body()
+            await self._respond(protocol, reader, request, reply)
         states = (protocol.our_state, protocol.their_state)
         return states == (h11.DONE, h11.DONE) and not self.is_draining
 
     async def _respond(
         self,
         protocol: h11.Connection,
-        reader: asyncio.StreamReader,
+        reader: CountingReader,
         request: IncomingRequest,
         reply: ResponseWriter,
     ) -> None:
@@ -297,8 +341,9 @@
     async def _read_request(
         self,
         protocol: h11.Connection,
-        reader: asyncio.StreamReader,
+        reader: CountingReader,
         writer: asyncio.StreamWriter,
+        held: HeldBuffer,
     ) -> IncomingRequest | None:
         """Return the next request, or ``None`` if the connection ends."""
         limits = self._limits()
@@ -313,6 +358,7 @@
         headers = tuple(head.headers)
         _check_head_size(head, limits.header_bytes)
         _check_framing(headers)
+        held.grow(_declared_length(headers, limits.body_bytes))
         if protocol.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             writer.write(protocol.send(interim) or b'')
@@ -321,21 +367,22 @@
             target=head.target,
             host=_host_name(headers),
             headers=headers,
-            body=await self._read_body(protocol, reader, limits),
+            body=await self._read_body(protocol, reader, limits, held),
             arrived_at=arrived_at,
         )
 
     async def _read_body(
         self,
         protocol: h11.Connection,
-        reader: asyncio.StreamReader,
+        reader: CountingReader,
         limits: ClientLimits,
+        held: HeldBuffer,
     ) -> bytes:
         async with asyncio.timeout(self._body_timeout_s):
-            return await read_request_body(protocol, reader, limits)
+            return await read_request_body(protocol, reader, limits, held)
 
     async def _wait_for_bytes(
-        self, protocol: h11.Connection, reader: asyncio.StreamReader
+        self, protocol: h11.Connection, reader: CountingReader
     ) -> bool:
         """Return whether a request starts before the idle timeout."""
         waiting_since = loop_time()
@@ -374,8 +421,9 @@
     :param address: IP address and port
     """
     host, _, port = address.rpartition(':')
-    server = await asyncio.start_server(
-        http_server.accept,
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        http_server.create_protocol,
         host,
         int(port),
         backlog=LISTEN_BACKLOG,
@@ -418,8 +466,13 @@
     await reply.send(error.status, headers, body)
 
 
-def _convert_protocol_error(error: h11.RemoteProtocolError) -> MastichatchError:
-    if error.error_status_hint == _HEAD_TOO_LARGE:
+def _convert_error(error: Exception) -> MastichatchError:
+    if isinstance(error, MastichatchError):
+        return error
+    if isinstance(error, BudgetExceededError):
+        return MastichatchError(ErrorKind.no_capacity, 'no room for the body')
+    hint = getattr(error, 'error_status_hint', 0)
+    if hint == _HEAD_TOO_LARGE:
         return MastichatchError(ErrorKind.head_too_large)
     return MastichatchError(ErrorKind.bad_request, str(error))
 
@@ -455,6 +508,20 @@
         raise MastichatchError(ErrorKind.bad_request, 'not one host')
 
 
+def _declared_length(headers: Headers, limit: int) -> int:
+    """Return the length of the body that a head declares, in bytes.
+
+    :raises MastichatchError: if it is over the limit
+    """
+    length = 0
+    for name, content in headers:
+        if name == b'content-length':
+            length = int(content)
+    if length > limit:
+        raise MastichatchError(ErrorKind.body_too_large)
+    return length
+
+
 def _host_name(headers: Headers) -> str:
     for name, content in headers:
         if name == b'host':
@@ -467,12 +534,14 @@
     protocol: h11.Connection,
     reader: asyncio.StreamReader,
     limits: ClientLimits,
+    held: HeldBuffer,
 ) -> bytes:
     """Return the complete body of a request.
 
     :param protocol: protocol state of the connection, after the head
     :param reader: stream of the request
     :param limits: limits of the body's size and pauses
+    :param held: holds the body, of which its length may be held already
     :raises MastichatchError: if the body is too large
     :raises ConnectionResetError: if the body is truncated
     """
@@ -490,6 +559,7 @@
         size += len(event.data)
         if size > limits.body_bytes:
             raise MastichatchError(ErrorKind.body_too_large)
+        held.resize(max(size, held.size))
         parts.append(bytes(event.data))
 
 
@@ -514,7 +584,7 @@
     while buffered < PIPELINE_LIMIT_BYTES:
         try:
             received = await reader.read(READ_BYTES)
-        except OSError:
+        except (OSError, BudgetExceededError):
             return
         if not received:
             return
@@ -534,7 +604,12 @@
     """Read to the end of a stream, or up to ``LINGER_LIMIT_BYTES``."""
     discarded = 0
     while discarded < LINGER_LIMIT_BYTES:
-        received = await reader.read(READ_BYTES)
+        try:
+            received = await reader.read(READ_BYTES)
+        except BudgetExceededError:
+            # The reader discards what arrives from now on.
+            await asyncio.sleep(LINGER_S)
+            return
         if not received:
             return
         discarded += len(received)
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -12,11 +12,10 @@
 
 from mastichatch_core.relay.store_cache import StoreCache, Decoders
 from mastichatch_core.relay.model import ClientLimits
-from mastichatch_core.relay.process_signs import ProcessSigns
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, open_peers
-from mastichatch_node.relay import crash_store
+from mastichatch_node.relay import crash_store, resources
 from mastichatch_node.relay.crash_tracking import CrashTracker
 from mastichatch_node.relay.dialect import Dialect
 from mastichatch_node.relay.http_client import ConnectionPool, open_pool
@@ -99,28 +98,28 @@
 
     def __init__(
         self,
-        settings: RelaySettings,
+        components: '_Components',
         context: RelayContext,
         relay: Relay,
-        orders: QuarantineOrders,
     ) -> None:
         """Create the HTTP servers of the node.
 
-        :param settings: settings of the node
+        :param components: settings and shared state of the node
         :param context: shared components of the node
         :param relay: handler of callers' requests
-        :param orders: handler of operators' orders on suspected parts
         """
-        self._orders = orders
+        settings = components.settings
+        budget = components.shared.budget
+        self._orders = components.orders
         self._settings = settings
         self._context = context
         self._relay = relay
         body_timeout_s = settings.body_timeout_ms / MS_PER_S
         self._caller_server = HttpServer(
-            relay.handle, self._limits, body_timeout_s
+            relay.handle, self._limits, body_timeout_s, budget
         )
         self._admin_server = HttpServer(
-            self._answer_admin, ClientLimits, body_timeout_s
+            self._answer_admin, ClientLimits, body_timeout_s, budget
         )
 
     @property
@@ -248,7 +247,7 @@
     registry: NodeRegistry
     broadcaster: RunBroadcaster
     crashes: CrashTracker
-    signs: ProcessSigns
+    shared: resources.Resources
     orders: QuarantineOrders
 
 
@@ -262,17 +261,20 @@
     :param adapter: implementation of the platform's protocols
     :param telemetry: log and metrics of the node
     """
+    shared = resources.create_resources(settings.memory_mb, telemetry)
     async with open_peers(
-        settings.peers_address, uuid.uuid4().hex, ''
+        settings.peers_address, uuid.uuid4().hex, '', shared.budget
     ) as peers:
-        components = _create_components(settings, adapter, telemetry, peers)
-        with open_pool(CONNECT_TIMEOUT_S, components.signs) as pool:
+        components = _create_components(
+            settings, adapter, telemetry, peers, shared
+        )
+        with open_pool(CONNECT_TIMEOUT_S, shared) as pool:
             context = _create_context(components, pool)
             placer = EnginePlacer(context)
             relay = _create_relay(settings, context, placer)
             migrator = RunMigrator(context, placer, relay)
             _attach_evidence(components, placer, relay)
-            node = RelayNode(settings, context, relay, components.orders)
+            node = RelayNode(components, context, relay)
             async with contextlib.AsyncExitStack() as stack:
                 stack.callback(context.stopper.close)
                 stack.callback(migrator.close)
@@ -288,14 +290,14 @@
     adapter: Adapter,
     telemetry: Telemetry,
     peers: Peers,
+    shared: resources.Resources,
 ) -> _Components:
     registry = NodeRegistry(
         settings.name, settings.data_centre, settings.link_mbps
     )
     cache = StoreCache(adapter.decoders)
     broadcaster = RunBroadcaster(peers, registry, lambda: cache.revision)
-    signs = ProcessSigns()
-    crashes = CrashTracker(cache, broadcaster, telemetry, signs)
+    crashes = CrashTracker(cache, broadcaster, telemetry, shared)
     return _Components(
         settings=settings,
         adapter=adapter,
@@ -305,7 +307,7 @@
         registry=registry,
         broadcaster=broadcaster,
         crashes=crashes,
-        signs=signs,
+        shared=shared,
         orders=QuarantineOrders(crashes),
     )
 
@@ -367,7 +369,7 @@
         placer.reconcile()
         migrator.reconcile()
 
-    with open_pool(CONNECT_TIMEOUT_S) as pool:
+    with open_pool(CONNECT_TIMEOUT_S, components.shared) as pool:
         store = components.adapter.open_store(
             components.settings.store_address, pool
         )
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import Container, Iterator
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.relay.byte_budget import Purpose
 from mastichatch_core.relay.store_cache import usable_endpoints
 from mastichatch_core.relay.model import Endpoint, RequestKind
 from mastichatch_core.relay.plain_choice import rank_endpoints, split_paused
@@ -29,12 +31,18 @@
 from mastichatch_node.relay.http_client import (
     Connection,
     ExchangeError,
+    ResponseHead,
     pooled_connection,
+    read_beginning,
 )
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
+from mastichatch_node.relay.turns import piece_cost_bytes
 
 RESPONSE_LIMIT_BYTES: Final = 16 * 1024 * 1024
+# A longer answer is passed on as it comes. A shorter one is complete before, so
+# that a call may still be tried elsewhere.
+PASS_ON_BYTES: Final = 65536
 # An endpoint may close a connection that has been idle for longer. Reuse is
 # worthwhile, since a new connection costs a round trip and 1 ms by the users'
 # specification.
@@ -72,9 +80,10 @@
                 refuse_if_all_paused(context, job)
             raise _create_error(results)
         tried[endpoint.instance] = endpoint
-        result = await _attempt(context, job, endpoint, len(results))
+        result = await _attempt(context, job, reply, endpoint, len(results))
         results.append(result)
-        if is_suspected or _is_final(context, job, results):
+        is_begun = reply.status > 0
+        if is_begun or is_suspected or _is_final(context, job, results):
             break
     await _record_evidence(context, job, tuple(tried.values()), results)
     await _send_response(context, job, reply, results)
@@ -137,7 +146,11 @@
 
 
 async def _attempt(
-    context: RelayContext, job: Job, endpoint: Endpoint, number: int
+    context: RelayContext,
+    job: Job,
+    reply: ResponseWriter,
+    endpoint: Endpoint,
+    number: int,
 ) -> AttemptResult:
     """Send a call to one endpoint, and record the result."""
     started_at = loop_time()
@@ -148,7 +161,7 @@
     sent = False
     try:
         with _counted_as_running(context, endpoint):
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(left_s) as limit:
                 with unforeseen_as_failures(job, endpoint, was_sent=False):
                     outgoing = build_outgoing(context, job, endpoint)
                 async with pooled_connection(
@@ -157,7 +170,12 @@
                     sent = True
                     with unforeseen_as_failures(job, endpoint, was_sent=True):
                         await connection.send(outgoing)
-                        result = await _read_result(context, job, connection)
+                        result = await _read_result(
+                            context,
+                            job,
+                            connection,
+                            _PassedAnswer(reply, limit),
+                        )
     except TimeoutError:
         outcome = AttemptOutcome.unknown if sent else AttemptOutcome.not_sent
         result = AttemptResult(fate=outcome, reason='no answer in time')
@@ -178,15 +196,66 @@
     return result
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PassedAnswer:
+    """The answer to the caller, and the time limit of the attempt."""
+
+    reply: ResponseWriter
+    limit: asyncio.Timeout
+
+
 async def _read_result(
-    context: RelayContext, job: Job, connection: Connection
+    context: RelayContext,
+    job: Job,
+    connection: Connection,
+    passed: _PassedAnswer,
 ) -> AttemptResult:
-    """Read the complete answer to a call."""
+    """Read the answer to a call, and pass a long one on as it comes."""
     head = await read_answer_head(context, job, connection)
-    body = await connection.read_body(RESPONSE_LIMIT_BYTES)
     refused = context.dialect.proves_not_run(head)
     outcome = AttemptOutcome.refused if refused else AttemptOutcome.answered
-    return AttemptResult(fate=outcome, head=head, body=body)
+    result = AttemptResult(fate=outcome, head=head)
+    is_final = not refused and not _is_server_error(result)
+    limit = RESPONSE_LIMIT_BYTES
+    if is_final and head.status not in NOT_RUN_STATUSES:
+        limit = PASS_ON_BYTES
+    with connection.hold(Purpose.answer) as held:
+        body, is_complete = await read_beginning(connection, limit, held)
+        if is_complete:
+            return dataclasses.replace(result, body=body)
+        if limit == RESPONSE_LIMIT_BYTES:
+            raise ExchangeError('the answer is too large', was_sent=True)
+        passed.limit.reschedule(job.ends_at)
+        await _pass_on(context, job, connection, passed.reply, head, body)
+    return result
+
+
+async def _pass_on(
+    context: RelayContext,
+    job: Job,
+    connection: Connection,
+    reply: ResponseWriter,
+    head: ResponseHead,
+    body: bytes,
+) -> None:
+    """Pass an answer on to the caller as it comes.
+
+    :param body: its beginning
+    :raises ExchangeError: if it is truncated or too large
+    """
+    context.telemetry.observe_first_byte(job.route.kind, job.request.arrived_at)
+    await reply.start(
+        head.status, context.dialect.response_headers(head.headers)
+    )
+    size = len(body)
+    part: bytes | None = body
+    while part is not None:
+        await reply.write(part)
+        part = await connection.read_part()
+        size += piece_cost_bytes(part or b'')
+        if size > RESPONSE_LIMIT_BYTES:
+            raise ExchangeError('the answer is too large', was_sent=True)
+    await reply.finish()
 
 
 @contextlib.contextmanager
@@ -238,6 +307,8 @@
     results: list[AttemptResult],
 ) -> None:
     answers = [one for one in results if one.fate is AttemptOutcome.answered]
+    if answers and reply.status:
+        return
     if not answers or answers[-1].head is None:
         raise _create_error(results)
     head = answers[-1].head
--- a/packages/node/mastichatch_node/relay/settings.py
+++ b/packages/node/mastichatch_node/relay/settings.py
@@ -44,6 +44,7 @@
         unknown
     :param body_timeout_ms: longest time for the whole body of a request, in
         milliseconds
+    :param memory_mb: memory above which the platform ends the process, in MB
     :param grace_ms: longest duration of a planned stop, in milliseconds
     :param log_level: least severe level that is logged
     """
@@ -61,6 +62,7 @@
     retry_burst: float = 50
     link_mbps: float = 0
     body_timeout_ms: float = 60000
+    memory_mb: float = 150
     grace_ms: float = 8000
     log_level: str = 'info'
 
@@ -79,6 +81,7 @@
     'retry_burst': 'further retries of all nodes together, in a window of 10 s',
     'link_mbps': "bandwidth of this host's network link, in Mbit/s",
     'body_timeout_ms': 'longest time for the whole body of a request, in ms',
+    'memory_mb': 'memory above which the platform ends the process, in MB',
     'grace_ms': 'longest duration of a planned stop, in ms',
     'log_level': 'least severe level that is logged',
 }
@@ -131,7 +134,7 @@
 
 
 def _is_number(name: str) -> bool:
-    return name.endswith(('_ms', '_mbps')) or name.startswith('retry_')
+    return name.endswith(('_ms', '_mb', '_mbps')) or name.startswith('retry_')
 
 
 def _converter(name: str) -> Callable[[str], Any]:
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -8,10 +8,10 @@
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind, Ran, Run, RunState
+from mastichatch_core.relay.byte_budget import Purpose
 from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
 from mastichatch_core.relay.events import (
     EventOrder,
-    EventSplitter,
     MissingEventError,
     PauseTimer,
     max_stall_ms,
@@ -51,7 +51,7 @@
     Handover,
     StoppedRun,
 )
-from mastichatch_node.relay.turns import piece_cost_bytes
+from mastichatch_node.relay.event_reading import open_event_reader
 from mastichatch_node.relay.engine_placement import (
     EnginePlacement,
     EnginePlacer,
@@ -59,8 +59,6 @@
 )
 
 ANSWER_LIMIT_BYTES: Final = 1024 * 1024
-# Largest event of a stream that is accepted.
-EVENT_LIMIT_BYTES: Final = 1024 * 1024
 # Maximum number of engines tried while each refuses without running the
 # request; each further engine adds latency.
 SEND_LIMIT: Final = 3
@@ -408,27 +406,23 @@
                 await self._forward_events(connection, head, source)
                 return AttemptResult(fate=AttemptOutcome.answered, head=head)
             with _failures_of(self._job, source):
-                body = await connection.read_body(ANSWER_LIMIT_BYTES)
+                body = await connection.read_body(
+                    ANSWER_LIMIT_BYTES, Purpose.answer
+                )
             return await _pass_on(context, self._reply, head, body)
 
     async def _forward_events(
         self, connection: Connection, head: ResponseHead, source: AttemptSource
     ) -> None:
-        splitter = EventSplitter()
         longest_s = _longest_stall_s(self._job)
-        while True:
-            with _failures_of(self._job, source):
-                events = await _read_events(connection, splitter, longest_s)
-                fresh = _fresh_events(self._order, events)
-            if fresh is None:
-                break
-            await self._forward(fresh, head)
-        if splitter.rest_bytes:
-            raise ExchangeError(
-                'the stream ended inside an event',
-                was_sent=True,
-                is_closed_by_peer=True,
-            )
+        with open_event_reader(connection, longest_s) as reader:
+            while True:
+                with _failures_of(self._job, source):
+                    events = await reader.read()
+                    fresh = _fresh_events(self._order, events)
+                if fresh is None:
+                    break
+                await self._forward(fresh, head)
         if connection.is_unframed and await self._transfer.was_stopped():
             raise ExchangeError(
                 'the engine stopped the run on order', was_sent=True
@@ -748,34 +742,6 @@
     return error
 
 
-async def _read_events(
-    connection: Connection, splitter: EventSplitter, longest_s: float
-) -> tuple[bytes, ...] | None:
-    """Return the next complete events, or ``None`` at the end of the stream.
-
-    Bytes that complete no event do not keep a stalled stream open.
-
-    :param connection: connection to the engine
-    :param splitter: splitter of the stream
-    :param longest_s: longest time without an event, in seconds
-    :raises ExchangeError: if there is no event in time, or if it is too large
-    """
-    size = splitter.rest_bytes
-    try:
-        async with asyncio.timeout(longest_s):
-            while size <= EVENT_LIMIT_BYTES:
-                part = await connection.read_part()
-                if part is None:
-                    return None
-                size += piece_cost_bytes(part)
-                events = splitter.feed(part)
-                if events:
-                    return events
-    except TimeoutError:
-        raise ExchangeError('the stream stalled', was_sent=True) from None
-    raise ExchangeError('an event is too large', was_sent=True)
-
-
 def _elapsed_ms(since: float, at: float | None) -> int | None:
     """Return the milliseconds between two loop times, if both are known."""
     return None if at is None else round((at - since) * MS_PER_S)
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -1,6 +1,8 @@
 """Log and metrics of the relay."""
 
 import asyncio
+import dataclasses
+import functools
 import io
 import logging as standard_logging
 import os
@@ -18,6 +20,7 @@
     generate_latest,
 )
 
+from mastichatch_core.relay.byte_budget import ByteBudget, Purpose, Shortage
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.logs import set_up_logging
@@ -181,6 +184,12 @@
             'Requests in progress.',
             registry=self._registry,
         )
+        self._held = Gauge(
+            'mastichatch_relay_held_bytes',
+            'Bytes held for peers, by purpose.',
+            ('purpose',),
+            registry=self._registry,
+        )
         self._suspected = Gauge(
             'mastichatch_relay_suspected_parts',
             'Parts of prompts that may crash engines.',
@@ -258,6 +267,23 @@
         """
         self._suspected.set(suspected)
 
+    def watch_budget(self, budget: ByteBudget) -> None:
+        """Show the bytes that are held for peers.
+
+        :param budget: bytes that are held
+        """
+        for purpose in Purpose:
+            self._held.labels(purpose).set_function(
+                functools.partial(budget.held, purpose)
+            )
+
+    def log_shortage(self, shortage: Shortage) -> None:
+        """Log a buffer that was given up for lack of room.
+
+        :param shortage: the buffer
+        """
+        self.log_state_change('buffer_given_up', **dataclasses.asdict(shortage))
+
     def log_decision(
         self, event: str, request_id: str, **inputs: object
     ) -> None:
--- a/tests/relay_nodes.py
+++ b/tests/relay_nodes.py
@@ -12,6 +12,7 @@
 
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_node.relay.program import RelayNode, open_node
+from mastichatch_node.relay.resources import Resources, create_resources
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.processes import free_address
@@ -21,6 +22,7 @@
 KEY = 'secret-key'
 HOST = 'front.example'
 WAIT_S = 20.0
+MEMORY_MB = 150
 
 
 def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
@@ -140,6 +142,11 @@
     )
 
 
+def new_resources() -> Resources:
+    """Return the shared state of connections, with the default budget."""
+    return create_resources(MEMORY_MB, Telemetry())
+
+
 def known_endpoints(node: RelayNode) -> dict[str, Endpoint]:
     """Return the endpoints that a node knows, by the id that they register."""
     known = node.belief.endpoints(0).values()
--- a/tests/standins/house_store.py
+++ b/tests/standins/house_store.py
@@ -30,6 +30,7 @@
     unless it is zero, ``lose_answers`` executes calls but closes without a
     response, and ``is_silent`` never responds.
 
+    ``is_endless`` adds further pages of 1 MB without end to each answer.
     ``first_revision`` is the first revision that a watch can start at, and
     ``page_size`` the number of entries in a page.
     """
@@ -45,6 +46,7 @@
         self.is_silent = False
         self.first_revision = 0
         self.page_size = 500
+        self.is_endless = False
         self.calls: list[str] = []
         self._changed = asyncio.Condition()
         self._next_lease = 7000
@@ -105,9 +107,24 @@
             request.transport.abort()
         return response
 
+    def _endless_page(self, prefix: str, after: str) -> dict[str, Any]:
+        """Return a page of entries that is never the last."""
+        number = int(after.rpartition('/')[2] or 0) + 1 if after else 1
+        content = base64.b64encode(b'x' * 1_000_000).decode()
+        row = {
+            'key': f'{prefix}/{number:09d}',
+            'value': content,
+            'revision': self.revision,
+            'created': self.revision,
+            'lease_id': 0,
+        }
+        return {'entries': [row], 'has_more': True, 'at': self.revision}
+
     async def _get_range(self, request: web.Request) -> web.Response:
         prefix = request.query['prefix']
         after = request.query.get('after', '')
+        if self.is_endless:
+            return web.json_response(self._endless_page(prefix, after))
         keys = sorted(
             key for key in self.items if key.startswith(prefix) and key > after
         )
