--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Final
 
@@ -40,6 +41,9 @@
 DRAIN_IDLE_S: Final = 2.0
 # Time for the peer to read the last response; a round trip takes 2 ms.
 LINGER_S: Final = 0.5
+# Least and greatest time after which a caller may send a body again for which
+# there was no room.
+BODY_RETRY_S: Final = (0.5, 2.0)
 # Most bytes that are read and discarded meanwhile.
 LINGER_LIMIT_BYTES: Final = 1024 * 1024
 
@@ -461,7 +465,14 @@
     """Send an error for an unreadable request, and announce the close."""
     if protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
         return
-    headers = (*error_headers(error, None), (b'Connection', b'close'))
+    retry_after_s = None
+    if error.kind is ErrorKind.no_capacity:
+        # Callers that were refused together must not return together.
+        retry_after_s = random.uniform(*BODY_RETRY_S)  # noqa: S311
+    headers = (
+        *error_headers(error, retry_after_s),
+        (b'Connection', b'close'),
+    )
     body = f'{{"kind":"{error.kind}"}}'.encode()
     await reply.send(error.status, headers, body)
 
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -490,6 +490,7 @@
 
         The attempt is cancelled if the source does not stop in time.
         """
+        ends_at = loop_time() + COPY_ANSWER_LIMIT_S - OVERLAP_LIMIT_S
         proving = asyncio.ensure_future(
             _is_cleared(order, SWITCH_PROOF_LIMIT_S - OVERLAP_LIMIT_S)
         )
@@ -503,9 +504,7 @@
             await self._retrieve(copy)
             attempt.cancel()
         proving.cancel()
-        await asyncio.wait(
-            (attempt,), timeout=COPY_ANSWER_LIMIT_S - SWITCH_PROOF_LIMIT_S
-        )
+        await asyncio.wait((attempt,), timeout=max(0, ends_at - loop_time()))
         if not attempt.done():
             location = (await order.result()).location
             if (
