--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -330,7 +330,7 @@
         end = self._protocol.send(h11.EndOfMessage())
         self._may_have_sent = True
         try:
-            await write_slowly(
+            await write_in_pieces(
                 self._writer, (head or b'', body or b'', end or b'')
             )
         except OSError as error:
@@ -549,7 +549,7 @@
         raise ExchangeError(NO_ROOM, was_sent=True) from error
 
 
-async def write_slowly(
+async def write_in_pieces(
     writer: asyncio.StreamWriter, parts: Iterable[bytes]
 ) -> None:
     """Write bytes as the peer reads them, so that few are buffered.
--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -25,7 +25,7 @@
     CountingReader,
     Headers,
     configure_keepalive,
-    write_slowly,
+    write_in_pieces,
 )
 from mastichatch_node.relay.turns import TurnLimiter
 
@@ -134,7 +134,7 @@
         )
         if len(body) < READ_BYTES:
             parts = (b''.join(parts),)
-        await write_slowly(self._writer, parts)
+        await write_in_pieces(self._writer, parts)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body follows in parts.
