Take a closed connection of a cancelled generation for its end again, as before

Only a time-out after the connection and another answer count as no proof now; the rest is listed as open.

--- a/packages/node/mastichatch_node/engines.py
+++ b/packages/node/mastichatch_node/engines.py
@@ -180,8 +180,8 @@
         """Cancel a generation, and return whether it is known to have ended.
 
         It is if the engine says so or does not know it, or if no connection
-        to the engine can be established any more. An engine that accepts a
-        connection and does neither may work on.
+        to it lasts until an answer. An engine that leaves the order without
+        an answer, or refuses it, may work on.
 
         The boot id prevents a late cancel from ending a generation that has
         the same id in a later boot of the engine.
@@ -203,10 +203,10 @@
                     response.status < _HTTP_REDIRECT
                     or response.status == _HTTP_NOT_FOUND
                 )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return True
-        except (aiohttp.ClientError, TimeoutError):
-            return False
+        except TimeoutError as error:
+            return isinstance(error, aiohttp.ConnectionTimeoutError)
+        except aiohttp.ClientError as error:
+            return isinstance(error, aiohttp.ClientConnectionError)
 
     async def load(self, endpoint: str, address: str) -> EndpointObservation:
         """Return an engine's load, or an observation that it is unreachable.
