Return the buffer of a connection that was not established

A reader opens its buffer in the budget before it connects; a failed attempt never closed it, so that each one left an empty buffer behind. The new test failed before, with one buffer left over. The budget now also tells the number of its buffers.

--- a/packages/core/mastichatch_core/relay/byte_budget.py
+++ b/packages/core/mastichatch_core/relay/byte_budget.py
@@ -82,6 +82,11 @@
         """Size of all buffers, in bytes."""
         return self._total
 
+    @property
+    def buffers(self) -> int:
+        """Number of buffers."""
+        return len(self._buffers)
+
     def held(self, purpose: Purpose) -> int:
         """Return the size of all buffers of one purpose, in bytes.
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -494,6 +494,7 @@
     except Exception as error:
         # The address comes from another process, and errors of other kinds
         # than ``OSError`` are possible, such as for a port out of range.
+        reader.release()
         reason = f'no connection to {address}: {error!r}'
         is_refused = isinstance(error, ConnectionRefusedError)
         if is_refused:
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -9,6 +9,9 @@
     Purpose,
     Shortage,
 )
+from mastichatch_node.relay.http_client import ExchangeError, connect
+from tests.processes import free_address
+from tests.relay_nodes import new_resources
 
 LIMIT = 1_000_000
 # Buffers of other sizes than small ones may use this much.
@@ -27,6 +30,16 @@
     return buffers
 
 
+class TestConnections:
+    """Guards against buffers that outlive their connections."""
+
+    async def test_failed_connection_leaves_no_buffer(self) -> None:
+        resources = new_resources()
+        with pytest.raises(ExchangeError):
+            await connect(free_address(), 1, resources)
+        assert not resources.budget.buffers
+
+
 class TestByteBudget:
     def test_bytes_are_returned_after_the_block(self) -> None:
         budget = ByteBudget(LIMIT)
