Write a short request at once again, by the same rule as an answer

Head, body and end of each request were written one by one, three system calls where there was one before; only answers had a rule for short messages.

--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -8,7 +8,13 @@
 import contextlib
 import dataclasses
 import socket
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Iterable,
+    Iterator,
+    Sequence,
+)
 from typing import Final, SupportsIndex
 
 import h11
@@ -551,13 +557,17 @@
 
 
 async def write_in_pieces(
-    writer: asyncio.StreamWriter, parts: Iterable[bytes]
+    writer: asyncio.StreamWriter, parts: Sequence[bytes]
 ) -> None:
     """Write bytes as the peer reads them, so that few are buffered.
 
+    A short message is written at once.
+
     :param writer: stream of the peer
     :param parts: the bytes
     """
+    if sum(map(len, parts)) < READ_BYTES:
+        parts = (b''.join(parts),)
     for part in parts:
         view = memoryview(part)
         for start in range(0, len(part), READ_BYTES):
--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -132,8 +132,6 @@
             h11.Data(data=body),
             h11.EndOfMessage(),
         )
-        if len(body) < READ_BYTES:
-            parts = (b''.join(parts),)
         await write_in_pieces(self._writer, parts)
 
     async def start(self, status: int, headers: Headers) -> None:
