Work out who takes most only where the budget runs short

Sums by owner and by purpose were kept with each read and part, and are needed only where a buffer is given up, or when the metrics are fetched.

--- a/packages/core/mastichatch_core/relay/byte_budget.py
+++ b/packages/core/mastichatch_core/relay/byte_budget.py
@@ -74,8 +74,6 @@
         self._on_shortage = on_shortage
         self._total = 0
         self._buffers: set[HeldBuffer] = set()
-        self._by_owner: Counter[str] = Counter()
-        self._by_purpose: Counter[Purpose] = Counter()
 
     @property
     def total(self) -> int:
@@ -92,7 +90,7 @@
 
         :param purpose: what the bytes are held for
         """
-        return self._by_purpose[purpose]
+        return sum(one.size for one in self._buffers if one.purpose is purpose)
 
     @contextlib.contextmanager
     def hold(
@@ -154,8 +152,6 @@
         :param size: number of bytes; negative to remove them
         """
         self._total += size
-        self._by_owner[buffer.owner] += size
-        self._by_purpose[buffer.purpose] += size
         buffer.record(size)
 
     def forget(self, buffer: 'HeldBuffer') -> None:
@@ -165,8 +161,6 @@
         """
         self.add(buffer, -buffer.size)
         self._buffers.discard(buffer)
-        if not self._by_owner[buffer.owner]:
-            self._by_owner.pop(buffer.owner, None)
 
     def _find_victim(self, buffer: 'HeldBuffer', size: int) -> 'HeldBuffer':
         """Return the buffer to give up: the largest of who takes most."""
@@ -175,13 +169,14 @@
         ]
         if not others:
             return buffer
-        largest = max(
-            others, key=lambda one: (self._by_owner[one.owner], one.size)
-        )
+        taken: Counter[str] = Counter()
+        for held in self._buffers:
+            taken[held.owner] += held.size
+        largest = max(others, key=lambda one: (taken[one.owner], one.size))
         if largest.owner == buffer.owner:
             return largest if largest.size > buffer.size + size else buffer
-        taken = self._by_owner[buffer.owner] + size
-        return largest if self._by_owner[largest.owner] > taken else buffer
+        wanted = taken[buffer.owner] + size
+        return largest if taken[largest.owner] > wanted else buffer
 
     def _give_up(self, buffer: 'HeldBuffer') -> None:
         shortage = Shortage(
