Do not count a caller that does not read an answer as a failure of its endpoint

Since long answers are passed on as they come, the time that a caller takes to read counted as the endpoint's: at the time limit the attempt was 'unknown', so that the endpoint was avoided, and an error of writing to the caller was logged as unforeseen and counted against it too. Reading from the endpoint and writing to the caller are bounded apart now.

--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -18,6 +18,7 @@
     ResponseHead,
     OutgoingRequest,
 )
+from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
 
 FIRST_SERVER_ERROR: Final = 500
@@ -172,6 +173,24 @@
     return head
 
 
+async def start_reply(
+    context: RelayContext, job: Job, reply: ResponseWriter, head: ResponseHead
+) -> None:
+    """Begin to pass an answer on to the caller, unless it has begun.
+
+    :param context: shared components of the relay
+    :param job: the request
+    :param reply: writer of the response
+    :param head: head of the endpoint's answer
+    """
+    if reply.status:
+        return
+    context.telemetry.observe_first_byte(job.route.kind, job.request.arrived_at)
+    await reply.start(
+        head.status, context.dialect.response_headers(head.headers)
+    )
+
+
 def record_result(
     context: RelayContext,
     endpoint: Endpoint,
--- a/packages/node/mastichatch_node/relay/event_reading.py
+++ b/packages/node/mastichatch_node/relay/event_reading.py
@@ -10,7 +10,11 @@
 from typing import Final
 
 from mastichatch_core.relay.byte_budget import HeldBuffer, Purpose
-from mastichatch_core.relay.events import EventSplitter
+from mastichatch_core.relay.events import (
+    EventOrder,
+    EventSplitter,
+    MissingEventError,
+)
 from mastichatch_node.relay.http_client import (
     Connection,
     ExchangeError,
@@ -26,24 +30,30 @@
     """Reads the events of one stream."""
 
     def __init__(
-        self, connection: Connection, held: HeldBuffer, longest_s: float
+        self,
+        connection: Connection,
+        order: EventOrder,
+        held: HeldBuffer,
+        longest_s: float,
     ) -> None:
         """Start before the first event.
 
         :param connection: connection to the engine, after the head
+        :param order: events that the caller has
         :param held: holds the bytes that complete no event yet
         :param longest_s: longest time without an event, in seconds
         """
         self._connection = connection
+        self._order = order
         self._held = held
         self._longest_s = longest_s
         self._splitter = EventSplitter()
 
     async def read(self) -> tuple[bytes, ...] | None:
-        """Return the next complete events, or ``None`` at the end.
+        """Return complete events that the caller lacks, or ``None`` at the end.
 
         :raises ExchangeError: if there is no event in time, if it is too large,
-            or if the stream ends inside an event
+            if one was skipped, or if the stream ends inside an event
         """
         try:
             async with asyncio.timeout(self._longest_s):
@@ -51,14 +61,22 @@
         except TimeoutError:
             raise ExchangeError('the stream stalled', was_sent=True) from None
         rest_bytes = self._splitter.rest_bytes
-        if events is None and rest_bytes:
+        self._held.shrink(max(0, self._held.size - rest_bytes))
+        if events is not None:
+            return self._drop_repeated(events)
+        if rest_bytes:
             raise ExchangeError(
                 'the stream ended inside an event',
                 was_sent=True,
                 is_closed_by_peer=True,
             )
-        self._held.shrink(max(0, self._held.size - rest_bytes))
-        return events
+        return None
+
+    def _drop_repeated(self, events: tuple[bytes, ...]) -> tuple[bytes, ...]:
+        try:
+            return self._order.drop_repeated(events)
+        except MissingEventError as error:
+            raise ExchangeError(str(error), was_sent=True) from error
 
     async def _read_parts(self) -> tuple[bytes, ...] | None:
         size = self._splitter.rest_bytes
@@ -76,12 +94,13 @@
 
 @contextlib.contextmanager
 def open_event_reader(
-    connection: Connection, longest_s: float
+    connection: Connection, order: EventOrder, longest_s: float
 ) -> Iterator[EventReader]:
     """Provide a reader, and return the bytes that it holds after the block.
 
     :param connection: connection to the engine, after the head of its answer
+    :param order: events that the caller has
     :param longest_s: longest time without an event, in seconds
     """
     with connection.hold(Purpose.stream) as held:
-        yield EventReader(connection, held, longest_s)
+        yield EventReader(connection, order, held, longest_s)
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Container, Iterator
+from collections.abc import AsyncIterator, Container, Iterator
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -22,6 +22,7 @@
     record_result,
     build_outgoing,
     read_answer_head,
+    start_reply,
     unforeseen_as_failures,
 )
 from mastichatch_node.relay.engine_placement import (
@@ -31,7 +32,6 @@
 from mastichatch_node.relay.http_client import (
     Connection,
     ExchangeError,
-    ResponseHead,
     pooled_connection,
     read_beginning,
 )
@@ -43,6 +43,7 @@
 # A longer answer is passed on as it comes. A shorter one is complete before, so
 # that a call may still be tried elsewhere.
 PASS_ON_BYTES: Final = 65536
+TOO_LARGE: Final = 'the answer is larger than allowed'
 # An endpoint may close a connection that has been idle for longer. Reuse is
 # worthwhile, since a new connection costs a round trip and 1 ms by the users'
 # specification.
@@ -170,12 +171,12 @@
                     sent = True
                     with unforeseen_as_failures(job, endpoint, was_sent=True):
                         await connection.send(outgoing)
-                        result = await _read_result(
-                            context,
-                            job,
-                            connection,
-                            _PassedAnswer(reply, limit),
-                        )
+                    result = await _read_result(
+                        context,
+                        job,
+                        connection,
+                        _Attempt(endpoint, reply, limit),
+                    )
     except TimeoutError:
         outcome = AttemptOutcome.unknown if sent else AttemptOutcome.not_sent
         result = AttemptResult(fate=outcome, reason='no answer in time')
@@ -197,65 +198,85 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _PassedAnswer:
-    """The answer to the caller, and the time limit of the attempt."""
+class _Attempt:
+    """An attempt whose answer is passed on if it is long.
 
+    :param endpoint: endpoint of the attempt
+    :param reply: answer to the caller
+    :param limit: time limit of the attempt
+    """
+
+    endpoint: Endpoint
     reply: ResponseWriter
     limit: asyncio.Timeout
 
 
 async def _read_result(
-    context: RelayContext,
-    job: Job,
-    connection: Connection,
-    passed: _PassedAnswer,
+    context: RelayContext, job: Job, connection: Connection, attempt: _Attempt
 ) -> AttemptResult:
     """Read the answer to a call, and pass a long one on as it comes."""
-    head = await read_answer_head(context, job, connection)
-    refused = context.dialect.proves_not_run(head)
-    outcome = AttemptOutcome.refused if refused else AttemptOutcome.answered
-    result = AttemptResult(fate=outcome, head=head)
-    is_final = not refused and not _is_server_error(result)
-    limit = RESPONSE_LIMIT_BYTES
-    if is_final and head.status not in NOT_RUN_STATUSES:
-        limit = PASS_ON_BYTES
     with connection.hold(Purpose.answer) as held:
-        body, is_complete = await read_beginning(connection, limit, held)
+        with unforeseen_as_failures(job, attempt.endpoint, was_sent=True):
+            head = await read_answer_head(context, job, connection)
+            refused = context.dialect.proves_not_run(head)
+            outcome = AttemptOutcome.answered
+            if refused:
+                outcome = AttemptOutcome.refused
+            result = AttemptResult(fate=outcome, head=head)
+            may_pass_on = not (
+                refused
+                or _is_server_error(result)
+                or head.status in NOT_RUN_STATUSES
+            )
+            body, is_complete = await read_beginning(
+                connection,
+                PASS_ON_BYTES if may_pass_on else RESPONSE_LIMIT_BYTES,
+                held,
+            )
         if is_complete:
             return dataclasses.replace(result, body=body)
-        if limit == RESPONSE_LIMIT_BYTES:
-            raise ExchangeError('the answer is too large', was_sent=True)
-        passed.limit.reschedule(job.ends_at)
-        await _pass_on(context, job, connection, passed.reply, head, body)
+        if not may_pass_on:
+            raise ExchangeError(TOO_LARGE, was_sent=True)
+        # From here on the endpoint and the caller have limits of their own.
+        attempt.limit.reschedule(None)
+        async with _caller_time(job):
+            await start_reply(context, job, attempt.reply, head)
+        await _pass_on(job, connection, attempt, body)
     return result
 
 
 async def _pass_on(
-    context: RelayContext,
-    job: Job,
-    connection: Connection,
-    reply: ResponseWriter,
-    head: ResponseHead,
-    body: bytes,
+    job: Job, connection: Connection, attempt: _Attempt, body: bytes
 ) -> None:
     """Pass an answer on to the caller as it comes.
 
     :param body: its beginning
     :raises ExchangeError: if it is truncated or too large
+    :raises TimeoutError: if the endpoint does not send it in time
     """
-    context.telemetry.observe_first_byte(job.route.kind, job.request.arrived_at)
-    await reply.start(
-        head.status, context.dialect.response_headers(head.headers)
-    )
     size = len(body)
     part: bytes | None = body
     while part is not None:
-        await reply.write(part)
-        part = await connection.read_part()
+        async with _caller_time(job):
+            await attempt.reply.write(part)
+        with unforeseen_as_failures(job, attempt.endpoint, was_sent=True):
+            async with asyncio.timeout_at(job.ends_at):
+                part = await connection.read_part()
         size += piece_cost_bytes(part or b'')
         if size > RESPONSE_LIMIT_BYTES:
-            raise ExchangeError('the answer is too large', was_sent=True)
-    await reply.finish()
+            raise ExchangeError(TOO_LARGE, was_sent=True)
+    async with _caller_time(job):
+        await attempt.reply.finish()
+
+
+@contextlib.asynccontextmanager
+async def _caller_time(job: Job) -> AsyncIterator[None]:
+    """Bound the time in which a caller reads; its endpoint is not to blame."""
+    try:
+        async with asyncio.timeout_at(job.ends_at):
+            yield
+    except TimeoutError:
+        raise ConnectionResetError('the caller does not read') from None
 
 
 @contextlib.contextmanager
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -12,7 +12,6 @@
 from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
 from mastichatch_core.relay.events import (
     EventOrder,
-    MissingEventError,
     PauseTimer,
     max_stall_ms,
 )
@@ -28,6 +27,7 @@
     record_result,
     build_outgoing,
     read_answer_head,
+    start_reply,
     unforeseen_as_failures,
 )
 from mastichatch_node.relay.dialect import Resumption
@@ -415,11 +415,10 @@
         self, connection: Connection, head: ResponseHead, source: AttemptSource
     ) -> None:
         longest_s = _longest_stall_s(self._job)
-        with open_event_reader(connection, longest_s) as reader:
+        with open_event_reader(connection, self._order, longest_s) as reader:
             while True:
                 with _failures_of(self._job, source):
-                    events = await reader.read()
-                    fresh = _fresh_events(self._order, events)
+                    fresh = await reader.read()
                 if fresh is None:
                     break
                 await self._forward(fresh, head)
@@ -427,7 +426,7 @@
             raise ExchangeError(
                 'the engine stopped the run on order', was_sent=True
             )
-        await _start_reply(self._context, self._job, self._reply, head)
+        await start_reply(self._context, self._job, self._reply, head)
         await self._reply.finish()
 
     async def _forward(
@@ -437,7 +436,7 @@
         if not fresh:
             return
         is_first = not self._reply.status
-        await _start_reply(self._context, self._job, self._reply, head)
+        await start_reply(self._context, self._job, self._reply, head)
         now = loop_time()
         if self._pause.first_at is None and self._source is not None:
             self._context.crashes.record_first_event(
@@ -609,33 +608,6 @@
     return unforeseen_as_failures(job, endpoint, was_sent=True)
 
 
-def _fresh_events(
-    order: EventOrder, events: tuple[bytes, ...] | None
-) -> tuple[bytes, ...] | None:
-    """Return the events that the caller does not have yet.
-
-    :returns: ``None`` at the end of the stream
-    :raises ExchangeError: if an event was skipped
-    """
-    if events is None:
-        return None
-    try:
-        return order.drop_repeated(events)
-    except MissingEventError as error:
-        raise ExchangeError(str(error), was_sent=True) from error
-
-
-async def _start_reply(
-    context: RelayContext, job: Job, reply: ResponseWriter, head: ResponseHead
-) -> None:
-    if reply.status:
-        return
-    context.telemetry.observe_first_byte(job.route.kind, job.request.arrived_at)
-    await reply.start(
-        head.status, context.dialect.response_headers(head.headers)
-    )
-
-
 def _resumption_check(
     context: RelayContext, placer: EnginePlacer, job: Job, order: EventOrder
 ) -> Callable[[Endpoint], bool]:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -313,6 +313,36 @@
             await slow
         assert got.status == (200 if is_serving else 502)
 
+    async def test_caller_that_does_not_read_is_no_failure_of_the_endpoint(
+        self,
+    ) -> None:
+        body = b'x' * 30_000_000
+
+        async def answer(
+            endpoint: HouseEndpoint,
+            request: endpoints.ReceivedRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            endpoint.ran.append(request.request_id)
+            sign = endpoints.signature_headers(request)
+            writer.write(endpoints.build_response(200, body, sign))
+            await writer.drain()
+
+        async with open_relay((app('i-a', answer),)) as relay:
+            host, _, port = relay.settings.callers_address.rpartition(':')
+            reader, writer = await asyncio.open_connection(
+                host, int(port), limit=1024
+            )
+            writer.write(request_bytes('/book/x', timeout_ms=700))
+            await asyncio.sleep(1.5)
+            metrics = await call(
+                relay.settings.metrics_address, '/metrics', method='GET'
+            )
+            assert not (await read_answer(reader)).is_whole
+            writer.close()
+        assert b'attempts_total{outcome="unknown"}' not in metrics.body
+        assert b'relay_active 0.0' in metrics.body
+
     async def test_surplus_answer_is_discarded(self) -> None:
         def send_twice(seen: endpoints.ReceivedRequest) -> bytes:
             ok = endpoints.build_response(
