Share what the change had written twice: bounded reading, starting a node, combinations of scenarios

A server's reader is known by its closure, so that its type is not checked for each connection; RunStopper.start_task says what it starts.

--- a/packages/node/mastichatch_node/orders.py
+++ b/packages/node/mastichatch_node/orders.py
@@ -12,7 +12,8 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.placement import ORDER_TIMEOUT_S, EngineState, Order
-from mastichatch_node.reports import REPORT_LIMIT_BYTES, read_bounded
+from mastichatch_node.replies import read_bounded
+from mastichatch_node.reports import REPORT_LIMIT_BYTES
 
 _JSON_HEADERS: Final = types.MappingProxyType(
     {'Content-Type': 'application/json'},
--- a/packages/node/mastichatch_node/plain_client.py
+++ b/packages/node/mastichatch_node/plain_client.py
@@ -15,10 +15,9 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.units import MS_PER_S
-from mastichatch_node.replies import check_reply
+from mastichatch_node.replies import check_reply, read_bounded
 
 ANSWER_LIMIT_BYTES: Final = 1048576
-_READ_SIZE_BYTES: Final = 65536
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -140,15 +139,10 @@
     response: aiohttp.ClientResponse,
     limit_bytes: int,
 ) -> PlainAnswer:
-    body = bytearray()
-    async for chunk in response.content.iter_chunked(_READ_SIZE_BYTES):
-        body += chunk
-        if len(body) > limit_bytes:
-            raise ValueError(f'the answer is over {limit_bytes} bytes')
     return PlainAnswer(
         status=response.status,
         content_type=response.content_type,
-        body=bytes(body),
+        body=await read_bounded(response, limit_bytes),
     )
 
 
--- a/packages/node/mastichatch_node/platform.py
+++ b/packages/node/mastichatch_node/platform.py
@@ -15,7 +15,7 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.units import MS_PER_S
-from mastichatch_node.reports import read_bounded
+from mastichatch_node.replies import read_bounded
 
 # A call that waits for a connection spends its own timeout, so the limit is
 # above the number of calls that a burst of requests makes at once.
--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -222,18 +222,14 @@
         """Return the protocol of a connection that is accepted."""
         self._accepted += 1
         reader = CountingReader(self._budget, f'caller {self._accepted}')
-        return asyncio.StreamReaderProtocol(reader, self.accept)
+        return asyncio.StreamReaderProtocol(
+            reader, lambda _, writer: self._accept(reader, writer)
+        )
 
-    async def accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _accept(
+        self, reader: CountingReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve one connection until it ends.
-
-        :param reader: stream of the requests, from ``create_protocol``
-        :param writer: stream of the responses
-        """
-        if not isinstance(reader, CountingReader):
-            raise TypeError('the reader does not count its bytes')
+        """Serve one connection until it ends."""
         task = asyncio.current_task()
         if task is not None:
             self._connections.add(task)
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -141,7 +141,7 @@
         :param delay_s: time to wait before the order is sent, in seconds
         """
         order = StopOrder(source=source)
-        order.task = self.start(
+        order.task = self.start_task(
             self._stop(order, run, destination, engines, delay_s)
         )
         return order
@@ -151,14 +151,14 @@
 
         :param order: order that ``stop`` returned
         """
-        self.start(self._release(order))
+        self.start_task(self._release(order))
 
     def close(self) -> None:
         """Cancel all orders in progress."""
         for task in self._tasks:
             task.cancel()
 
-    def start(
+    def start_task(
         self, work: Coroutine[Any, Any, _Result]
     ) -> asyncio.Task[_Result]:
         """Run a coroutine that belongs to an order.
@@ -367,7 +367,7 @@
         :param prepared: the resumption
         """
         order = self.order_stop(source, prepared.endpoint, DROP_DELAY_S)
-        self._stopper.start(self._confirm(order, prepared))
+        self._stopper.start_task(self._confirm(order, prepared))
 
     async def ensure_alone(
         self, destination: Endpoint, source: Endpoint
--- a/packages/node/mastichatch_node/replies.py
+++ b/packages/node/mastichatch_node/replies.py
@@ -1,7 +1,8 @@
-"""Checks that an endpoint's response belongs to the request.
+"""Checks that an endpoint's response belongs to the request, and reads it.
 
 HTTP/1.1 matches them by connection alone. If an intermediary passes the bytes
-of one connection to another, only a header with the request id shows it.
+of one connection to another, only a header with the request id shows it. A body
+is read up to a limit.
 """
 
 from collections.abc import Mapping
@@ -22,3 +23,22 @@
     replied_id = headers.get(REPLY_HEADER, request_id)
     if replied_id != request_id:
         raise aiohttp.ClientPayloadError(f'it answers request {replied_id!r}')
+
+
+async def read_bounded(
+    response: aiohttp.ClientResponse, limit_bytes: int
+) -> bytes:
+    """Return the body of an answer.
+
+    :param response: the answer, after its head
+    :param limit_bytes: largest accepted size
+    :raises aiohttp.ClientPayloadError: if it is larger
+    """
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > limit_bytes:
+            raise aiohttp.ClientPayloadError(
+                f'the answer is over {limit_bytes} bytes'
+            )
+    return bytes(body)
--- a/packages/node/mastichatch_node/reports.py
+++ b/packages/node/mastichatch_node/reports.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from mastichatch_core.generated.messages import EndpointObservation
+from mastichatch_node.replies import read_bounded
 
 _TIMEOUT: Final = aiohttp.ClientTimeout(total=0.5)
 _KEEPALIVE_S: Final = 30.0
@@ -58,20 +59,3 @@
     async with session.get(url) as response:
         response.raise_for_status()
         return await read_bounded(response, REPORT_LIMIT_BYTES)
-
-
-async def read_bounded(response: aiohttp.ClientResponse, limit: int) -> bytes:
-    """Return the body of an answer.
-
-    :param response: the answer, after its head
-    :param limit: largest accepted size, in bytes
-    :raises aiohttp.ClientPayloadError: if it is larger
-    """
-    body = bytearray()
-    async for part in response.content.iter_any():
-        body += part
-        if len(body) > limit:
-            raise aiohttp.ClientPayloadError(
-                'the answer is larger than allowed'
-            )
-    return bytes(body)
--- a/tests/relay_process.py
+++ b/tests/relay_process.py
@@ -46,6 +46,25 @@
         return await call(self.addresses['callers'], path, **options)
 
 
+def start_relay(
+    name: str, addresses: dict[str, str], folder: pathlib.Path
+) -> Process:
+    """Start the process of a node.
+
+    :param name: its name, also of its log
+    :param addresses: its settings that are addresses, by flag
+    :param folder: where it writes its log
+    """
+    flags = [
+        word
+        for flag, address in addresses.items()
+        for word in (f'--{flag}-address', address)
+    ]
+    command = [sys.executable, '-c', START_NODE, *flags]
+    command.extend(('--name', name, '--data-centre', 'north'))
+    return Process(name, command, folder / f'{name}.log')
+
+
 @contextlib.asynccontextmanager
 async def open_relay_process(
     folder: pathlib.Path,
@@ -67,11 +86,7 @@
                     f'servers/{endpoint.instance}',
                     endpoint.entry(service, 'north'),
                 )
-        command = [sys.executable, '-c', START_NODE]
-        command.extend(('--name', 'north-1', '--data-centre', 'north'))
-        for name, address in addresses.items():
-            command.extend((f'--{name}-address', address))
-        process = Process('north-1', command, folder / 'north-1.log')
+        process = start_relay('north-1', addresses, folder)
         stack.callback(process.kill)
         await _wait_until_ready(process, addresses['ready'])
         yield RelayProcess(process, addresses, store)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,13 +5,13 @@
 import dataclasses
 import pathlib
 import random
-import sys
 import time
 from collections.abc import AsyncIterator
 from typing import Final
 
 from tests.processes import Process, free_address
 from tests.relay_nodes import configuration
+from tests.relay_process import start_relay
 from tests.soak.promises import STREAM_EVENTS
 from tests.soak.records import EndpointRun, Records
 from tests.standins import house_endpoints as endpoints
@@ -40,11 +40,6 @@
 # Share of calls that are answered oddly while that fault lasts.
 ODD_SHARE: Final = 0.3
 
-_START_NODE: Final = (
-    "import sys; sys.path.insert(0, 'platform');"
-    'from mastichatch_platform.__main__ import main; sys.exit(main())'
-)
-
 
 @dataclasses.dataclass(kw_only=True)
 class NodeUnderTest:
@@ -120,14 +115,7 @@
 
     def start_process(self, name: str, addresses: dict[str, str]) -> Process:
         """Start a node's process."""
-        flags = [
-            word
-            for flag, address in addresses.items()
-            for word in (f'--{flag}-address', address)
-        ]
-        command = [sys.executable, '-c', _START_NODE, *flags]
-        command.extend(('--name', name, '--data-centre', 'north'))
-        return Process(name, command, self._folder / f'{name}.log')
+        return start_relay(name, addresses, self._folder)
 
     def restart(self, name: str) -> None:
         """Start a node anew at the same addresses."""
--- a/tests/test_relay_handover_times.py
+++ b/tests/test_relay_handover_times.py
@@ -1,7 +1,8 @@
 """Tests of hand-overs with delays and faults at each step, in virtual time."""
 
 import itertools
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any
 
 import pytest
 
@@ -12,6 +13,8 @@
 # By the rules of the platform, two engines may work on a run for this time.
 MAX_DOUBLED_S = 0.4
 HEAD_DELAYS_S = (0.005, 0.05, 0.065, 0.105, 0.2, 0.35, 0.6, 1.3, NEVER_S)
+LISTENER_DELAYS_S = (0, 0.001, 0.004, 0.02, 0.05, 0.3)
+STOP_DELAYS_S = (0.1, 0.3, 0.8, 1.6, 2.9)
 ORDER_FAULTS = (
     (),
     ('full',),
@@ -22,21 +25,15 @@
 
 
 def scenarios(
-    trouble: str, latency_s: float, order_faults: tuple[str, ...]
+    axes: Mapping[str, Iterable[Any]], **same: Any
 ) -> Iterator[Scenario]:
-    """Yield all combinations of the other delays and outcomes."""
-    for head_delay_s, drops_closed, has_copy, queues in itertools.product(
-        HEAD_DELAYS_S, (True, False), (True, False), (True, False)
-    ):
-        yield Scenario(
-            trouble=trouble,
-            head_delay_s=head_delay_s,
-            latency_s=latency_s,
-            drops_closed=drops_closed,
-            has_copy=has_copy,
-            order_faults=order_faults,
-            queues=queues,
-        )
+    """Yield all combinations of some parts of a scenario.
+
+    :param axes: values of the parts that differ, by their names
+    :param same: values of the parts that are the same in all
+    """
+    for chosen in itertools.product(*axes.values()):
+        yield Scenario(**dict(zip(axes, chosen, strict=True)), **same)
 
 
 @pytest.mark.parametrize('latency_s', [0.001, 0.02])
@@ -49,7 +46,18 @@
         self, trouble: str, order_faults: tuple[str, ...], latency_s: float
     ) -> None:
         doubled, broken = await play_all(
-            scenarios(trouble, latency_s, order_faults), has_place
+            scenarios(
+                {
+                    'head_delay_s': HEAD_DELAYS_S,
+                    'drops_closed': (True, False),
+                    'has_copy': (True, False),
+                    'queues': (True, False),
+                },
+                trouble=trouble,
+                latency_s=latency_s,
+                order_faults=order_faults,
+            ),
+            has_place,
         )
         assert not doubled
         assert not broken
@@ -66,29 +74,16 @@
     async def test_run_stays_at_an_engine_whose_listener_has_closed(
         self, trouble: str
     ) -> None:
-        faults = [
-            Scenario(
-                trouble=trouble,
-                head_delay_s=head_delay_s,
-                drops_closed=drops_closed,
-                has_copy=has_copy,
-                listener_delay_s=listener_delay_s,
-                is_entry_lost=is_entry_lost,
-            )
-            for (
-                head_delay_s,
-                drops_closed,
-                has_copy,
-                listener_delay_s,
-                is_entry_lost,
-            ) in itertools.product(
-                HEAD_DELAYS_S,
-                (True, False),
-                (True, False),
-                (0, 0.001, 0.004, 0.02, 0.05, 0.3),
-                (True, False),
-            )
-        ]
+        faults = scenarios(
+            {
+                'head_delay_s': HEAD_DELAYS_S,
+                'drops_closed': (True, False),
+                'has_copy': (True, False),
+                'listener_delay_s': LISTENER_DELAYS_S,
+                'is_entry_lost': (True, False),
+            },
+            trouble=trouble,
+        )
         doubled, broken = await play_all(faults, lambda _: True)
         assert not doubled
         assert not broken
@@ -97,26 +92,15 @@
     async def test_run_behind_a_closed_listener_is_not_taken_for_ended(
         self, trouble: str
     ) -> None:
-        faults = [
-            Scenario(
-                trouble=trouble,
-                head_delay_s=head_delay_s,
-                drops_closed=drops_closed,
-                listener_delay_s=listener_delay_s,
-                is_entry_lost=is_entry_lost,
-            )
-            for (
-                head_delay_s,
-                drops_closed,
-                listener_delay_s,
-                is_entry_lost,
-            ) in itertools.product(
-                HEAD_DELAYS_S,
-                (True, False),
-                (0, 0.001, 0.004, 0.02, 0.05, 0.3),
-                (True, False),
-            )
-        ]
+        faults = scenarios(
+            {
+                'head_delay_s': HEAD_DELAYS_S,
+                'drops_closed': (True, False),
+                'listener_delay_s': LISTENER_DELAYS_S,
+                'is_entry_lost': (True, False),
+            },
+            trouble=trouble,
+        )
         # The run may break off: nothing shows that it has ended.
         doubled, _ = await play_all(faults, lambda _: False)
         assert not doubled
@@ -125,29 +109,16 @@
     async def test_run_waits_for_an_engine_that_stops_late(
         self, trouble: str
     ) -> None:
-        faults = [
-            Scenario(
-                trouble=trouble,
-                head_delay_s=head_delay_s,
-                drops_closed=drops_closed,
-                has_copy=has_copy,
-                stop_delay_s=stop_delay_s,
-                is_entry_lost=is_entry_lost,
-            )
-            for (
-                head_delay_s,
-                drops_closed,
-                has_copy,
-                stop_delay_s,
-                is_entry_lost,
-            ) in itertools.product(
-                HEAD_DELAYS_S,
-                (True, False),
-                (True, False),
-                (0.1, 0.3, 0.8, 1.6, 2.9),
-                (True, False),
-            )
-        ]
+        faults = scenarios(
+            {
+                'head_delay_s': HEAD_DELAYS_S,
+                'drops_closed': (True, False),
+                'has_copy': (True, False),
+                'stop_delay_s': STOP_DELAYS_S,
+                'is_entry_lost': (True, False),
+            },
+            trouble=trouble,
+        )
         doubled, broken = await play_all(faults, has_place)
         assert not doubled
         assert not broken
