Close the connections of a stand-in of the plain client's tests

Trace: the interpreter parsed a source for hypothesis, the garbage collector ran in its midst and closed connections that test_plain.py had left open on a loop that had ended.

--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -39,13 +39,15 @@
         """Record a connection's bytes; answer when the body has arrived."""
         number = len(self.received)
         self.received.append(b'')
-        while chunk := await reader.read(65536):
-            self.received[number] += chunk
-            if REQUEST.body in self.received[number]:
-                writer.write(self.answer)
-                if self.closes:
-                    break
-        writer.close()
+        # A connection that is left open is closed by the garbage collector, on
+        # a loop that has ended and in the midst of another test.
+        with contextlib.closing(writer):
+            while chunk := await reader.read(65536):
+                self.received[number] += chunk
+                if REQUEST.body in self.received[number]:
+                    writer.write(self.answer)
+                    if self.closes:
+                        break
 
     @property
     def posts(self) -> int:
