Add the switches of decisions under load, and the costs that placement takes

Cause: the decisions that the new customers need must not touch the deployments so far, and several parts of the choice of an engine are about to be measured. Change: settings with the values off, ranked and on, off by default; 'ranked' stands for services whose configuration ranks short requests first. The cost of another data centre and the speed of engines become parameters with the values so far. Settings for roll-outs, zero (off) where the platform gives no bounds.

--- a/packages/core/mastichatch_core/relay/engine_choice.py
+++ b/packages/core/mastichatch_core/relay/engine_choice.py
@@ -12,6 +12,10 @@
 
 from mastichatch_core.generated.messages import Run, RunState
 from mastichatch_core.relay.model import Endpoint, Engine, RequestMetadata
+from mastichatch_core.relay.placement.costs import (
+    NOMINAL_COSTS,
+    PlacementCosts,
+)
 
 # Share of an engine's memory that new runs may fill. The rest is reserved for
 # runs that must leave another engine, about one in ten by the specified load.
@@ -26,11 +30,6 @@
 # prefilling this many prompt tokens (0.12 ms at 14 tokens per ms by the
 # specification of the engines, over the prefill steps of a mean prompt).
 RUN_COST_TOKENS: Final = 60
-# Cost of an engine in another data centre, equal to two and a half runs. A
-# stream between data centres stalls when they are partitioned. The preference
-# is limited because only five or six runs can leave a local engine in the time
-# between the notice of its removal and the removal.
-REMOTE_COST_TOKENS: Final = 150
 # Discount for an engine with a run whose prompt has the same last shared part:
 # prefill of a part that the engine has processed before is a little faster.
 SHARED_PART_DISCOUNT_TOKENS: Final = 40
@@ -165,6 +164,7 @@
     engine: Engine,
     request: PlacementRequest,
     memory_share: float,
+    costs: PlacementCosts = NOMINAL_COSTS,
 ) -> tuple[Candidate, ...]:
     """Return the engines that have room for a run, cheapest first.
 
@@ -175,6 +175,7 @@
     :param engine: capacity of one engine
     :param request: requirements of the run
     :param memory_share: share of an engine's memory that may be filled
+    :param costs: what was measured of the engines
     """
     candidates: list[Candidate] = []
     for endpoint in endpoints:
@@ -189,7 +190,7 @@
         candidates.append(
             Candidate(
                 instance=endpoint.instance,
-                cost=_cost(endpoint, load, request),
+                cost=_cost(endpoint, load, request, costs),
                 memory_share=share,
                 running=load.running,
                 has_trial=load.has_trial,
@@ -203,11 +204,14 @@
 
 
 def _cost(
-    endpoint: Endpoint, load: EngineLoad, request: PlacementRequest
+    endpoint: Endpoint,
+    load: EngineLoad,
+    request: PlacementRequest,
+    costs: PlacementCosts,
 ) -> float:
     cost = load.pending_prefill_tokens + load.running * RUN_COST_TOKENS
     if endpoint.data_centre != request.data_centre:
-        cost += REMOTE_COST_TOKENS
+        cost += costs.remote_cost(endpoint.data_centre)
     if request.part and request.part in load.parts:
         cost -= SHARED_PART_DISCOUNT_TOKENS
     return cost
--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -9,6 +9,7 @@
 be placed on it at once and then wait for the prefill of each other's prompts.
 """
 
+import dataclasses
 from collections.abc import (
     Callable,
     Iterable,
@@ -30,6 +31,10 @@
     placement_request,
 )
 from mastichatch_core.relay.model import Endpoint, Engine
+from mastichatch_core.relay.placement.costs import (
+    NOMINAL_COSTS,
+    PlacementCosts,
+)
 from mastichatch_core.units import MS_PER_S
 
 
@@ -57,7 +62,17 @@
 # one with a suspected part is placed.
 TRIAL_DELAY_MS: Final = 50.0
 
-_NOTHING_EXCLUDED: Final[Mapping[str, frozenset[str]]] = MappingProxyType({})
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueueOptions:
+    """What the assignment of engines depends on besides runs and engines.
+
+    :param excluded: instances that refused a request, by request id
+    :param costs: what was measured of the engines
+    """
+
+    excluded: Mapping[str, frozenset[str]] = MappingProxyType({})
+    costs: PlacementCosts = NOMINAL_COSTS
 
 
 def assign_engines(
@@ -67,7 +82,7 @@
     arrived_at: Callable[[Run], float],
     data_centre: str,
     now: float = 0,
-    excluded: Mapping[str, frozenset[str]] = _NOTHING_EXCLUDED,
+    options: QueueOptions | None = None,
 ) -> Mapping[str, Candidate]:
     """Return the engine of each waiting request that can be placed now.
 
@@ -88,11 +103,13 @@
     :param arrived_at: returns the arrival time of a request, in seconds
     :param data_centre: data centre of this node
     :param now: time in seconds
-    :param excluded: instances that refused a request, by request id
+    :param options: what was measured, and which engines are left out
     :returns: the chosen engines, by request id
     """
     all_runs = tuple(runs)
-    assignment = _Assignment(all_runs, endpoints, engine, data_centre, excluded)
+    assignment = _Assignment(
+        all_runs, endpoints, engine, data_centre, options or QueueOptions()
+    )
     late: list[Run] = []
     has_unplaced = False
     ordered = _in_queue_order(all_runs, arrived_at)
@@ -116,14 +133,15 @@
         endpoints: Sequence[Endpoint],
         engine: Engine,
         data_centre: str,
-        excluded: Mapping[str, frozenset[str]],
+        options: QueueOptions,
     ) -> None:
         self.found: dict[str, Candidate] = {}
         self._loads = dict(measure_loads(runs))
         self._endpoints = endpoints
         self._engine = engine
         self._data_centre = data_centre
-        self._excluded = excluded
+        self._excluded = options.excluded
+        self._costs = options.costs
 
     def place_on_time(self, run: Run, age_ms: float) -> bool:
         """Place a request if an engine can meet its objective.
@@ -156,7 +174,12 @@
             if endpoint.instance not in excluded
         )
         candidates = rank_engines(
-            endpoints, self._loads, self._engine, request, memory_share
+            endpoints,
+            self._loads,
+            self._engine,
+            request,
+            memory_share,
+            self._costs,
         )
         if run.suspects:
             # If it crashes the engine, the fewest other runs are lost.
--- /dev/null
+++ b/packages/core/mastichatch_core/relay/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoint gets a request, by what was measured of endpoints."""
--- /dev/null
+++ b/packages/core/mastichatch_core/relay/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""How the traffic of a service moves to a new version."""
--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from mastichatch_core.relay.store_cache import StoreCache
+from mastichatch_core.relay.load_control import LoadControls
 from mastichatch_core.relay.model import (
     RequestKind,
     RequestMetadata,
@@ -134,6 +135,7 @@
     :param telemetry: decision log and metrics
     :param crashes: evidence on prompts that crash engines
     :param stopper: stops runs that are to continue on other engines
+    :param controls: for which services each decision under load is made
     """
 
     node: str
@@ -147,3 +149,4 @@
     telemetry: Telemetry
     crashes: CrashTracker
     stopper: RunStopper
+    controls: LoadControls = LoadControls()
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -28,8 +28,16 @@
     rank_engines,
     placement_request,
 )
-from mastichatch_core.relay.engine_queue import max_queue_wait_s, assign_engines
+from mastichatch_core.relay.engine_queue import (
+    QueueOptions,
+    assign_engines,
+    max_queue_wait_s,
+)
 from mastichatch_core.relay.model import Endpoint, Engine
+from mastichatch_core.relay.placement.costs import (
+    NOMINAL_COSTS,
+    PlacementCosts,
+)
 from mastichatch_core.relay.plain_choice import split_paused
 from mastichatch_core.relay.prompt_quarantine import Verdict
 from mastichatch_core.units import MS_PER_S
@@ -238,6 +246,13 @@
         runs = self._context.sharing.table.iter_runs(loop_time())
         return tuple(run for run in runs if run.service == service)
 
+    def costs(self, service: str) -> PlacementCosts:
+        """Return what was measured of the engines of a service.
+
+        :param service: name of the service
+        """
+        return NOMINAL_COSTS
+
     async def _wait_for_engine(
         self, job: Job, run: Run, future: 'asyncio.Future[Candidate]'
     ) -> Candidate:
@@ -286,7 +301,7 @@
             self._context.sharing.table.arrived_at,
             self._context.data_centre,
             loop_time(),
-            excluded,
+            QueueOptions(excluded=excluded, costs=self.costs(service)),
         )
         for request_id, queued_request in queued.items():
             candidate = assigned.get(request_id)
@@ -403,7 +418,12 @@
         loads = measure_loads(runs)
         engine = require_engine(job)
         candidates = rank_engines(
-            endpoints.values(), loads, engine, criteria, memory_share
+            endpoints.values(),
+            loads,
+            engine,
+            criteria,
+            memory_share,
+            self.costs(job.service.name),
         )
         if not candidates:
             return None
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -330,6 +330,7 @@
         telemetry=components.telemetry,
         crashes=components.crashes,
         stopper=RunStopper(dialect, components.telemetry, pool),
+        controls=components.settings.load_controls,
     )
 
 
--- a/packages/node/mastichatch_node/relay/settings.py
+++ b/packages/node/mastichatch_node/relay/settings.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
 
+from mastichatch_core.relay.load_control import LoadControl, LoadControls
+
 VARIABLE_PREFIX: Final = 'MASTICHATCH_RELAY_'
 EXIT_WRONG_SETTINGS: Final = 2
 _ADDRESS: Final = re.compile(r'[0-9.]+:[0-9]+\Z')
@@ -46,6 +48,18 @@
         milliseconds
     :param memory_mb: memory above which the platform ends the process, in MB
     :param grace_ms: longest duration of a planned stop, in milliseconds
+    :param rollout_share: share of a service's requests that a version on trial
+        may get, from zero to one; zero if roll-outs are not followed
+    :param rollout_slack: requests that a version on trial may get beyond that
+        share, from all nodes together
+    :param rollback_ms: longest time in which a bad version may still get
+        requests, in milliseconds
+    :param admission_forecast: services for which requests that cannot be
+        served in time are refused on arrival
+    :param fair_shares: services whose scarce room is shared among callers
+    :param engine_speeds: services whose engines are chosen by measured speed
+    :param remote_share: services for which nodes decide by measurements how
+        many requests leave their data centre
     :param log_level: least severe level that is logged
     """
 
@@ -64,9 +78,29 @@
     body_timeout_ms: float = 60000
     memory_mb: float = 150
     grace_ms: float = 8000
+    rollout_share: float = 0
+    rollout_slack: float = 0
+    rollback_ms: float = 5000
+    admission_forecast: LoadControl = LoadControl.off
+    fair_shares: LoadControl = LoadControl.off
+    engine_speeds: LoadControl = LoadControl.off
+    remote_share: LoadControl = LoadControl.off
     log_level: str = 'info'
 
+    @property
+    def load_controls(self) -> LoadControls:
+        """For which services each of the decisions under load is made."""
+        return LoadControls(
+            admission_forecast=self.admission_forecast,
+            fair_shares=self.fair_shares,
+            engine_speeds=self.engine_speeds,
+            remote_share=self.remote_share,
+        )
+
 
+_LOAD_CONTROLS: Final = frozenset(
+    ('admission_forecast', 'fair_shares', 'engine_speeds', 'remote_share')
+)
 _HELP: Final[Mapping[str, str]] = {
     'name': 'unique name of this host',
     'data_centre': 'data centre of this host',
@@ -83,6 +117,13 @@
     'body_timeout_ms': 'longest time for the whole body of a request, in ms',
     'memory_mb': 'memory above which the platform ends the process, in MB',
     'grace_ms': 'longest duration of a planned stop, in ms',
+    'rollout_share': 'share of requests that a version on trial may get',
+    'rollout_slack': 'requests that it may get beyond that share',
+    'rollback_ms': 'longest time in which a bad version gets requests, in ms',
+    'admission_forecast': 'refusals by forecast: off, ranked or on',
+    'fair_shares': 'sharing of scarce room among callers: off, ranked or on',
+    'engine_speeds': 'engines chosen by measured speed: off, ranked or on',
+    'remote_share': 'measured use of other data centres: off, ranked or on',
     'log_level': 'least severe level that is logged',
 }
 
@@ -134,10 +175,14 @@
 
 
 def _is_number(name: str) -> bool:
-    return name.endswith(('_ms', '_mb', '_mbps')) or name.startswith('retry_')
+    return name.endswith(('_ms', '_mb', '_mbps')) or name.startswith(
+        ('retry_', 'rollout_')
+    )
 
 
 def _converter(name: str) -> Callable[[str], Any]:
+    if name in _LOAD_CONTROLS:
+        return LoadControl
     return float if _is_number(name) else str
 
 
@@ -151,6 +196,8 @@
         'error',
     }:
         return f'{text!r} is not debug, info, warning or error'
+    if name in _LOAD_CONTROLS and text not in LoadControl.__members__:
+        return f'{text!r} is not off, ranked or on'
     if not _is_number(name):
         return ''
     try:
