Check a configuration before it is sent

Cause: a configuration that can be decoded may hold routes that no request reaches, limits that contradict each other, or keys held twice; operators saw it only once it was in force.

--- a/packages/ctl/mastichatch_ctl/configuration.py
+++ b/packages/ctl/mastichatch_ctl/configuration.py
@@ -14,8 +14,15 @@
     DrainKind,
     NodeRecord,
 )
+from mastichatch_core.manifest_check import find_ineffective
 from mastichatch_ctl.differences import EMPTY_MANIFEST, compare
-from mastichatch_ctl.results import Accepted, Comparison, History, Validated
+from mastichatch_ctl.results import (
+    Accepted,
+    Checked,
+    Comparison,
+    History,
+    Validated,
+)
 from mastichatch_node import changes
 from mastichatch_node.platform import Platform
 
@@ -37,6 +44,25 @@
     )
 
 
+def check(content: bytes, current: bytes | None = None) -> Checked:
+    """Check a manifest before it is applied.
+
+    :param content: the manifest as JSON
+    :param current: manifest to compare with, as JSON, if any
+    :raises ManifestError: naming every fault with its place, of either
+    """
+    new = manifests.validate(content)
+    comparison = None
+    if current is not None:
+        differences = compare(manifests.validate(current), new)
+        comparison = Comparison(revision=0, differences=differences)
+    return Checked(
+        counts=validate(content),
+        warnings=find_ineffective(new),
+        comparison=comparison,
+    )
+
+
 async def apply(
     platform: Platform,
     content: bytes,
--- a/packages/ctl/mastichatch_ctl/main.py
+++ b/packages/ctl/mastichatch_ctl/main.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
+import pathlib
 import sys
 from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from typing import Any, Final
@@ -65,6 +67,18 @@
     return configuration.validate(_read_file(options))
 
 
+async def _config_check(options: Options) -> Result:
+    content = _read_file(options)
+    if options.against is not None:
+        return configuration.check(content, _read(options.against))
+    checked = configuration.check(content)
+    if options.platform is None:
+        return checked
+    async with _platform(options) as platform:
+        comparison = await configuration.compare_with_current(platform, content)
+    return dataclasses.replace(checked, comparison=comparison)
+
+
 async def _apply(options: Options) -> Result:
     content = _read_file(options)
     # A faulty manifest is refused whether or not the platform is there.
@@ -153,6 +167,7 @@
     'restore': _restore,
     'status': _status,
     'explain': _explain,
+    'config check': _config_check,
     'config wait': _config_wait,
     'quarantine list': _quarantine,
     'quarantine clear': _quarantine,
@@ -197,12 +212,16 @@
 def _read_file(options: Options) -> bytes:
     if str(options.file) == '-':
         return sys.stdin.buffer.read()
+    return _read(options.file)
+
+
+def _read(path: pathlib.Path) -> bytes:
     try:
-        return options.file.read_bytes()
+        return path.read_bytes()
     except OSError as error:
         raise MastichatchError(
             ErrorKind.bad_request,
-            f'{options.file}: {error.strerror}',
+            f'{path}: {error.strerror}',
         ) from error
 
 
--- a/packages/ctl/mastichatch_ctl/options.py
+++ b/packages/ctl/mastichatch_ctl/options.py
@@ -46,6 +46,7 @@
     json: bool
     call_timeout_ms: int
     file: pathlib.Path
+    against: pathlib.Path | None
     base: int | None
     kind: DrainKind
     name: str
@@ -124,8 +125,23 @@
     )
     _add_file(diff)
     _add_command(commands, 'history', 'list the newest changes')
-    config = commands.add_parser('config', help='follow a change')
+    config = commands.add_parser('config', help='check or follow a change')
     waits = config.add_subparsers(metavar='COMMAND', required=True)
+    check = _add_command(
+        waits,
+        'check',
+        'check a manifest before it is applied (exit code 2 for an error)',
+        command='config check',
+    )
+    _add_file(check)
+    check.add_argument(
+        '--against',
+        metavar='CURRENT',
+        type=pathlib.Path,
+        default=None,
+        help='manifest to compare with; without it the one in force, if '
+        '--platform is given',
+    )
     wait = _add_command(
         waits,
         'wait',
--- a/packages/ctl/mastichatch_ctl/results.py
+++ b/packages/ctl/mastichatch_ctl/results.py
@@ -68,6 +68,20 @@
     differences: tuple[Difference, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Checked:
+    """A valid manifest, and what may be wrong with it all the same.
+
+    :param counts: numbers of its entries
+    :param warnings: entries without effect, or that contradict others
+    :param comparison: how it differs from another one, if one was given
+    """
+
+    counts: Validated
+    warnings: tuple[ManifestFault, ...]
+    comparison: Comparison | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class History:
     """The newest changes of the configuration.
@@ -148,6 +162,7 @@
 
 Result = (
     Validated
+    | Checked
     | Accepted
     | Comparison
     | History
--- a/packages/ctl/mastichatch_ctl/texts.py
+++ b/packages/ctl/mastichatch_ctl/texts.py
@@ -9,6 +9,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_ctl.results import (
     Accepted,
+    Checked,
     Comparison,
     Explanation,
     FleetStatus,
@@ -53,6 +54,15 @@
     )
 
 
+@render.register
+def _checked(result: Checked) -> str:
+    lines = [f'warning {one.place}: {one.reason}' for one in result.warnings]
+    if result.comparison is not None:
+        lines.append(render(result.comparison))
+    lines.append(render(result.counts))
+    return '\n'.join(lines)
+
+
 @render.register
 def _accepted(result: Accepted) -> str:
     return f'accepted: revision {result.revision}'
