Let endpoints of the soak say that they leave, and ask for time

Cause: both notices of endpoints were proved by tests only, not beside other faults. Change: two faults of the soak. An endpoint says in all answers that it leaves while the store calls it ready, and starts again under its id; an endpoint refuses all requests and asks for time. Two promises are checked on what endpoints and callers saw, per node and start of the endpoint; times in which a node was frozen or did not run are left out.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,10 +4,12 @@
 import contextlib
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+import time
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Final
 
 from tests.soak.fleet import NODES, SERVICES, Fleet
+from tests.soak.records import NodeGap
 from tests.standins.proxy import Proxy
 
 # Time over which faults begin, and how long each lasts at the most.
@@ -15,6 +17,9 @@
 LONGEST_S: Final = 3.0
 FAULTS: Final = 10
 NOTICE_S: Final = 1.5
+# Time for which an endpoint says that it leaves: over the users' limit of 2 s
+# after which it gets nothing more.
+LEAVING_S: Final = 4.0
 # Time for a planned stop, over the nodes' own limit of 8 s.
 STOP_TIMEOUT_S: Final = 12.0
 
@@ -41,8 +46,9 @@
 async def _kill(fleet: Fleet, name: str, for_s: float) -> None:
     node = fleet.nodes[name]
     node.is_wanted = False
-    node.process.kill()
-    await asyncio.sleep(for_s)
+    with _gap(fleet, name):
+        node.process.kill()
+        await asyncio.sleep(for_s)
     fleet.restart(name)
 
 
@@ -51,8 +57,9 @@
     node.is_wanted = False
     # The interpreter itself ends at the signal before the node handles it.
     had_started = node.has_started
-    node.process.terminate()
-    code = await node.process.wait(STOP_TIMEOUT_S)
+    with _gap(fleet, name):
+        node.process.terminate()
+        code = await node.process.wait(STOP_TIMEOUT_S)
     if code and had_started:
         fleet.records.ended.append(f'{name} (planned stop, exit code {code})')
     fleet.restart(name)
@@ -60,9 +67,22 @@
 
 async def _freeze(fleet: Fleet, name: str, for_s: float) -> None:
     process = fleet.nodes[name].process
-    process.freeze()
-    await asyncio.sleep(for_s)
-    process.wake()
+    with _gap(fleet, name):
+        process.freeze()
+        await asyncio.sleep(for_s)
+        process.wake()
+
+
+@contextlib.contextmanager
+def _gap(fleet: Fleet, name: str) -> Iterator[None]:
+    """Record that a node is frozen or does not run in the block."""
+    start = time.monotonic()
+    try:
+        yield
+    finally:
+        fleet.records.gaps.append(
+            NodeGap(node=name, start=start, end=time.monotonic())
+        )
 
 
 def _link(find: Callable[[Fleet, str], Proxy], **change: object) -> Strike:
@@ -120,6 +140,29 @@
     await fleet.restart_endpoint(name, for_s, keeps_id=True)
 
 
+async def _say_leaving(fleet: Fleet, name: str, for_s: float) -> None:
+    """Let an endpoint say in its answers that it leaves, then start again.
+
+    Its entry in the store says that it is ready all the time.
+    """
+    endpoint, _ = fleet.endpoints[name]
+    endpoint.said_headers = 'Server-Leaving: 1\r\n'
+    await asyncio.sleep(LEAVING_S)
+    endpoint.said_headers = ''
+    await fleet.restart_endpoint(name, for_s, keeps_id=True)
+
+
+async def _ask_for_time(fleet: Fleet, name: str, for_s: float) -> None:
+    """Let an endpoint refuse all requests, and ask for time."""
+    endpoint, _ = fleet.endpoints[name]
+    instance = endpoint.instance
+    fleet.asking[instance] = for_s
+    endpoint.said_headers = f'Retry-After: {for_s}\r\n'
+    await asyncio.sleep(for_s)
+    endpoint.said_headers = ''
+    fleet.asking.pop(instance)
+
+
 async def _add_odd_entry(fleet: Fleet, _name: str, for_s: float) -> None:
     """Let another writer add entries that name impossible endpoints."""
     for service in set(SERVICES.values()):
@@ -160,6 +203,8 @@
     'endpoint_unreachable': _endpoint_link(blackhole=True),
     'endpoint_slow': _endpoint_link(delay_ms=150),
     'endpoint_connections_silent': _endpoint_link(blackhole_existing=True),
+    'leaving': _say_leaving,
+    'asks_for_time': _ask_for_time,
     'replace': _replace,
     'restart': _restart,
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,7 +13,7 @@
 from tests.relay_nodes import configuration
 from tests.relay_process import start_relay
 from tests.soak.promises import STREAM_EVENTS
-from tests.soak.records import EndpointRun, Records
+from tests.soak.records import Arrival, EndpointRun, Records
 from tests.standins import house_endpoints as endpoints
 from tests.standins.house_endpoints import HouseEndpoint, ReceivedRequest
 from tests.standins.house_store import HouseStore, open_store
@@ -84,6 +84,8 @@
         self.is_calm = False
         self.has_deadly_part = False
         self.has_odd_answers = False
+        # Time that endpoints ask for in refusals, in seconds, by instance.
+        self.asking: dict[str, float] = {}
         self._restarts: set[asyncio.Task[None]] = set()
 
     async def add_endpoint(self, name: str, proxy: Proxy) -> None:
@@ -139,7 +141,17 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         draw = 1.0 if self.is_calm else self._draws.random()
-        if draw < SHED_SHARE:
+        pause_s = self.asking.get(endpoint.instance, 0)
+        self.records.arrivals.append(
+            Arrival(
+                request_id=seen.request_id,
+                endpoint=f'{endpoint.instance}@{endpoint.born}',
+                at=time.monotonic(),
+                pause_s=pause_s,
+                is_leaving='Server-Leaving' in endpoint.said_headers,
+            )
+        )
+        if pause_s or draw < SHED_SHARE:
             await endpoints.refuse(endpoint, seen, writer)
             return
         self.records.runs.append(
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -93,6 +93,7 @@
             status=answer.status if answer else 0,
             is_whole=answer.is_whole if answer else False,
             body=answer.body if answer else b'',
+            answered_at=time.monotonic(),
         )
 
     async def _note(self, kind: Kind) -> None:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from tests.soak.records import Kind, Outcome, Records
+from tests.soak.records import Arrival, Kind, Outcome, Records
 
 # Statuses that promise that a request has not run and never will.
 PROMISES: Final = frozenset((408, 421, 429, 503))
@@ -14,6 +14,10 @@
 # users' sheets, and what a request may take to its endpoint.
 KEY_LIMIT_S: Final = 5.0
 KEY_SLACK_S: Final = 0.5
+# Time after which an endpoint that says that it leaves gets nothing more, and
+# after which one that asks for time is left alone, by the users' pages.
+DRAIN_LIMIT_S: Final = 2.0
+PAUSE_REACTION_S: Final = 0.5
 
 _OK: Final = 200
 
@@ -29,6 +33,8 @@
         _foreign_answers,
         _streams_out_of_order,
         _runs_of_a_revoked_key,
+        _requests_to_leaving_endpoints,
+        _requests_in_pauses,
         _nodes_that_ended,
     )
     return [line for check in checks for line in check(records)]
@@ -90,6 +96,59 @@
             yield f'{run.request_id} ran with a key taken away'
 
 
+def _requests_to_leaving_endpoints(records: Records) -> Iterator[str]:
+    """Find requests to an endpoint of which their node knew that it leaves."""
+    known = {one.request_id: one for one in records.outcomes}
+    learned_at: dict[tuple[str, str], float] = {}
+    for arrival in sorted(records.arrivals, key=lambda one: one.at):
+        outcome = known.get(arrival.request_id)
+        if outcome is None or not arrival.is_leaving:
+            continue
+        key = (outcome.node, arrival.endpoint)
+        learned = learned_at.get(key)
+        if learned is None:
+            # The node has passed on an answer that says so.
+            if outcome.is_whole and outcome.status == _OK:
+                learned_at[key] = outcome.answered_at
+        elif _has_gap(records, outcome.node, learned, arrival.at):
+            learned_at.pop(key)
+        elif outcome.sent_at > learned + DRAIN_LIMIT_S:
+            yield (
+                f'{arrival.request_id} reached {arrival.endpoint}, '
+                f'which {outcome.node} knew to leave'
+            )
+
+
+def _requests_in_pauses(records: Records) -> Iterator[str]:
+    """Find requests to an endpoint that had asked their node for time."""
+    nodes = {one.request_id: one.node for one in records.outcomes}
+    asked: dict[tuple[str | None, str], Arrival] = {}
+    for arrival in sorted(records.arrivals, key=lambda one: one.at):
+        node = nodes.get(arrival.request_id)
+        first = asked.get((node, arrival.endpoint))
+        if node is None:
+            continue
+        if first is not None:
+            since_s = arrival.at - first.at
+            if PAUSE_REACTION_S < since_s < first.pause_s and not _has_gap(
+                records, node, first.at, arrival.at
+            ):
+                yield (
+                    f'{arrival.request_id} reached {arrival.endpoint} '
+                    f'{since_s:.2f} s after it had asked for '
+                    f'{first.pause_s} s'
+                )
+        if arrival.pause_s:
+            asked[node, arrival.endpoint] = arrival
+
+
+def _has_gap(records: Records, node: str, start: float, end: float) -> bool:
+    return any(
+        gap.node == node and gap.start < end and gap.end > start
+        for gap in records.gaps
+    )
+
+
 def _nodes_that_ended(records: Records) -> Iterator[str]:
     for line in records.ended:
         yield f'{line} ended by itself'
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -23,6 +23,7 @@
     :param status: status of the answer; zero without one
     :param is_whole: whether the answer came with its end
     :param body: its body
+    :param answered_at: time at which the answer had come, in seconds
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     status: int
     is_whole: bool
     body: bytes
+    answered_at: float = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -50,12 +52,47 @@
     is_resumed: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that reached an endpoint, whether or not it ran there.
+
+    :param request_id: id of the request
+    :param endpoint: instance and start of the endpoint
+    :param at: time of its arrival, in seconds
+    :param pause_s: time that the endpoint asked for when it refused the
+        request, in seconds; zero if it did not
+    :param is_leaving: whether the answer says that the endpoint leaves
+    """
+
+    request_id: str
+    endpoint: str
+    at: float
+    pause_s: float = 0
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeGap:
+    """A time in which a node was frozen or did not run.
+
+    :param node: name of the node
+    :param start: its start, in seconds
+    :param end: its end, in seconds
+    """
+
+    node: str
+    start: float
+    end: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class Records:
     """All that was seen.
 
     :param outcomes: answers to callers
     :param runs: requests that endpoints began to work on
+    :param arrivals: requests that reached endpoints
+    :param gaps: times in which nodes were frozen or did not run
     :param ended: nodes that ended without being told, with their exit codes
     :param key_revoked_at: when the key of the soak's callers was taken away
         for good; ``None`` if it was not
@@ -63,5 +100,7 @@
 
     outcomes: list[Outcome] = dataclasses.field(default_factory=list)
     runs: list[EndpointRun] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    gaps: list[NodeGap] = dataclasses.field(default_factory=list)
     ended: list[str] = dataclasses.field(default_factory=list)
     key_revoked_at: float | None = None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,14 @@
 
 from tests.soak import faults
 from tests.soak.promises import STREAM_EVENTS, broken_promises
-from tests.soak.records import EndpointRun, Kind, Outcome, Records
+from tests.soak.records import (
+    Arrival,
+    EndpointRun,
+    Kind,
+    NodeGap,
+    Outcome,
+    Records,
+)
 from tests.soak.run import play_seed
 
 # One with the key taken away, one without; the rest is played by hand.
@@ -109,6 +116,52 @@
         assert any(fault in line for line in broken_promises(records))
 
 
+class TestServerNotices:
+    """An endpoint says that it leaves, or asks for time, in its answers."""
+
+    @pytest.mark.parametrize(
+        ('sent_at', 'gaps', 'is_broken'),
+        [
+            (1.5, [], False),
+            (3.5, [], True),
+            (3.5, [NodeGap(node='north-1', start=1, end=2)], False),
+            (3.5, [NodeGap(node='north-2', start=1, end=2)], True),
+        ],
+    )
+    def test_leaving_endpoint_gets_nothing_after_the_limit(
+        self, sent_at: float, gaps: list[NodeGap], is_broken: bool
+    ) -> None:
+        records = Records(
+            outcomes=[
+                _outcome(answered_at=0.1),
+                _outcome(request_id='r2', body=b'r2', sent_at=sent_at),
+            ],
+            arrivals=[
+                Arrival(request_id='r1', endpoint='a', at=0, is_leaving=True),
+                Arrival(
+                    request_id='r2', endpoint='a', at=sent_at, is_leaving=True
+                ),
+            ],
+            gaps=gaps,
+        )
+        assert bool(broken_promises(records)) is is_broken
+
+    @pytest.mark.parametrize(
+        ('at', 'is_broken'), [(0.4, False), (1.5, True), (2.5, False)]
+    )
+    def test_endpoint_that_asks_for_time_is_left_alone(
+        self, at: float, is_broken: bool
+    ) -> None:
+        records = Records(
+            outcomes=[_outcome(), _outcome(request_id='r2', body=b'r2')],
+            arrivals=[
+                Arrival(request_id='r1', endpoint='a', at=0, pause_s=2.0),
+                Arrival(request_id='r2', endpoint='a', at=at),
+            ],
+        )
+        assert bool(broken_promises(records)) is is_broken
+
+
 class TestSeries:
     def test_a_seed_gives_the_same_faults_again(self) -> None:
         one, two = (faults.draw_series(random.Random(9)) for _ in range(2))
