Give the costs of placement defaults that Python 3.11 accepts

Cause: a mapping proxy cannot be hashed before Python 3.12, so that data classes refuse it as a default and no module of the relay could be imported. A test still passed the excluded engines in place of the options of the queue. Change: default factories; the test passes QueueOptions with the same engines.

--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -17,7 +17,6 @@
     Mapping,
     Sequence,
 )
-from types import MappingProxyType
 from typing import Final
 
 from mastichatch_core.generated.messages import Run, RunState
@@ -71,7 +70,9 @@
     :param costs: what was measured of the engines
     """
 
-    excluded: Mapping[str, frozenset[str]] = MappingProxyType({})
+    excluded: Mapping[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
     costs: PlacementCosts = NOMINAL_COSTS
 
 
--- a/packages/core/mastichatch_core/relay/placement/costs.py
+++ b/packages/core/mastichatch_core/relay/placement/costs.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 from collections.abc import Mapping
-from types import MappingProxyType
 from typing import Final
 
 # Cost of an engine in another data centre, equal to two and a half runs. A
@@ -24,8 +23,8 @@
         prompt tokens, by its name
     """
 
-    speeds: Mapping[str, float] = MappingProxyType({})
-    remote_tokens: Mapping[str, float] = MappingProxyType({})
+    speeds: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    remote_tokens: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
     def speed(self, instance: str) -> float:
         """Return the speed of an engine, relative to its specification.
--- a/tests/test_relay_engines.py
+++ b/tests/test_relay_engines.py
@@ -24,6 +24,7 @@
 from mastichatch_core.relay.engine_queue import (
     FIRST_EVENT_MS,
     PREFILL_TOKENS_PER_MS,
+    QueueOptions,
     max_queue_wait_s,
     assign_engines,
 )
@@ -360,7 +361,7 @@
                 lambda one: 0,
                 'north',
                 0.1,
-                {name: frozenset((refusing,))},
+                QueueOptions(excluded={name: frozenset((refusing,))}),
             )
             assert found[name].instance == left
 
