Work out once a configuration which services rank short requests first

Cause: whether a decision under load is made for a service was worked out from all routes, and is about to be asked for each request; a configuration may have thousands of routes. Result: tests/test_relay_load_control.py passes unchanged.

--- a/packages/core/mastichatch_core/relay/load_control.py
+++ b/packages/core/mastichatch_core/relay/load_control.py
@@ -8,7 +8,7 @@
 import dataclasses
 from enum import StrEnum
 
-from mastichatch_core.relay.model import Configuration, RequestKind, Route
+from mastichatch_core.relay.model import Configuration
 
 
 class LoadControl(StrEnum):
@@ -54,27 +54,19 @@
         return setting is LoadControl.on
     if configuration is None:
         return False
-    routes = tuple(
-        route
-        for route in configuration.routes
-        if route.kind is RequestKind.streaming and _has_service(route, service)
-    )
-    return ranks_short_first(routes)
-
+    return service in configuration.short_first_services
 
-def ranks_short_first(routes: tuple[Route, ...]) -> bool:
-    """Return whether the most urgent routes are shorter than the others.
 
-    Routes are short or long by their timeout, the longest time for which a
-    caller waits for the whole answer.
+def is_any_controlled(
+    setting: LoadControl, configuration: Configuration | None
+) -> bool:
+    """Return whether a decision under load is made for any service.
 
-    :param routes: streaming routes of one service
+    :param setting: setting of the node for this decision
+    :param configuration: configuration in force, if any
     """
-    first = min((route.priority for route in routes), default=0)
-    urgent = [route.timeout_ms for route in routes if route.priority == first]
-    others = [route.timeout_ms for route in routes if route.priority != first]
-    return bool(others) and max(urgent) < min(others)
-
-
-def _has_service(route: Route, service: str) -> bool:
-    return any(one.service == service for one in route.services)
+    if setting is not LoadControl.ranked:
+        return setting is LoadControl.on
+    return configuration is not None and bool(
+        configuration.short_first_services
+    )
--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import StrEnum
 from types import MappingProxyType
 
@@ -171,6 +171,24 @@
             hosts[route.host] = (*hosts.get(route.host, ()), route)
         return MappingProxyType(hosts)
 
+    @functools.cached_property
+    def short_first_services(self) -> frozenset[str]:
+        """Services whose short streaming routes are ranked before long ones.
+
+        A configuration may have thousands of routes, and this is asked for each
+        request.
+        """
+        streaming: dict[str, list[Route]] = {}
+        for route in self.routes:
+            if route.kind is RequestKind.streaming:
+                for one in route.services:
+                    streaming.setdefault(one.service, []).append(route)
+        return frozenset(
+            service
+            for service, routes in streaming.items()
+            if ranks_short_first(routes)
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Endpoint:
@@ -241,5 +259,19 @@
     parts: tuple[PromptPart, ...] = ()
 
 
+def ranks_short_first(routes: Sequence[Route]) -> bool:
+    """Return whether the most urgent routes are shorter than the others.
+
+    Routes are short or long by their timeout, the longest time for which a
+    caller waits for the whole answer.
+
+    :param routes: streaming routes of one service
+    """
+    first = min((route.priority for route in routes), default=0)
+    urgent = [route.timeout_ms for route in routes if route.priority == first]
+    others = [route.timeout_ms for route in routes if route.priority != first]
+    return bool(others) and max(urgent) < min(others)
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
