Choose engines by their speed, measured from the runs of all nodes

Cause: all engines counted as alike, so that short requests waited behind prompts of several thousand tokens on engines that need more than twice the time. Change: every node hears when runs are placed and when their first events come, and measures all engines by that, without any message.

--- a/packages/core/mastichatch_core/relay/engine_choice.py
+++ b/packages/core/mastichatch_core/relay/engine_choice.py
@@ -71,6 +71,8 @@
         request
     :param running: number of runs and copies on the engine
     :param has_trial: whether a run on it may crash it
+    :param prefill_excess: what the request's own prompt costs beyond its length
+        because of the engine's speed, in prompt tokens
     """
 
     instance: str
@@ -78,6 +80,12 @@
     memory_share: float
     running: int = 0
     has_trial: bool = False
+    prefill_excess: float = 0
+
+    @property
+    def delay_tokens(self) -> float:
+        """Work until the first event, besides an idle engine's, in tokens."""
+        return self.cost + self.prefill_excess
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,11 +95,13 @@
     :param memory_tokens: expected memory of the run, in tokens
     :param part: id of the last shared part of the prompt
     :param data_centre: data centre that received the request
+    :param prefill_tokens: length of the prompt, if it is still to be read
     """
 
     memory_tokens: float
     part: str
     data_centre: str
+    prefill_tokens: float = 0
 
 
 def estimate_output_tokens(
@@ -131,6 +141,7 @@
         memory_tokens=expected_memory_tokens(run),
         part=run.part,
         data_centre=data_centre,
+        prefill_tokens=0 if run.output_tokens else run.prompt_tokens,
     )
 
 
@@ -194,13 +205,14 @@
                 memory_share=share,
                 running=load.running,
                 has_trial=load.has_trial,
+                prefill_excess=_prefill_excess(endpoint, request, costs),
             )
         )
     return tuple(sorted(candidates, key=_preference))
 
 
 def _preference(candidate: Candidate) -> tuple[bool, float, str]:
-    return (candidate.has_trial, candidate.cost, candidate.instance)
+    return (candidate.has_trial, candidate.delay_tokens, candidate.instance)
 
 
 def _cost(
@@ -210,8 +222,16 @@
     costs: PlacementCosts,
 ) -> float:
     cost = load.pending_prefill_tokens + load.running * RUN_COST_TOKENS
+    cost /= costs.speed(endpoint.instance)
     if endpoint.data_centre != request.data_centre:
         cost += costs.remote_cost(endpoint.data_centre)
     if request.part and request.part in load.parts:
         cost -= SHARED_PART_DISCOUNT_TOKENS
     return cost
+
+
+def _prefill_excess(
+    endpoint: Endpoint, request: PlacementRequest, costs: PlacementCosts
+) -> float:
+    speed = costs.speed(endpoint.instance)
+    return request.prefill_tokens / speed - request.prefill_tokens
--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -151,10 +151,12 @@
         :param age_ms: time since its arrival, in milliseconds
         :returns: whether the request was placed
         """
-        best = self._cheapest(run, NEW_MEMORY_SHARE)
-        if best is None or not meets_objective(run, age_ms, best.cost):
+        ranked = self._rank(run, NEW_MEMORY_SHARE)
+        if not ranked or not meets_objective(
+            run, age_ms, ranked[0].delay_tokens
+        ):
             return False
-        self._place(run, best)
+        self._place(run, ranked[0])
         return True
 
     def place_late(self, run: Run) -> None:
@@ -162,11 +164,21 @@
 
         :param run: the waiting request
         """
-        best = self._cheapest(run, LATE_MEMORY_SHARE)
-        if best is not None and best.cost <= LATE_QUEUED_TOKENS:
+        ranked = self._rank(run, LATE_MEMORY_SHARE)
+        best = next(
+            (
+                one
+                for one in ranked
+                if one.cost <= LATE_QUEUED_TOKENS
+                and one.has_trial == ranked[0].has_trial
+            ),
+            None,
+        )
+        if best is not None:
             self._place(run, best)
 
-    def _cheapest(self, run: Run, memory_share: float) -> Candidate | None:
+    def _rank(self, run: Run, memory_share: float) -> Sequence[Candidate]:
+        """Return the engines with room for a request, best first."""
         request = placement_request(run, self._data_centre)
         excluded = self._excluded.get(run.request_id, ())
         endpoints = (
@@ -184,8 +196,8 @@
         )
         if run.suspects:
             # If it crashes the engine, the fewest other runs are lost.
-            return min(candidates, key=lambda one: one.running, default=None)
-        return candidates[0] if candidates else None
+            return sorted(candidates, key=lambda one: one.running)[:1]
+        return candidates
 
     def _place(self, run: Run, candidate: Candidate) -> None:
         self.found[run.request_id] = candidate
@@ -214,7 +226,8 @@
 
     :param run: the request
     :param age_ms: time since its arrival, in milliseconds
-    :param work_tokens: work queued before it at its engine, in prompt tokens
+    :param work_tokens: work before its first event besides that of an idle
+        engine of nominal speed, in prompt tokens
     """
     if not run.objective_ms:
         return True
--- a/packages/core/mastichatch_core/relay/runs.py
+++ b/packages/core/mastichatch_core/relay/runs.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 from collections.abc import Iterator
-from typing import Final
+from typing import Final, Protocol
 
 from mastichatch_core.generated.messages import Run, RunChanges, RunState
 from mastichatch_core.units import MS_PER_S
@@ -36,6 +36,19 @@
     runs: dict[str, Run]
 
 
+class RunObserver(Protocol):
+    """Function that is told of the states of runs."""
+
+    def __call__(self, run: Run, now: float, *, is_timely: bool) -> None:
+        """Take note of the state of a run.
+
+        :param run: state of the run
+        :param now: time in seconds
+        :param is_timely: whether the state has just changed; otherwise it may
+            be repeated
+        """
+
+
 class RunTable:
     """Runs of this node and of the others."""
 
@@ -44,6 +57,7 @@
         self._own: dict[str, Run] = {}
         self._nodes: dict[str, _NodeRuns] = {}
         self._arrived_at: dict[str, float] = {}
+        self._observe: RunObserver | None = None
 
     @property
     def own(self) -> tuple[Run, ...]:
@@ -57,6 +71,13 @@
         """
         return self._arrived_at.get(run.request_id, 0)
 
+    def attach_observer(self, observe: RunObserver) -> None:
+        """Tell a function of the states of all nodes' runs from now on.
+
+        :param observe: the function
+        """
+        self._observe = observe
+
     def update_own(self, run: Run, now: float) -> None:
         """Add, update or remove a run of this node.
 
@@ -68,6 +89,8 @@
             self._own.pop(run.request_id, None)
         else:
             self._own[run.request_id] = run
+        if self._observe is not None:
+            self._observe(run, now, is_timely=True)
 
     def apply_changes(
         self, message: RunChanges, incarnation: str, now: float
@@ -101,6 +124,8 @@
                 node.runs.pop(run.request_id, None)
             else:
                 node.runs[run.request_id] = run
+            if self._observe is not None:
+                self._observe(run, now, is_timely=not message.is_whole)
 
     def heard(self, now: float) -> frozenset[str]:
         """Return the names of other nodes that sent a message recently.
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -34,10 +34,7 @@
     max_queue_wait_s,
 )
 from mastichatch_core.relay.model import Endpoint, Engine
-from mastichatch_core.relay.placement.costs import (
-    NOMINAL_COSTS,
-    PlacementCosts,
-)
+from mastichatch_core.relay.placement.costs import PlacementCosts
 from mastichatch_core.relay.plain_choice import split_paused
 from mastichatch_core.relay.prompt_quarantine import Verdict
 from mastichatch_core.units import MS_PER_S
@@ -47,6 +44,7 @@
     AttemptOutcome,
     AttemptResult,
 )
+from mastichatch_node.relay.speed_tracking import SpeedTracker
 
 # Shorter outputs finish before a copy of their KV cache is of any use.
 COPY_MIN_OUTPUT_TOKENS: Final = 100
@@ -117,6 +115,7 @@
         """
         self._context = context
         self._waiting: dict[str, _QueuedRequest] = {}
+        self._tracker = SpeedTracker(context)
 
     async def place(
         self, job: Job, excluded: frozenset[str]
@@ -251,7 +250,14 @@
 
         :param service: name of the service
         """
-        return NOMINAL_COSTS
+        return PlacementCosts(speeds=self._tracker.speeds(service))
+
+    def keep_only(self, instances: Iterable[str]) -> None:
+        """Forget the speeds of engines that no longer exist.
+
+        :param instances: instance ids of the endpoints that exist
+        """
+        self._tracker.keep_only(instances)
 
     async def _wait_for_engine(
         self, job: Job, run: Run, future: 'asyncio.Future[Candidate]'
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -364,6 +364,7 @@
         allowance = components.settings.retry_burst * RETRY_ALLOWANCE_SHARE
         context.retries.set_burst(allowance / nodes)
         _forget_former_endpoints(context)
+        placer.keep_only(context.belief.endpoints(loop_time()))
         crash_store.read_evidence(
             components.crashes, cache, components.adapter.decoders.on_malformed
         )
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -6,9 +6,10 @@
 import io
 import logging as standard_logging
 import os
+import statistics
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 from absl import logging
@@ -196,6 +197,13 @@
             registry=self._registry,
         )
 
+        self._speeds = Gauge(
+            'mastichatch_relay_engine_speed',
+            'Measured speed of engines relative to their specification.',
+            ('engine',),
+            registry=self._registry,
+        )
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -267,6 +275,16 @@
         """
         self._suspected.set(suspected)
 
+    def update_speeds(self, speeds: Collection[float]) -> None:
+        """Set the speeds of the slowest, the median and the fastest engine.
+
+        :param speeds: measured speeds, relative to the specification
+        """
+        if speeds:
+            self._speeds.labels('slowest').set(min(speeds))
+            self._speeds.labels('median').set(statistics.median(speeds))
+            self._speeds.labels('fastest').set(max(speeds))
+
     def watch_budget(self, budget: ByteBudget) -> None:
         """Show the bytes that are held for peers.
 
