Tell which waiting generations were not placed, and follow changes of runs

Cause: a forecast needs the requests that the assignment of engines left over, and sums over runs that need no pass over all of them. Change: plan_queue returns them with the resulting loads; assign_engines is what it was. RunTable tells an observer of each change, if there is one. Result: no change of behaviour; tests/test_relay_engines.py passes.

--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -76,6 +76,27 @@
     costs: PlacementCosts = NOMINAL_COSTS
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueuePlan:
+    """The assignment of engines to the waiting requests.
+
+    :param found: the chosen engines, by request id
+    :param unplaced: requests that can still meet their objective and were not
+        placed, in the order of the queue
+    :param late: requests past their objective that were not placed, in the
+        order of the queue
+    :param without_room: ids of those in ``unplaced`` that fit no engine's
+        memory or batch
+    :param loads: load of each engine with the requests assigned to it
+    """
+
+    found: Mapping[str, Candidate]
+    unplaced: tuple[Run, ...]
+    late: tuple[Run, ...]
+    without_room: frozenset[str]
+    loads: Mapping[str, EngineLoad]
+
+
 def assign_engines(
     runs: Iterable[Run],
     endpoints: Sequence[Endpoint],
@@ -87,6 +108,26 @@
 ) -> Mapping[str, Candidate]:
     """Return the engine of each waiting request that can be placed now.
 
+    See ``plan_queue`` for the parameters.
+
+    :returns: the chosen engines, by request id
+    """
+    return plan_queue(
+        runs, endpoints, engine, arrived_at, data_centre, now, options
+    ).found
+
+
+def plan_queue(
+    runs: Iterable[Run],
+    endpoints: Sequence[Endpoint],
+    engine: Engine,
+    arrived_at: Callable[[Run], float],
+    data_centre: str,
+    now: float = 0,
+    options: QueueOptions | None = None,
+) -> QueuePlan:
+    """Choose the engine of each waiting request that can be placed now.
+
     Requests are ordered by rank and then by arrival. A request that fits no
     engine is skipped, so that smaller requests behind it can be placed.
 
@@ -105,24 +146,31 @@
     :param data_centre: data centre of this node
     :param now: time in seconds
     :param options: what was measured, and which engines are left out
-    :returns: the chosen engines, by request id
+    :returns: the chosen engines, and the requests that were not placed
     """
     all_runs = tuple(runs)
     assignment = _Assignment(
         all_runs, endpoints, engine, data_centre, options or QueueOptions()
     )
     late: list[Run] = []
-    has_unplaced = False
+    unplaced: list[Run] = []
     ordered = _in_queue_order(all_runs, arrived_at)
     for run in _without_blocked(ordered, all_runs, arrived_at, now):
         age_ms = (now - arrived_at(run)) * MS_PER_S
         if not meets_objective(run, age_ms, 0):
             late.append(run)
         elif not assignment.place_on_time(run, age_ms):
-            has_unplaced = True
-    for late_run in () if has_unplaced else late:
+            unplaced.append(run)
+    for late_run in () if unplaced else late:
         assignment.place_late(late_run)
-    return assignment.found
+    found = assignment.found
+    return QueuePlan(
+        found=found,
+        unplaced=tuple(unplaced),
+        late=tuple(one for one in late if one.request_id not in found),
+        without_room=frozenset(assignment.without_room),
+        loads=assignment.loads,
+    )
 
 
 class _Assignment:
@@ -137,7 +185,8 @@
         options: QueueOptions,
     ) -> None:
         self.found: dict[str, Candidate] = {}
-        self._loads = dict(measure_loads(runs))
+        self.without_room: set[str] = set()
+        self.loads = dict(measure_loads(runs))
         self._endpoints = endpoints
         self._engine = engine
         self._data_centre = data_centre
@@ -152,7 +201,10 @@
         :returns: whether the request was placed
         """
         best = self._cheapest(run, NEW_MEMORY_SHARE)
-        if best is None or not meets_objective(run, age_ms, best.cost):
+        if best is None:
+            self.without_room.add(run.request_id)
+            return False
+        if not meets_objective(run, age_ms, best.cost):
             return False
         self._place(run, best)
         return True
@@ -176,7 +228,7 @@
         )
         candidates = rank_engines(
             endpoints,
-            self._loads,
+            self.loads,
             self._engine,
             request,
             memory_share,
@@ -189,7 +241,7 @@
 
     def _place(self, run: Run, candidate: Candidate) -> None:
         self.found[run.request_id] = candidate
-        _add_to_load(self._loads, candidate.instance, run)
+        _add_to_load(self.loads, candidate.instance, run)
 
 
 def max_queue_wait_s(objective_s: float, timeout_s: float) -> float:
--- a/packages/core/mastichatch_core/relay/runs.py
+++ b/packages/core/mastichatch_core/relay/runs.py
@@ -7,8 +7,8 @@
 """
 
 import dataclasses
-from collections.abc import Iterator
-from typing import Final
+from collections.abc import Iterable, Iterator
+from typing import Final, Protocol
 
 from mastichatch_core.generated.messages import Run, RunChanges, RunState
 from mastichatch_core.units import MS_PER_S
@@ -36,6 +36,16 @@
     runs: dict[str, Run]
 
 
+class RunObserver(Protocol):
+    """Follows the changes of all runs."""
+
+    def update(self, run: Run, now: float) -> None:
+        """Add, update or remove a run."""
+
+    def forget(self, request_ids: Iterable[str]) -> None:
+        """Remove runs of which nothing more is known."""
+
+
 class RunTable:
     """Runs of this node and of the others."""
 
@@ -44,6 +54,12 @@
         self._own: dict[str, Run] = {}
         self._nodes: dict[str, _NodeRuns] = {}
         self._arrived_at: dict[str, float] = {}
+        self._observer: RunObserver | None = None
+
+    @property
+    def is_observed(self) -> bool:
+        """Whether an observer follows the runs."""
+        return self._observer is not None
 
     @property
     def own(self) -> tuple[Run, ...]:
@@ -57,6 +73,13 @@
         """
         return self._arrived_at.get(run.request_id, 0)
 
+    def attach(self, observer: RunObserver) -> None:
+        """Tell an observer of all changes from now on.
+
+        :param observer: the observer; an earlier one is told no longer
+        """
+        self._observer = observer
+
     def update_own(self, run: Run, now: float) -> None:
         """Add, update or remove a run of this node.
 
@@ -80,6 +103,7 @@
         """
         node = self._nodes.get(message.node)
         if node is None or node.incarnation != incarnation:
+            self._forget(() if node is None else node.runs)
             node = _NodeRuns(
                 incarnation=incarnation,
                 sequence=0,
@@ -94,6 +118,8 @@
         node.received_at = now
         node.timeout_s = message.interval_ms * MAX_MISSED_INTERVALS / MS_PER_S
         if message.is_whole:
+            listed = {run.request_id for run in message.runs}
+            self._forget(node.runs.keys() - listed)
             node.runs.clear()
         for run in message.runs:
             self._note_arrival(run, now)
@@ -133,12 +159,19 @@
         for name, node in tuple(self._nodes.items()):
             if now - node.received_at >= node.timeout_s:
                 self._nodes.pop(name)
+                self._forget(node.runs)
                 for request_id in node.runs:
                     self._arrived_at.pop(request_id, None)
                 continue
             yield from node.runs.values()
 
+    def _forget(self, request_ids: Iterable[str]) -> None:
+        if self._observer is not None:
+            self._observer.forget(request_ids)
+
     def _note_arrival(self, run: Run, now: float) -> None:
+        if self._observer is not None:
+            self._observer.update(run, now)
         if run.state is RunState.ended:
             self._arrived_at.pop(run.request_id, None)
         else:
