--- a/packages/core/mastichatch_core/relay/placement/speeds.py
+++ b/packages/core/mastichatch_core/relay/placement/speeds.py
@@ -16,7 +16,7 @@
 import dataclasses
 import math
 import statistics
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from enum import StrEnum
 from typing import Final
 
@@ -210,7 +210,7 @@
         self._engine_of: dict[str, str] = {}
         self._reviews: dict[str, SpeedReview] = {}
 
-    def observe(self, run: Run, now: float, *, is_timely: bool = True) -> None:
+    def update(self, run: Run, now: float, *, is_timely: bool = True) -> None:
         """Take note of the state of a run of any node.
 
         :param run: state of the run
@@ -233,6 +233,15 @@
             reading.begin(run, now)
             reading.is_measurable &= is_timely
 
+    def forget(self, request_ids: Collection[str]) -> None:
+        """Keep runs of which nothing more is known.
+
+        Whether an engine still reads their prompts is unknown. They are given
+        up after ``MAX_READING_S``.
+
+        :param request_ids: ids of their requests
+        """
+
     def keep_only(self, instances: Iterable[str]) -> None:
         """Forget the engines that no longer exist.
 
--- a/packages/core/mastichatch_core/relay/runs.py
+++ b/packages/core/mastichatch_core/relay/runs.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Final, Protocol
 
 from mastichatch_core.generated.messages import Run, RunChanges, RunState
@@ -37,9 +37,9 @@
 
 
 class RunObserver(Protocol):
-    """Function that is told of the states of runs."""
+    """Follows the states of all runs."""
 
-    def __call__(self, run: Run, now: float, *, is_timely: bool) -> None:
+    def update(self, run: Run, now: float, *, is_timely: bool) -> None:
         """Take note of the state of a run.
 
         :param run: state of the run
@@ -48,6 +48,12 @@
             be repeated
         """
 
+    def forget(self, request_ids: Collection[str]) -> None:
+        """Remove runs of which nothing more is known.
+
+        :param request_ids: ids of their requests
+        """
+
 
 class RunTable:
     """Runs of this node and of the others."""
@@ -57,7 +63,12 @@
         self._own: dict[str, Run] = {}
         self._nodes: dict[str, _NodeRuns] = {}
         self._arrived_at: dict[str, float] = {}
-        self._observe: RunObserver | None = None
+        self._observers: list[RunObserver] = []
+
+    @property
+    def is_observed(self) -> bool:
+        """Whether an observer follows the runs."""
+        return bool(self._observers)
 
     @property
     def own(self) -> tuple[Run, ...]:
@@ -71,12 +82,12 @@
         """
         return self._arrived_at.get(run.request_id, 0)
 
-    def attach_observer(self, observe: RunObserver) -> None:
-        """Tell a function of the states of all nodes' runs from now on.
+    def attach(self, observer: RunObserver) -> None:
+        """Tell an observer of all changes from now on.
 
-        :param observe: the function
+        :param observer: the observer
         """
-        self._observe = observe
+        self._observers.append(observer)
 
     def update_own(self, run: Run, now: float) -> None:
         """Add, update or remove a run of this node.
@@ -84,13 +95,11 @@
         :param run: current state of the run
         :param now: time in seconds
         """
-        self._note_arrival(run, now)
+        self._note_arrival(run, now, is_timely=True)
         if run.state is RunState.ended:
             self._own.pop(run.request_id, None)
         else:
             self._own[run.request_id] = run
-        if self._observe is not None:
-            self._observe(run, now, is_timely=True)
 
     def apply_changes(
         self, message: RunChanges, incarnation: str, now: float
@@ -103,6 +112,7 @@
         """
         node = self._nodes.get(message.node)
         if node is None or node.incarnation != incarnation:
+            self._forget(() if node is None else node.runs)
             node = _NodeRuns(
                 incarnation=incarnation,
                 sequence=0,
@@ -117,15 +127,15 @@
         node.received_at = now
         node.timeout_s = message.interval_ms * MAX_MISSED_INTERVALS / MS_PER_S
         if message.is_whole:
+            listed = {run.request_id for run in message.runs}
+            self._forget(node.runs.keys() - listed)
             node.runs.clear()
         for run in message.runs:
-            self._note_arrival(run, now)
+            self._note_arrival(run, now, is_timely=not message.is_whole)
             if run.state is RunState.ended:
                 node.runs.pop(run.request_id, None)
             else:
                 node.runs[run.request_id] = run
-            if self._observe is not None:
-                self._observe(run, now, is_timely=not message.is_whole)
 
     def heard(self, now: float) -> frozenset[str]:
         """Return the names of other nodes that sent a message recently.
@@ -158,12 +168,19 @@
         for name, node in tuple(self._nodes.items()):
             if now - node.received_at >= node.timeout_s:
                 self._nodes.pop(name)
+                self._forget(node.runs)
                 for request_id in node.runs:
                     self._arrived_at.pop(request_id, None)
                 continue
             yield from node.runs.values()
 
-    def _note_arrival(self, run: Run, now: float) -> None:
+    def _forget(self, request_ids: Collection[str]) -> None:
+        for observer in self._observers:
+            observer.forget(request_ids)
+
+    def _note_arrival(self, run: Run, now: float, *, is_timely: bool) -> None:
+        for observer in self._observers:
+            observer.update(run, now, is_timely=is_timely)
         if run.state is RunState.ended:
             self._arrived_at.pop(run.request_id, None)
         else:
--- a/packages/node/mastichatch_node/relay/speed_tracking.py
+++ b/packages/node/mastichatch_node/relay/speed_tracking.py
@@ -25,7 +25,7 @@
         self._engines = EngineSpeeds()
         self._reviews: dict[str, SpeedReview] = {}
         if context.controls.engine_speeds is not LoadControl.off:
-            context.sharing.table.attach_observer(self._engines.observe)
+            context.sharing.table.attach(self._engines)
 
     def speeds(self, service: str) -> Mapping[str, float]:
         """Return the speeds of the engines that are not nominal, by instance.
--- a/tests/test_relay_engine_speeds.py
+++ b/tests/test_relay_engine_speeds.py
@@ -80,10 +80,10 @@
 ) -> float:
     """Let an engine read a prompt, and return the time afterwards."""
     run = placed(f'{engine}@{at}', engine, tokens)
-    speeds.observe(run, at)
+    speeds.update(run, at)
     took_ms = factor * (tokens / READ_TOKENS_PER_MS + FIRST_EVENT_STEPS_MS)
     ended_at = at + took_ms / 1000
-    speeds.observe(dataclasses.replace(run, output_tokens=4), ended_at)
+    speeds.update(dataclasses.replace(run, output_tokens=4), ended_at)
     return ended_at
 
 
@@ -150,10 +150,10 @@
                     for number in range(4)
                 ]
                 for run in runs:
-                    speeds.observe(run, start)
+                    speeds.update(run, start)
                 for position, number in enumerate(sequence):
                     read = dataclasses.replace(runs[number], output_tokens=4)
-                    speeds.observe(read, start + 0.25 * (position + 1))
+                    speeds.update(read, start + 0.25 * (position + 1))
             read_prompt(speeds, 'c', start, 1)
         assert not speeds.speeds(SERVICE, 10)
 
@@ -186,14 +186,14 @@
     def test_new_start_of_an_engine_is_nominal(self) -> None:
         speeds = EngineSpeeds()
         now = read_prompts(speeds, {'a': 1, 'b': 1, 'c': 1, 'd': 2.5}, 4)
-        speeds.observe(placed('under way', 'd'), now)
+        speeds.update(placed('under way', 'd'), now)
         speeds.keep_only(('a', 'b', 'c', 'd-again'))
         assert not speeds.speeds(SERVICE, now)
         # Late news of the former start changes nothing.
         ended = Run(
             request_id='under way', service=SERVICE, state=RunState.ended
         )
-        speeds.observe(ended, now + 1)
+        speeds.update(ended, now + 1)
         assert not speeds.speeds(SERVICE, now + 1)
 
 
@@ -201,27 +201,27 @@
     def test_overdue_first_event_lowers_the_speed_until_it_comes(self) -> None:
         speeds = EngineSpeeds()
         for engine in 'abc':
-            speeds.observe(placed(engine, engine), 0)
+            speeds.update(placed(engine, engine), 0)
         for engine in 'ab':
             read = dataclasses.replace(placed(engine, engine), output_tokens=4)
-            speeds.observe(read, 0.5)
+            speeds.update(read, 0.5)
         assert not speeds.speeds(SERVICE, 1)
         assert speeds.speeds(SERVICE, 2).keys() == {'c'}
         read = dataclasses.replace(placed('c', 'c'), output_tokens=4)
-        speeds.observe(read, 2)
+        speeds.update(read, 2)
         assert not speeds.speeds(SERVICE, 2)
 
     def test_node_that_hears_of_no_engine_blames_none(self) -> None:
         speeds = EngineSpeeds()
         for engine in 'abcdef':
-            speeds.observe(placed(engine, engine), 0)
+            speeds.update(placed(engine, engine), 0)
         assert not speeds.speeds(SERVICE, 3)
 
     def test_runs_of_a_vanished_host_are_given_up(self) -> None:
         """The first event of such a run is never announced."""
         speeds = EngineSpeeds()
         now = read_prompts(speeds, dict.fromkeys('abcd', 1.0), 4)
-        speeds.observe(placed('of a vanished host', 'd'), now)
+        speeds.update(placed('of a vanished host', 'd'), now)
         read_prompt(speeds, 'd', now, 1)
         assert not speeds.speeds(SERVICE, now + 10)
         read_prompts(speeds, dict.fromkeys('abcd', 1.0), 4)
@@ -230,7 +230,7 @@
     def test_lost_first_event_does_not_count_as_slowness(self) -> None:
         """The next full list of runs tells of it, up to seconds later."""
         table, speeds = RunTable(), EngineSpeeds()
-        table.attach_observer(speeds.observe)
+        table.attach(speeds)
         now = read_prompts(speeds, dict.fromkeys('abcd', 1.0), MIN_SAMPLES)
         for number in range(5):
             run = placed(f'r{number}', 'a')
@@ -436,7 +436,7 @@
     def _update(self, name: str, now: float, **changes: Any) -> None:
         request = self._requests[name]
         request.run = dataclasses.replace(request.run, **changes)
-        self._speeds.observe(request.run, now)
+        self._speeds.update(request.run, now)
 
     def _advance(self, now: float) -> None:
         reading: set[str] = set()
