--- a/packages/core/mastichatch_core/relay/engine_choice.py
+++ b/packages/core/mastichatch_core/relay/engine_choice.py
@@ -73,6 +73,9 @@
     :param has_trial: whether a run on it may crash it
     :param prefill_excess: what the request's own prompt costs beyond its length
         because of the engine's speed, in prompt tokens
+    :param is_remote: whether it is in another data centre than the request
+    :param reluctance: what else speaks against that, in prompt tokens; it
+        delays nothing
     """
 
     instance: str
@@ -81,6 +84,8 @@
     running: int = 0
     has_trial: bool = False
     prefill_excess: float = 0
+    is_remote: bool = False
+    reluctance: float = 0
 
     @property
     def delay_tokens(self) -> float:
@@ -96,12 +101,16 @@
     :param part: id of the last shared part of the prompt
     :param data_centre: data centre that received the request
     :param prefill_tokens: length of the prompt, if it is still to be read
+    :param request_id: id of the request
+    :param output_tokens: output that is still expected, in tokens
     """
 
     memory_tokens: float
     part: str
     data_centre: str
     prefill_tokens: float = 0
+    request_id: str = ''
+    output_tokens: float = 0
 
 
 def estimate_output_tokens(
@@ -142,6 +151,8 @@
         part=run.part,
         data_centre=data_centre,
         prefill_tokens=0 if run.output_tokens else run.prompt_tokens,
+        request_id=run.request_id,
+        output_tokens=max(0, run.expected_tokens - run.output_tokens),
     )
 
 
@@ -189,6 +200,9 @@
     :param costs: what was measured of the engines
     """
     candidates: list[Candidate] = []
+    reluctance = costs.reluctance_tokens(
+        request.request_id, request.data_centre, request.output_tokens
+    )
     for endpoint in endpoints:
         load = loads.get(endpoint.instance) or EngineLoad()
         share = (load.memory_tokens + request.memory_tokens) / max(
@@ -206,13 +220,16 @@
                 running=load.running,
                 has_trial=load.has_trial,
                 prefill_excess=_prefill_excess(endpoint, request, costs),
+                is_remote=endpoint.data_centre != request.data_centre,
+                reluctance=reluctance.get(endpoint.data_centre, 0),
             )
         )
     return tuple(sorted(candidates, key=_preference))
 
 
 def _preference(candidate: Candidate) -> tuple[bool, float, str]:
-    return (candidate.has_trial, candidate.delay_tokens, candidate.instance)
+    cost = candidate.delay_tokens + candidate.reluctance
+    return (candidate.has_trial, cost, candidate.instance)
 
 
 def _cost(
--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -32,7 +32,9 @@
 from mastichatch_core.relay.model import Endpoint, Engine
 from mastichatch_core.relay.placement.costs import (
     NOMINAL_COSTS,
+    UNLIMITED_MEMORY_SHARE,
     PlacementCosts,
+    empty_mapping,
 )
 from mastichatch_core.units import MS_PER_S
 
@@ -68,12 +70,15 @@
 
     :param excluded: instances that refused a request, by request id
     :param costs: what was measured of the engines
+    :param home_of: returns the data centre that received a request; ``None`` if
+        all count as received in the data centre of this node
     """
 
     excluded: Mapping[str, frozenset[str]] = dataclasses.field(
-        default_factory=dict
+        default_factory=empty_mapping
     )
     costs: PlacementCosts = NOMINAL_COSTS
+    home_of: Callable[[Run], str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -192,6 +197,7 @@
         self._data_centre = data_centre
         self._excluded = options.excluded
         self._costs = options.costs
+        self._home_of = options.home_of
 
     def place_on_time(self, run: Run, age_ms: float) -> bool:
         """Place a request if an engine can meet its objective.
@@ -200,13 +206,13 @@
         :param age_ms: time since its arrival, in milliseconds
         :returns: whether the request was placed
         """
-        ranked = self._rank(run, NEW_MEMORY_SHARE)
-        if not ranked:
+        candidates = self._rank(run, NEW_MEMORY_SHARE)
+        if not candidates:
             self.without_room.add(run.request_id)
+        best = _first_in_time(run, age_ms, candidates)
+        if best is None:
             return False
-        if not meets_objective(run, age_ms, ranked[0].delay_tokens):
-            return False
-        self._place(run, ranked[0])
+        self._place(run, best)
         return True
 
     def place_late(self, run: Run) -> None:
@@ -227,9 +233,10 @@
         if best is not None:
             self._place(run, best)
 
-    def _rank(self, run: Run, memory_share: float) -> Sequence[Candidate]:
-        """Return the engines with room for a request, best first."""
-        request = placement_request(run, self._data_centre)
+    def _rank(self, run: Run, memory_share: float) -> tuple[Candidate, ...]:
+        """Return the engines that a request may be placed on, best first."""
+        home = self._home_of(run) if self._home_of else self._data_centre
+        request = placement_request(run, home)
         excluded = self._excluded.get(run.request_id, ())
         endpoints = (
             endpoint
@@ -244,11 +251,21 @@
             memory_share,
             self._costs,
         )
-        if run.suspects:
+        if self._costs.remote_memory_share < UNLIMITED_MEMORY_SHARE:
+            candidates = tuple(filter(self._may_use, candidates))
+        if run.suspects and candidates:
             # If it crashes the engine, the fewest other runs are lost.
-            return sorted(candidates, key=lambda one: one.running)[:1]
+            return (min(candidates, key=lambda one: one.running),)
         return candidates
 
+    def _may_use(self, candidate: Candidate) -> bool:
+        """Return whether an engine has room for requests from elsewhere."""
+        highest = self._costs.remote_memory_share
+        if not candidate.is_remote or candidate.memory_share <= highest:
+            return True
+        # An engine without runs accepts a run of any size.
+        return highest > 0 and not candidate.running
+
     def _place(self, run: Run, candidate: Candidate) -> None:
         self.found[run.request_id] = candidate
         _add_to_load(self.loads, candidate.instance, run)
@@ -288,6 +305,30 @@
     return age_ms + work_ms + own_ms <= run.objective_ms
 
 
+def _first_in_time(
+    run: Run, age_ms: float, candidates: Sequence[Candidate]
+) -> Candidate | None:
+    """Return the best engine that can meet a request's objective.
+
+    The best one by order has the least work, except for what speaks against
+    its data centre.
+    """
+    if not candidates or meets_objective(
+        run, age_ms, candidates[0].delay_tokens
+    ):
+        return candidates[0] if candidates else None
+    first = candidates[0]
+    for other in candidates:
+        is_alike = other.has_trial == first.has_trial
+        if (
+            is_alike
+            and other.delay_tokens < first.delay_tokens
+            and meets_objective(run, age_ms, other.delay_tokens)
+        ):
+            return other
+    return None
+
+
 def _in_queue_order(
     runs: Iterable[Run], arrived_at: Callable[[Run], float]
 ) -> list[Run]:
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from mastichatch_core import breaker as breakers
@@ -17,6 +17,7 @@
 from mastichatch_core.relay.store_cache import usable_endpoints
 from mastichatch_core.relay.avoidance import (
     NO_CONNECTION_S,
+    NO_CONNECTION_TO_SILENT_S,
     shared_avoidance_s,
     unreachable_engines,
 )
@@ -34,7 +35,10 @@
     plan_queue,
 )
 from mastichatch_core.relay.model import Endpoint, Engine
-from mastichatch_core.relay.placement.costs import PlacementCosts
+from mastichatch_core.relay.placement.costs import (
+    NOMINAL_COSTS,
+    PlacementCosts,
+)
 from mastichatch_core.relay.plain_choice import split_paused
 from mastichatch_core.relay.prompt_quarantine import Verdict
 from mastichatch_core.units import MS_PER_S
@@ -205,7 +209,7 @@
                 unreachable_engines(
                     endpoint, usable, self._context.data_centre
                 ),
-                NO_CONNECTION_S,
+                _no_connection_s(self._context, endpoint),
             )
         if shared_s and not is_known:
             self._context.telemetry.log_state_change(
@@ -259,14 +263,9 @@
 
         :param service: name of the service
         """
-        return PlacementCosts(speeds=self._tracker.speeds(service))
-
-    def keep_only(self, instances: Iterable[str]) -> None:
-        """Forget the speeds of engines that no longer exist.
-
-        :param instances: instance ids of the endpoints that exist
-        """
-        self._tracker.keep_only(instances)
+        remote = self._context.remotes.costs.get(service, NOMINAL_COSTS)
+        speeds = self._tracker.speeds(service)
+        return dataclasses.replace(remote, speeds=speeds) if speeds else remote
 
     async def _wait_for_engine(
         self, job: Job, run: Run, future: 'asyncio.Future[Candidate]'
@@ -313,7 +312,11 @@
             self._context.sharing.table.arrived_at,
             self._context.data_centre,
             loop_time(),
-            QueueOptions(excluded=excluded, costs=self.costs(service)),
+            QueueOptions(
+                excluded=excluded,
+                costs=self.costs(service),
+                home_of=_home_lookup(self._context),
+            ),
         )
         for placed_id, candidate in plan.found.items():
             placed = queued.pop(placed_id, None)
@@ -394,6 +397,7 @@
             suspects=suspects,
         )
         self._context.sharing.record(placed)
+        self._context.telemetry.count_placement(is_remote=candidate.is_remote)
         self._context.telemetry.log_decision(
             'generation_placed',
             job.request_id,
@@ -402,6 +406,8 @@
             parts=[one.part for one in job.facts.parts],
             suspects=suspects,
             cost=round(candidate.cost),
+            remote=candidate.is_remote,
+            reluctance=round(candidate.reluctance),
             memory_share=round(candidate.memory_share, 3),
             expected_tokens=run.expected_tokens,
             revision=self._context.belief.revision,
@@ -470,6 +476,25 @@
         return endpoints[chosen]
 
 
+def _no_connection_s(context: RelayContext, endpoint: Endpoint) -> float:
+    """Return for how long an engine that was not reached is avoided."""
+    if endpoint.data_centre in context.remotes.silent:
+        return NO_CONNECTION_TO_SILENT_S
+    return NO_CONNECTION_S
+
+
+def _home_lookup(context: RelayContext) -> Callable[[Run], str] | None:
+    """Return a function that returns the data centre of a run's request.
+
+    Where leaving is not decided by measurements, it makes no difference.
+    """
+    data_centres = context.remotes.data_centres
+    if not data_centres:
+        return None
+    table = context.sharing.table
+    return lambda run: data_centres.get(table.node_of(run), context.data_centre)
+
+
 def require_engine(job: Job) -> Engine:
     """Return the engine capacity of a request's service.
 
--- a/packages/node/mastichatch_node/relay/speed_tracking.py
+++ b/packages/node/mastichatch_node/relay/speed_tracking.py
@@ -1,6 +1,7 @@
 """Follows the speed of engines, shows it, and logs changes."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
+from typing import Final
 
 from mastichatch_core.relay.load_control import LoadControl, is_controlled
 from mastichatch_core.relay.placement.costs import NOMINAL_SPEED
@@ -12,6 +13,9 @@
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.context import RelayContext
 
+# Interval at which former engines are forgotten.
+FORGET_INTERVAL_S: Final = 5.0
+
 
 class SpeedTracker:
     """Measures all engines by the runs of all nodes."""
@@ -24,6 +28,7 @@
         self._context = context
         self._engines = EngineSpeeds()
         self._reviews: dict[str, SpeedReview] = {}
+        self._forgot_at = loop_time()
         if context.controls.engine_speeds is not LoadControl.off:
             context.sharing.table.attach(self._engines)
 
@@ -32,6 +37,8 @@
 
         :param service: name of the service
         """
+        now = loop_time()
+        self._forget_former(now)
         is_used = is_controlled(
             self._context.controls.engine_speeds,
             self._context.belief.configuration,
@@ -39,16 +46,14 @@
         )
         if not is_used:
             return {}
-        now = loop_time()
         self._show_review(service, self._engines.review(service, now))
         return self._engines.speeds(service, now)
 
-    def keep_only(self, instances: Iterable[str]) -> None:
-        """Forget engines that no longer exist.
-
-        :param instances: instance ids of the endpoints that exist
-        """
-        self._engines.keep_only(instances)
+    def _forget_former(self, now: float) -> None:
+        """Forget engines that no longer exist."""
+        if now - self._forgot_at >= FORGET_INTERVAL_S:
+            self._forgot_at = now
+            self._engines.keep_only(self._context.belief.endpoints(now))
 
     def _show_review(self, service: str, review: SpeedReview) -> None:
         """Show the speeds, and log which engines have become slow or fast."""
