Tell engines how urgent generations are

Cause: engines were never told, so that they admitted requests in the order of their arrival and preempted the newest one, whatever it cost callers. Change: the rank of a request, and whether it has missed its objective, become the urgency in the head of the forwarded request, where MASTICHATCH_RELAY_ENGINE_URGENCY switches it on. Callers cannot set it.

--- a/packages/core/mastichatch_core/relay/load_control.py
+++ b/packages/core/mastichatch_core/relay/load_control.py
@@ -33,12 +33,14 @@
     :param engine_speeds: engines are chosen by measured speed
     :param remote_share: nodes decide by measurements how many requests leave
         their data centre
+    :param engine_urgency: engines are told how urgent requests are
     """
 
     admission_forecast: LoadControl = LoadControl.off
     fair_shares: LoadControl = LoadControl.off
     engine_speeds: LoadControl = LoadControl.off
     remote_share: LoadControl = LoadControl.off
+    engine_urgency: LoadControl = LoadControl.off
 
 
 def is_controlled(
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -36,6 +36,8 @@
     :param copy_address: address of the endpoint that is to hold a backup of
         the run's KV cache; empty without a backup
     :param resumption: location from which an interrupted run resumes
+    :param urgency: urgency of a generation, from 0, the most urgent, to 9;
+        ``None`` if the engine is not told
     """
 
     endpoint: Endpoint
@@ -43,6 +45,7 @@
     workspace: str
     copy_address: str = ''
     resumption: Resumption | None = None
+    urgency: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -8,7 +8,9 @@
 
 from absl import logging
 
-from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.admission.urgency import engine_urgency
+from mastichatch_core.relay.load_control import is_controlled
+from mastichatch_core.relay.model import Endpoint, RequestKind
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import ForwardingContext, Resumption
@@ -89,6 +91,7 @@
         workspace=job.workspace_name,
         copy_address=copy_address,
         resumption=resumption,
+        urgency=_urgency(context, job),
     )
     return OutgoingRequest(
         method=job.request.method,
@@ -100,6 +103,19 @@
     )
 
 
+def _urgency(context: RelayContext, job: Job) -> int | None:
+    """Return the urgency that an engine is told, if it is told any."""
+    is_told = job.route.kind is RequestKind.streaming and is_controlled(
+        context.controls.engine_urgency,
+        context.belief.configuration,
+        job.service.name,
+    )
+    if not is_told:
+        return None
+    age_ms = (loop_time() - job.request.arrived_at) * MS_PER_S
+    return engine_urgency(job.rank, age_ms, job.route.objective_ms)
+
+
 def result_of_error(error: ExchangeError) -> AttemptResult:
     """Return the result of an attempt without a complete answer.
 
--- a/packages/node/mastichatch_node/relay/settings.py
+++ b/packages/node/mastichatch_node/relay/settings.py
@@ -60,6 +60,8 @@
     :param engine_speeds: services whose engines are chosen by measured speed
     :param remote_share: services for which nodes decide by measurements how
         many requests leave their data centre
+    :param engine_urgency: services whose engines are told how urgent requests
+        are
     :param remote_mb_ms: waiting time of callers that one MB between data
         centres is worth, in milliseconds
     :param log_level: least severe level that is logged
@@ -87,6 +89,7 @@
     fair_shares: LoadControl = LoadControl.off
     engine_speeds: LoadControl = LoadControl.off
     remote_share: LoadControl = LoadControl.off
+    engine_urgency: LoadControl = LoadControl.off
     # A long generation of the specified load sends about 40 kB. At this rate
     # they are worth a twentieth of its objective of 1.8 s.
     remote_mb_ms: float = 2500
@@ -100,11 +103,18 @@
             fair_shares=self.fair_shares,
             engine_speeds=self.engine_speeds,
             remote_share=self.remote_share,
+            engine_urgency=self.engine_urgency,
         )
 
 
 _LOAD_CONTROLS: Final = frozenset(
-    ('admission_forecast', 'fair_shares', 'engine_speeds', 'remote_share')
+    (
+        'admission_forecast',
+        'fair_shares',
+        'engine_speeds',
+        'remote_share',
+        'engine_urgency',
+    )
 )
 _HELP: Final[Mapping[str, str]] = {
     'name': 'unique name of this host',
@@ -129,6 +139,7 @@
     'fair_shares': 'sharing of scarce room among callers: off, ranked or on',
     'engine_speeds': 'engines chosen by measured speed: off, ranked or on',
     'remote_share': 'measured use of other data centres: off, ranked or on',
+    'engine_urgency': 'urgency told to engines: off, ranked or on',
     'remote_mb_ms': 'waiting time that one MB between data centres is worth',
     'log_level': 'least severe level that is logged',
 }
