Share scarce room among workspaces

Cause: within a rank, waiting generations were served in the order of arrival, so that a workspace with 30 % of the requests, or callers that repeat at once, took the room of all others in a burst. Change: while a request waits that all nodes could have placed, requests of workspaces that hold more than twice their even share of memory and prompts come after those of others, by start tags (start-time fair queueing). Runs name their workspace, where the switch is on. Off by default.

--- a/packages/core/mastichatch_core/relay/admission/forecast.py
+++ b/packages/core/mastichatch_core/relay/admission/forecast.py
@@ -165,18 +165,18 @@
     :returns: forecasts by request id
     """
     queue = _Queue(supply, plan.without_room)
-    late = list(plan.late)
+    late = {run.request_id for run in plan.late}
     forecasts: dict[str, Forecast] = {}
     for number, run in enumerate(plan.unplaced):
         wait_s = queue.add_on_time(run, (now - arrived_at(run)) * MS_PER_S)
         if wait_s is None:
-            late.append(run)
+            late.add(run.request_id)
         elif run.request_id in wanted:
             forecasts[run.request_id] = Forecast(
                 wait_s=wait_s, return_s=wait_s, ahead=number, is_late=False
             )
-    late.sort(key=lambda one: (one.rank, arrived_at(one), one.request_id))
-    for late_number, late_run in enumerate(late, len(plan.unplaced)):
+    in_order = (one for one in plan.ordered if one.request_id in late)
+    for late_number, late_run in enumerate(in_order, len(plan.unplaced)):
         wait_s, return_s = queue.add_late(
             late_run, is_wanted=late_run.request_id in wanted
         )
--- a/packages/core/mastichatch_core/relay/admission/room.py
+++ b/packages/core/mastichatch_core/relay/admission/room.py
@@ -9,10 +9,15 @@
 import dataclasses
 import itertools
 import math
-from collections.abc import Iterable
-from typing import Final
+from collections.abc import Iterable, Mapping
+from typing import Final, TypeVar
 
 from mastichatch_core.generated.messages import Run, RunState
+from mastichatch_core.relay.admission.shares import (
+    Flow,
+    cost_tokens,
+    flow_of,
+)
 from mastichatch_core.relay.engine_choice import expected_memory_tokens
 from mastichatch_core.relay.engine_queue import (
     FIRST_EVENT_MS,
@@ -36,6 +41,9 @@
 RETURN_S: Final = 2.0
 
 
+_Key = TypeVar('_Key', int, Flow)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tokens:
     """An amount, or a rate by the second, of what engines provide.
@@ -72,12 +80,16 @@
     :param interval: interval in which it is expected to end; ``None`` while it
         waits
     :param memory_tokens: memory that it releases then
+    :param flow: those to whose share it belongs
+    :param held_tokens: what it holds of that share
     """
 
     service: str
     rank: int
     interval: int | None
     memory_tokens: float
+    flow: Flow
+    held_tokens: float
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -123,11 +135,13 @@
     """Sums over the runs of one service.
 
     :param releases: memory released, in tokens, by interval
+    :param held: tokens that runs hold, by those who share room
     :param demand: demand of new requests by rank
     :param refused: refused requests that may come back, oldest first
     """
 
     releases: dict[int, float] = dataclasses.field(default_factory=dict)
+    held: dict[Flow, float] = dataclasses.field(default_factory=dict)
     demand: dict[int, _RecentDemand] = dataclasses.field(default_factory=dict)
     refused: dict[str, _Refusal] = dataclasses.field(default_factory=dict)
 
@@ -155,18 +169,23 @@
             demand = room.demand.setdefault(run.rank, _RecentDemand())
             demand.add(run, now, 1)
         else:
-            self._withdraw_release(known)
+            self._withdraw(known)
         interval: int | None = None
         memory_tokens = expected_memory_tokens(run)
+        held_tokens = float()
+        flow = flow_of(run)
         if run.state is RunState.running:
             interval = int((now + expected_time_s(run)) / INTERVAL_S)
-            released = room.releases.get(interval, 0)
-            room.releases[interval] = released + memory_tokens
+            _add(room.releases, interval, memory_tokens)
+            held_tokens = cost_tokens(run)
+            _add(room.held, flow, held_tokens)
         self._runs[run.request_id] = _TrackedRun(
             service=run.service,
             rank=run.rank,
             interval=interval,
             memory_tokens=memory_tokens,
+            flow=flow,
+            held_tokens=held_tokens,
         )
 
     def forget(self, request_ids: Iterable[str]) -> None:
@@ -177,7 +196,7 @@
         for request_id in request_ids:
             known = self._runs.pop(request_id, None)
             if known is not None:
-                self._withdraw_release(known)
+                self._withdraw(known)
 
     def released(
         self, service: str, now: float, horizon_s: float
@@ -208,6 +227,13 @@
             )
         )
 
+    def held(self, service: str) -> Mapping[Flow, float]:
+        """Return the tokens that runs hold, by those who share room.
+
+        :param service: name of the service
+        """
+        return self._services.get(service, _ServiceRoom()).held
+
     def demand(self, service: str, now: float) -> dict[int, Demand]:
         """Return the demand of new requests, by rank.
 
@@ -258,16 +284,21 @@
             ),
         )
 
-    def _withdraw_release(self, known: _TrackedRun) -> None:
+    def _withdraw(self, known: _TrackedRun) -> None:
         if known.interval is None:
             return
-        releases = self._services[known.service].releases
-        left = releases.get(known.interval, 0) - known.memory_tokens
-        # Below one token, it is a rounding error.
-        if left < 1:
-            releases.pop(known.interval, None)
-        else:
-            releases[known.interval] = left
+        room = self._services[known.service]
+        _add(room.releases, known.interval, -known.memory_tokens)
+        _add(room.held, known.flow, -known.held_tokens)
+
+
+def _add(sums: dict[_Key, float], key: _Key, tokens: float) -> None:
+    """Add to a sum, and remove it once it is zero but for rounding."""
+    total = sums.get(key, 0) + tokens
+    if total < 1:
+        sums.pop(key, None)
+    else:
+        sums[key] = total
 
 
 def expected_time_s(run: Run) -> float:
--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -20,6 +20,7 @@
 from typing import Final
 
 from mastichatch_core.generated.messages import Run, RunState
+from mastichatch_core.relay.admission.shares import Flow, in_fair_order
 from mastichatch_core.relay.engine_choice import (
     NEW_MEMORY_SHARE,
     Candidate,
@@ -68,12 +69,15 @@
 
     :param excluded: instances that refused a request, by request id
     :param costs: what was measured of the engines
+    :param held: tokens that runs hold, by those who share scarce room; ``None``
+        if requests are served in the order of their arrival
     """
 
     excluded: Mapping[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
     costs: PlacementCosts = NOMINAL_COSTS
+    held: Mapping[Flow, float] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +85,7 @@
     """The assignment of engines to the waiting requests.
 
     :param found: the chosen engines, by request id
+    :param ordered: all waiting requests, in the order of the queue
     :param unplaced: requests that can still meet their objective and were not
         placed, in the order of the queue
     :param late: requests past their objective that were not placed, in the
@@ -91,6 +96,7 @@
     """
 
     found: Mapping[str, Candidate]
+    ordered: tuple[Run, ...]
     unplaced: tuple[Run, ...]
     late: tuple[Run, ...]
     without_room: frozenset[str]
@@ -128,7 +134,8 @@
 ) -> QueuePlan:
     """Choose the engine of each waiting request that can be placed now.
 
-    Requests are ordered by rank and then by arrival. A request that fits no
+    Requests are ordered by rank and then by arrival, or by the shares of
+    workspaces while room is scarce. A request that fits no
     engine is skipped, so that smaller requests behind it can be placed.
 
     Under overload, strict first-in-first-out order would make every request
@@ -149,12 +156,13 @@
     :returns: the chosen engines, and the requests that were not placed
     """
     all_runs = tuple(runs)
-    assignment = _Assignment(
-        all_runs, endpoints, engine, data_centre, options or QueueOptions()
-    )
+    options = options or QueueOptions()
+    assignment = _Assignment(all_runs, endpoints, engine, data_centre, options)
     late: list[Run] = []
     unplaced: list[Run] = []
-    ordered = _in_queue_order(all_runs, arrived_at)
+    ordered: Sequence[Run] = _in_queue_order(all_runs, arrived_at)
+    if options.held is not None:
+        ordered = in_fair_order(ordered, options.held, arrived_at, now)
     for run in _without_blocked(ordered, all_runs, arrived_at, now):
         age_ms = (now - arrived_at(run)) * MS_PER_S
         if not meets_objective(run, age_ms, 0):
@@ -166,6 +174,7 @@
     found = assignment.found
     return QueuePlan(
         found=found,
+        ordered=tuple(ordered),
         unplaced=tuple(unplaced),
         late=tuple(one for one in late if one.request_id not in found),
         without_room=frozenset(assignment.without_room),
--- a/packages/node/mastichatch_node/relay/admission_forecasting.py
+++ b/packages/node/mastichatch_node/relay/admission_forecasting.py
@@ -13,6 +13,7 @@
     return_delay_s,
 )
 from mastichatch_core.relay.admission.room import RoomTracker
+from mastichatch_core.relay.admission.shares import Flow
 from mastichatch_core.relay.engine_queue import QueuePlan, max_queue_wait_s
 from mastichatch_core.relay.load_control import LoadControl, is_controlled
 from mastichatch_core.relay.model import Endpoint
@@ -46,9 +47,25 @@
         self._context = context
         self._room = RoomTracker()
         self._expected: dict[str, _Expectation] = {}
-        if context.controls.admission_forecast is not LoadControl.off:
+        controls = context.controls
+        if {controls.admission_forecast, controls.fair_shares} != {
+            LoadControl.off
+        }:
             context.sharing.table.attach(self._room)
 
+    def held_by_flow(self, service: str) -> Mapping[Flow, float] | None:
+        """Return what runs hold of the room that is shared, if it is.
+
+        :param service: name of the service
+        :returns: tokens by those who share; ``None`` without shares
+        """
+        is_shared = is_controlled(
+            self._context.controls.fair_shares,
+            self._context.belief.configuration,
+            service,
+        )
+        return self._room.held(service) if is_shared else None
+
     def refuse_hopeless(
         self,
         jobs: Mapping[str, Job],
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -33,6 +33,7 @@
     QueuePlan,
     plan_queue,
 )
+from mastichatch_core.relay.load_control import LoadControl, LoadControls
 from mastichatch_core.relay.model import Endpoint, Engine
 from mastichatch_core.relay.placement.costs import (
     NOMINAL_COSTS,
@@ -149,7 +150,7 @@
         self._waiting[job.request_id] = _QueuedRequest(
             job=job, excluded=excluded, future=future
         )
-        run = new_run(job)
+        run = new_run(job, self._context.controls)
         self._context.sharing.table.update_own(run, loop_time())
         try:
             candidate = await self._wait_for_engine(job, run, future)
@@ -307,7 +308,11 @@
             self._context.sharing.table.arrived_at,
             self._context.data_centre,
             loop_time(),
-            QueueOptions(excluded=excluded, costs=self.costs(service)),
+            QueueOptions(
+                excluded=excluded,
+                costs=self.costs(service),
+                held=self._forecaster.held_by_flow(service),
+            ),
         )
         for placed_id, candidate in plan.found.items():
             placed = queued.pop(placed_id, None)
@@ -367,13 +372,15 @@
             queued, suspects=suspects
         )
         self._context.sharing.record(
-            dataclasses.replace(new_run(job), suspects=suspects)
+            dataclasses.replace(
+                new_run(job, self._context.controls), suspects=suspects
+            )
         )
 
     def _record_placement(
         self, job: Job, engine: Engine, candidate: Candidate
     ) -> EnginePlacement:
-        run = new_run(job)
+        run = new_run(job, self._context.controls)
         endpoint = self._context.belief.endpoints(loop_time())[
             candidate.instance
         ]
@@ -509,10 +516,11 @@
     )
 
 
-def new_run(job: Job) -> Run:
+def new_run(job: Job, controls: LoadControls) -> Run:
     """Return the run of a request, in the waiting state.
 
     :param job: the request
+    :param controls: for which services each decision under load is made
     """
     facts = job.facts
     return Run(
@@ -525,6 +533,11 @@
         objective_ms=job.route.objective_ms,
         age_ms=(loop_time() - job.request.arrived_at) * MS_PER_S,
         part=_shared_part(job),
+        workspace=(
+            ''
+            if controls.fair_shares is LoadControl.off
+            else job.workspace_name
+        ),
     )
 
 
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -210,7 +210,7 @@
         endpoint = self.endpoint
         copy = self._transfer.destination or self.copy
         return dataclasses.replace(
-            new_run(job),
+            new_run(job, self._context.controls),
             state=RunState.running,
             endpoint='' if endpoint is None else endpoint.instance,
             copy_at='' if copy is None else copy.instance,
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -23,6 +23,7 @@
 from mastichatch_core.relay.engine_queue import (
     FIRST_EVENT_MS,
     PREFILL_TOKENS_PER_MS,
+    QueueOptions,
     max_queue_wait_s,
     plan_queue,
 )
@@ -175,6 +176,7 @@
         load: Load,
         *,
         is_forecast: bool,
+        is_shared: bool = False,
         engines: int = 8,
         observe: Callable[['Replay', dict[str, Forecast]], None] | None = None,
     ) -> None:
@@ -188,6 +190,7 @@
         self.errors_s: list[float] = []
         self.refused_when_free = 0
         self._is_forecast = is_forecast
+        self._is_shared = is_shared
         self._observe = observe
         self._chance = random.Random(load.seed + 1)
         self._forecasts: dict[str, float] = {}
@@ -266,6 +269,7 @@
             prompt_tokens=caller.kind.prompt_tokens,
             expected_tokens=caller.kind.output_tokens,
             objective_ms=caller.kind.objective_s * 1000,
+            workspace=caller.workspace,
             age_ms=(self.now - caller.attempt_at) * 1000,
         )
 
@@ -278,6 +282,9 @@
             self.table.arrived_at,
             'north',
             self.now,
+            QueueOptions(
+                held=self.room.held(SERVICE) if self._is_shared else None
+            ),
         )
         for name, candidate in plan.found.items():
             self._place(name, candidate.instance)
