Count shares in whole tokens, so that all nodes have the same order

Cause: expected memory has fractions, and sums of floats depend on the order in which runs became known. Workspaces that hold the same were ordered differently on different nodes. Change: what a run takes is rounded to whole tokens. The test of agreeing nodes fails without that.

--- a/packages/core/mastichatch_core/relay/admission/shares.py
+++ b/packages/core/mastichatch_core/relay/admission/shares.py
@@ -42,14 +42,16 @@
     return (run.rank, run.workspace or run.part or run.request_id)
 
 
-def cost_tokens(run: Run) -> float:
+def cost_tokens(run: Run) -> int:
     """Return what a run takes of its engine now.
 
+    Whole tokens have the same sum in any order, so that nodes agree.
+
     :param run: a waiting or running run
     :returns: tokens of memory, and of prompts that are not prefilled yet
     """
     pending = 0 if run.output_tokens else run.prompt_tokens
-    return expected_memory_tokens(run) + pending
+    return round(expected_memory_tokens(run)) + pending
 
 
 def in_fair_order(
--- a/tests/test_relay_fair_shares.py
+++ b/tests/test_relay_fair_shares.py
@@ -58,7 +58,7 @@
             workspace,
             state=RunState.running,
             endpoint='e0',
-            output_tokens=10,
+            output_tokens=11 + 7 * number,
         )
         for number in range(count)
     ]
@@ -114,11 +114,14 @@
         assert order([urgent, *self.waiting], held)[0] == 'u'
 
     def test_nodes_agree_however_the_runs_reached_them(self) -> None:
-        held = [*running('a', 9), *running('b', 2), *running('c', 4)]
-        first = order(self.waiting, held)
-        for seed in range(5):
+        """Guards against sums of fractions, which depend on their order."""
+        # Most workspaces hold nothing, so that the others are above a share.
+        waiting = [new_run(f'{name}0', name) for name in 'lkjihgfedcba']
+        held = [run for name in 'abcd' for run in running(name, 9)]
+        first = order(waiting, held)
+        for seed in range(20):
             random.Random(seed).shuffle(held)
-            assert order(self.waiting, held) == first
+            assert order(waiting, held) == first
 
     def test_runs_of_a_lost_list_are_held_against_nobody(self) -> None:
         """The list of a failed node expires, and so do its shares."""
