Keep less urgent prompts out of the queues of engines

Cause: with an objective of 4 s, a long generation may be placed behind seven prompts of one engine, and an urgent one with 1.5 s behind two. In a burst of long ones all engines had more, so that urgent ones, which come first in the queue, found no engine while less urgent ones were placed. Change: where refusals by forecast are on, a request that is less urgent than the first rank of the service's routes is placed only where at most 3,000 prompt tokens are pending (LATE_QUEUED_TOKENS). It waits at its node otherwise.

--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -54,8 +54,9 @@
 # rest is reserved for requests that can still meet theirs.
 LATE_MEMORY_SHARE: Final = 0.7
 # Most work, in prompt tokens, that may be queued at an engine that gets a late
-# request. It is about one prompt of the specified load: with more, the next
-# request to arrive would be late too.
+# request, or another one that is not among the most urgent. It is about one
+# prompt of the specified load: with more, the next request to arrive would be
+# late too.
 LATE_QUEUED_TOKENS: Final = 3000.0
 
 # Time after which all nodes know of a waiting request, so that only the first
@@ -71,6 +72,8 @@
     :param costs: what was measured of the engines
     :param held: tokens that runs hold, by those who share scarce room; ``None``
         if requests are served in the order of their arrival
+    :param first_rank: most urgent rank, for which engines keep their queues
+        short; ``None`` if they do not
     """
 
     excluded: Mapping[str, frozenset[str]] = dataclasses.field(
@@ -78,6 +81,7 @@
     )
     costs: PlacementCosts = NOMINAL_COSTS
     held: Mapping[Flow, float] | None = None
+    first_rank: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -143,6 +147,9 @@
     placed in the remaining room, and only if every request that can still meet
     its objective has been placed.
 
+    If the most urgent rank is known, less urgent requests wait here rather than
+    in the queue of an engine, where urgent ones would wait behind them.
+
     Of the requests with a part that may crash engines, one runs at a time until
     its first event.
 
@@ -201,6 +208,7 @@
         self._data_centre = data_centre
         self._excluded = options.excluded
         self._costs = options.costs
+        self._first_rank = options.first_rank
 
     def place_on_time(self, run: Run, age_ms: float) -> bool:
         """Place a request if an engine can meet its objective.
@@ -213,7 +221,8 @@
         if best is None:
             self.without_room.add(run.request_id)
             return False
-        if not meets_objective(run, age_ms, best.cost):
+        is_met = meets_objective(run, age_ms, best.cost)
+        if not is_met or self._is_behind_prompts(run, best):
             return False
         self._place(run, best)
         return True
@@ -227,6 +236,17 @@
         if best is not None and best.cost <= LATE_QUEUED_TOKENS:
             self._place(run, best)
 
+    def _is_behind_prompts(self, run: Run, best: Candidate) -> bool:
+        """Return whether a less urgent request would lengthen a queue.
+
+        :param run: the waiting request
+        :param best: the engine with the least work before it
+        """
+        if self._first_rank is None or run.rank <= self._first_rank:
+            return False
+        load = self.loads.get(best.instance) or EngineLoad()
+        return load.pending_prefill_tokens > LATE_QUEUED_TOKENS
+
     def _cheapest(self, run: Run, memory_share: float) -> Candidate | None:
         request = placement_request(run, self._data_centre)
         excluded = self._excluded.get(run.request_id, ())
--- a/packages/core/mastichatch_core/relay/load_control.py
+++ b/packages/core/mastichatch_core/relay/load_control.py
@@ -62,6 +62,27 @@
     return ranks_short_first(routes)
 
 
+def most_urgent_rank(
+    configuration: Configuration | None, service: str
+) -> int | None:
+    """Return the most urgent rank of the streaming routes of a service.
+
+    :param configuration: configuration in force, if any
+    :param service: name of the service
+    :returns: the rank; ``None`` without such a route
+    """
+    routes = () if configuration is None else configuration.routes
+    return min(
+        (
+            route.priority
+            for route in routes
+            if route.kind is RequestKind.streaming
+            and _has_service(route, service)
+        ),
+        default=None,
+    )
+
+
 def ranks_short_first(routes: tuple[Route, ...]) -> bool:
     """Return whether the most urgent routes are shorter than the others.
 
--- a/packages/node/mastichatch_node/relay/admission_forecasting.py
+++ b/packages/node/mastichatch_node/relay/admission_forecasting.py
@@ -15,7 +15,11 @@
 from mastichatch_core.relay.admission.room import RoomTracker
 from mastichatch_core.relay.admission.shares import Flow
 from mastichatch_core.relay.engine_queue import QueuePlan, max_queue_wait_s
-from mastichatch_core.relay.load_control import LoadControl, is_controlled
+from mastichatch_core.relay.load_control import (
+    LoadControl,
+    is_controlled,
+    most_urgent_rank,
+)
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.relay.placement.costs import PlacementCosts
 from mastichatch_core.units import MS_PER_S
@@ -66,6 +70,16 @@
         )
         return self._room.held(service) if is_shared else None
 
+    def first_rank(self, service: str) -> int | None:
+        """Return the rank for which engines keep their queues short.
+
+        :param service: name of the service
+        :returns: the rank; ``None`` without forecasts
+        """
+        if not self._is_on(service):
+            return None
+        return most_urgent_rank(self._context.belief.configuration, service)
+
     def refuse_hopeless(
         self,
         jobs: Mapping[str, Job],
@@ -86,7 +100,8 @@
             for run in (*plan.unplaced, *plan.late)
             if run.request_id in jobs
         )
-        if not waiting or not self._is_on(usable):
+        # Without an engine in use, nothing can be forecast.
+        if not waiting or not usable or not self._is_on(usable[0].service):
             return {}
         now = loop_time()
         supply = measure_supply(
@@ -133,12 +148,11 @@
                 expected.placed_at - loop_time()
             )
 
-    def _is_on(self, usable: tuple[Endpoint, ...]) -> bool:
-        """Return whether a service with some engines in use is forecast."""
-        return bool(usable) and is_controlled(
+    def _is_on(self, service: str) -> bool:
+        return is_controlled(
             self._context.controls.admission_forecast,
             self._context.belief.configuration,
-            usable[0].service,
+            service,
         )
 
     def _expect(self, request_id: str, forecast: Forecast) -> None:
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -312,6 +312,7 @@
                 excluded=excluded,
                 costs=self.costs(service),
                 held=self._forecaster.held_by_flow(service),
+                first_rank=self._forecaster.first_rank(service),
             ),
         )
         for placed_id, candidate in plan.found.items():
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -177,6 +177,7 @@
         *,
         is_forecast: bool,
         is_shared: bool = False,
+        keeps_queues_short: bool = True,
         engines: int = 8,
         observe: Callable[['Replay', dict[str, Forecast]], None] | None = None,
     ) -> None:
@@ -191,6 +192,9 @@
         self.refused_when_free = 0
         self._is_forecast = is_forecast
         self._is_shared = is_shared
+        self._first_rank = (
+            SHORT.rank if is_forecast and keeps_queues_short else None
+        )
         self._observe = observe
         self._chance = random.Random(load.seed + 1)
         self._forecasts: dict[str, float] = {}
@@ -283,7 +287,8 @@
             'north',
             self.now,
             QueueOptions(
-                held=self.room.held(SERVICE) if self._is_shared else None
+                held=self.room.held(SERVICE) if self._is_shared else None,
+                first_rank=self._first_rank,
             ),
         )
         for name, candidate in plan.found.items():
--- a/tests/test_relay_forecast.py
+++ b/tests/test_relay_forecast.py
@@ -18,7 +18,7 @@
     return_delay_s,
 )
 from mastichatch_core.relay.admission.room import RoomTracker
-from mastichatch_core.relay.engine_queue import plan_queue
+from mastichatch_core.relay.engine_queue import QueueOptions, plan_queue
 from mastichatch_core.relay.load_control import LoadControl
 from mastichatch_core.relay.model import Endpoint, EndpointState
 from mastichatch_core.relay.runs import MAX_MISSED_INTERVALS, RunTable
@@ -128,6 +128,39 @@
         assert first_s < return_delay_s(hopeless, left_s + more_s, chance)
 
 
+class TestShortQueues:
+    """Guards against urgent requests that wait behind long prompts.
+
+    Less urgent requests have time enough to be placed behind several prompts
+    of one engine. Urgent ones then found no engine that met their objective.
+    """
+
+    def place(self, runs: list[Run], first_rank: int | None = 0) -> set[str]:
+        plan = plan_queue(
+            runs,
+            [ENDPOINT],
+            ENGINE,
+            lambda run: 0,
+            'north',
+            0,
+            QueueOptions(first_rank=first_rank),
+        )
+        return set(plan.found)
+
+    def test_less_urgent_ones_wait_for_the_prompt_before_them(self) -> None:
+        assert self.place(waiting(3, LONG)) == {'long00'}
+        assert len(self.place(waiting(3, LONG), first_rank=None)) == 3
+
+    def test_next_one_is_placed_once_the_prompt_is_prefilled(self) -> None:
+        pending, done = running(1, 0), running(1, 4)
+        assert not self.place([*pending, *waiting(1, LONG)])
+        assert self.place([*done, *waiting(1, LONG)]) == {'long00'}
+
+    def test_urgent_ones_do_not_wait(self) -> None:
+        found = self.place([*running(1, 0), *waiting(1, SHORT)])
+        assert found == {'short00'}
+
+
 class TestRoom:
     @given(
         st.lists(
@@ -184,6 +217,20 @@
 class TestReplay:
     """Bursts of 2.3 times the load, in which engines may go."""
 
+    def test_burst_of_long_requests_makes_no_short_one_late(self) -> None:
+        late = {False: 0, True: 0}
+        for keeps_queues_short in (False, True):
+            for seed in range(1, 5):
+                replay = Replay(
+                    Load(seed=seed),
+                    is_forecast=True,
+                    keeps_queues_short=keeps_queues_short,
+                ).play()
+                late[keeps_queues_short] += sum(
+                    not one.is_on_time for one in replay.of_kind(SHORT)
+                )
+        assert late[True] < late[False] / 2
+
     @pytest.mark.parametrize('seed', [1, 2, 3])
     def test_nothing_is_refused_without_a_burst(self, seed: int) -> None:
         load = Load(seed=seed, burst=0.8, burst_s=(0, 30))
--- a/tests/test_relay_load_control.py
+++ b/tests/test_relay_load_control.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from mastichatch_core.relay.load_control import LoadControl, is_controlled
+from mastichatch_core.relay.load_control import (
+    LoadControl,
+    is_controlled,
+    most_urgent_rank,
+)
 from mastichatch_core.relay.model import Configuration
 from mastichatch_node.relay.settings import (
     RelaySettingsError,
@@ -76,3 +80,13 @@
     assert settings.load_controls.fair_shares is LoadControl.off
     with pytest.raises(RelaySettingsError, match='off, ranked or on'):
         read_relay_settings(['--fair-shares', 'yes'], REQUIRED)
+
+
+@pytest.mark.parametrize(('short_rank', 'long_rank'), [(0, 2), (3, 1)])
+def test_most_urgent_rank_is_that_of_the_routes(
+    short_rank: int, long_rank: int
+) -> None:
+    configured = _configured(short_rank, long_rank)
+    assert most_urgent_rank(configured, 'llm') == min(short_rank, long_rank)
+    assert most_urgent_rank(configured, 'app') is None
+    assert most_urgent_rank(None, 'llm') is None
