Test that runs name their workspace only where room is shared

Cause: what is off must be as before, on the wire too. Change: a node with and without the switch. Result: tests/test_relay_fair_shares.py passes.

--- a/tests/test_relay_fair_shares.py
+++ b/tests/test_relay_fair_shares.py
@@ -1,5 +1,6 @@
 """Tests of shares of scarce room, on a replayed load in virtual time."""
 
+import asyncio
 import collections
 import random
 import statistics
@@ -13,8 +14,12 @@
     SCARCE_AFTER_MS,
     in_fair_order,
 )
+from mastichatch_core.relay.load_control import LoadControl
 from mastichatch_core.relay.runs import MAX_MISSED_INTERVALS, RunTable
 from tests.load_replay import LONG, SHORT, Load, Replay
+from tests.relay_nodes import open_relay, until
+from tests.standins import house_endpoints as endpoints
+from tests.standins.house_endpoints import HouseEndpoint
 
 SEEDS: Final = range(1, 5)
 EVEN: Final = {f'w{number}': 1.0 for number in range(24)}
@@ -163,3 +168,21 @@
             callers = replay.of_kind(kind)
             served = sum(one.is_served for one in callers)
             assert served >= 0.8 * len(callers)
+
+
+class TestNode:
+    @pytest.mark.parametrize(
+        ('setting', 'workspace'),
+        [(LoadControl.on, 'depots'), (LoadControl.off, '')],
+    )
+    async def test_runs_name_their_workspace_only_where_room_is_shared(
+        self, setting: LoadControl, workspace: str
+    ) -> None:
+        engine = HouseEndpoint('e-1', endpoints.stream(8, 0.05))
+        headers = ('Mastichatch-Model: m', 'Mastichatch-Token-Counts: 9,40')
+        async with open_relay((), (engine,), fair_shares=setting) as relay:
+            work = asyncio.ensure_future(relay.call('/plan/x', headers=headers))
+            await until(lambda: bool(engine.received))
+            (own,) = relay.node.broadcaster.table.own
+            assert own.workspace == workspace
+            assert (await work).is_whole
