--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -20,6 +20,7 @@
 from typing import Final
 
 from mastichatch_core.generated.messages import Run, RunState
+from mastichatch_core.relay.admission.shares import Flow, in_fair_order
 from mastichatch_core.relay.engine_choice import (
     NEW_MEMORY_SHARE,
     Candidate,
@@ -55,8 +56,9 @@
 # rest is reserved for requests that can still meet theirs.
 LATE_MEMORY_SHARE: Final = 0.7
 # Most work, in prompt tokens, that may be queued at an engine that gets a late
-# request. It is about one prompt of the specified load: with more, the next
-# request to arrive would be late too.
+# request, or another one that is not among the most urgent. It is about one
+# prompt of the specified load: with more, the next request to arrive would be
+# late too.
 LATE_QUEUED_TOKENS: Final = 3000.0
 
 # Time after which all nodes know of a waiting request, so that only the first
@@ -72,6 +74,10 @@
     :param costs: what was measured of the engines
     :param home_of: returns the data centre that received a request; ``None`` if
         all count as received in the data centre of this node
+    :param held: tokens that runs hold, by those who share scarce room; ``None``
+        if requests are served in the order of their arrival
+    :param first_rank: most urgent rank, for which engines keep their queues
+        short; ``None`` if they do not
     """
 
     excluded: Mapping[str, frozenset[str]] = dataclasses.field(
@@ -79,6 +85,8 @@
     )
     costs: PlacementCosts = NOMINAL_COSTS
     home_of: Callable[[Run], str] | None = None
+    held: Mapping[Flow, float] | None = None
+    first_rank: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,6 +94,7 @@
     """The assignment of engines to the waiting requests.
 
     :param found: the chosen engines, by request id
+    :param ordered: all waiting requests, in the order of the queue
     :param unplaced: requests that can still meet their objective and were not
         placed, in the order of the queue
     :param late: requests past their objective that were not placed, in the
@@ -96,6 +105,7 @@
     """
 
     found: Mapping[str, Candidate]
+    ordered: tuple[Run, ...]
     unplaced: tuple[Run, ...]
     late: tuple[Run, ...]
     without_room: frozenset[str]
@@ -133,7 +143,8 @@
 ) -> QueuePlan:
     """Choose the engine of each waiting request that can be placed now.
 
-    Requests are ordered by rank and then by arrival. A request that fits no
+    Requests are ordered by rank and then by arrival, or by the shares of
+    workspaces while room is scarce. A request that fits no
     engine is skipped, so that smaller requests behind it can be placed.
 
     Under overload, strict first-in-first-out order would make every request
@@ -141,6 +152,9 @@
     placed in the remaining room, and only if every request that can still meet
     its objective has been placed.
 
+    If the most urgent rank is known, less urgent requests wait here rather than
+    in the queue of an engine, where urgent ones would wait behind them.
+
     Of the requests with a part that may crash engines, one runs at a time until
     its first event.
 
@@ -154,12 +168,13 @@
     :returns: the chosen engines, and the requests that were not placed
     """
     all_runs = tuple(runs)
-    assignment = _Assignment(
-        all_runs, endpoints, engine, data_centre, options or QueueOptions()
-    )
+    options = options or QueueOptions()
+    assignment = _Assignment(all_runs, endpoints, engine, data_centre, options)
     late: list[Run] = []
     unplaced: list[Run] = []
-    ordered = _in_queue_order(all_runs, arrived_at)
+    ordered: Sequence[Run] = _in_queue_order(all_runs, arrived_at)
+    if options.held is not None:
+        ordered = in_fair_order(ordered, options.held, arrived_at, now)
     for run in _without_blocked(ordered, all_runs, arrived_at, now):
         age_ms = (now - arrived_at(run)) * MS_PER_S
         if not meets_objective(run, age_ms, 0):
@@ -171,6 +186,7 @@
     found = assignment.found
     return QueuePlan(
         found=found,
+        ordered=tuple(ordered),
         unplaced=tuple(unplaced),
         late=tuple(one for one in late if one.request_id not in found),
         without_room=frozenset(assignment.without_room),
@@ -198,6 +214,7 @@
         self._excluded = options.excluded
         self._costs = options.costs
         self._home_of = options.home_of
+        self._first_rank = options.first_rank
 
     def place_on_time(self, run: Run, age_ms: float) -> bool:
         """Place a request if an engine can meet its objective.
@@ -210,7 +227,7 @@
         if not candidates:
             self.without_room.add(run.request_id)
         best = _first_in_time(run, age_ms, candidates)
-        if best is None:
+        if best is None or self._is_behind_prompts(run, best):
             return False
         self._place(run, best)
         return True
@@ -233,6 +250,17 @@
         if best is not None:
             self._place(run, best)
 
+    def _is_behind_prompts(self, run: Run, best: Candidate) -> bool:
+        """Return whether a less urgent request would lengthen a queue.
+
+        :param run: the waiting request
+        :param best: the engine with the least work before it
+        """
+        if self._first_rank is None or run.rank <= self._first_rank:
+            return False
+        load = self.loads.get(best.instance) or EngineLoad()
+        return load.pending_prefill_tokens > LATE_QUEUED_TOKENS
+
     def _rank(self, run: Run, memory_share: float) -> tuple[Candidate, ...]:
         """Return the engines that a request may be placed on, best first."""
         home = self._home_of(run) if self._home_of else self._data_centre
--- a/packages/core/mastichatch_core/relay/load_control.py
+++ b/packages/core/mastichatch_core/relay/load_control.py
@@ -59,6 +59,20 @@
     return service in configuration.short_first_services
 
 
+def most_urgent_rank(
+    configuration: Configuration | None, service: str
+) -> int | None:
+    """Return the most urgent rank of the streaming routes of a service.
+
+    :param configuration: configuration in force, if any
+    :param service: name of the service
+    :returns: the rank; ``None`` without such a route
+    """
+    if configuration is None:
+        return None
+    return configuration.first_ranks.get(service)
+
+
 def is_any_controlled(
     setting: LoadControl, configuration: Configuration | None
 ) -> bool:
--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -172,23 +172,40 @@
         return MappingProxyType(hosts)
 
     @functools.cached_property
-    def short_first_services(self) -> frozenset[str]:
-        """Services whose short streaming routes are ranked before long ones.
+    def streaming_routes(self) -> Mapping[str, tuple[Route, ...]]:
+        """Streaming routes by the name of a service that they use.
 
-        A configuration may have thousands of routes, and this is asked for each
-        request.
+        A configuration may have thousands of routes, and decisions for each
+        request depend on them.
         """
-        streaming: dict[str, list[Route]] = {}
+        found: dict[str, list[Route]] = {}
         for route in self.routes:
             if route.kind is RequestKind.streaming:
                 for one in route.services:
-                    streaming.setdefault(one.service, []).append(route)
+                    found.setdefault(one.service, []).append(route)
+        return MappingProxyType(
+            {service: tuple(routes) for service, routes in found.items()}
+        )
+
+    @functools.cached_property
+    def short_first_services(self) -> frozenset[str]:
+        """Services whose short streaming routes are ranked before long ones."""
         return frozenset(
             service
-            for service, routes in streaming.items()
+            for service, routes in self.streaming_routes.items()
             if ranks_short_first(routes)
         )
 
+    @functools.cached_property
+    def first_ranks(self) -> Mapping[str, int]:
+        """Most urgent rank of the streaming routes, by service."""
+        return MappingProxyType(
+            {
+                service: min(route.priority for route in routes)
+                for service, routes in self.streaming_routes.items()
+            }
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Endpoint:
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -34,6 +34,7 @@
     QueuePlan,
     plan_queue,
 )
+from mastichatch_core.relay.load_control import LoadControl, LoadControls
 from mastichatch_core.relay.model import Endpoint, Engine
 from mastichatch_core.relay.placement.costs import (
     NOMINAL_COSTS,
@@ -152,7 +153,7 @@
         self._waiting[job.request_id] = _QueuedRequest(
             job=job, excluded=excluded, future=future
         )
-        run = new_run(job)
+        run = new_run(job, self._context.controls)
         self._context.sharing.table.update_own(run, loop_time())
         try:
             candidate = await self._wait_for_engine(job, run, future)
@@ -316,6 +317,8 @@
                 excluded=excluded,
                 costs=self.costs(service),
                 home_of=_home_lookup(self._context),
+                held=self._forecaster.held_by_flow(service),
+                first_rank=self._forecaster.first_rank(service),
             ),
         )
         for placed_id, candidate in plan.found.items():
@@ -376,13 +379,15 @@
             queued, suspects=suspects
         )
         self._context.sharing.record(
-            dataclasses.replace(new_run(job), suspects=suspects)
+            dataclasses.replace(
+                new_run(job, self._context.controls), suspects=suspects
+            )
         )
 
     def _record_placement(
         self, job: Job, engine: Engine, candidate: Candidate
     ) -> EnginePlacement:
-        run = new_run(job)
+        run = new_run(job, self._context.controls)
         endpoint = self._context.belief.endpoints(loop_time())[
             candidate.instance
         ]
@@ -540,10 +545,11 @@
     )
 
 
-def new_run(job: Job) -> Run:
+def new_run(job: Job, controls: LoadControls) -> Run:
     """Return the run of a request, in the waiting state.
 
     :param job: the request
+    :param controls: for which services each decision under load is made
     """
     facts = job.facts
     return Run(
@@ -556,6 +562,11 @@
         objective_ms=job.route.objective_ms,
         age_ms=(loop_time() - job.request.arrived_at) * MS_PER_S,
         part=_shared_part(job),
+        workspace=(
+            ''
+            if controls.fair_shares is LoadControl.off
+            else job.workspace_name
+        ),
     )
 
 
