Choose plain endpoints by what the calls of all nodes have shown

Cause: ninety nodes send less than one call a second each to three endpoints, so that each of them loses calls at an endpoint that fails some, and forgets it before the next one. A second attempt is as blind, and calls that may run only once have none.

--- a/packages/core/mastichatch_core/relay/plain_choice.py
+++ b/packages/core/mastichatch_core/relay/plain_choice.py
@@ -8,11 +8,12 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from mastichatch_core import breaker as breakers
 from mastichatch_core.breaker import Breaker
+from mastichatch_core.relay.endpoint_outcomes import EndpointVerdict
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.relay.server_pauses import calls_after_pause
 
@@ -28,6 +29,8 @@
 # Cost of a failed call to its caller, in durations of a call.
 FAILURE_COST_CALLS: Final = 8.0
 
+_UNKNOWN: Final = EndpointVerdict()
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class EndpointStats:
@@ -165,27 +168,35 @@
     table: EndpointStatsTable,
     data_centre: str,
     now: float,
+    verdicts: Mapping[str, EndpointVerdict] | None = None,
+    draw: float = 0,
 ) -> tuple[Endpoint, ...]:
     """Return the endpoints in the order in which to try them.
 
     Endpoints with an open circuit breaker come last, and so do those that have
     all the calls that they may have after a pause. They are not left out,
-    because some endpoint must be tried even if that holds for all.
+    because some endpoint must be tried even if that holds for all. Before them
+    come those that seem to fail at other nodes.
 
     :param endpoints: endpoints that accept new requests
     :param table: statistics of the endpoints
     :param data_centre: data centre that received the call
     :param now: time in seconds
+    :param verdicts: what the calls of all nodes tell of endpoints, by instance
+    :param draw: random number from zero to one; an endpoint that is suspected
+        less is tried as if it were not
     """
 
-    def cost(endpoint: Endpoint) -> tuple[bool, float, str]:
+    def cost(endpoint: Endpoint) -> tuple[bool, bool, float, str]:
+        verdict = (verdicts or {}).get(endpoint.instance, _UNKNOWN)
         stats = table.get(endpoint.instance)
         is_allowed = breakers.allows_request(stats.breaker, stats.running, now)
         since_s = now - stats.paused_until
         is_allowed &= stats.running < calls_after_pause(endpoint.slots, since_s)
         return (
             not is_allowed,
-            _expected_ms(endpoint, stats, data_centre, now),
+            verdict.suspicion > draw,
+            _expected_ms(endpoint, stats, verdict, data_centre, now),
             endpoint.instance,
         )
 
@@ -193,7 +204,11 @@
 
 
 def _expected_ms(
-    endpoint: Endpoint, stats: EndpointStats, data_centre: str, now: float
+    endpoint: Endpoint,
+    stats: EndpointStats,
+    verdict: EndpointVerdict,
+    data_centre: str,
+    now: float,
 ) -> float:
     """Return the expected duration of a call, with the cost of failures.
 
@@ -201,12 +216,12 @@
     is.
     """
     weight = _decay_weight(stats, now)
-    mean_ms = DEFAULT_CALL_MS + (stats.mean_ms - DEFAULT_CALL_MS) * max(
-        weight, 0.25
-    )
+    usual_ms = DEFAULT_CALL_MS * verdict.slowdown
+    mean_ms = usual_ms + (stats.mean_ms - usual_ms) * max(weight, 0.25)
     if endpoint.data_centre != data_centre:
         mean_ms += REMOTE_ROUND_TRIP_MS
     queue_factor = 1 + stats.running / max(1, endpoint.slots) * 2
+    weight *= 1 - verdict.confidence
     failure_factor = 1 + FAILURE_COST_CALLS * stats.failure_share * weight
     return mean_ms * queue_factor * failure_factor
 
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -213,10 +213,17 @@
         )
         return
     duration_ms = (now - started_at) * MS_PER_S
-    failed = (
-        result.fate is AttemptOutcome.refused
-        or result.status >= FIRST_SERVER_ERROR
-    )
     context.records.record_answer(
-        endpoint.instance, duration_ms, now, failed=failed
+        endpoint.instance, duration_ms, now, failed=is_failure(result)
+    )
+
+
+def is_failure(result: AttemptResult) -> bool:
+    """Return whether an endpoint failed in an attempt.
+
+    :param result: result of the attempt
+    """
+    return (
+        result.fate is not AttemptOutcome.answered
+        or result.status >= FIRST_SERVER_ERROR
     )
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -423,6 +423,7 @@
 def _forget_former_endpoints(context: RelayContext) -> None:
     known = context.belief.endpoints(loop_time())
     context.records.keep_only(known)
+    context.sharing.outcomes.keep_only(known)
     context.stopper.gate.keep_only(known)
     context.pool.signs.keep_only(
         {endpoint.address for endpoint in known.values()}
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -16,6 +16,7 @@
     RunState,
     SoundParts,
 )
+from mastichatch_core.relay.endpoint_outcomes import FleetOutcomes
 from mastichatch_core.relay.forwarder_choice import (
     NodeLink,
     Receivers,
@@ -79,6 +80,7 @@
         self._peers = peers
         self._directory = directory
         self._table = RunTable()
+        self._outcomes = FleetOutcomes()
         self._sequence = 0
         self._subscribers: list[Callable[[], None]] = []
         self._links: tuple[NodeLink, ...] = ()
@@ -90,6 +92,11 @@
         """Table of the known runs of all nodes."""
         return self._table
 
+    @property
+    def outcomes(self) -> FleetOutcomes:
+        """Outcomes of the calls of all nodes at plain endpoints."""
+        return self._outcomes
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Register a callback for changes that are announced or received.
 
@@ -106,7 +113,7 @@
         """
         self._table.update_own(run, loop_time())
         if announce:
-            self._send_changes((_announcement(run),))
+            self._send_to_all(self._create_message((_announcement(run),)))
             self._notify()
 
     def announce_departure(self, instance: str) -> None:
@@ -114,7 +121,7 @@
 
         :param instance: instance name of the endpoint
         """
-        self._send_changes((), leaving=(instance,))
+        self._send_to_all(self._create_message((), leaving=(instance,)))
 
     def announce_avoidance(self, instance: str, duration_s: float) -> None:
         """Tell other nodes that an endpoint should get no requests for a while.
@@ -144,6 +151,10 @@
             dataclasses.replace(message, crashes=crashes, sound=sound)
         )
 
+    def announce_outcomes(self) -> None:
+        """Tell other nodes of outcomes of calls that no change has told of."""
+        self._send_to_all(self._create_message(()))
+
     def attach_evidence(self, current_evidence: Callable[[], Evidence]) -> None:
         """Send evidence on crashes with each full list of runs.
 
@@ -161,6 +172,7 @@
         """
         incarnation = message.origin or envelope.incarnation
         self._table.apply_changes(message, incarnation, loop_time())
+        self._outcomes.apply(message.outcomes, loop_time())
         if message.forward_to is not ForwardScope.nobody:
             self._forward(message)
         self._notify()
@@ -173,7 +185,7 @@
         start = 0
         while True:
             slices = math.ceil(len(self._directory.addresses) / NODES_PER_SLICE)
-            await asyncio.sleep(self._interval_s() / max(1, slices))
+            await asyncio.sleep(_interval_s(self._directory) / max(1, slices))
             addresses = self._directory.addresses
             end = start + NODES_PER_SLICE
             self._send_full_list(addresses[start:end])
@@ -195,16 +207,15 @@
         )
         self._peers.send_all(receivers, MessageKind.run_changes, message)
 
-    def _send_changes(
-        self, runs: tuple[Run, ...], leaving: tuple[str, ...] = ()
-    ) -> None:
-        self._send_to_all(self._create_message(runs, leaving=leaving))
-
     def _send_to_all(self, message: RunChanges) -> None:
         own, others = self._directory.link(), self._other_links()
         self._send_to(
             choose_receivers(own, others),
-            dataclasses.replace(message, origin=self._peers.incarnation),
+            dataclasses.replace(
+                message,
+                origin=self._peers.incarnation,
+                outcomes=self._outcomes.take_untold(),
+            ),
         )
 
     def _forward(self, message: RunChanges) -> None:
@@ -249,22 +260,24 @@
         return RunChanges(
             node=self._directory.link().name,
             sequence=self._sequence,
-            interval_ms=self._interval_s() * MS_PER_S,
+            interval_ms=_interval_s(self._directory) * MS_PER_S,
             revision=self._revision(),
             is_whole=is_whole,
             runs=runs,
             leaving=leaving,
         )
 
-    def _interval_s(self) -> float:
-        nodes = len(self._directory.addresses)
-        return FULL_LIST_INTERVAL_S * max(1, nodes / NODES_PER_INTERVAL)
-
     def _notify(self) -> None:
         for subscriber in self._subscribers:
             subscriber()
 
 
+def _interval_s(directory: NodeDirectory) -> float:
+    """Return the time between full lists, in seconds."""
+    nodes = len(directory.addresses)
+    return FULL_LIST_INTERVAL_S * max(1, nodes / NODES_PER_INTERVAL)
+
+
 def _no_evidence() -> Evidence:
     return ((), ())
 
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Container, Iterator
+import random
+from collections.abc import AsyncIterator, Collection, Iterator
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -37,6 +38,10 @@
 )
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
+from mastichatch_node.relay.outcome_sharing import (
+    judge_endpoints,
+    record_outcome,
+)
 from mastichatch_node.relay.turns import piece_cost_bytes
 
 RESPONSE_LIMIT_BYTES: Final = 16 * 1024 * 1024
@@ -56,6 +61,8 @@
 FIRST_ATTEMPT_SHARE: Final = 0.5
 # Number of servers that a call must have crashed to count as the cause.
 MIN_REPEATED_CRASHES: Final = 2
+# Suspicion of an endpoint from which on it gets no call that may run only once.
+ONCE_SUSPICION: Final = 0.5
 # With less time left, another attempt cannot complete before the deadline.
 MIN_TIME_LEFT_MS: Final = 15.0
 
@@ -133,7 +140,7 @@
 
 
 def _choose_endpoint(
-    context: RelayContext, job: Job, tried: Container[str]
+    context: RelayContext, job: Job, tried: Collection[str]
 ) -> Endpoint | None:
     now = loop_time()
     usable, _ = split_paused(
@@ -142,10 +149,31 @@
         now,
     )
     untried = (one for one in usable if one.instance not in tried)
-    ranked = rank_endpoints(untried, context.records, context.data_centre, now)
+    ranked = rank_endpoints(
+        untried,
+        context.records,
+        context.data_centre,
+        now,
+        judge_endpoints(context, usable),
+        _draw_trial(job, is_first=not tried),
+    )
     return ranked[0] if ranked else None
 
 
+def _draw_trial(job: Job, *, is_first: bool) -> float:
+    """Return the suspicion up to which an endpoint is tried with a call.
+
+    Calls that may run again show whether it has recovered. Other calls go
+    there only if little is held against it.
+    """
+    if not is_first:
+        return 0
+    draw = random.random()  # noqa: S311
+    if job.route.kind is RequestKind.idempotent and job.route.attempts > 1:
+        return draw
+    return draw * ONCE_SUSPICION
+
+
 async def _attempt(
     context: RelayContext,
     job: Job,
@@ -183,6 +211,7 @@
     except ExchangeError as error:
         result = result_of_error(error)
     record_result(context, endpoint, result, started_at)
+    record_outcome(context, endpoint, result, started_at)
     context.telemetry.log_decision(
         'call_attempted',
         job.request_id,
--- a/tests/relay_nodes.py
+++ b/tests/relay_nodes.py
@@ -11,6 +11,7 @@
 from mastichatch_platform.program import create_adapter
 
 from mastichatch_core.relay.model import Endpoint
+from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.program import RelayNode, open_node
 from mastichatch_node.relay.resources import Resources, create_resources
 from mastichatch_node.relay.settings import RelaySettings
@@ -153,6 +154,35 @@
     return {one.registered_id: one for one in known}
 
 
+@contextlib.asynccontextmanager
+async def open_two_nodes(
+    *engines: HouseEndpoint,
+    apps: tuple[HouseEndpoint, ...] = (),
+    **options: Any,
+) -> AsyncIterator[tuple[RelayFixture, str, RelayNode]]:
+    """Run two nodes that have heard of each other."""
+    async with open_relay(apps, engines, **options) as relay:
+        settings = create_settings(
+            relay.settings.store_address, **{**options, 'name': 'north-2'}
+        )
+        async with open_node(settings, create_adapter(), Telemetry()) as node:
+            await until(lambda: node.is_ready)
+            # The first node knows the second one once it is registered.
+            await until(lambda: len(registered(relay.node)) == 2)
+            await until(lambda: len(registered(node)) == 2)
+            await until(lambda: bool(heard(relay.node) and heard(node)))
+            yield relay, settings.callers_address, node
+
+
+def heard(node: RelayNode) -> frozenset[str]:
+    """Return the names of the nodes whose messages arrive."""
+    return node.broadcaster.table.heard(loop_time())
+
+
+def registered(node: RelayNode) -> list[str]:
+    return list(node.belief.entries_under('mastichatch/nodes/'))
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds.
 
--- a/tests/test_relay_avoidance.py
+++ b/tests/test_relay_avoidance.py
@@ -1,10 +1,6 @@
 """Tests of engines that crashed and look empty until the store removes them."""
 
-import contextlib
-from collections.abc import AsyncIterator
-
 import pytest
-from mastichatch_platform.program import create_adapter
 
 from mastichatch_core.relay.avoidance import (
     REFUSED_CONNECTION_S,
@@ -13,18 +9,8 @@
     unreachable_engines,
 )
 from mastichatch_core.relay.model import Endpoint, EndpointState
-from mastichatch_node.clock import loop_time
-from mastichatch_node.relay.program import RelayNode, open_node
-from mastichatch_node.relay.telemetry import Telemetry
 from tests.processes import free_address
-from tests.relay_nodes import (
-    known_endpoints,
-    RelayFixture,
-    call,
-    create_settings,
-    open_relay,
-    until,
-)
+from tests.relay_nodes import call, known_endpoints, open_two_nodes, until
 from tests.standins import house_endpoints as endpoints
 from tests.standins.house_endpoints import HouseEndpoint
 
@@ -76,31 +62,6 @@
     return HouseEndpoint(instance=name, script=endpoints.stream(3))
 
 
-@contextlib.asynccontextmanager
-async def open_two_nodes(
-    *engines: HouseEndpoint,
-) -> AsyncIterator[tuple[RelayFixture, str, RelayNode]]:
-    """Run two nodes that have heard of each other."""
-    async with open_relay((), engines) as relay:
-        settings = create_settings(relay.settings.store_address, name='north-2')
-        async with open_node(settings, create_adapter(), Telemetry()) as node:
-            await until(lambda: node.is_ready)
-            # The first node knows the second one once it is registered.
-            await until(lambda: len(registered(relay.node)) == 2)
-            await until(lambda: len(registered(node)) == 2)
-            await until(lambda: bool(heard(relay.node) and heard(node)))
-            yield relay, settings.callers_address, node
-
-
-def heard(node: RelayNode) -> frozenset[str]:
-    """Return the names of the nodes whose messages arrive."""
-    return node.broadcaster.table.heard(loop_time())
-
-
-def registered(node: RelayNode) -> list[str]:
-    return list(node.belief.entries_under('mastichatch/nodes/'))
-
-
 class TestCrashedEngines:
     async def test_replaced_engine_is_tried_once_by_all_nodes(self) -> None:
         gone, sound = engine('i-e'), engine('i-f')
