Give up the silent runs of an engine when it gets its next one

Cause: runs of vanished hosts were given up in the review of speeds alone, which only services with the decision have, so that the others kept them. Change: they are given up when the engine gets its next prompt as well.

--- a/packages/core/mastichatch_core/relay/placement/speeds.py
+++ b/packages/core/mastichatch_core/relay/placement/speeds.py
@@ -229,6 +229,7 @@
             if reading is None:
                 reading = _EngineReading(service=run.service)
                 self._engines[run.endpoint] = reading
+            self._give_up_silent(reading, now)
             self._engine_of[run.request_id] = run.endpoint
             reading.begin(run, now)
             reading.is_measurable &= is_timely
@@ -274,7 +275,8 @@
         former = self._reviews.get(service)
         if former is not None and now - former.at < REVIEW_INTERVAL_S:
             return former
-        self._drop_silent(service, now)
+        for one in self._engines.values():
+            self._give_up_silent(one, now)
         ratios = {
             instance: ratio
             for instance, reading in self._engines.items()
@@ -298,19 +300,14 @@
         else:
             reading.give_up(prompt, now)
 
-    def _drop_silent(self, service: str, now: float) -> None:
+    def _give_up_silent(self, reading: _EngineReading, now: float) -> None:
         """Give up the runs of which nothing was heard for long."""
-        for reading in self._engines.values():
-            if reading.service != service:
-                continue
-            silent = [
-                request_id
-                for request_id, one in reading.prompts.items()
-                if now - one.begun_at >= MAX_READING_S
-            ]
-            for request_id in silent:
-                self._engine_of.pop(request_id)
-                reading.give_up(reading.prompts.pop(request_id), now)
+        for request_id, prompt in tuple(reading.prompts.items()):
+            if now - prompt.begun_at < MAX_READING_S:
+                return
+            reading.prompts.pop(request_id)
+            self._engine_of.pop(request_id)
+            reading.give_up(prompt, now)
 
 
 def classify_speed(speed: float) -> SpeedClass:
