Give an engine less while more runs end there without a first event

Cause: an engine that fails requests at once looks like the emptiest one and draws more, and each node learned of it by failures of its own. Change: nodes hear of the ends of all runs; an engine on which more of them have no first event than on all others together, beyond chance, counts as slow. It is trusted again from 1 to 3 s after the last one. Result: tests/test_relay_engine_speeds.py, with a test of both.

--- a/packages/core/mastichatch_core/relay/endpoint_outcomes.py
+++ b/packages/core/mastichatch_core/relay/endpoint_outcomes.py
@@ -99,6 +99,15 @@
         """Return how far failures are forgotten, from zero to one."""
         return min(1, max(0, now - self.failed_at - TRUST_DELAY_S) / TRUST_S)
 
+    def others(self, total: '_Counts') -> '_Counts | None':
+        """Return the outcomes at all other endpoints, if enough are known."""
+        calls = total.calls - self.calls
+        if calls < MIN_CALLS:
+            return None
+        return _Counts(
+            calls=calls, failures=max(0, total.failures - self.failures)
+        )
+
     @property
     def failure_share(self) -> float:
         """Share of calls that failed, between zero and one."""
@@ -219,6 +228,33 @@
             for instance, counts in known.items()
         }
 
+    def suspicions(
+        self, instances: Iterable[str], now: float
+    ) -> Mapping[str, float]:
+        """Return the suspected endpoints, compared with all others together.
+
+        That is for services with many endpoints, none of which has many calls.
+
+        :param instances: instance ids of the endpoints
+        :param now: time in seconds
+        :returns: share of the calls that should go to others, by instance
+        """
+        known = {
+            instance: self._decayed(instance, now)
+            for instance in instances
+            if instance in self._counts
+        }
+        total = _Counts()
+        for one in known.values():
+            total.add(one.calls, one.failures, 0)
+        found = {
+            instance: _suspicion(counts, counts.others(total))
+            * (1 - counts.trust(now))
+            for instance, counts in known.items()
+            if counts.trust(now) < 1
+        }
+        return {name: share for name, share in found.items() if share > 0}
+
     def _decayed(self, instance: str, now: float) -> _Counts:
         counts = self._counts.setdefault(instance, _Counts(updated_at=now))
         counts.decay(now)
--- a/packages/core/mastichatch_core/relay/placement/speeds.py
+++ b/packages/core/mastichatch_core/relay/placement/speeds.py
@@ -21,6 +21,7 @@
 from typing import Final
 
 from mastichatch_core.generated.messages import Run, RunState
+from mastichatch_core.relay.endpoint_outcomes import FleetOutcomes
 from mastichatch_core.relay.placement.costs import NOMINAL_SPEED
 from mastichatch_core.units import MS_PER_S
 
@@ -51,6 +52,7 @@
 # a little choose alike.
 SPEED_STEP: Final = 1.25
 REVIEW_INTERVAL_S: Final = 0.5
+ENDINGS_INTERVAL_S: Final = 0.1
 # If at least this share of the engines differs, the objectives are compared
 # with measured times. The engines in the middle may be slower than specified.
 UNEVEN_SHARE: Final = 0.2
@@ -209,6 +211,9 @@
         # Engine that is to read the prompt of each run, by request id.
         self._engine_of: dict[str, str] = {}
         self._reviews: dict[str, SpeedReview] = {}
+        self._endings = FleetOutcomes()
+        # Time and result of the latest look at the endings, by service.
+        self._suspicions: dict[str, tuple[float, Mapping[str, float]]] = {}
 
     def observe(self, run: Run, now: float, *, is_timely: bool = True) -> None:
         """Take note of the state of a run of any node.
@@ -239,19 +244,23 @@
 
         :param instances: instance ids of the engines that exist
         """
-        for instance in self._engines.keys() - set(instances):
+        kept = set(instances)
+        self._endings.keep_only(kept)
+        for instance in self._engines.keys() - kept:
             for request_id in self._engines.pop(instance).prompts:
                 self._engine_of.pop(request_id, None)
 
     def speeds(self, service: str, now: float) -> Mapping[str, float]:
         """Return the speeds of the engines that are not nominal, by instance.
 
-        An engine whose first event is overdue has a lower speed until it comes.
+        An engine whose first event is overdue has a lower speed until it comes,
+        and so has one with more runs that end before their first event.
 
         :param service: name of the service
         :param now: time in seconds
         """
         speeds = self.review(service, now).speeds
+        suspicions = self._suspicions_of(service, now)
         lowered: dict[str, float] = {}
         engines = 0
         for instance, reading in self._engines.items():
@@ -260,6 +269,8 @@
             engines += 1
             speed = speeds.get(instance, NOMINAL_SPEED)
             bounded = _overdue_speed(reading, speed, now)
+            trusted = speed * (1 - suspicions.get(instance, 0))
+            bounded = min(bounded, max(MIN_SPEED, trusted))
             if bounded < speed:
                 lowered[instance] = bounded
         if len(lowered) > MAX_OVERDUE_SHARE * engines or not lowered:
@@ -297,8 +308,24 @@
         if is_running and run.output_tokens and run.endpoint == instance:
             reading.is_measurable &= is_timely
             reading.finish(prompt, now)
+            self._endings.record(instance, 0, now, failed=False)
         else:
             reading.give_up(prompt, now)
+            if run.state is RunState.ended:
+                self._endings.record(instance, 0, now, failed=True)
+
+    def _suspicions_of(self, service: str, now: float) -> Mapping[str, float]:
+        """Return the engines on which more runs end without an event."""
+        looked_at, found = self._suspicions.get(service, (-math.inf, {}))
+        if now - looked_at >= ENDINGS_INTERVAL_S:
+            instances = [
+                instance
+                for instance, reading in self._engines.items()
+                if reading.service == service
+            ]
+            found = self._endings.suspicions(instances, now)
+            self._suspicions[service] = (now, found)
+        return found
 
     def _give_up_silent(self, reading: _EngineReading, now: float) -> None:
         """Give up the runs of which nothing was heard for long."""
--- a/tests/test_relay_engine_speeds.py
+++ b/tests/test_relay_engine_speeds.py
@@ -250,6 +250,38 @@
         assert not speeds.speeds(SERVICE, now)
 
 
+class TestFailures:
+    """An engine that fails requests at once looks like the emptiest one."""
+
+    def play(
+        self, shares: Mapping[str, float], duration_s: float
+    ) -> EngineSpeeds:
+        draws = random.Random(3)  # noqa: S311
+        speeds = EngineSpeeds()
+        for tick in range(round(duration_s / 0.5)):
+            for engine, share in shares.items():
+                now = tick * 0.5
+                if draws.random() >= share:
+                    read_prompt(speeds, engine, now, 1)
+                    continue
+                run = placed(f'{engine}{tick}', engine)
+                speeds.observe(run, now)
+                ended = dataclasses.replace(run, state=RunState.ended)
+                speeds.observe(ended, now + 0.02)
+        return speeds
+
+    def test_failing_engine_gets_less_and_more_again_in_three_seconds(
+        self,
+    ) -> None:
+        speeds = self.play({**dict.fromkeys('abcdef', 0.0), 'g': 1}, 2)
+        assert speeds.speeds(SERVICE, 2)['g'] < 0.3
+        assert not speeds.speeds(SERVICE, 5)
+
+    def test_callers_that_leave_all_engines_alike_lower_none(self) -> None:
+        speeds = self.play(dict.fromkeys('abcdefgh', 1.0), 3)
+        assert not speeds.speeds(SERVICE, 3)
+
+
 class TestUse:
     def candidates(
         self, runs: Sequence[Run], costs: PlacementCosts
