--- a/packages/core/mastichatch_core/relay/plain_choice.py
+++ b/packages/core/mastichatch_core/relay/plain_choice.py
@@ -14,6 +14,7 @@
 
 from mastichatch_core import breaker as breakers
 from mastichatch_core.breaker import Breaker
+from mastichatch_core.relay.endpoint_outcomes import EndpointVerdict
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.relay.server_pauses import calls_after_pause
 
@@ -30,6 +31,7 @@
 FAILURE_COST_CALLS: Final = 8.0
 
 _NO_TIMES: Final[Mapping[str, float]] = MappingProxyType({})
+_UNKNOWN: Final = EndpointVerdict()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -169,12 +171,15 @@
     data_centre: str,
     now: float,
     remote_ms: Mapping[str, float] = _NO_TIMES,
+    verdicts: Mapping[str, EndpointVerdict] | None = None,
+    draw: float = 0,
 ) -> tuple[Endpoint, ...]:
     """Return the endpoints in the order in which to try them.
 
     Endpoints with an open circuit breaker come last, and so do those that have
     all the calls that they may have after a pause. They are not left out,
-    because some endpoint must be tried even if that holds for all.
+    because some endpoint must be tried even if that holds for all. Before them
+    come those that seem to fail at other nodes.
 
     :param endpoints: endpoints that accept new requests
     :param table: statistics of the endpoints
@@ -182,6 +187,9 @@
     :param now: time in seconds
     :param remote_ms: time that a call to another data centre takes longer, in
         milliseconds, by its name
+    :param verdicts: what the calls of all nodes tell of endpoints, by instance
+    :param draw: random number from zero to one; an endpoint that is suspected
+        less is tried as if it were not
     """
 
     def way_ms(endpoint: Endpoint) -> float:
@@ -189,14 +197,16 @@
             return 0
         return remote_ms.get(endpoint.data_centre, REMOTE_ROUND_TRIP_MS)
 
-    def cost(endpoint: Endpoint) -> tuple[bool, float, str]:
+    def cost(endpoint: Endpoint) -> tuple[bool, bool, float, str]:
+        verdict = (verdicts or {}).get(endpoint.instance, _UNKNOWN)
         stats = table.get(endpoint.instance)
         is_allowed = breakers.allows_request(stats.breaker, stats.running, now)
         since_s = now - stats.paused_until
         is_allowed &= stats.running < calls_after_pause(endpoint.slots, since_s)
         return (
             not is_allowed,
-            _expected_ms(endpoint, stats, way_ms(endpoint), now),
+            verdict.suspicion > draw,
+            _expected_ms(endpoint, stats, verdict, way_ms(endpoint), now),
             endpoint.instance,
         )
 
@@ -204,7 +214,11 @@
 
 
 def _expected_ms(
-    endpoint: Endpoint, stats: EndpointStats, way_ms: float, now: float
+    endpoint: Endpoint,
+    stats: EndpointStats,
+    verdict: EndpointVerdict,
+    way_ms: float,
+    now: float,
 ) -> float:
     """Return the expected duration of a call, with the cost of failures.
 
@@ -212,11 +226,11 @@
     is.
     """
     weight = _decay_weight(stats, now)
-    mean_ms = DEFAULT_CALL_MS + (stats.mean_ms - DEFAULT_CALL_MS) * max(
-        weight, 0.25
-    )
+    usual_ms = DEFAULT_CALL_MS * verdict.slowdown
+    mean_ms = usual_ms + (stats.mean_ms - usual_ms) * max(weight, 0.25)
     mean_ms += way_ms
     queue_factor = 1 + stats.running / max(1, endpoint.slots) * 2
+    weight *= 1 - verdict.confidence
     failure_factor = 1 + FAILURE_COST_CALLS * stats.failure_share * weight
     return mean_ms * queue_factor * failure_factor
 
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -16,6 +16,7 @@
     RunState,
     SoundParts,
 )
+from mastichatch_core.relay.endpoint_outcomes import FleetOutcomes
 from mastichatch_core.relay.forwarder_choice import (
     NodeLink,
     Receivers,
@@ -79,6 +80,7 @@
         self._peers = peers
         self._directory = directory
         self._table = RunTable()
+        self._outcomes = FleetOutcomes()
         self._sequence = 0
         self._subscribers: list[Callable[[], None]] = []
         self._links: tuple[NodeLink, ...] = ()
@@ -93,8 +95,12 @@
     @property
     def interval_s(self) -> float:
         """Interval between full lists to the same node, in seconds."""
-        nodes = len(self._directory.addresses)
-        return FULL_LIST_INTERVAL_S * max(1, nodes / NODES_PER_INTERVAL)
+        return _interval_s(self._directory)
+
+    @property
+    def outcomes(self) -> FleetOutcomes:
+        """Outcomes of the calls of all nodes at plain endpoints."""
+        return self._outcomes
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Register a callback for changes that are announced or received.
@@ -113,15 +119,16 @@
         self._table.update_own(run, loop_time())
         if announce:
             keeps_size = self._table.is_observed and not run.endpoint
-            self._send_changes((_announcement(run, keeps_size=keeps_size),))
-            self._notify()
+            announced = _announcement(run, keeps_size=keeps_size)
+            self._send_to_all(self._create_message((announced,)))
+            _call_all(self._subscribers)
 
     def announce_departure(self, instance: str) -> None:
         """Tell other nodes that an endpoint has reported its departure.
 
         :param instance: instance name of the endpoint
         """
-        self._send_changes((), leaving=(instance,))
+        self._send_to_all(self._create_message((), leaving=(instance,)))
 
     def announce_avoidance(self, instance: str, duration_s: float) -> None:
         """Tell other nodes that an endpoint should get no requests for a while.
@@ -151,6 +158,10 @@
             dataclasses.replace(message, crashes=crashes, sound=sound)
         )
 
+    def announce_outcomes(self) -> None:
+        """Tell other nodes of outcomes of calls that no change has told of."""
+        self._send_to_all(self._create_message(()))
+
     def attach_evidence(self, current_evidence: Callable[[], Evidence]) -> None:
         """Send evidence on crashes with each full list of runs.
 
@@ -168,9 +179,10 @@
         """
         incarnation = message.origin or envelope.incarnation
         self._table.apply_changes(message, incarnation, loop_time())
+        self._outcomes.apply(message.outcomes, loop_time())
         if message.forward_to is not ForwardScope.nobody:
             self._forward(message)
-        self._notify()
+        _call_all(self._subscribers)
 
     async def broadcast_periodically(self) -> None:
         """Send the full list of runs to each node once in an interval.
@@ -202,16 +214,15 @@
         )
         self._peers.send_all(receivers, MessageKind.run_changes, message)
 
-    def _send_changes(
-        self, runs: tuple[Run, ...], leaving: tuple[str, ...] = ()
-    ) -> None:
-        self._send_to_all(self._create_message(runs, leaving=leaving))
-
     def _send_to_all(self, message: RunChanges) -> None:
         own, others = self._directory.link(), self._other_links()
         self._send_to(
             choose_receivers(own, others),
-            dataclasses.replace(message, origin=self._peers.incarnation),
+            dataclasses.replace(
+                message,
+                origin=self._peers.incarnation,
+                outcomes=self._outcomes.take_untold(),
+            ),
         )
 
     def _forward(self, message: RunChanges) -> None:
@@ -263,9 +274,16 @@
             leaving=leaving,
         )
 
-    def _notify(self) -> None:
-        for subscriber in self._subscribers:
-            subscriber()
+
+def _call_all(subscribers: Iterable[Callable[[], None]]) -> None:
+    for subscriber in subscribers:
+        subscriber()
+
+
+def _interval_s(directory: NodeDirectory) -> float:
+    """Return the time between full lists, in seconds."""
+    nodes = len(directory.addresses)
+    return FULL_LIST_INTERVAL_S * max(1, nodes / NODES_PER_INTERVAL)
 
 
 def _no_evidence() -> Evidence:
