Read roll-outs' orders, and write keys together under a condition

Cause: an operator's order to move a service to another version lies in the store under a key that the adapter did not decode, and its state must be written in one step with the product's own record, only if neither has changed meanwhile. Failures of endpoints tell malformed answers and time-outs apart, which the evidence on versions needs.

--- a/packages/core/mastichatch_core/relay/store.py
+++ b/packages/core/mastichatch_core/relay/store.py
@@ -1,6 +1,7 @@
 """Results and errors of calls to the platform's store."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind, ViewEntry
@@ -29,9 +30,34 @@
         super().__init__(ErrorKind.platform_unavailable, reason)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Transaction:
+    """Writes that are made together, if some keys are as expected.
+
+    :param expected: revisions of keys; zero for keys that do not exist
+    :param puts: new values, by key
+    """
+
+    expected: Mapping[str, int]
+    puts: Mapping[str, bytes]
+
+
 class HistoryGoneError(Exception):
     """The store no longer has the changes after a revision."""
 
 
 class LeaseLapsedError(Exception):
     """A lease does not exist in the store, or has expired."""
+
+
+class ConflictError(Exception):
+    """A key has another revision than a transaction expects.
+
+    :param entries: present state of the keys that the transaction expects, as
+        far as the store told it
+    """
+
+    def __init__(self, entries: tuple[ViewEntry, ...]) -> None:
+        """Store the present state of the keys."""
+        super().__init__('a key has another revision than expected')
+        self.entries = entries
--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -16,6 +16,7 @@
     EndpointState,
     MalformedError,
 )
+from mastichatch_core.relay.rollouts.order import RolloutOrder
 from mastichatch_core.relay.store import StoreView
 
 # Endpoints whose entries expired while the store was unavailable write them
@@ -36,6 +37,9 @@
     :param endpoint: decodes the entry of an endpoint, given its key and value
     :param evacuation_prefix: prefix of the keys that name evacuated data
         centres
+    :param rollout_prefix: prefix of the keys of orders to roll out a version;
+        the name of the service follows
+    :param rollout_order: decodes such an order
     :param on_malformed: called with the key and the fault of an entry that
         cannot be decoded
     """
@@ -45,6 +49,8 @@
     endpoint_prefix: str
     endpoint: Callable[[str, bytes], Endpoint]
     evacuation_prefix: str
+    rollout_prefix: str
+    rollout_order: Callable[[ViewEntry], RolloutOrder]
     on_malformed: Callable[[str, str], None]
 
 
@@ -137,6 +143,13 @@
         )
         return True
 
+    def entry(self, key: str) -> ViewEntry | None:
+        """Return the entry of a key; ``None`` if it does not exist.
+
+        :param key: the key
+        """
+        return self._entries.get(key)
+
     def entries_under(self, prefix: str) -> Mapping[str, bytes]:
         """Return the values of the keys under a prefix, by key.
 
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -51,6 +51,9 @@
         connection
     :param is_closed_by_peer: whether the endpoint closed or reset the
         connection before the end of its answer
+    :param is_malformed: whether the endpoint sent bytes that are no answer to
+        the request
+    :param is_timed_out: whether the answer did not arrive in time
     """
 
     fate: AttemptOutcome
@@ -59,6 +62,8 @@
     reason: str = ''
     is_connection_refused: bool = False
     is_closed_by_peer: bool = False
+    is_malformed: bool = False
+    is_timed_out: bool = False
 
     @property
     def status(self) -> int:
@@ -112,6 +117,7 @@
         reason=str(error),
         is_connection_refused=error.is_connection_refused,
         is_closed_by_peer=error.is_closed_by_peer,
+        is_malformed=error.is_malformed,
     )
 
 
@@ -165,11 +171,11 @@
     if response_id != job.request_id and not is_unnamed:
         connection.close()
         reason = 'the answer belongs to another request'
-        raise ExchangeError(reason, was_sent=True)
+        raise ExchangeError(reason, was_sent=True, is_malformed=True)
     if not context.dialect.is_genuine(head):
         connection.close()
         reason = 'a success without a signature, or with an encoding'
-        raise ExchangeError(reason, was_sent=True)
+        raise ExchangeError(reason, was_sent=True, is_malformed=True)
     return head
 
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -66,6 +66,8 @@
     :param is_connection_refused: whether the host refused the connection
     :param is_closed_by_peer: whether the peer closed or reset the connection,
         as opposed to silence or a malformed response
+    :param is_malformed: whether the peer sent bytes that are no answer to the
+        request
     """
 
     def __init__(
@@ -75,12 +77,14 @@
         was_sent: bool,
         is_connection_refused: bool = False,
         is_closed_by_peer: bool = False,
+        is_malformed: bool = False,
     ) -> None:
         """Store the reason, and what is known of the request."""
         super().__init__(reason)
         self.was_sent = was_sent
         self.is_connection_refused = is_connection_refused
         self.is_closed_by_peer = is_closed_by_peer
+        self.is_malformed = is_malformed
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -446,7 +450,7 @@
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
                 raise self._close_with_error(
-                    f'malformed answer: {error}'
+                    f'malformed answer: {error}', is_malformed=True
                 ) from error
             if event is not h11.NEED_DATA:
                 await self._turns.step()
@@ -472,12 +476,15 @@
         is_reset = isinstance(error, ConnectionError)
         self._is_closed_by_peer |= is_reset and not self._is_closed
 
-    def _close_with_error(self, reason: str) -> ExchangeError:
+    def _close_with_error(
+        self, reason: str, *, is_malformed: bool = False
+    ) -> ExchangeError:
         self.close()
         return ExchangeError(
             reason,
             was_sent=self._may_have_sent,
             is_closed_by_peer=self._is_closed_by_peer,
+            is_malformed=is_malformed,
         )
 
 
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -179,7 +179,9 @@
                     )
     except TimeoutError:
         outcome = AttemptOutcome.unknown if sent else AttemptOutcome.not_sent
-        result = AttemptResult(fate=outcome, reason='no answer in time')
+        result = AttemptResult(
+            fate=outcome, reason='no answer in time', is_timed_out=sent
+        )
     except ExchangeError as error:
         result = result_of_error(error)
     record_result(context, endpoint, result, started_at)
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -36,6 +36,7 @@
     LeaseLapsedError,
     StoreUnavailableError,
     StoreView,
+    Transaction,
 )
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node import codec
@@ -94,6 +95,9 @@
     async def remove(self, key: str) -> None:
         """Delete a key."""
 
+    async def commit(self, transaction: Transaction) -> None:
+        """Write keys together, if some keys have the expected revisions."""
+
     async def grant_lease(self, ttl_ms: int) -> int:
         """Return the id of a new lease."""
 
