--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -189,6 +189,8 @@
     :param version: version of its software; empty if unknown
     :param registered_id: id under which it registers, and which a later start
         may have again
+    :param weights: name and version of each model that an engine has loaded,
+        sorted; empty if unknown
     """
 
     instance: str
@@ -201,6 +203,7 @@
     started_ms: int = 0
     version: str = ''
     registered_id: str = ''
+    weights: tuple[tuple[str, int], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/packages/core/mastichatch_core/relay/rollouts/exposure.py
@@ -0,0 +1,90 @@
+"""Limits how many requests a host sends to a version on trial.
+
+Load pattern: every request of a service while a version of it is on trial, on
+any number of hosts that do not coordinate. Each host exposes a fixed share of
+its own requests, with a random phase, so that the sum over all hosts is that
+share of all requests and the starting tokens, whatever hosts are added,
+restarted or cut off.
+"""
+
+import math
+from typing import Final
+
+# Part of the share that is used; the rest is for requests that the store or
+# the endpoints count otherwise.
+SHARE_USED: Final = 0.8
+# Part of the slack that is given out as tokens at the start.
+SLACK_USED: Final = 0.5
+# Part of the slack that is kept for the random phases of the hosts, as a
+# multiple of the square root of their number: the sum of as many phases lies
+# five standard deviations, of at most one half each, below it.
+PHASE_MARGIN: Final = 2.5
+# Most tokens that a host saves up.
+MAX_TOKENS: Final = 8.0
+
+
+class ExposureAllowance:
+    """Tokens of one host for the target of one service's roll-out.
+
+    Keep it when an order is repeated with the same target.
+    """
+
+    def __init__(self, share: float, start: float) -> None:
+        """Start with some tokens.
+
+        :param share: share of the service's requests that the target may get
+        :param start: tokens to start with, see :func:`start_tokens`
+        """
+        self._gain = share * SHARE_USED
+        self._tokens = start
+
+    @property
+    def tokens(self) -> float:
+        """Tokens left; negative after exposures that could not be avoided."""
+        return self._tokens
+
+    def record_request(self) -> None:
+        """Add what a new request of the service earns."""
+        self._tokens = min(MAX_TOKENS, self._tokens + self._gain)
+
+    def try_expose(self) -> bool:
+        """Take the token for one request to the target.
+
+        :returns: whether there was one
+        """
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def record_exposure(self) -> None:
+        """Take a token for a request that goes to the target in any case."""
+        self._tokens -= 1
+
+    def return_exposure(self) -> None:
+        """Give back the token of a request that was proven not to be sent."""
+        self._tokens = min(MAX_TOKENS, self._tokens + 1)
+
+
+def start_tokens(
+    slack: float, hosts: int, draw: float, *, is_order_new: bool = True
+) -> float:
+    """Return the tokens with which a host starts.
+
+    A host that sends a share of its requests, rounded by a uniform random
+    phase, sends that share on average, however few requests it has.
+
+    :param slack: requests that the target may get beyond its share, from all
+        hosts together
+    :param hosts: number of hosts, the most that this host has heard of
+    :param draw: random number, uniform from 0 to 1
+    :param is_order_new: whether the host was running when the order came; one
+        that started later may have started with tokens before
+    """
+    count = max(1, hosts)
+    margin = PHASE_MARGIN * math.sqrt(count)
+    phase = draw * min(1, slack / margin)
+    if not is_order_new:
+        return phase
+    given = min(slack * SLACK_USED, max(0, slack - margin))
+    return phase + given / count
