Give default mappings of data classes by a factory

Cause: Python 3.11, the version that the packages ask for, takes no mapping proxy as a default of a data class, since it has no hash; importing the placement of engines failed with ValueError. Change: default_factory in PlacementCosts and QueueOptions. Result: mastichatch_platform.program can be imported again.

--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -71,7 +71,9 @@
     :param costs: what was measured of the engines
     """
 
-    excluded: Mapping[str, frozenset[str]] = MappingProxyType({})
+    excluded: Mapping[str, frozenset[str]] = dataclasses.field(
+        default_factory=lambda: MappingProxyType({})
+    )
     costs: PlacementCosts = NOMINAL_COSTS
 
 
--- a/packages/core/mastichatch_core/relay/placement/costs.py
+++ b/packages/core/mastichatch_core/relay/placement/costs.py
@@ -24,8 +24,12 @@
         prompt tokens, by its name
     """
 
-    speeds: Mapping[str, float] = MappingProxyType({})
-    remote_tokens: Mapping[str, float] = MappingProxyType({})
+    speeds: Mapping[str, float] = dataclasses.field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    remote_tokens: Mapping[str, float] = dataclasses.field(
+        default_factory=lambda: MappingProxyType({})
+    )
 
     def speed(self, instance: str) -> float:
         """Return the speed of an engine, relative to its specification.
