Count requests that wait for a version on trial, and number the changes of cells

Cause: the answers of a version that is several times slower may come after the decision on it. A histogram of waiting times shrinks as answers come, so that the latest cell cannot be told by its counts.

Change: RolloutCell.waiting and .sequence, RolloutCounts.replace_waiting and .take_changed; evidence adds up cells as they come instead of at each look.

--- a/packages/core/mastichatch_core/relay/rollouts/evidence.py
+++ b/packages/core/mastichatch_core/relay/rollouts/evidence.py
@@ -2,13 +2,15 @@
 
 Load pattern: every answer of a service while an order is open, on all hosts,
 and reports of the cells that changed from each host to two others several
-times a second. Counts only grow, so that a report that is lost, repeated or
-late does no harm, and a host that begins to decide needs no history.
+times a second. Counts are since the order and the latest ones hold, so that a
+report that is lost, repeated or late does no harm, and a host that begins to
+decide needs no history.
 """
 
 import dataclasses
 import itertools
 import math
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -59,7 +61,7 @@
     :param is_failed: whether the answer is a failure of the endpoint
     :param duration_ms: time until the answer or the first event, or mean time
         between events, in milliseconds; the limit of an attempt that timed
-        out; ``None`` if unknown
+        out; ``None`` if unknown, and for endpoints that are cold
     :param is_pace: whether the duration is the mean time between events; then
         no answer is counted
     """
@@ -75,20 +77,32 @@
 
 class _Cell:
     def __init__(self) -> None:
+        self.sequence = 0
         self.good = 0
         self.failed = 0
-        self.durations: dict[int, int] = {}
-        self.paces: dict[int, int] = {}
+        self.durations: Counter[int] = Counter()
+        self.paces: Counter[int] = Counter()
+        self.waiting: Counter[int] = Counter()
 
     def record(self, observation: Observation) -> None:
         if observation.duration_ms is not None and not observation.is_failed:
-            number = bin_of(observation.duration_ms)
             bins = self.paces if observation.is_pace else self.durations
-            bins[number] = bins.get(number, 0) + 1
+            bins[bin_of(observation.duration_ms)] += 1
         if not observation.is_pace:
             self.failed += observation.is_failed
             self.good += not observation.is_failed
 
+    def add(self, cell: RolloutCell, sign: int = 1) -> None:
+        self.good += sign * cell.good
+        self.failed += sign * cell.failed
+        for bins, pairs in (
+            (self.durations, cell.durations),
+            (self.paces, cell.paces),
+            (self.waiting, cell.waiting),
+        ):
+            for number, count in decode_bins(pairs).items():
+                bins[number] += sign * count
+
 
 class RolloutCounts:
     """Counts of one host for one order, since the host saw the order."""
@@ -110,33 +124,69 @@
         :param observation: the answer
         :param age_s: time since the host saw the order, in seconds
         """
-        is_target = observation.version == self._target
-        key = CellKey(
-            route=observation.route,
-            part=part_of(age_s, self._period_s),
-            is_remote=observation.is_remote,
-            is_target=is_target,
-            instance=observation.instance if is_target else '',
-        )
-        cell = self._cells.get(key)
-        if cell is None:
-            if len(self._cells) >= MAX_CELLS:
-                return
-            cell = self._cells.setdefault(key, _Cell())
-        cell.record(observation)
-        self._changed[key] = None
+        key = self._key(observation, age_s)
+        cell = self._cell(key)
+        if cell is not None:
+            cell.record(observation)
+            self._mark(key, cell)
+
+    def replace_waiting(
+        self, waiting: Iterable[Observation], age_s: float
+    ) -> None:
+        """Replace the requests to the target that have no answer yet.
+
+        A version may be so slow that its answers come after the decision.
+
+        :param waiting: each request, with the time for which it has waited
+        :param age_s: time since the host saw the order, in seconds
+        """
+        bins: dict[CellKey, Counter[int]] = {
+            key: Counter() for key, cell in self._cells.items() if cell.waiting
+        }
+        for observation in waiting:
+            if observation.duration_ms is not None:
+                key = self._key(observation, age_s)
+                number = bin_of(observation.duration_ms)
+                bins.setdefault(key, Counter())[number] += 1
+        for key, counts in bins.items():
+            cell = self._cell(key)
+            if cell is not None and cell.waiting != counts:
+                cell.waiting = counts
+                self._mark(key, cell)
 
     def cells(self) -> tuple[RolloutCell, ...]:
         """Return all counts."""
         return tuple(itertools.starmap(_encode, self._cells.items()))
 
     def take_changed(self) -> tuple[RolloutCell, ...]:
-        """Return the counts that changed since the last call."""
+        """Return counts that changed and were not returned since then.
+
+        What does not fit into one report is returned by the next call.
+        """
         keys = tuple(self._changed)[:MAX_REPORTED_CELLS]
         for key in keys:
             self._changed.pop(key)
         return tuple(_encode(one, self._cells[one]) for one in keys)
 
+    def _key(self, observation: Observation, age_s: float) -> CellKey:
+        is_target = observation.version == self._target
+        return CellKey(
+            route=observation.route,
+            part=part_of(age_s, self._period_s),
+            is_remote=observation.is_remote,
+            is_target=is_target,
+            instance=observation.instance if is_target else '',
+        )
+
+    def _cell(self, key: CellKey) -> _Cell | None:
+        if key not in self._cells and len(self._cells) < MAX_CELLS:
+            self._cells[key] = _Cell()
+        return self._cells.get(key)
+
+    def _mark(self, key: CellKey, cell: _Cell) -> None:
+        cell.sequence += 1
+        self._changed[key] = None
+
 
 class RolloutEvidence:
     """Counts of all hosts for one order, as a deciding host knows them."""
@@ -150,6 +200,7 @@
         self._service = service
         self._revision = order_revision
         self._cells: dict[tuple[str, str], dict[CellKey, RolloutCell]] = {}
+        self._totals: dict[CellKey, _Cell] = {}
         self._seen_at = math.inf
 
     def apply(
@@ -162,30 +213,22 @@
         :param now: time in seconds
         :returns: whether it was of this order
         """
-        if (report.service, report.order_revision) != (
-            self._service,
-            self._revision,
-        ):
+        order = (report.service, report.order_revision)
+        if order != (self._service, self._revision):
             return False
         age_s = max(0, report.age_ms) / MS_PER_S
         self._seen_at = min(self._seen_at, now - age_s)
         sender = (report.node, incarnation)
         if sender not in self._cells and len(self._cells) >= MAX_SENDERS:
             return True
-        cells = self._cells.setdefault(sender, {})
+        known = self._cells.setdefault(sender, {})
         for cell in report.cells:
-            key = _key(cell)
-            if weight(cell) > weight(cells.get(key)):
-                cells[key] = cell
+            self._replace(known, cell)
         return True
 
     def cells(self) -> tuple[RolloutCell, ...]:
         """Return the counts of all hosts, added up."""
-        return merge(
-            itertools.chain.from_iterable(
-                cells.values() for cells in self._cells.values()
-            )
-        )
+        return tuple(itertools.starmap(_encode, self._totals.items()))
 
     def age_s(self, now: float) -> float:
         """Return the time since the first host saw the order, in seconds.
@@ -194,6 +237,26 @@
         """
         return max(0, now - self._seen_at)
 
+    def _replace(
+        self, known: dict[CellKey, RolloutCell], cell: RolloutCell
+    ) -> None:
+        key = CellKey(
+            route=cell.route,
+            part=cell.part,
+            is_remote=cell.is_remote,
+            is_target=cell.is_target,
+            instance=cell.instance,
+        )
+        earlier = known.get(key)
+        if earlier is None and len(known) >= MAX_CELLS:
+            return
+        if earlier is None or earlier.sequence < cell.sequence:
+            known[key] = cell
+            total = self._totals.setdefault(key, _Cell())
+            total.add(cell)
+            if earlier is not None:
+                total.add(earlier, -1)
+
 
 def part_of(age_s: float, period_s: float) -> int:
     """Return the part of an order's period.
@@ -232,45 +295,6 @@
     return dict(zip(pairs[::2], pairs[1::2], strict=False))
 
 
-def merge(cells: Iterable[RolloutCell]) -> tuple[RolloutCell, ...]:
-    """Add up cells of the same kind.
-
-    :param cells: cells of any hosts
-    """
-    merged: dict[CellKey, _Cell] = {}
-    for cell in cells:
-        total = merged.setdefault(_key(cell), _Cell())
-        total.good += cell.good
-        total.failed += cell.failed
-        for bins, pairs in (
-            (total.durations, cell.durations),
-            (total.paces, cell.paces),
-        ):
-            for number, count in decode_bins(pairs).items():
-                bins[number] = bins.get(number, 0) + count
-    return tuple(itertools.starmap(_encode, merged.items()))
-
-
-def weight(cell: RolloutCell | None) -> int:
-    """Return how much a cell has counted, which only grows.
-
-    :param cell: a cell, if any
-    """
-    if cell is None:
-        return 0
-    return cell.good + cell.failed + sum(cell.paces[1::2])
-
-
-def _key(cell: RolloutCell) -> CellKey:
-    return CellKey(
-        route=cell.route,
-        part=cell.part,
-        is_remote=cell.is_remote,
-        is_target=cell.is_target,
-        instance=cell.instance,
-    )
-
-
 def _encode(key: CellKey, cell: _Cell) -> RolloutCell:
     return RolloutCell(
         route=key.route,
@@ -278,12 +302,15 @@
         is_remote=key.is_remote,
         is_target=key.is_target,
         instance=key.instance,
+        sequence=cell.sequence,
         good=cell.good,
         failed=cell.failed,
         durations=_encode_bins(cell.durations),
         paces=_encode_bins(cell.paces),
+        waiting=_encode_bins(cell.waiting),
     )
 
 
-def _encode_bins(bins: dict[int, int]) -> tuple[int, ...]:
-    return tuple(value for item in sorted(bins.items()) for value in item)
+def _encode_bins(bins: Counter[int]) -> tuple[int, ...]:
+    pairs = sorted(item for item in bins.items() if item[1] > 0)
+    return tuple(itertools.chain.from_iterable(pairs))
