Test conditional writes and the documents of roll-outs

Change: the stand-in names the keys; tests of commit, of orders that are odd, of the status's target in the order's own type, and of models without versions.

--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -236,15 +236,13 @@
         )
         return self.apply(complete, verified_at, now)
 
-    def _known_revision(self, key: str) -> int:
-        entry = self._entries.get(key)
-        deleted_at = self._deleted.get(key, 0)
-        return deleted_at if entry is None else entry.revision
-
     def _apply_entry(self, entry: ViewEntry, now: float) -> bool:
         # A deletion that a listing implies has the revision of the listing, so
         # an older message about the deleted key is ignored.
-        if entry.revision <= self._known_revision(entry.key):
+        known = self._entries.get(entry.key)
+        deleted_at = self._deleted.get(entry.key, 0)
+        revision = deleted_at if known is None else known.revision
+        if entry.revision <= revision:
             return False
         if entry.value is None:
             self._entries.pop(entry.key, None)
--- a/tests/standins/house_store.py
+++ b/tests/standins/house_store.py
@@ -160,10 +160,12 @@
 
     async def _commit_transaction(self, request: web.Request) -> web.Response:
         body = await request.json()
+        keys = [row['key'] for row in body['expected_rev']]
         for row in body['expected_rev']:
             existing = self.items.get(row['key'])
             if (existing.revision if existing else 0) != row['revision']:
-                return web.json_response({'entries': []}, status=412)
+                rows = [self._row(key) for key in keys if key in self.items]
+                return web.json_response({'entries': rows}, status=412)
         for put in body['puts']:
             if put['lease_id'] and put['lease_id'] not in self.leases:
                 return web.json_response({}, status=404)
--- a/tests/test_house_platform.py
+++ b/tests/test_house_platform.py
@@ -10,14 +10,20 @@
 from mastichatch_platform.documents import (
     decode_configuration,
     decode_endpoint,
+    decode_rollout_order,
+    encode_rollout_status,
 )
 from mastichatch_platform.store import StoreClient
 
+from mastichatch_core.generated.messages import ViewEntry
 from mastichatch_core.relay.model import MalformedError
+from mastichatch_core.relay.rollouts.order import Phase
 from mastichatch_core.relay.store import (
+    ConflictError,
     HistoryGoneError,
     LeaseLapsedError,
     StoreUnavailableError,
+    Transaction,
 )
 from mastichatch_node.relay.http_client import open_pool
 from tests.relay_nodes import new_resources
@@ -77,6 +83,26 @@
             with pytest.raises(LeaseLapsedError):
                 await client.put('n/1', b'me', lease)
 
+    async def test_keys_are_written_only_if_others_are_as_expected(
+        self,
+    ) -> None:
+        async with open_client() as (store, client):
+            revision = await store.put('op/x', b'order')
+            transaction = Transaction(
+                expected={'op/x': revision, 'a/1': 0},
+                puts={'a/1': b'record', 'b/1': b'status'},
+            )
+            await client.commit(transaction)
+            with pytest.raises(ConflictError) as raised:
+                await client.commit(transaction)
+            written = {key: one.content for key, one in store.items.items()}
+        assert written == {
+            'op/x': b'order',
+            'a/1': b'record',
+            'b/1': b'status',
+        }
+        assert 'a/1' in {one.key for one in raised.value.entries}
+
     @pytest.mark.parametrize('status', [429, 500, 503])
     async def test_error_status_is_an_outage(self, status: int) -> None:
         async with open_client() as (store, client):
@@ -146,6 +172,58 @@
         )
         assert decoded.instance == decoded.registered_id == 'i-1'
 
+    @pytest.mark.parametrize(
+        ('models', 'weights'),
+        [
+            ('[{"name":"b","version":2},{"name":"a","version":1}]', 2),
+            ('[{"name":"a"},{"version":1},7,{"name":"a","version":"x"}]', 0),
+            ('{"a":1}', 0),
+            ('null', 0),
+        ],
+    )
+    def test_versions_of_models_may_be_missing_or_odd(
+        self, models: str, weights: int
+    ) -> None:
+        entry = (
+            '{"service":"llm","address":"10.0.0.1:80","zone":"z",'
+            f'"state":"ready","models":{models}}}'
+        )
+        decoded = decode_endpoint('servers/i-1', entry.encode())
+        assert len(decoded.weights) == weights
+        assert list(decoded.weights) == sorted(decoded.weights)
+
+    @pytest.mark.parametrize('target', ['"v2"', '7'])
+    def test_status_of_a_rollout_has_the_target_of_its_order(
+        self, target: str
+    ) -> None:
+        content = f'{{"service":"app","target":{target},"period_s":12}}'
+        entry = ViewEntry(
+            key='op/rollout/app', revision=9, value=content.encode()
+        )
+        order = decode_rollout_order(entry)
+        assert (order.service, order.period_s, order.revision) == ('app', 12, 9)
+        assert order.target == target.strip('"')
+        key, status = encode_rollout_status(Phase.completing, entry)
+        assert key == 'status/rollout/app'
+        assert status.decode() == f'{{"target":{target},"state":"serving"}}'
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'',
+            b'[]',
+            b'{"service":"other","target":"v2","period_s":12}',
+            b'{"service":"app","target":"","period_s":12}',
+            b'{"service":"app","target":"v2","period_s":0}',
+            b'{"service":"app","target":null,"period_s":12}',
+        ],
+    )
+    def test_odd_order_is_malformed(self, content: bytes) -> None:
+        with pytest.raises(MalformedError):
+            decode_rollout_order(
+                ViewEntry(key='op/rollout/app', revision=9, value=content)
+            )
+
 
 class TestHeaders:
     def test_request_headers_are_decoded(self) -> None:
