Let nodes carry out roll-outs of versions

Cause: the versions of a service's endpoints did not matter to the relay, so that an operator's order to move the traffic to a version had no effect, and a bad version would have got its full share. Change: RolloutKeeper follows orders and records of the store and tells which endpoints are free, on trial or closed, for calls, placement, moves, copies and resumptions; each exposure takes from the host's allowance, none are made with an old view of the store or against the host's own counts. Crashes of a version on trial are not held against the prompt.

--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -4,6 +4,7 @@
 import hashlib
 from typing import Final
 
+from mastichatch_core.relay.events import max_stall_ms
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_core.relay.load_control import LoadControls
 from mastichatch_core.relay.model import (
@@ -22,6 +23,7 @@
 from mastichatch_node.relay.dialect import Dialect
 from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.http_server import IncomingRequest
+from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.run_stopping import RunStopper
 from mastichatch_node.relay.telemetry import Telemetry
@@ -80,6 +82,12 @@
         )
         return (hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest(),)
 
+    @property
+    def longest_stall_s(self) -> float:
+        """How long its stream may be silent, in seconds."""
+        route = self.route
+        return max_stall_ms(route.objective_ms, route.pause_ms) / MS_PER_S
+
     def left_ms(self) -> float:
         """Return the time until the deadline, in milliseconds."""
         return (self.ends_at - loop_time()) * MS_PER_S
@@ -135,6 +143,7 @@
     :param telemetry: decision log and metrics
     :param crashes: evidence on prompts that crash engines
     :param stopper: stops runs that are to continue on other engines
+    :param rollouts: roll-outs of versions, and which versions they open
     :param controls: for which services each decision under load is made
     """
 
@@ -149,4 +158,5 @@
     telemetry: Telemetry
     crashes: CrashTracker
     stopper: RunStopper
+    rollouts: RolloutKeeper
     controls: LoadControls = LoadControls()
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -197,6 +197,30 @@
     )
 
 
+def is_endpoint_failure(result: AttemptResult) -> bool:
+    """Return whether the result of an attempt is a fault of its endpoint.
+
+    Silence is none: the network may have lost the answer.
+
+    :param result: result of the attempt
+    """
+    if result.fate is AttemptOutcome.answered:
+        return result.status >= FIRST_SERVER_ERROR
+    return result.fate is AttemptOutcome.unknown and (
+        result.is_closed_by_peer or result.is_malformed
+    )
+
+
+def is_suspected(context: RelayContext, job: Job, endpoint: Endpoint) -> bool:
+    """Return whether a request may crash the endpoint that it is sent to.
+
+    :param context: shared components of the relay
+    :param job: the request
+    :param endpoint: the endpoint
+    """
+    return bool(context.crashes.judge(job.parts, endpoint).suspects)
+
+
 def record_result(
     context: RelayContext,
     endpoint: Endpoint,
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from mastichatch_core import breaker as breakers
@@ -56,6 +56,9 @@
 # Expected time until capacity is free: an engine that left is replaced, or a
 # generation ends (under load, 1.6 end per second, by the users' requirements).
 RETRY_AFTER_S: Final = 0.5
+# Most queued requests that are tried on a version on trial at a time: those
+# that fit none of its engines must not keep the others from it.
+MAX_EXPOSURE_TRIES: Final = 3
 # Jitter added to Retry-After, so that refused callers do not retry together.
 RETRY_AFTER_JITTER_S: Final = 1.0
 
@@ -152,6 +155,8 @@
             raise
         finally:
             self._waiting.pop(job.request_id, None)
+        if not excluded:
+            self._context.rollouts.record_request(job.service.name)
         return self._record_placement(job, engine, candidate)
 
     def reconcile(self) -> None:
@@ -161,7 +166,9 @@
             self._assign_engines(service)
 
     def usable_engines(self, service: str) -> tuple[Endpoint, ...]:
-        """Return the engines of a service that accept new requests.
+        """Return the engines of a service that accept requests or runs.
+
+        A roll-out may keep some of them from new requests.
 
         :param service: name of the service
         """
@@ -221,12 +228,15 @@
         for instance in instances:
             self._context.records.get(instance).avoid(loop_time() + duration_s)
 
-    def accepts_runs(self, endpoint: Endpoint) -> bool:
+    def accepts_runs(self, endpoint: Endpoint, source: Endpoint) -> bool:
         """Return whether a run may continue on an engine.
 
         :param endpoint: the engine; the state given in it may be out of date
+        :param source: engine that runs or ran it
         """
         now = loop_time()
+        if not self._context.rollouts.may_continue(source, endpoint):
+            return False
         if self._context.records.get(endpoint.instance).is_paused(now):
             return False
         usable = usable_endpoints(self._context.belief, endpoint.service, now)
@@ -276,7 +286,11 @@
             raise self._unavailable(job) from None
 
     def _unavailable(self, job: Job) -> EngineUnavailableError:
-        usable = self.usable_engines(job.service.name)
+        service = job.service.name
+        opened = self._context.rollouts.split(
+            service, self.usable_engines(service)
+        )
+        usable = opened.either
         reason = (
             'no engine has room in time' if usable else 'no engine is in use'
         )
@@ -284,7 +298,10 @@
         return EngineUnavailableError(reason, RETRY_AFTER_S + jitter_s)
 
     def _assign_engines(self, service: str) -> None:
-        usable = self.usable_engines(service)
+        opened = self._context.rollouts.split(
+            service, self.usable_engines(service)
+        )
+        usable = opened.either
         queued: dict[str, _QueuedRequest] = {}
         excluded: dict[str, frozenset[str]] = {}
         for request_id, one in tuple(self._waiting.items()):
@@ -294,19 +311,51 @@
                 queued[request_id] = one
         if not queued:
             return
-        assigned = assign_engines(
-            self.runs_of_service(service),
-            usable,
-            require_engine(next(iter(queued.values())).job),
-            self._context.sharing.table.arrived_at,
-            self._context.data_centre,
-            loop_time(),
-            QueueOptions(excluded=excluded, costs=self.costs(service)),
+        engine = require_engine(next(iter(queued.values())).job)
+        options = QueueOptions(excluded=excluded, costs=self.costs(service))
+        if opened.trial:
+            self._expose(
+                service, queued, _Engines(opened.trial, engine), options
+            )
+        # Those that were exposed are waiting no longer.
+        runs = tuple(
+            run
+            for run in self.runs_of_service(service)
+            if run.request_id not in queued
+            or not queued[run.request_id].future.done()
+        )
+        _assign(
+            self._context, queued, runs, _Engines(opened.free, engine), options
         )
-        for request_id, queued_request in queued.items():
-            candidate = assigned.get(request_id)
-            if candidate is not None and not queued_request.future.done():
-                queued_request.future.set_result(candidate)
+
+    def _expose(
+        self,
+        service: str,
+        queued: Mapping[str, _QueuedRequest],
+        trial: '_Engines',
+        options: QueueOptions,
+    ) -> None:
+        """Assign engines on trial to queued requests, as far as is allowed."""
+        ranked = sorted(queued.items(), key=lambda item: item[1].job.rank)
+        rollouts = self._context.rollouts
+        for own_id, queued_request in ranked[:MAX_EXPOSURE_TRIES]:
+            if not rollouts.try_expose(service):
+                return
+            # Other waiting requests do not use the allowance of this node.
+            runs = tuple(
+                run
+                for run in self.runs_of_service(service)
+                if run.state is RunState.running or run.request_id == own_id
+            )
+            _assign(
+                self._context,
+                {own_id: queued_request},
+                runs,
+                trial,
+                options,
+            )
+            if not queued_request.future.done():
+                rollouts.cancel_exposure(service)
 
     def _apply_verdicts(
         self, queued: _QueuedRequest, usable: tuple[Endpoint, ...]
@@ -384,7 +433,7 @@
             job,
             dataclasses.replace(run, endpoint=endpoint.instance),
             frozenset((endpoint.instance,)),
-            endpoint.data_centre,
+            endpoint,
             COPY_MEMORY_SHARE_LIMIT,
         )
 
@@ -393,7 +442,7 @@
         job: Job,
         run: Run,
         excluded: frozenset[str],
-        data_centre: str,
+        source: Endpoint,
         memory_share: float,
     ) -> Endpoint | None:
         """Return an engine with room for a copy of a run's KV cache, if any.
@@ -401,8 +450,8 @@
         :param job: the run's request
         :param run: current state of the run
         :param excluded: instances that must not be chosen
-        :param data_centre: data centre that holds the KV cache; a transfer to
-            another data centre has half the rate
+        :param source: engine that holds the KV cache; a transfer to another
+            data centre has half the rate
         :param memory_share: highest share of an engine's memory in use after
             the copy
         """
@@ -410,6 +459,7 @@
             one.instance: one
             for one in self.usable_engines(job.service.name)
             if one.instance not in excluded
+            and self._context.rollouts.may_continue(source, one)
         }
         criteria = dataclasses.replace(
             placement_request(run, self._context.data_centre), part=''
@@ -428,11 +478,46 @@
         if not candidates:
             return None
         chosen = choose_destination(
-            candidates, endpoints, runs, run, data_centre
+            candidates, endpoints, runs, run, source.data_centre
         )
         return endpoints[chosen]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Engines:
+    """Engines to which requests may be assigned.
+
+    :param endpoints: the engines
+    :param engine: capacity of one engine
+    """
+
+    endpoints: tuple[Endpoint, ...]
+    engine: Engine
+
+
+def _assign(
+    context: RelayContext,
+    queued: Mapping[str, _QueuedRequest],
+    runs: tuple[Run, ...],
+    engines: _Engines,
+    options: QueueOptions,
+) -> None:
+    """Assign engines to the queued requests that are next in order."""
+    assigned = assign_engines(
+        runs,
+        engines.endpoints,
+        engines.engine,
+        context.sharing.table.arrived_at,
+        context.data_centre,
+        loop_time(),
+        options,
+    )
+    for request_id, queued_request in queued.items():
+        candidate = assigned.get(request_id)
+        if candidate is not None and not queued_request.future.done():
+            queued_request.future.set_result(candidate)
+
+
 def require_engine(job: Job) -> Engine:
     """Return the engine capacity of a request's service.
 
@@ -454,7 +539,8 @@
     """
     now = loop_time()
     usable = usable_endpoints(context.belief, job.service.name, now)
-    active, left_s = split_paused(usable, context.records, now)
+    opened = context.rollouts.split(job.service.name, usable)
+    active, left_s = split_paused(opened.either, context.records, now)
     if active or left_s is None:
         return
     jitter_s = random.random() * RETRY_AFTER_JITTER_S  # noqa: S311
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -5,25 +5,24 @@
 import dataclasses
 import signal
 import uuid
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from typing import Final
 
 from absl import logging
 
-from mastichatch_core.relay.store_cache import StoreCache, Decoders
+from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_core.relay.model import ClientLimits
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, open_peers
 from mastichatch_node.relay import crash_store, resources
 from mastichatch_node.relay.crash_tracking import CrashTracker
-from mastichatch_node.relay.dialect import Dialect
+from mastichatch_node.relay.adapter import Adapter
 from mastichatch_node.relay.http_client import ConnectionPool, open_pool
 from mastichatch_node.relay.store_following import (
     NODE_PREFIX,
     StoreFollower,
     NodeRegistry,
-    Store,
     run_in_background,
     keep_registered,
     boottime_clock,
@@ -47,6 +46,7 @@
 from mastichatch_node.relay.rate_limiting import rate_limited
 from mastichatch_node.relay.engine_placement import EnginePlacer
 from mastichatch_node.relay.relay import Relay
+from mastichatch_node.relay.rollouts import assembly, keeper as rollouts
 from mastichatch_node.relay.server_pausing import PauseKeeper
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.standby_copying import StandbyCopier
@@ -77,22 +77,6 @@
 KEY_AGE_SHARE: Final = 0.9
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Adapter:
-    """Implementation of the platform's protocols.
-
-    :param decoders: decoders of store entries
-    :param open_store: creates the store client, given the store's address and
-        a connection pool
-    :param open_dialect: creates the functions for headers and engine calls,
-        given the connections to endpoints
-    """
-
-    decoders: Decoders
-    open_store: Callable[[str, ConnectionPool], Store]
-    open_dialect: Callable[[ConnectionPool], Dialect]
-
-
 class RelayNode:
     """A running relay node."""
 
@@ -137,6 +121,11 @@
         """Exchange of runs with the other nodes."""
         return self._context.sharing
 
+    @property
+    def rollouts(self) -> rollouts.RolloutKeeper:
+        """Roll-outs of versions, as this node knows them."""
+        return self._context.rollouts
+
     @property
     def caller_server(self) -> HttpServer:
         """HTTP server for callers."""
@@ -249,6 +238,7 @@
     crashes: CrashTracker
     shared: resources.Resources
     orders: QuarantineOrders
+    rollouts: rollouts.RolloutKeeper
 
 
 @contextlib.asynccontextmanager
@@ -309,6 +299,7 @@
         crashes=crashes,
         shared=shared,
         orders=QuarantineOrders(crashes),
+        rollouts=assembly.create_keeper(settings, cache, telemetry, registry),
     )
 
 
@@ -330,6 +321,7 @@
         telemetry=components.telemetry,
         crashes=components.crashes,
         stopper=RunStopper(dialect, components.telemetry, pool),
+        rollouts=components.rollouts,
         controls=components.settings.load_controls,
     )
 
@@ -358,6 +350,7 @@
 
     def update_components(changed: tuple[str, ...]) -> None:
         registry.update(cache)
+        components.rollouts.read_changes(changed, components.adapter.decoders)
         # A node reads the store through a neighbour once it has heard it.
         components.broadcaster.greet(registry.take_newcomers())
         nodes = 1 + len(registry.addresses)
@@ -415,6 +408,7 @@
             StandbyCopier(context, placer, relay).review_periodically,
             lambda: crash_store.write_evidence(components.crashes, store),
             components.telemetry.watch_event_loop,
+            *assembly.create_workers(components, store, follower),
         ):
             yield
 
--- /dev/null
+++ b/packages/node/mastichatch_node/relay/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""How a node takes part in moving services to new versions."""
--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -80,9 +80,11 @@
         known: Mapping[str, Endpoint],
     ) -> None:
         copy = generation.copy
-        if copy is not None and not self._placer.accepts_runs(copy):
+        if copy is not None and not self._placer.accepts_runs(copy, endpoint):
             generation.drop_copy()
         if _is_ready(known, endpoint):
+            if self._context.rollouts.must_leave(endpoint):
+                self._leave_version(generation, endpoint)
             return
         events = generation.last_event or 0
         gate = self._context.stopper.gate
@@ -96,6 +98,15 @@
         ):
             self._start_move(generation, endpoint)
 
+    def _leave_version(
+        self, generation: Generation, endpoint: Endpoint
+    ) -> None:
+        """Move a run off a version that is replaced, if another may go on."""
+        engines = self._placer.usable_engines(endpoint.service)
+        rollouts = self._context.rollouts
+        if any(rollouts.may_continue(endpoint, one) for one in engines):
+            self._start_move(generation, endpoint)
+
     def notify_waiting(self) -> None:
         """Wake the runs that wait for their turn, so that they check again."""
         self._updated.set()
@@ -177,7 +188,9 @@
         """Copy a run's KV cache while the run continues."""
         excluded = {source.instance}
         standby = generation.transfer.standby
-        if standby is not None and self._placer.accepts_runs(standby.endpoint):
+        if standby is not None and self._placer.accepts_runs(
+            standby.endpoint, source
+        ):
             # Only what was generated since the last transfer is copied.
             generation.announce_destination(standby.endpoint, is_departing=True)
             answer = await self._request_copy(
@@ -193,7 +206,7 @@
                 generation.job,
                 run,
                 frozenset(excluded),
-                source.data_centre,
+                source,
                 MOVED_MEMORY_SHARE,
             )
             if destination is None:
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Container, Iterator
+from collections.abc import AsyncIterator, Collection, Iterator
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -12,6 +12,7 @@
 from mastichatch_core.relay.store_cache import usable_endpoints
 from mastichatch_core.relay.model import Endpoint, RequestKind
 from mastichatch_core.relay.plain_choice import rank_endpoints, split_paused
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.endpoint_attempt import (
     FIRST_SERVER_ERROR,
@@ -19,6 +20,8 @@
     AttemptOutcome,
     AttemptResult,
     result_of_error,
+    is_endpoint_failure,
+    is_suspected,
     record_result,
     build_outgoing,
     read_answer_head,
@@ -73,7 +76,7 @@
     context.retries.record_first_attempt()
     results: list[AttemptResult] = []
     tried: dict[str, Endpoint] = {}
-    is_suspected = _check_quarantine(context, job)
+    may_crash = _check_quarantine(context, job)
     while True:
         endpoint = _choose_endpoint(context, job, tried)
         if endpoint is None:
@@ -84,7 +87,7 @@
         result = await _attempt(context, job, reply, endpoint, len(results))
         results.append(result)
         is_begun = reply.status > 0
-        if is_begun or is_suspected or _is_final(context, job, results):
+        if is_begun or may_crash or _is_final(context, job, results):
             break
     await _record_evidence(context, job, tuple(tried.values()), results)
     await _send_response(context, job, reply, results)
@@ -99,7 +102,8 @@
     if crashes.evidence.is_empty:
         return False
     usable = usable_endpoints(context.belief, job.service.name, loop_time())
-    verdict = crashes.judge_fleet(job.parts, usable)
+    opened = context.rollouts.split(job.service.name, usable)
+    verdict = crashes.judge_fleet(job.parts, opened.either)
     if verdict.refusal is not None:
         raise quarantine_error(verdict.refusal)
     return bool(verdict.suspects)
@@ -124,7 +128,10 @@
     closed = [
         endpoint
         for endpoint, result in zip(tried, results, strict=True)
-        if result.fate is AttemptOutcome.unknown and result.is_closed_by_peer
+        if result.fate is AttemptOutcome.unknown
+        and result.is_closed_by_peer
+        # A version on trial may crash by itself.
+        and not context.rollouts.is_on_trial(endpoint)
     ]
     is_repeated = len(closed) >= MIN_REPEATED_CRASHES
     is_trial = bool(closed and crashes.judge(job.parts, closed[-1]).suspects)
@@ -133,17 +140,29 @@
 
 
 def _choose_endpoint(
-    context: RelayContext, job: Job, tried: Container[str]
+    context: RelayContext, job: Job, tried: Collection[str]
 ) -> Endpoint | None:
     now = loop_time()
+    service = job.service.name
     usable, _ = split_paused(
-        usable_endpoints(context.belief, job.service.name, now),
-        context.records,
-        now,
+        usable_endpoints(context.belief, service, now), context.records, now
     )
-    untried = (one for one in usable if one.instance not in tried)
-    ranked = rank_endpoints(untried, context.records, context.data_centre, now)
-    return ranked[0] if ranked else None
+    opened = context.rollouts.split(
+        service, tuple(one for one in usable if one.instance not in tried)
+    )
+    candidates = opened.free
+    # A call that is tried again goes to a proven version, if there is one.
+    if opened.trial and not (tried and opened.free):
+        if context.rollouts.try_expose(service):
+            candidates = opened.trial
+    ranked = rank_endpoints(
+        candidates, context.records, context.data_centre, now
+    )
+    if not ranked:
+        return None
+    if not tried:
+        context.rollouts.record_request(service)
+    return ranked[0]
 
 
 async def _attempt(
@@ -161,7 +180,10 @@
         left_s *= FIRST_ATTEMPT_SHARE
     sent = False
     try:
-        with _counted_as_running(context, endpoint):
+        with (
+            _counted_as_running(context, endpoint),
+            context.rollouts.observer.waiting(job.route.name, endpoint),
+        ):
             async with asyncio.timeout(left_s) as limit:
                 with unforeseen_as_failures(job, endpoint, was_sent=False):
                     outgoing = build_outgoing(context, job, endpoint)
@@ -185,6 +207,7 @@
     except ExchangeError as error:
         result = result_of_error(error)
     record_result(context, endpoint, result, started_at)
+    _record_for_rollout(context, job, endpoint, result, started_at)
     context.telemetry.log_decision(
         'call_attempted',
         job.request_id,
@@ -199,6 +222,37 @@
     return result
 
 
+def _record_for_rollout(
+    context: RelayContext,
+    job: Job,
+    endpoint: Endpoint,
+    result: AttemptResult,
+    started_at: float,
+) -> None:
+    """Record what the result of an attempt tells about its version.
+
+    That an endpoint refused, or could not be reached, tells nothing.
+    """
+    if context.rollouts.find(endpoint.service) is None:
+        return
+    if result.fate is AttemptOutcome.not_sent:
+        context.rollouts.return_exposure(endpoint)
+        return
+    is_failed = is_endpoint_failure(result)
+    is_counted = (
+        is_failed
+        or result.is_timed_out
+        or result.fate is AttemptOutcome.answered
+    )
+    if is_counted and not is_suspected(context, job, endpoint):
+        context.rollouts.observer.record(
+            job.route.name,
+            endpoint,
+            is_failed=is_failed,
+            duration_ms=(loop_time() - started_at) * MS_PER_S,
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Attempt:
     """An attempt whose answer is passed on if it is long.
--- a/packages/node/mastichatch_node/relay/standby_copying.py
+++ b/packages/node/mastichatch_node/relay/standby_copying.py
@@ -5,7 +5,7 @@
 import random
 from typing import Final
 
-from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.model import Endpoint, Engine
 from mastichatch_core.relay.standby_copies import choose_standby, is_crowded
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
@@ -86,7 +86,8 @@
     def _must_drop(self, standby: _Standby) -> bool:
         destination = standby.location.endpoint
         job = standby.generation.job
-        return not self._placer.accepts_runs(destination) or is_crowded(
+        accepts = self._placer.accepts_runs(destination, standby.source)
+        return not accepts or is_crowded(
             destination.instance,
             self._placer.runs_of_service(job.service.name),
             require_engine(job),
@@ -120,10 +121,32 @@
         for service, engine in services.items():
             if not engine.can_move or not engine.copy_lifetime_s:
                 continue
-            endpoints = self._placer.usable_engines(service)
+            await self._add_to(service, engine, generations)
+
+    async def _add_to(
+        self, service: str, engine: Engine, generations: dict[str, Generation]
+    ) -> None:
+        """Add a copy of a run of a service, on an engine where it may go on."""
+        rollouts = self._context.rollouts
+        usable = self._placer.usable_engines(service)
+        for endpoints in rollouts.group_by_version(service, usable):
+            own_ids = {
+                request_id
+                for request_id, one in generations.items()
+                if endpoints
+                and one.endpoint is not None
+                and rollouts.may_continue(one.endpoint, endpoints[0])
+            }
+            others = {one.instance for one in usable} - {
+                one.instance for one in endpoints
+            }
             choice = choose_standby(
-                generations.keys(),
-                self._placer.runs_of_service(service),
+                own_ids,
+                [
+                    run
+                    for run in self._placer.runs_of_service(service)
+                    if run.endpoint not in others
+                ],
                 endpoints,
                 engine,
             )
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -13,7 +13,6 @@
 from mastichatch_core.relay.events import (
     EventOrder,
     PauseTimer,
-    max_stall_ms,
 )
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.relay.run_engines import Ending, RunEngines
@@ -41,6 +40,7 @@
 )
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
+from mastichatch_node.relay.rollouts.stream_evidence import StreamEvidence
 from mastichatch_node.relay.run_transfer import (
     PreparedResumption,
     RunLocation,
@@ -120,6 +120,7 @@
         self._connection: Connection | None = None
         self._head_at: float | None = None
         self._is_withdrawn = False
+        self._evidence: StreamEvidence | None = None
         self._transfer = RunTransfer()
         self._engines = RunEngines()
         self._handover = Handover(
@@ -254,7 +255,7 @@
                 self._job,
                 self.run,
                 frozenset((endpoint.instance, copy.instance)),
-                endpoint.data_centre,
+                endpoint,
                 MOVED_MEMORY_SHARE,
             )
             return copy if other is None else other
@@ -329,7 +330,11 @@
         if self._is_withdrawn:
             return None
         may_resume = _resumption_check(
-            self._context, self._placer, self._job, self._order
+            self._context,
+            self._placer,
+            self._job,
+            self._order,
+            source.placement.endpoint,
         )
         location = _usable_copy(
             source, self._transfer.standby, self._job.request_id, may_resume
@@ -355,16 +360,29 @@
             # budget, but takes from it, which leaves fewer other retries.
             self._context.retries.try_spend()
             self._context.sharing.record(self.run)
+        self._evidence = StreamEvidence(
+            self._context, self._job, endpoint, is_resumed=source.is_resumed
+        )
         try:
             result = await self._exchange(source)
         except ExchangeError as error:
             result = result_of_error(error)
+        finally:
+            self._evidence.close()
         self._connection = None
         self._transfer.has_ended = True
         _record_ending(self._engines, endpoint, result)
         record_result(self._context, endpoint, result, started_at)
         self._placer.record_attempt(endpoint, result)
-        if not self._order.count and _ended_like_crash(result, self._transfer):
+        # An engine that stops a run on order has not failed.
+        was_ordered = self._transfer.is_moving or self._is_withdrawn
+        self._evidence.record_end(result, was_ordered=was_ordered)
+        # A version on trial may crash by itself.
+        if (
+            not self._order.count
+            and _ended_like_crash(result, self._transfer)
+            and not self._context.rollouts.is_on_trial(endpoint)
+        ):
             await self._context.crashes.report_crash(
                 self._job.parts,
                 self._job.request_id,
@@ -414,7 +432,7 @@
     async def _forward_events(
         self, connection: Connection, head: ResponseHead, source: AttemptSource
     ) -> None:
-        longest_s = _longest_stall_s(self._job)
+        longest_s = self._job.longest_stall_s
         with open_event_reader(connection, self._order, longest_s) as reader:
             while True:
                 with _failures_of(self._job, source):
@@ -445,17 +463,13 @@
                 now - (self._head_at or now),
             )
         self._pause.record_event(now)
+        if self._evidence is not None:
+            self._evidence.record_events(len(fresh))
         await self._reply.write(b''.join(fresh))
         # Later progress reaches other nodes with the next full list of runs.
         self._context.sharing.record(self.run, announce=is_first)
 
 
-def _longest_stall_s(job: Job) -> float:
-    """Return how long a stream may be silent, in seconds."""
-    route = job.route
-    return max_stall_ms(route.objective_ms, route.pause_ms) / MS_PER_S
-
-
 def _build_request(
     context: RelayContext, job: Job, source: AttemptSource
 ) -> OutgoingRequest:
@@ -548,7 +562,7 @@
     failure: Exception | None = None
     started_at = loop_time()
     try:
-        async with asyncio.timeout(_longest_stall_s(job)):
+        async with asyncio.timeout(job.longest_stall_s):
             outgoing = _build_request(context, job, source)
             connection = await context.pool.take(endpoint.address, 0)
             with _failures_of(job, source):
@@ -609,7 +623,11 @@
 
 
 def _resumption_check(
-    context: RelayContext, placer: EnginePlacer, job: Job, order: EventOrder
+    context: RelayContext,
+    placer: EnginePlacer,
+    job: Job,
+    order: EventOrder,
+    former: Endpoint,
 ) -> Callable[[Endpoint], bool]:
     """Return a function that tells whether a run may go on at an engine.
 
@@ -622,7 +640,7 @@
             and context.crashes.judge(job.parts, endpoint).suspects
         ):
             return False
-        return placer.accepts_runs(endpoint)
+        return placer.accepts_runs(endpoint, former)
 
     return may_resume
 
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -20,6 +20,7 @@
     generate_latest,
 )
 
+from mastichatch_core.generated.records import RolloutPhase
 from mastichatch_core.relay.byte_budget import ByteBudget, Purpose, Shortage
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
@@ -195,6 +196,18 @@
             'Parts of prompts that may crash engines.',
             registry=self._registry,
         )
+        self._rollout_requests = Counter(
+            'mastichatch_relay_rollout_requests',
+            'Answers during a roll-out, by service, arm and outcome.',
+            ('service', 'arm', 'outcome'),
+            registry=self._registry,
+        )
+        self._rollout_phase = Gauge(
+            'mastichatch_relay_rollout_phase',
+            'Whether the last roll-out of a service is in that phase.',
+            ('service', 'phase'),
+            registry=self._registry,
+        )
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -267,6 +280,30 @@
         """
         self._suspected.set(suspected)
 
+    def count_rollout_answer(
+        self, service: str, *, is_target: bool, is_failed: bool
+    ) -> None:
+        """Count an answer during a roll-out.
+
+        :param service: name of the service
+        :param is_target: whether it came from the version that is rolled out
+        :param is_failed: whether it is a failure of the endpoint
+        """
+        arm = 'target' if is_target else 'previous'
+        outcome = 'failed' if is_failed else 'good'
+        self._rollout_requests.labels(service, arm, outcome).inc()
+
+    def show_rollout_phase(
+        self, service: str, present: RolloutPhase | None
+    ) -> None:
+        """Set the phase of a service's last roll-out.
+
+        :param service: name of the service
+        :param present: the phase; ``None`` if it has none
+        """
+        for phase in RolloutPhase:
+            self._rollout_phase.labels(service, phase).set(phase is present)
+
     def watch_budget(self, budget: ByteBudget) -> None:
         """Show the bytes that are held for peers.
 
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -46,6 +46,8 @@
     ResponseHead,
 )
 from mastichatch_node.relay.http_server import IncomingRequest
+from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
+from mastichatch_node.relay.rollouts.state import RolloutOptions
 from mastichatch_node.relay.run_migration import RunMigrator
 from mastichatch_node.relay.run_stopping import RunStopper
 from mastichatch_node.relay.streaming import Generation
@@ -459,7 +461,7 @@
             copy=self._fleet.copy.endpoint,
         )
 
-    def accepts_runs(self, endpoint: Endpoint) -> bool:
+    def accepts_runs(self, endpoint: Endpoint, source: Endpoint) -> bool:
         return self._fleet.engines[endpoint.instance].trouble != 'drain'
 
     def choose_destination_engine(
@@ -467,7 +469,7 @@
         job: Job,
         run: object,
         excluded: frozenset[str],
-        data_centre: str,
+        source: Endpoint,
         memory_share: float,
     ) -> Endpoint | None:
         found = (self._fleet.third.endpoint, self._fleet.copy.endpoint)
@@ -553,6 +555,13 @@
         telemetry=cast(Any, _Quiet()),
         crashes=cast(Any, _Crashes()),
         stopper=RunStopper(dialect, cast(Any, _Quiet()), cast(Any, fleet)),
+        rollouts=RolloutKeeper(
+            RolloutOptions(),
+            cast(Any, view),
+            cast(Any, _Quiet()),
+            'north',
+            lambda: 1,
+        ),
     )
 
 
