Judge requests by the proven versions, and spare idle hosts the judging

Cause: a deadly call was judged on the version on trial too, which has no evidence, and so was sent on to a version that it had crashed; a full trial hid that all other endpoints had asked for time. Each host judged the evidence five times a second, though only two receive it. A queued request kept the suspects of before its verdict. Change: OpenEndpoints.proven (free ones, else those on trial); hosts after the first two act only without a record, in the completion, or after the deadline; suspected requests are not exposed, and exposed ones no longer take room in the queue of the other engines.

--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -290,7 +290,7 @@
         opened = self._context.rollouts.split(
             service, self.usable_engines(service)
         )
-        usable = opened.either
+        usable = opened.proven
         reason = (
             'no engine has room in time' if usable else 'no engine is in use'
         )
@@ -301,61 +301,65 @@
         opened = self._context.rollouts.split(
             service, self.usable_engines(service)
         )
-        usable = opened.either
+        usable = opened.proven
         queued: dict[str, _QueuedRequest] = {}
         excluded: dict[str, frozenset[str]] = {}
         for request_id, one in tuple(self._waiting.items()):
             if one.job.service.name == service and not one.future.done():
                 refused = self._apply_verdicts(one, usable)
                 excluded[request_id] = one.excluded | refused
-                queued[request_id] = one
+                queued[request_id] = self._waiting[request_id]
         if not queued:
             return
         engine = require_engine(next(iter(queued.values())).job)
         options = QueueOptions(excluded=excluded, costs=self.costs(service))
+        runs = self.runs_of_service(service)
         if opened.trial:
-            self._expose(
-                service, queued, _Engines(opened.trial, engine), options
+            queued, runs = self._expose(
+                queued, runs, _Engines(opened.trial, engine), options
             )
-        # Those that were exposed are waiting no longer.
-        runs = tuple(
-            run
-            for run in self.runs_of_service(service)
-            if run.request_id not in queued
-            or not queued[run.request_id].future.done()
-        )
         _assign(
             self._context, queued, runs, _Engines(opened.free, engine), options
         )
 
     def _expose(
         self,
-        service: str,
         queued: Mapping[str, _QueuedRequest],
+        runs: tuple[Run, ...],
         trial: '_Engines',
         options: QueueOptions,
-    ) -> None:
-        """Assign engines on trial to queued requests, as far as is allowed."""
-        ranked = sorted(queued.items(), key=lambda item: item[1].job.rank)
+    ) -> tuple[dict[str, _QueuedRequest], tuple[Run, ...]]:
+        """Assign engines on trial to queued requests, as far as is allowed.
+
+        Requests that may crash an engine would tell nothing of the version.
+
+        :returns: the requests that are left, and the runs without the others
+        """
+        service = trial.endpoints[0].service
         rollouts = self._context.rollouts
+        left = _still_waiting(queued)
+        ranked = sorted(
+            (item for item in left.items() if not item[1].suspects),
+            key=lambda item: item[1].job.rank,
+        )
         for own_id, queued_request in ranked[:MAX_EXPOSURE_TRIES]:
             if not rollouts.try_expose(service):
-                return
+                break
             # Other waiting requests do not use the allowance of this node.
-            runs = tuple(
+            visible = tuple(
                 run
-                for run in self.runs_of_service(service)
+                for run in runs
                 if run.state is RunState.running or run.request_id == own_id
             )
-            _assign(
-                self._context,
-                {own_id: queued_request},
-                runs,
-                trial,
-                options,
-            )
+            own = {own_id: queued_request}
+            _assign(self._context, own, visible, trial, options)
             if not queued_request.future.done():
                 rollouts.cancel_exposure(service)
+        waiting = _still_waiting(left)
+        exposed = left.keys() - waiting.keys()
+        return waiting, tuple(
+            run for run in runs if run.request_id not in exposed
+        )
 
     def _apply_verdicts(
         self, queued: _QueuedRequest, usable: tuple[Endpoint, ...]
@@ -483,6 +487,16 @@
         return endpoints[chosen]
 
 
+def _still_waiting(
+    queued: Mapping[str, _QueuedRequest],
+) -> dict[str, _QueuedRequest]:
+    return {
+        request_id: one
+        for request_id, one in queued.items()
+        if not one.future.done()
+    }
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Engines:
     """Engines to which requests may be assigned.
@@ -540,7 +554,7 @@
     now = loop_time()
     usable = usable_endpoints(context.belief, job.service.name, now)
     opened = context.rollouts.split(job.service.name, usable)
-    active, left_s = split_paused(opened.either, context.records, now)
+    active, left_s = split_paused(opened.proven, context.records, now)
     if active or left_s is None:
         return
     jitter_s = random.random() * RETRY_AFTER_JITTER_S  # noqa: S311
--- a/packages/node/mastichatch_node/relay/rollouts/deciding.py
+++ b/packages/node/mastichatch_node/relay/rollouts/deciding.py
@@ -108,6 +108,11 @@
 
     def _due_record(self, rollout: ServiceRollout) -> RolloutRecord | None:
         """Return the record that this node is to write now, if any."""
+        ranked = self._directory.rank(rollout.service)
+        position = ranked.index(self._directory.own_name)
+        if position >= DECIDER_COUNT and _is_on_trial(rollout):
+            # It knows only what it has counted itself.
+            return None
         known = self._cache.endpoints(loop_time()).values()
         record = next_record(
             rollout.view,
@@ -116,11 +121,14 @@
             node=self._directory.own_name,
             may_finish=self._may_finish(rollout),
         )
+        now = loop_time()
+        key = (rollout.service, rollout.record_revision)
         if record is None:
-            key = (rollout.service, rollout.record_revision)
             self._due_since.pop(key, None)
             return None
-        return record if self._is_own_turn(rollout, record) else None
+        due_at = self._due_since.setdefault(key, now) + position * TAKEOVER_S
+        is_due = now >= max(due_at, self._next_write_at.get(key, now))
+        return record if is_due else None
 
     def _judge(self, rollout: ServiceRollout) -> Verdict | None:
         order = rollout.order
@@ -167,25 +175,6 @@
             run.endpoint in former for run in self._sharing.table.iter_runs(now)
         )
 
-    def _is_own_turn(
-        self, rollout: ServiceRollout, record: RolloutRecord
-    ) -> bool:
-        now = loop_time()
-        key = (rollout.service, rollout.record_revision)
-        due_since = self._due_since.setdefault(key, now)
-        ranked = self._directory.rank(rollout.service)
-        position = ranked.index(self._directory.own_name)
-        if now - due_since < position * TAKEOVER_S:
-            return False
-        # The others know only what they counted themselves.
-        if (
-            position >= DECIDER_COUNT
-            and rollout.phase is Phase.serving
-            and record.phase is not Phase.reverted
-        ):
-            return False
-        return now >= self._next_write_at.get(key, now)
-
     async def _write(
         self, store: Store, rollout: ServiceRollout, record: RolloutRecord
     ) -> None:
@@ -229,3 +218,11 @@
             order_revision=record.order_revision,
             age_s=round(rollout.age_s(loop_time()), 3),
         )
+
+
+def _is_on_trial(rollout: ServiceRollout) -> bool:
+    """Return whether a verdict on the target can still be other than late."""
+    order = rollout.order
+    if order is None or rollout.phase is not Phase.serving:
+        return False
+    return rollout.age_s(loop_time()) < order.period_s
--- a/packages/node/mastichatch_node/relay/rollouts/state.py
+++ b/packages/node/mastichatch_node/relay/rollouts/state.py
@@ -60,9 +60,12 @@
     trial: tuple[Endpoint, ...] = ()
 
     @property
-    def either(self) -> tuple[Endpoint, ...]:
-        """All endpoints that may get any request."""
-        return (*self.free, *self.trial)
+    def proven(self) -> tuple[Endpoint, ...]:
+        """Endpoints by which to judge what becomes of a request.
+
+        Few requests get to a version on trial, unless there is no other.
+        """
+        return self.free or self.trial
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -103,7 +103,7 @@
         return False
     usable = usable_endpoints(context.belief, job.service.name, loop_time())
     opened = context.rollouts.split(job.service.name, usable)
-    verdict = crashes.judge_fleet(job.parts, opened.either)
+    verdict = crashes.judge_fleet(job.parts, opened.proven)
     if verdict.refusal is not None:
         raise quarantine_error(verdict.refusal)
     return bool(verdict.suspects)
