Test roll-outs of bad engines

Cause: only plain services were rolled out in the tests. Change: engines that fail all, or send no event at all, are reverted and get a limited share of the generations.

--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -8,7 +8,12 @@
 from mastichatch_core.relay.rollouts.verdict import Decision, Verdict
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.relay.rollouts import deciding
-from tests.relay_nodes import configuration, open_relay, until
+from tests.relay_nodes import (
+    RelayFixture,
+    configuration,
+    open_relay,
+    until,
+)
 from tests.rollout_fleet import (
     SHARE,
     SLACK,
@@ -20,6 +25,7 @@
     Script,
     fail,
     respond_ok,
+    stall_after,
     stream,
 )
 
@@ -290,3 +296,46 @@
         assert response.is_whole
         assert new.ran
         assert b'completed' in status
+
+    @pytest.mark.parametrize('new', [fail, stall_after(0)])
+    async def test_bad_engines_are_reverted_and_get_few_requests(
+        self, new: Script
+    ) -> None:
+        engines = tuple(
+            HouseEndpoint(
+                f'{version}-{number}',
+                stream(6, gap_s=0.02) if version == 'v1' else new,
+                slots=8,
+                version=version,
+            )
+            for version in ('v1', 'v2')
+            for number in range(3)
+        )
+        sent = 0
+        calls: list['asyncio.Task[object]'] = []
+        async with open_relay(
+            engines=engines, rollout_share=SHARE, rollout_slack=SLACK
+        ) as relay:
+            order = {'service': 'llm', 'target': 'v2', 'period_s': PERIOD_S}
+            await relay.store.put('op/rollout/llm', order)
+            await until(lambda: 'status/rollout/llm' in relay.store.items)
+            await asyncio.sleep(0.6)
+            while not _is_decided(relay):
+                sent += 1
+                headers = ('Mastichatch-Token-Counts: 20,24',)
+                call = relay.call(
+                    '/plan/a', request_id=f's{sent}', headers=headers
+                )
+                calls.append(asyncio.ensure_future(call))
+                await asyncio.sleep(1 / RATE)
+            status = relay.store.items['status/rollout/llm'].content
+            for one in calls:
+                one.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+        assert b'reverted' in status
+        assert 0 < ran_on(engines, 'v2') <= SHARE * sent + SLACK
+
+
+def _is_decided(relay: RelayFixture) -> bool:
+    status = relay.store.items['status/rollout/llm'].content
+    return b'serving' not in status
