Teach the soak roll-outs, good and bad

Cause: roll-outs were only tested with one fault at a time. Change: every second seed orders a version, good or failing all, while the faults of the seed strike (kills, stops, freezes, cuts, the store away); draws of its own leave the faults of all seeds as they were. Promises: the states go forward, a bad version is not completed and gets at most its share and slack, there is a decision once faults are over, and none get to a reverted version then.

--- a/tests/relay_process.py
+++ b/tests/relay_process.py
@@ -5,7 +5,8 @@
 import dataclasses
 import pathlib
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from tests.processes import Process, free_address
@@ -47,19 +48,25 @@
 
 
 def start_relay(
-    name: str, addresses: dict[str, str], folder: pathlib.Path
+    name: str,
+    addresses: dict[str, str],
+    folder: pathlib.Path,
+    settings: Mapping[str, object] = MappingProxyType({}),
 ) -> Process:
     """Start the process of a node.
 
     :param name: its name, also of its log
     :param addresses: its settings that are addresses, by flag
     :param folder: where it writes its log
+    :param settings: its other settings, by flag
     """
     flags = [
         word
         for flag, address in addresses.items()
         for word in (f'--{flag}-address', address)
     ]
+    for flag, setting in settings.items():
+        flags.extend((f'--{flag}', str(setting)))
     command = [sys.executable, '-c', START_NODE, *flags]
     command.extend(('--name', name, '--data-centre', 'north'))
     return Process(name, command, folder / f'{name}.log')
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -37,6 +37,9 @@
 LOSE_SHARE: Final = 0.04
 # Share of crashed engines that come back under the id that they had.
 KEPT_ID_SHARE: Final = 0.5
+# What versions on trial may get, by the nodes' settings.
+ROLLOUT_SHARE: Final = 0.2
+ROLLOUT_SLACK: Final = 12.0
 # Share of calls that are answered oddly while that fault lasts.
 ODD_SHARE: Final = 0.3
 
@@ -84,6 +87,7 @@
         self.is_calm = False
         self.has_deadly_part = False
         self.has_odd_answers = False
+        self.bad_version = ''
         self._restarts: set[asyncio.Task[None]] = set()
 
     async def add_endpoint(self, name: str, proxy: Proxy) -> None:
@@ -109,13 +113,17 @@
 
     def create_endpoint(self, name: str) -> HouseEndpoint:
         """Return an endpoint that notes each request it begins to run."""
-        endpoint = HouseEndpoint(f'{name}-0', self._answer)
+        endpoint = HouseEndpoint(f'{name}-0', self.answer)
         self.endpoints[name] = (endpoint, Proxy('', 0))
         return endpoint
 
     def start_process(self, name: str, addresses: dict[str, str]) -> Process:
         """Start a node's process."""
-        return start_relay(name, addresses, self._folder)
+        settings = {
+            'rollout-share': ROLLOUT_SHARE,
+            'rollout-slack': ROLLOUT_SLACK,
+        }
+        return start_relay(name, addresses, self._folder, settings)
 
     def restart(self, name: str) -> None:
         """Start a node anew at the same addresses."""
@@ -132,12 +140,13 @@
                 node.is_wanted = False
                 self.records.ended.append(f'{node.name} (exit code {code})')
 
-    async def _answer(
+    async def answer(
         self,
         endpoint: HouseEndpoint,
         seen: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> None:
+        """Run a request, refuse it, or let it fail as the fleet is to."""
         draw = 1.0 if self.is_calm else self._draws.random()
         if draw < SHED_SHARE:
             await endpoints.refuse(endpoint, seen, writer)
@@ -160,6 +169,9 @@
             await script(endpoint, seen, writer)
             return
         await asyncio.sleep(EVENT_GAP_S)
+        if endpoint.version == self.bad_version:
+            await endpoints.fail(endpoint, seen, writer)
+            return
         if self.has_odd_answers and self._draws.random() < ODD_SHARE:
             self._answer_oddly(seen, writer)
             return
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,11 +16,14 @@
 from tests.soak.load import Callers
 from tests.soak.promises import KEY_LIMIT_S, KEY_SLACK_S, broken_promises
 from tests.soak.records import Records
+from tests.soak.rollouts import open_rollout
 
 # The fleet serves again within this time of its return, by the users' sheets.
 RECOVER_S: Final = 12.0
 START_S: Final = 30.0
 POLL_S: Final = 0.1
+# One seed of so many also rolls out a version, good or bad.
+ROLLOUT_SEEDS: Final = 2
 # One seed of so many also takes the callers' key away, for 6 s more.
 REVOKING_SEEDS: Final = 3
 
@@ -51,16 +54,32 @@
         if not await _all_ready(fleet, START_S):
             return _judge(fleet.records, ['the fleet did not become ready'])
         callers = Callers(fleet, draws)
-        async with _calling(callers):
-            await faults.play(fleet, series)
-        await callers.finish()
-        fleet.note_ended()
-        broken = await _look_after_calm(fleet, callers)
+        if seed % ROLLOUT_SEEDS:
+            broken = await _play(fleet, callers, series)
+        else:
+            # Draws of its own leave the other seeds as they were.
+            async with open_rollout(fleet, random.Random(seed)) as rollout:
+                broken = await _play(fleet, callers, series)
+                async with _calling(callers):
+                    broken.extend([line async for line in rollout.end()])
+                await callers.finish()
+                broken.extend(rollout.broken_promises())
         if not seed % REVOKING_SEEDS:
             await _revoke(fleet, callers, draws)
         return _judge(fleet.records, broken)
 
 
+async def _play(
+    fleet: Fleet, callers: Callers, series: tuple[faults.Fault, ...]
+) -> list[str]:
+    """Let faults strike, and return what is still not served afterwards."""
+    async with _calling(callers):
+        await faults.play(fleet, series)
+    await callers.finish()
+    fleet.note_ended()
+    return await _look_after_calm(fleet, callers)
+
+
 def _judge(records: Records, broken: list[str]) -> Verdict:
     served = [
         one for one in records.outcomes if one.status == 200 and one.is_whole
