Judge a version on trial by Bayes factors of failures, slow answers and slow streams

Bodies of the judgement; error rates and tests follow. record(observation, age_s) takes the age of the order when the request was sent, replace_waiting the open requests to all versions, trial_endpoints and record_request the progress of the period.

--- a/packages/core/mastichatch_core/relay/rollouts/evidence.py
+++ b/packages/core/mastichatch_core/relay/rollouts/evidence.py
@@ -17,8 +17,8 @@
 from mastichatch_core.generated.messages import RolloutCell, RolloutReport
 from mastichatch_core.units import MS_PER_S
 
-# Number of parts of the period that are counted apart: a version may go bad
-# while it is tried.
+# Number of parts of the period, by when requests were sent, that are counted
+# apart: a version may go bad while it is tried.
 PARTS: Final = 10
 # Bins of the histograms of durations: four for each doubling, from 1 ms.
 BINS_PER_DOUBLING: Final = 4
@@ -119,11 +119,14 @@
         self._changed: dict[CellKey, None] = {}
 
     def record(self, observation: Observation, age_s: float) -> None:
-        """Count an answer.
+        """Count an answer, unless the request was sent before the order.
 
         :param observation: the answer
-        :param age_s: time since the host saw the order, in seconds
+        :param age_s: time from when the host saw the order until the request
+            was sent (until the events came, for their pace), in seconds
         """
+        if age_s < 0:
+            return
         key = self._key(observation, age_s)
         cell = self._cell(key)
         if cell is not None:
@@ -133,20 +136,21 @@
     def replace_waiting(
         self, waiting: Iterable[Observation], age_s: float
     ) -> None:
-        """Replace the requests to the target that have no answer yet.
+        """Replace the requests that have no answer yet, to all versions.
 
         A version may be so slow that its answers come after the decision.
 
-        :param waiting: each request, with the time for which it has waited
+        :param waiting: each request, with the time since it was sent
         :param age_s: time since the host saw the order, in seconds
         """
         bins: dict[CellKey, Counter[int]] = {
             key: Counter() for key, cell in self._cells.items() if cell.waiting
         }
         for observation in waiting:
-            if observation.duration_ms is not None:
-                key = self._key(observation, age_s)
-                number = bin_of(observation.duration_ms)
+            waited_ms = observation.duration_ms
+            if waited_ms is not None and waited_ms <= age_s * MS_PER_S:
+                key = self._key(observation, age_s - waited_ms / MS_PER_S)
+                number = bin_of(waited_ms)
                 bins.setdefault(key, Counter())[number] += 1
         for key, counts in bins.items():
             cell = self._cell(key)
--- a/packages/core/mastichatch_core/relay/rollouts/exposure.py
+++ b/packages/core/mastichatch_core/relay/rollouts/exposure.py
@@ -14,11 +14,14 @@
 # the endpoints count otherwise.
 SHARE_USED: Final = 0.8
 # Part of the slack that is given out as tokens at the start.
-SLACK_USED: Final = 0.5
+SLACK_USED: Final = 0.6
 # Part of the slack that is kept for the random phases of the hosts, as a
 # multiple of the square root of their number: the sum of as many phases lies
 # five standard deviations, of at most one half each, below it.
 PHASE_MARGIN: Final = 2.5
+# Share of the period after which all starting tokens are released. All at once
+# would be a burst at the few endpoints on trial.
+RELEASED_AT: Final = 0.6
 # Most tokens that a host saves up.
 MAX_TOKENS: Final = 8.0
 
@@ -36,16 +39,24 @@
         :param start: tokens to start with, see :func:`start_tokens`
         """
         self._gain = share * SHARE_USED
-        self._tokens = start
+        self._total = start
+        self._released = 0.0
+        self._tokens = 0.0
 
     @property
     def tokens(self) -> float:
         """Tokens left; negative after exposures that could not be avoided."""
         return self._tokens
 
-    def record_request(self) -> None:
-        """Add what a new request of the service earns."""
-        self._tokens = min(MAX_TOKENS, self._tokens + self._gain)
+    def record_request(self, progress: float = 1) -> None:
+        """Add what a new request of the service earns.
+
+        :param progress: time since the order, as a share of its period
+        """
+        released = self._total * min(1, progress / RELEASED_AT)
+        gain = self._gain + max(0, released - self._released)
+        self._released = max(self._released, released)
+        self._tokens = min(MAX_TOKENS, self._tokens + gain)
 
     def try_expose(self) -> bool:
         """Take the token for one request to the target.
--- a/packages/core/mastichatch_core/relay/rollouts/order.py
+++ b/packages/core/mastichatch_core/relay/rollouts/order.py
@@ -147,7 +147,7 @@
 def _completes(record: RolloutRecord, verdict: Verdict) -> bool:
     return (
         record.phase is Phase.completing
-        and verdict.decision is not Decision.revert
+        and verdict.decision is Decision.complete
     )
 
 
--- a/packages/core/mastichatch_core/relay/rollouts/verdict.py
+++ b/packages/core/mastichatch_core/relay/rollouts/verdict.py
@@ -1,24 +1,50 @@
 """Judges from the answers of both versions whether a new version is good.
 
-Load pattern: an order is open; a decider judges the counts of all hosts
-several times a second, over a few tens to some thousand answers. Each host
-judges its own counts as well, and stops exposing requests to a bad version.
+Load pattern: an order is open; a decider judges the counts of all hosts a few
+times a second, over a few tens to some thousand answers. Each host judges its
+own counts as well, and stops exposing requests to a version that looks bad.
+
+The method is a Bayes factor, see
+:mod:`mastichatch_core.relay.rollouts.bayes_factor`. An answer is bad if it is a
+failure, or slow when compared with those of the other versions in its stratum,
+see :mod:`mastichatch_core.relay.rollouts.strata`.
 """
 
 import dataclasses
+import statistics
 from collections.abc import Iterable
 from enum import StrEnum
 from typing import Final
 
 from mastichatch_core.generated.messages import RolloutCell
-
-# Points of the period: a trial lasts at least until the first, and the status
-# is written by the second, in time for a slow store.
+from mastichatch_core.relay.rollouts.bayes_factor import weigh
+from mastichatch_core.relay.rollouts.evidence import part_of
+from mastichatch_core.relay.rollouts.strata import (
+    Signal,
+    Strata,
+    Tally,
+    sum_tallies,
+)
+
+# Points of the period: the earliest end of a trial; the end of a trial whose
+# evidence is unclear; and the latest write of the status, in time for a slow
+# store.
 DECIDE_AT: Final = 0.7
+DECIDE_BY: Final = 0.8
 FINISH_BY: Final = 0.9
 # Time in which requests to previous versions end, in seconds. Runs of engines
 # are waited for longer, as long as the period allows.
 PLAIN_DRAIN_S: Final = 0.7
+# Bayes factors for a bad version: from the first on it is reverted at any time,
+# up to the second the trial ends early, and up to the third at its end.
+REVERT_FACTOR: Final = 100.0
+COMPLETE_FACTOR: Final = 0.05
+UNCLEAR_FACTOR: Final = 0.5
+# Bad answers from which a version is reverted on weaker evidence, since few
+# more are allowed.
+MANY_BAD: Final = 35
+# Fewest answers after which a version may be completed.
+MIN_ANSWERS: Final = 5
 
 
 class Decision(StrEnum):
@@ -35,28 +61,31 @@
 
     :param decision: what the evidence asks for
     :param rule: name of the rule that decided
-    :param route: route on which it decided; empty for all
-    :param answers: answers of the target that were compared
-    :param bad: those that failed or were slow
-    :param other_answers: answers of the other versions
-    :param other_bad: those that failed or were slow
+    :param signal: what speaks most against the version
+    :param route: route on which it is most likely bad; empty for all
+    :param factor: Bayes factor for a bad version
+    :param answers: answers of the target
+    :param compared: answers of the target that were compared for the signal
+    :param others: answers of the other versions
     """
 
     decision: Decision
     rule: str
+    signal: Signal = Signal.failures
     route: str = ''
-    answers: int = 0
-    bad: int = 0
-    other_answers: int = 0
-    other_bad: int = 0
+    factor: float = 1.0
+    answers: float = 0
+    compared: Tally = Tally()
+    others: Tally = Tally()
 
     @property
     def summary(self) -> str:
         """Rule, route and counts, for logs and the record."""
         return (
-            f'{self.rule} route={self.route or "all"}'
-            f' target={self.bad}/{self.answers}'
-            f' others={self.other_bad}/{self.other_answers}'
+            f'{self.rule}: {self.signal} on route {self.route or "any"},'
+            f' Bayes factor {self.factor:.2g},'
+            f' target {self.compared.bad:.0f} of {self.compared.answers:.0f},'
+            f' others {self.others.bad:.0f} of {self.others.answers:.0f}'
         )
 
 
@@ -68,12 +97,16 @@
 ) -> Verdict:
     """Judge a version that is rolled out.
 
+    It never holds from the time on at which the status has to be written.
+
     :param cells: counts of all hosts, added up
     :param elapsed_s: time since the order, in seconds
     :param period_s: time from the order to its deadline, in seconds
     :param has_engines: whether the service has engines, whose runs are long
     """
-    return Verdict(decision=Decision.hold, rule='too early')
+    verdict = _weigh(tuple(cells), part_of(elapsed_s, period_s))
+    decision, rule = _decide(verdict, elapsed_s / max(period_s, 1e-3))
+    return dataclasses.replace(verdict, decision=decision, rule=rule)
 
 
 def judge_alone(cells: Iterable[RolloutCell]) -> bool:
@@ -81,7 +114,7 @@
 
     :param cells: counts of the host
     """
-    return False
+    return judge(cells, 0, 1, has_engines=False).decision is Decision.revert
 
 
 def may_finish(
@@ -106,3 +139,49 @@
     if completing_s < PLAIN_DRAIN_S:
         return False
     return not (has_engines and runs_left)
+
+
+def _decide(verdict: Verdict, progress: float) -> tuple[Decision, str]:
+    if verdict.factor >= REVERT_FACTOR:
+        return Decision.revert, 'bad'
+    if verdict.compared.bad >= MANY_BAD and verdict.factor > 1:
+        return Decision.revert, 'many bad answers'
+    if progress < DECIDE_AT:
+        return Decision.hold, 'trial'
+    has_answers = verdict.answers >= MIN_ANSWERS
+    if has_answers and verdict.factor <= COMPLETE_FACTOR:
+        return Decision.complete, 'good'
+    if progress < DECIDE_BY:
+        return Decision.hold, 'unclear'
+    limit = UNCLEAR_FACTOR if progress < FINISH_BY else 1
+    if has_answers and verdict.factor <= limit:
+        return Decision.complete, 'nothing against it'
+    if progress < FINISH_BY:
+        return Decision.hold, 'too little evidence'
+    return Decision.revert, 'not proven good in time'
+
+
+def _weigh(cells: tuple[RolloutCell, ...], last_part: int) -> Verdict:
+    strata = {signal: Strata(cells, signal) for signal in Signal}
+    compared = {signal: tuple(one.compare()) for signal, one in strata.items()}
+    weights = {
+        signal: weigh(comparisons, last_part)
+        for signal, comparisons in compared.items()
+        if comparisons
+    }
+    if not weights:
+        return Verdict(decision=Decision.hold, rule='')
+    worst = max(weights, key=lambda signal: weights[signal].factor)
+    target = sum_tallies(one.tally for one in compared[worst])
+    others = strata[worst].other_total
+    failures = sum_tallies(one.tally for one in compared[Signal.failures])
+    return Verdict(
+        decision=Decision.hold,
+        rule='',
+        signal=worst,
+        route=weights[worst].extent.route,
+        factor=statistics.fmean(one.factor for one in weights.values()),
+        answers=failures.answers,
+        compared=target,
+        others=others,
+    )
--- a/packages/core/mastichatch_core/relay/rollouts/versions.py
+++ b/packages/core/mastichatch_core/relay/rollouts/versions.py
@@ -7,10 +7,10 @@
 import math
 from collections.abc import Iterable
 from enum import StrEnum
-from typing import Final
 
 from mastichatch_core import rendezvous
 from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.rollouts.evidence import PARTS
 from mastichatch_core.relay.rollouts.order import (
     Phase,
     RolloutView,
@@ -18,10 +18,6 @@
     current_phase,
 )
 
-# Fewest endpoints of the target that are tried: one alone may be slow or
-# failing for a reason of its own.
-MIN_TRIED: Final = 3
-
 
 class Access(StrEnum):
     """Which new requests a version may get.
@@ -90,24 +86,35 @@
 
 
 def trial_endpoints(
-    view: RolloutView, endpoints: Iterable[Endpoint], share: float
+    view: RolloutView,
+    endpoints: Iterable[Endpoint],
+    share: float,
+    progress: float = 0,
 ) -> frozenset[str]:
     """Return the instances of the target that get the requests of the trial.
 
-    Few endpoints are tried, so that they carry about the load that each will
-    carry later. All hosts that know the same endpoints choose the same ones.
+    Few endpoints at a time are tried, so that they carry about the load that
+    each will carry later; and different ones by turns, since one alone may be
+    slow or failing for a reason of its own. All hosts that know the same
+    endpoints choose the same ones.
 
     :param view: what the host knows of the service
     :param endpoints: endpoints of the service that could be used
     :param share: share of the service's requests that the trial may get
+    :param progress: time since the order, as a share of its period
     """
     if view.order is None:
         return frozenset()
     target = view.order.target
     names = [one.instance for one in endpoints if one.version == target]
-    count = max(MIN_TRIED, math.ceil(share * len(names)))
+    if not names:
+        return frozenset()
     key = f'rollout/{view.order.service}/{view.order.revision}'
-    return frozenset(rendezvous.ranked(names, key)[:count])
+    ranked = rendezvous.ranked(names, key)
+    count = math.ceil(share * len(names))
+    first = int(progress * PARTS) * count
+    turns = range(first, first + count)
+    return frozenset(ranked[turn % len(ranked)] for turn in turns)
 
 
 def _serving_versions(view: RolloutView) -> frozenset[str]:
