Try the endpoints of a version by turns, and count requests by when they were sent

Cause: the trial stayed at the first endpoint of the target, and where that refused connections no other was tried: a version whose endpoints crash got one request in 4 s, and was reverted at the deadline only (found by test_its_crashes_are_not_held_against_the_calls). Answers were counted by when they came, though the judgement compares those that were sent in the same part of the period. Change: the progress of the period goes to the choice of trial endpoints and to the allowance; endpoints whose circuit breaker is open get no exposure; waiting requests of all versions are counted; reports repeat the last three parts.

--- a/packages/core/mastichatch_core/relay/plain_choice.py
+++ b/packages/core/mastichatch_core/relay/plain_choice.py
@@ -105,6 +105,15 @@
             if instance not in kept and not stats.running:
                 self._stats.pop(instance)
 
+    def accepts(self, instance: str, now: float) -> bool:
+        """Return whether the circuit breaker of an endpoint lets a call pass.
+
+        :param instance: instance id of the endpoint
+        :param now: time in seconds
+        """
+        stats = self.get(instance)
+        return breakers.allows_request(stats.breaker, stats.running, now)
+
     def record_answer(
         self, instance: str, duration_ms: float, now: float, *, failed: bool
     ) -> None:
--- a/packages/node/mastichatch_node/relay/rollouts/keeper.py
+++ b/packages/node/mastichatch_node/relay/rollouts/keeper.py
@@ -112,12 +112,17 @@
         self._was_filled = True
 
     def split(
-        self, service: str, endpoints: tuple[Endpoint, ...]
+        self,
+        service: str,
+        endpoints: tuple[Endpoint, ...],
+        is_healthy: Callable[[Endpoint], bool] | None = None,
     ) -> OpenEndpoints:
         """Return which endpoints of a service may get new requests.
 
         :param service: name of the service
         :param endpoints: endpoints of the service that could be used
+        :param is_healthy: tells which of them a trial is worth it on; one that
+            refuses connections would keep it from the others
         """
         rollout = self._rollouts.get(service)
         if rollout is None:
@@ -129,7 +134,12 @@
         tried = by_access[Access.trial]
         names: frozenset[str] = frozenset()
         if tried and self._may_expose(rollout):
-            names = trial_endpoints(rollout.view, tried, self._options.share)
+            names = trial_endpoints(
+                rollout.view,
+                filter(is_healthy, tried),
+                self._options.share,
+                rollout.progress(loop_time()),
+            )
         return OpenEndpoints(
             free=tuple(by_access[Access.free]),
             trial=tuple(one for one in tried if one.instance in names),
@@ -142,7 +152,7 @@
         """
         rollout = self._rollouts.get(service)
         if rollout is not None and rollout.is_open:
-            rollout.allowance.record_request()
+            rollout.allowance.record_request(rollout.progress(loop_time()))
 
     def try_expose(self, service: str) -> bool:
         """Take the allowance for one request to a version on trial.
--- a/packages/node/mastichatch_node/relay/rollouts/observing.py
+++ b/packages/node/mastichatch_node/relay/rollouts/observing.py
@@ -50,6 +50,7 @@
         self,
         route: str,
         endpoint: Endpoint,
+        sent_at: float,
         *,
         is_failed: bool = False,
         duration_ms: float | None = None,
@@ -59,6 +60,8 @@
 
         :param route: name of the request's route
         :param endpoint: the endpoint
+        :param sent_at: loop time at which the request was sent, or at which
+            the events came, in seconds
         :param is_failed: whether the answer is a failure of the endpoint
         :param duration_ms: time until the answer or first event, or mean time
             between events, in milliseconds
@@ -74,7 +77,7 @@
             duration_ms=duration_ms,
             is_pace=is_pace,
         )
-        rollout.counts.record(observation, loop_time() - rollout.seen_at)
+        rollout.counts.record(observation, sent_at - rollout.seen_at)
         if not is_pace:
             self._telemetry.count_rollout_answer(
                 endpoint.service,
@@ -84,7 +87,7 @@
 
     @contextlib.contextmanager
     def waiting(self, route: str, endpoint: Endpoint) -> Iterator[None]:
-        """Count a request to a version on trial as waiting in the block.
+        """Count a request as waiting for its answer in the block.
 
         :param route: name of the request's route
         :param endpoint: endpoint that it is sent to
@@ -96,7 +99,7 @@
             self.end_waiting(endpoint, number)
 
     def begin_waiting(self, route: str, endpoint: Endpoint) -> int:
-        """Count a request to a version on trial as waiting for its answer.
+        """Count a request as waiting for its answer, while a decision is due.
 
         :param route: name of the request's route
         :param endpoint: endpoint that it is sent to
@@ -105,8 +108,6 @@
         rollout = self._find(endpoint.service)
         if rollout is None or not rollout.is_open:
             return 0
-        if not rollout.is_target(endpoint):
-            return 0
         self._waits += 1
         rollout.waiting[self._waits] = WaitingRequest(
             route=route, endpoint=endpoint, since=loop_time()
--- a/packages/node/mastichatch_node/relay/rollouts/reporting.py
+++ b/packages/node/mastichatch_node/relay/rollouts/reporting.py
@@ -28,9 +28,10 @@
 from mastichatch_node.relay.store_following import NodeRegistry
 
 REPORT_INTERVAL_S: Final = 0.3
-# Every so many intervals, the counts of the last part of the period are sent
+# Every so many intervals, the counts of the last parts of the period are sent
 # again, in case that a message was lost.
 REPEAT_INTERVALS: Final = 4
+REPEATED_PARTS: Final = 3
 # Nodes that receive the counts: the one that decides, and one that takes over.
 DECIDER_COUNT: Final = 2
 
@@ -142,5 +143,5 @@
             return rollout.counts.cells()
         if self._rounds % REPEAT_INTERVALS:
             return changed
-        last = part_of(now - rollout.seen_at, order.period_s) - 1
-        return tuple(one for one in rollout.counts.cells() if one.part >= last)
+        first = part_of(now - rollout.seen_at, order.period_s) - REPEATED_PARTS
+        return tuple(one for one in rollout.counts.cells() if one.part > first)
--- a/packages/node/mastichatch_node/relay/rollouts/state.py
+++ b/packages/node/mastichatch_node/relay/rollouts/state.py
@@ -70,7 +70,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WaitingRequest:
-    """A request to a version on trial that has no answer yet.
+    """A request that has no answer yet, while a roll-out is open.
 
     :param route: name of its route
     :param endpoint: endpoint that it was sent to
@@ -96,7 +96,7 @@
     :param counts: what the node's own attempts tell of the versions
     :param evidence: what all nodes have reported to this one
     :param is_vetoed: whether the node's own counts speak against the target
-    :param waiting: requests to the target without an answer, by a number
+    :param waiting: requests without an answer, by a number
     """
 
     service: str
@@ -141,3 +141,10 @@
         :param now: time in seconds
         """
         return max(now - self.seen_at, self.evidence.age_s(now))
+
+    def progress(self, now: float) -> float:
+        """Return the time since the order, as a share of its period.
+
+        :param now: time in seconds
+        """
+        return self.age_s(now) / self.order.period_s if self.order else 0
--- a/packages/node/mastichatch_node/relay/rollouts/stream_evidence.py
+++ b/packages/node/mastichatch_node/relay/rollouts/stream_evidence.py
@@ -65,13 +65,16 @@
             self._measured_at = now
             self.close()
             if not self._is_resumed:
-                self._record(duration_ms=(now - self._started_at) * MS_PER_S)
+                self._record(
+                    self._started_at,
+                    duration_ms=(now - self._started_at) * MS_PER_S,
+                )
             return
         self._events += count
         if self._events < PACE_EVENTS:
             return
         elapsed_ms = (now - self._measured_at) * MS_PER_S
-        self._record(duration_ms=elapsed_ms / self._events, is_pace=True)
+        self._record(now, duration_ms=elapsed_ms / self._events, is_pace=True)
         self._measured_at = now
         self._events = 0
 
@@ -88,7 +91,7 @@
             context.rollouts.return_exposure(self._endpoint)
         elif is_endpoint_failure(result) and not was_ordered:
             if not is_suspected(context, self._job, self._endpoint):
-                self._record(is_failed=True)
+                self._record(self._started_at, is_failed=True)
 
     def close(self) -> None:
         """End the wait for the first event."""
@@ -96,6 +99,7 @@
 
     def _record(
         self,
+        sent_at: float,
         *,
         duration_ms: float | None = None,
         is_failed: bool = False,
@@ -104,6 +108,7 @@
         self._context.rollouts.observer.record(
             self._job.route.name,
             self._endpoint,
+            sent_at,
             duration_ms=duration_ms,
             is_failed=is_failed,
             is_pace=is_pace,
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -148,7 +148,9 @@
         usable_endpoints(context.belief, service, now), context.records, now
     )
     opened = context.rollouts.split(
-        service, tuple(one for one in usable if one.instance not in tried)
+        service,
+        tuple(one for one in usable if one.instance not in tried),
+        lambda one: context.records.accepts(one.instance, now),
     )
     candidates = opened.free
     # A call that is tried again goes to a proven version, if there is one.
@@ -248,6 +250,7 @@
         context.rollouts.observer.record(
             job.route.name,
             endpoint,
+            started_at,
             is_failed=is_failed,
             duration_ms=(loop_time() - started_at) * MS_PER_S,
         )
