--- a/packages/node/mastichatch_node/relay/admission_forecasting.py
+++ b/packages/node/mastichatch_node/relay/admission_forecasting.py
@@ -144,7 +144,7 @@
         """
         expected = self._expected.pop(request_id, None)
         if expected is not None and is_placed:
-            self._context.telemetry.observe_forecast_error(
+            self._context.telemetry.placement.observe_forecast_error(
                 expected.placed_at - loop_time()
             )
 
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -53,6 +53,9 @@
         connection
     :param is_closed_by_peer: whether the endpoint closed or reset the
         connection before the end of its answer
+    :param is_malformed: whether the endpoint sent bytes that are no answer to
+        the request
+    :param is_timed_out: whether the answer did not arrive in time
     """
 
     fate: AttemptOutcome
@@ -61,6 +64,8 @@
     reason: str = ''
     is_connection_refused: bool = False
     is_closed_by_peer: bool = False
+    is_malformed: bool = False
+    is_timed_out: bool = False
 
     @property
     def status(self) -> int:
@@ -128,6 +133,7 @@
         reason=str(error),
         is_connection_refused=error.is_connection_refused,
         is_closed_by_peer=error.is_closed_by_peer,
+        is_malformed=error.is_malformed,
     )
 
 
@@ -181,11 +187,11 @@
     if response_id != job.request_id and not is_unnamed:
         connection.close()
         reason = 'the answer belongs to another request'
-        raise ExchangeError(reason, was_sent=True)
+        raise ExchangeError(reason, was_sent=True, is_malformed=True)
     if not context.dialect.is_genuine(head):
         connection.close()
         reason = 'a success without a signature, or with an encoding'
-        raise ExchangeError(reason, was_sent=True)
+        raise ExchangeError(reason, was_sent=True, is_malformed=True)
     return head
 
 
@@ -207,6 +213,30 @@
     )
 
 
+def is_endpoint_failure(result: AttemptResult) -> bool:
+    """Return whether the result of an attempt is a fault of its endpoint.
+
+    Silence is none: the network may have lost the answer.
+
+    :param result: result of the attempt
+    """
+    if result.fate is AttemptOutcome.answered:
+        return result.status >= FIRST_SERVER_ERROR
+    return result.fate is AttemptOutcome.unknown and (
+        result.is_closed_by_peer or result.is_malformed
+    )
+
+
+def is_suspected(context: RelayContext, job: Job, endpoint: Endpoint) -> bool:
+    """Return whether a request may crash the endpoint that it is sent to.
+
+    :param context: shared components of the relay
+    :param job: the request
+    :param endpoint: the endpoint
+    """
+    return bool(context.crashes.judge(job.parts, endpoint).suspects)
+
+
 def record_result(
     context: RelayContext,
     endpoint: Endpoint,
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -63,6 +63,9 @@
 # Expected time until capacity is free: an engine that left is replaced, or a
 # generation ends (under load, 1.6 end per second, by the users' requirements).
 RETRY_AFTER_S: Final = 0.5
+# Most queued requests that are tried on a version on trial at a time: those
+# that fit none of its engines must not keep the others from it.
+MAX_EXPOSURE_TRIES: Final = 3
 # Jitter added to Retry-After, so that refused callers do not retry together.
 RETRY_AFTER_JITTER_S: Final = 1.0
 # Reason of a refusal.
@@ -165,6 +168,8 @@
         finally:
             self._waiting.pop(job.request_id, None)
         self._forecaster.record_end(job.request_id, is_placed=True)
+        if not excluded:
+            self._context.rollouts.record_request(job.service.name)
         return self._record_placement(job, engine, candidate)
 
     def reconcile(self) -> None:
@@ -174,7 +179,9 @@
             self._assign_engines(service)
 
     def usable_engines(self, service: str) -> tuple[Endpoint, ...]:
-        """Return the engines of a service that accept new requests.
+        """Return the engines of a service that accept requests or runs.
+
+        A roll-out may keep some of them from new requests.
 
         :param service: name of the service
         """
@@ -184,7 +191,9 @@
             self._context.records,
             now,
         )
-        healthy = tuple(one for one in usable if self._is_healthy(one, now))
+        healthy = tuple(
+            one for one in usable if _is_healthy(self._context, one, now)
+        )
         # If all circuit breakers are open, some engine must still be tried.
         return healthy or usable
 
@@ -234,23 +243,20 @@
         for instance in instances:
             self._context.records.get(instance).avoid(loop_time() + duration_s)
 
-    def accepts_runs(self, endpoint: Endpoint) -> bool:
+    def accepts_runs(self, endpoint: Endpoint, source: Endpoint) -> bool:
         """Return whether a run may continue on an engine.
 
         :param endpoint: the engine; the state given in it may be out of date
+        :param source: engine that runs or ran it
         """
         now = loop_time()
+        if not self._context.rollouts.may_continue(source, endpoint):
+            return False
         if self._context.records.get(endpoint.instance).is_paused(now):
             return False
         usable = usable_endpoints(self._context.belief, endpoint.service, now)
         return any(one.instance == endpoint.instance for one in usable)
 
-    def _is_healthy(self, endpoint: Endpoint, now: float) -> bool:
-        record = self._context.records.get(endpoint.instance)
-        if record.is_avoided(now):
-            return False
-        return breakers.allows_request(record.breaker, record.running, now)
-
     def runs_of_service(self, service: str) -> tuple[Run, ...]:
         """Return the runs of a service on all nodes.
 
@@ -287,8 +293,11 @@
             raise self._unavailable(job) from None
 
     def _unavailable(self, job: Job) -> EngineUnavailableError:
-        usable = self.usable_engines(job.service.name)
-        reason = NO_ROOM if usable else 'no engine is in use'
+        service = job.service.name
+        opened = self._context.rollouts.split(
+            service, self.usable_engines(service)
+        )
+        reason = NO_ROOM if opened.proven else 'no engine is in use'
         return_s = self._forecaster.return_s(job)
         if return_s is None:
             jitter_s = random.random() * RETRY_AFTER_JITTER_S  # noqa: S311
@@ -296,60 +305,91 @@
         return EngineUnavailableError(reason, return_s)
 
     def _assign_engines(self, service: str) -> None:
-        usable = self.usable_engines(service)
+        opened = self._context.rollouts.split(
+            service, self.usable_engines(service)
+        )
+        queued, options = self._judge_queued(service, opened.proven)
+        if not queued:
+            return
+        engine = require_engine(next(iter(queued.values())).job)
+        runs = self.runs_of_service(service)
+        if opened.trial:
+            queued, runs = self._expose(
+                queued, runs, _Engines(opened.trial, engine), options
+            )
+        plan = _assign(
+            self._context, queued, runs, _Engines(opened.free, engine), options
+        )
+        left = _still_waiting(queued)
+        hopeless = self._forecaster.refuse_hopeless(
+            {own_id: one.job for own_id, one in left.items()},
+            plan,
+            opened.free,
+            self.costs,
+        )
+        _refuse(left, hopeless)
+
+    def _judge_queued(
+        self, service: str, usable: tuple[Endpoint, ...]
+    ) -> tuple[dict[str, _QueuedRequest], QueueOptions]:
+        """Return the queued requests of a service that may run.
+
+        :param service: name of the service
+        :param usable: engines that accept new requests
+        :returns: the requests by id, and what their assignment depends on
+        """
         queued: dict[str, _QueuedRequest] = {}
         excluded: dict[str, frozenset[str]] = {}
         for request_id, one in tuple(self._waiting.items()):
             if one.job.service.name == service and not one.future.done():
                 refused = self._apply_verdicts(one, usable)
                 excluded[request_id] = one.excluded | refused
-                queued[request_id] = one
-        if not queued:
-            return
-        plan = plan_queue(
-            self.runs_of_service(service),
-            usable,
-            require_engine(next(iter(queued.values())).job),
-            self._context.sharing.table.arrived_at,
-            self._context.data_centre,
-            loop_time(),
-            QueueOptions(
-                excluded=excluded,
-                costs=self.costs(service),
-                home_of=_home_lookup(self._context),
-                held=self._forecaster.held_by_flow(service),
-                first_rank=self._forecaster.first_rank(service),
-            ),
+                queued[request_id] = self._waiting[request_id]
+        options = dataclasses.replace(
+            _queue_options(self._context, self._forecaster, service),
+            excluded=excluded,
+            costs=self.costs(service),
         )
-        for placed_id, candidate in plan.found.items():
-            placed = queued.pop(placed_id, None)
-            if placed is not None and not placed.future.done():
-                placed.future.set_result(candidate)
-        self._refuse_hopeless(queued, plan, usable)
+        return queued, options
 
-    def _refuse_hopeless(
+    def _expose(
         self,
         queued: Mapping[str, _QueuedRequest],
-        plan: QueuePlan,
-        usable: tuple[Endpoint, ...],
-    ) -> None:
-        """Refuse the queued requests that will not be placed in time.
+        runs: tuple[Run, ...],
+        trial: '_Engines',
+        options: QueueOptions,
+    ) -> tuple[dict[str, _QueuedRequest], tuple[Run, ...]]:
+        """Assign engines on trial to queued requests, as far as is allowed.
 
-        :param queued: requests that were not placed
-        :param plan: assignment of engines to the requests of all nodes
-        :param usable: engines that accept new requests
+        Requests that may crash an engine would tell nothing of the version.
+
+        :returns: the requests that are left, and the runs without the others
         """
-        jobs = {
-            request_id: one.job
-            for request_id, one in queued.items()
-            if not one.future.done()
-        }
-        refused = self._forecaster.refuse_hopeless(
-            jobs, plan, usable, self.costs
+        service = trial.endpoints[0].service
+        rollouts = self._context.rollouts
+        left = _still_waiting(queued)
+        ranked = sorted(
+            (item for item in left.items() if not item[1].suspects),
+            key=lambda item: item[1].job.rank,
+        )
+        for own_id, queued_request in ranked[:MAX_EXPOSURE_TRIES]:
+            if not rollouts.try_expose(service):
+                break
+            # Other waiting requests do not use the allowance of this node.
+            visible = tuple(
+                run
+                for run in runs
+                if run.state is RunState.running or run.request_id == own_id
+            )
+            own = {own_id: queued_request}
+            _assign(self._context, own, visible, trial, options)
+            if not queued_request.future.done():
+                rollouts.cancel_exposure(service)
+        waiting = _still_waiting(left)
+        exposed = left.keys() - waiting.keys()
+        return waiting, tuple(
+            run for run in runs if run.request_id not in exposed
         )
-        for request_id, return_s in refused.items():
-            error = EngineUnavailableError(NO_ROOM, return_s)
-            queued[request_id].future.set_exception(error)
 
     def _apply_verdicts(
         self, queued: _QueuedRequest, usable: tuple[Endpoint, ...]
@@ -402,7 +442,9 @@
             suspects=suspects,
         )
         self._context.sharing.record(placed)
-        self._context.telemetry.count_placement(is_remote=candidate.is_remote)
+        self._context.telemetry.placement.count_placement(
+            is_remote=candidate.is_remote
+        )
         self._context.telemetry.log_decision(
             'generation_placed',
             job.request_id,
@@ -432,7 +474,7 @@
             job,
             dataclasses.replace(run, endpoint=endpoint.instance),
             frozenset((endpoint.instance,)),
-            endpoint.data_centre,
+            endpoint,
             COPY_MEMORY_SHARE_LIMIT,
         )
 
@@ -441,7 +483,7 @@
         job: Job,
         run: Run,
         excluded: frozenset[str],
-        data_centre: str,
+        source: Endpoint,
         memory_share: float,
     ) -> Endpoint | None:
         """Return an engine with room for a copy of a run's KV cache, if any.
@@ -449,8 +491,8 @@
         :param job: the run's request
         :param run: current state of the run
         :param excluded: instances that must not be chosen
-        :param data_centre: data centre that holds the KV cache; a transfer to
-            another data centre has half the rate
+        :param source: engine that holds the KV cache; a transfer to another
+            data centre has half the rate
         :param memory_share: highest share of an engine's memory in use after
             the copy
         """
@@ -458,6 +500,7 @@
             one.instance: one
             for one in self.usable_engines(job.service.name)
             if one.instance not in excluded
+            and self._context.rollouts.may_continue(source, one)
         }
         criteria = dataclasses.replace(
             placement_request(run, self._context.data_centre), part=''
@@ -476,11 +519,42 @@
         if not candidates:
             return None
         chosen = choose_destination(
-            candidates, endpoints, runs, run, data_centre
+            candidates, endpoints, runs, run, source.data_centre
         )
         return endpoints[chosen]
 
 
+def _is_healthy(context: RelayContext, endpoint: Endpoint, now: float) -> bool:
+    record = context.records.get(endpoint.instance)
+    if record.is_avoided(now):
+        return False
+    return breakers.allows_request(record.breaker, record.running, now)
+
+
+def _refuse(
+    queued: Mapping[str, _QueuedRequest], hopeless: Mapping[str, float]
+) -> None:
+    """Refuse queued requests that will not be placed in time.
+
+    :param queued: requests that wait, by id
+    :param hopeless: time after which each should come back, in seconds, by id
+    """
+    for request_id, return_s in hopeless.items():
+        error = EngineUnavailableError(NO_ROOM, return_s)
+        queued[request_id].future.set_exception(error)
+
+
+def _queue_options(
+    context: RelayContext, forecaster: AdmissionForecaster, service: str
+) -> QueueOptions:
+    """Return what was decided for a service's queue."""
+    return QueueOptions(
+        home_of=_home_lookup(context),
+        held=forecaster.held_by_flow(service),
+        first_rank=forecaster.first_rank(service),
+    )
+
+
 def _no_connection_s(context: RelayContext, endpoint: Endpoint) -> float:
     """Return for how long an engine that was not reached is avoided."""
     if endpoint.data_centre in context.remotes.silent:
@@ -500,6 +574,52 @@
     return lambda run: data_centres.get(table.node_of(run), context.data_centre)
 
 
+def _still_waiting(
+    queued: Mapping[str, _QueuedRequest],
+) -> dict[str, _QueuedRequest]:
+    return {
+        request_id: one
+        for request_id, one in queued.items()
+        if not one.future.done()
+    }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Engines:
+    """Engines to which requests may be assigned.
+
+    :param endpoints: the engines
+    :param engine: capacity of one engine
+    """
+
+    endpoints: tuple[Endpoint, ...]
+    engine: Engine
+
+
+def _assign(
+    context: RelayContext,
+    queued: Mapping[str, _QueuedRequest],
+    runs: tuple[Run, ...],
+    engines: _Engines,
+    options: QueueOptions,
+) -> QueuePlan:
+    """Assign engines to the queued requests that are next in order."""
+    plan = plan_queue(
+        runs,
+        engines.endpoints,
+        engines.engine,
+        context.sharing.table.arrived_at,
+        context.data_centre,
+        loop_time(),
+        options,
+    )
+    for request_id, candidate in plan.found.items():
+        placed = queued.get(request_id)
+        if placed is not None and not placed.future.done():
+            placed.future.set_result(candidate)
+    return plan
+
+
 def require_engine(job: Job) -> Engine:
     """Return the engine capacity of a request's service.
 
@@ -521,7 +641,8 @@
     """
     now = loop_time()
     usable = usable_endpoints(context.belief, job.service.name, now)
-    active, left_s = split_paused(usable, context.records, now)
+    opened = context.rollouts.split(job.service.name, usable)
+    active, left_s = split_paused(opened.proven, context.records, now)
     if active or left_s is None:
         return
     jitter_s = random.random() * RETRY_AFTER_JITTER_S  # noqa: S311
--- a/packages/node/mastichatch_node/relay/remote_sharing.py
+++ b/packages/node/mastichatch_node/relay/remote_sharing.py
@@ -60,6 +60,7 @@
         self._reviewed_at = loop_time()
         self._configuration: Configuration | None = None
         self._services: tuple[Service, ...] = ()
+        context.pool.observe_connects(self.record_connect)
 
     async def review_periodically(self) -> None:
         """Review the shares until cancelled.
@@ -187,7 +188,7 @@
     def _report(self, service: str, change: ShareChange, now: float) -> None:
         other = change.data_centre
         telemetry = self._context.telemetry
-        telemetry.update_remote_share(service, other, change.after)
+        telemetry.placement.update_remote_share(service, other, change.after)
         telemetry.log_state_change(
             'remote_share_changed',
             service=service,
--- a/packages/node/mastichatch_node/relay/speed_tracking.py
+++ b/packages/node/mastichatch_node/relay/speed_tracking.py
@@ -61,7 +61,9 @@
         if review is former:
             return
         self._reviews[service] = review
-        self._context.telemetry.update_speeds(review.measured.values())
+        self._context.telemetry.placement.update_speeds(
+            review.measured.values()
+        )
         before = {} if former is None else former.relative
         for instance in sorted(review.relative.keys() | before.keys()):
             speed = review.relative.get(instance, NOMINAL_SPEED)
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -6,10 +6,9 @@
 import io
 import logging as standard_logging
 import os
-import statistics
 import sys
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import Final
 
 from absl import logging
@@ -21,10 +20,12 @@
     generate_latest,
 )
 
+from mastichatch_core.generated.records import RolloutPhase
 from mastichatch_core.relay.byte_budget import ByteBudget, Purpose, Shortage
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.logs import set_up_logging
+from mastichatch_node.relay.placement_metrics import PlacementMetrics
 
 # A host at the users' sites serves about ten requests a second, with about four
 # log lines for each. An incident may cause several times as many lines.
@@ -41,22 +42,6 @@
 LAG_PROBE_INTERVAL_S: Final = 0.25
 # Most log lines on malformed store entries that a process writes.
 MALFORMED_LOG_LIMIT: Final = 200
-# Bounds of the error of a forecast: positive if a request was placed earlier
-# than forecast.
-FORECAST_ERROR_BUCKETS_S: Final = (
-    -4,
-    -2,
-    -1,
-    -0.5,
-    -0.2,
-    -0.05,
-    0.05,
-    0.2,
-    0.5,
-    1,
-    2,
-    4,
-)
 LATENCY_BUCKETS_S: Final = (
     0.005,
     0.01,
@@ -190,13 +175,6 @@
             buckets=PAUSE_BUCKETS_S,
             registry=self._registry,
         )
-        self._forecast_error = Histogram(
-            'mastichatch_relay_forecast_error_seconds',
-            'Forecast time of the placement of a queued generation, minus the '
-            'real time.',
-            buckets=FORECAST_ERROR_BUCKETS_S,
-            registry=self._registry,
-        )
         self._loop_lag = Histogram(
             'mastichatch_relay_loop_lag_seconds',
             'Delay of a timer of the event loop, probed four times a second.',
@@ -214,30 +192,30 @@
             ('purpose',),
             registry=self._registry,
         )
-        self._placements = Counter(
-            'mastichatch_relay_placements',
-            'Generations placed on engines, by where: home or remote.',
-            ('where',),
-            registry=self._registry,
-        )
-        self._remote_share = Gauge(
-            'mastichatch_relay_remote_share',
-            'Share of new requests that may leave to another data centre.',
-            ('service', 'data_centre'),
-            registry=self._registry,
-        )
         self._suspected = Gauge(
             'mastichatch_relay_suspected_parts',
             'Parts of prompts that may crash engines.',
             registry=self._registry,
         )
-
-        self._speeds = Gauge(
-            'mastichatch_relay_engine_speed',
-            'Measured speed of engines relative to their specification.',
-            ('engine',),
+        self._rollout_requests = Counter(
+            'mastichatch_relay_rollout_requests',
+            'Answers during a roll-out, by service, arm and outcome.',
+            ('service', 'arm', 'outcome'),
             registry=self._registry,
         )
+        self._rollout_phase = Gauge(
+            'mastichatch_relay_rollout_phase',
+            'Whether the last roll-out of a service is in that phase.',
+            ('service', 'phase'),
+            registry=self._registry,
+        )
+
+        self._placement = PlacementMetrics(self._registry)
+
+    @property
+    def placement(self) -> PlacementMetrics:
+        """Metrics of where and when generations are placed."""
+        return self._placement
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -281,13 +259,6 @@
         """
         self._longest_pause.observe(pause_s)
 
-    def observe_forecast_error(self, error_s: float) -> None:
-        """Record by how much the forecast of a queued generation was wrong.
-
-        :param error_s: forecast minus real time of its placement, in seconds
-        """
-        self._forecast_error.observe(error_s)
-
     def observe_loop_lag(self, lag_s: float, processor_s: float) -> None:
         """Record how late the event loop ran a timer, and log long delays.
 
@@ -317,33 +288,29 @@
         """
         self._suspected.set(suspected)
 
-    def update_speeds(self, speeds: Collection[float]) -> None:
-        """Set the speeds of the slowest, the median and the fastest engine.
-
-        :param speeds: measured speeds, relative to the specification
-        """
-        if speeds:
-            self._speeds.labels('slowest').set(min(speeds))
-            self._speeds.labels('median').set(statistics.median(speeds))
-            self._speeds.labels('fastest').set(max(speeds))
-
-    def count_placement(self, *, is_remote: bool) -> None:
-        """Count a generation that is placed on an engine.
+    def count_rollout_answer(
+        self, service: str, *, is_target: bool, is_failed: bool
+    ) -> None:
+        """Count an answer during a roll-out.
 
-        :param is_remote: whether the engine is in another data centre
+        :param service: name of the service
+        :param is_target: whether it came from the version that is rolled out
+        :param is_failed: whether it is a failure of the endpoint
         """
-        self._placements.labels('remote' if is_remote else 'home').inc()
+        arm = 'target' if is_target else 'previous'
+        outcome = 'failed' if is_failed else 'good'
+        self._rollout_requests.labels(service, arm, outcome).inc()
 
-    def update_remote_share(
-        self, service: str, data_centre: str, share: float
+    def show_rollout_phase(
+        self, service: str, present: RolloutPhase | None
     ) -> None:
-        """Set the share of new requests that may leave to a data centre.
+        """Set the phase of a service's last roll-out.
 
         :param service: name of the service
-        :param data_centre: the other data centre
-        :param share: the share, from zero to one
+        :param present: the phase; ``None`` if it has none
         """
-        self._remote_share.labels(service, data_centre).set(share)
+        for phase in RolloutPhase:
+            self._rollout_phase.labels(service, phase).set(phase is present)
 
     def watch_budget(self, budget: ByteBudget) -> None:
         """Show the bytes that are held for peers.
