Call a store that refuses calls less often, and by one order

Cause: once two readers had lost the store, each node repeated its calls every 0.2 s, and renewals went on, so an outage made several times as many calls.

Change: delays grow with decorrelated jitter, from the first node of a data centre (0.7 s at most) to those behind the sixth, in the order by which readers are chosen. A reader that has lost the store is told from one that does not answer; nodes wait at the first one, which answers as soon as the store is back, and a node out of contact watches without a wait, so that it learns of the return at once. Renewals that were refused wait for the store's return; those without an answer go on every 4 s, before the lease ends.

--- a/packages/core/mastichatch_core/relay/reader_choice.py
+++ b/packages/core/mastichatch_core/relay/reader_choice.py
@@ -41,6 +41,24 @@
     """
     if len(members) < MIN_OTHERS_FOR_READER:
         return None
+    chosen = order_readers(own, members, answering, links)[0]
+    return None if chosen == own else chosen
+
+
+def order_readers(
+    own: str,
+    members: Collection[str],
+    answering: Collection[str],
+    links: Mapping[str, float] = _NO_LINKS,
+) -> tuple[str, ...]:
+    """Return the nodes that may watch the store, first choice first.
+
+    :param own: name of this node
+    :param members: names of the data centre's other nodes
+    :param answering: names of nodes that sent a message recently and that
+        answer
+    :param links: rates of the nodes' network links, in Mbit/s
+    """
     candidates = {own, *(name for name in members if name in answering)}
     highest_rate = max(links.get(name, 0) for name in candidates)
     eligible = {
@@ -48,5 +66,4 @@
         for name in candidates
         if links.get(name, 0) >= MIN_LINK_SHARE * highest_rate
     }
-    chosen = rendezvous.pick(eligible, 'reader')
-    return None if chosen == own else chosen
+    return rendezvous.ranked(eligible, 'reader')
--- a/packages/core/mastichatch_core/relay/store.py
+++ b/packages/core/mastichatch_core/relay/store.py
@@ -21,12 +21,14 @@
 class StoreUnavailableError(MastichatchError):
     """The store did not answer, or refused; it may have applied a write."""
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, *, is_refusal: bool = False) -> None:
         """Create the error.
 
         :param reason: description of the failure
+        :param is_refusal: whether the store answered that it did nothing
         """
         super().__init__(ErrorKind.platform_unavailable, reason)
+        self.is_refusal = is_refusal
 
 
 class HistoryGoneError(Exception):
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -407,6 +407,7 @@
                 store,
                 NODE_PREFIX + components.settings.name,
                 create_node_record(components.settings, components.peers),
+                follower,
             ),
             components.broadcaster.broadcast_periodically,
             departures.poll_periodically,
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 from collections.abc import (
     AsyncIterator,
@@ -30,8 +31,10 @@
 from mastichatch_core.relay.packing import PackingError, pack, unpack
 from mastichatch_core.relay.reader_choice import (
     MAX_READERS_TRIED,
-    choose_reader,
+    MIN_OTHERS_FOR_READER,
+    order_readers,
 )
+from mastichatch_core.relay.store_backoff import StoreBackoff
 from mastichatch_core.relay.store import (
     HistoryGoneError,
     LeaseLapsedError,
@@ -50,16 +53,17 @@
 # Two long polls with their answers must fit into the time for which a revoked
 # key may still be accepted (5 s, by the users' requirements).
 WATCH_WAIT_MS: Final = 1500
-# Delay after a failed call.
-RETRY_DELAY_S: Final = 0.2
 # Interval of queries to other nodes while the store is unavailable.
 PEER_QUERY_INTERVAL_S: Final = 0.4
 PEER_QUERY_TIMEOUT_MS: Final = 300
 # With the query timeout, a failed reader is detected within 1 s: half of the
 # shortest time limit for applying a change, by the users' requirements.
 READER_WAIT_MS: Final = 700
-# Time for which a reader that failed to answer is not chosen.
+# Time for which a reader that failed to answer, or has lost the store, is not
+# chosen.
 READER_EXCLUSION_S: Final = 4.0
+# Number of nodes that a node asks whether they have contact.
+MAX_READERS_ASKED: Final = 6
 # Changes reach all nodes within tens of milliseconds, plus the watch delay of a
 # reader, so a node that lags longer than this asks another one.
 LAG_TOLERANCE_S: Final = 0.3
@@ -74,6 +78,14 @@
 # Three renewals fit into a lease, so two may be lost.
 LEASE_MS: Final = 6000
 RENEWAL_INTERVAL_S: Final = 2.0
+# The same while the store does not answer: renewals may still reach it, and a
+# lease must not end because only their answers are lost.
+UNANSWERED_RENEWAL_S: Final = 4.0
+# Longest time for which a node waits for the return of a store that refused a
+# renewal. Its lease has ended by then.
+REFUSED_RENEWAL_S: Final = 12.0
+# Time after the store's return over which the nodes spread their renewals.
+RENEWAL_SPREAD_S: Final = 0.5
 # Delay until a background task that failed is started again.
 RESTART_DELAY_S: Final = 0.5
 Worker = Callable[[], Awaitable[None]]
@@ -280,6 +292,10 @@
         self._needs_listing = True
         self._updated = asyncio.Event()
         self._excluded_until: dict[str, float] = {}
+        self._without_store: dict[str, float] = {}
+        self._backoff = StoreBackoff(random.uniform)
+        self._contact = asyncio.Event()
+        self._confirmed: str | None = None
         self._reader: str | None = None
         self._started_at = loop_time()
         self._is_catching_up = False
@@ -301,23 +317,76 @@
         """
         self._subscribers.append(callback)
 
+    async def wait_for_contact(self, timeout_s: float) -> bool:
+        """Wait until the store is in contact, and return whether it is.
+
+        :param timeout_s: longest wait, in seconds
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._contact.wait()
+        return self._in_contact
+
     async def follow(self) -> None:
-        """Follow the store or a reader until cancelled."""
+        """Follow the store or a reader until cancelled.
+
+        While no reader has contact, the nodes call the store themselves, the
+        less often the further back they are in the order of the readers.
+        """
         while True:
-            reader = self._choose_reader()
+            readers, rank = self._find_readers()
+            now = loop_time()
+            reader = next(
+                (
+                    one
+                    for one in readers
+                    if now >= self._without_store.get(one, now)
+                ),
+                None,
+            )
+            self._log_reader(reader)
             if reader is not None:
-                await self._follow_reader(reader)
+                # One that has lost the store says so at once.
+                is_known = reader == self._confirmed
+                wait_ms = READER_WAIT_MS if is_known else 0
+                has_contact = await self._follow_reader(reader, wait_ms)
+                self._confirmed = reader if has_contact else None
                 continue
-            try:
-                await self._follow_store()
-            except HistoryGoneError:
-                self._needs_listing = True
-                self._telemetry.log_state_change(
-                    'store_history_gone', revision=self._belief.revision
-                )
-            except StoreUnavailableError as error:
-                self._record_contact_lost(str(error))
-                await asyncio.sleep(RETRY_DELAY_S)
+            if not self._backoff.has_begun:
+                self._backoff.begin(rank, now)
+            left_s = self._backoff.left_s(now)
+            if left_s:
+                await self._wait_for_readers(readers, left_s)
+            else:
+                await self._call_store(rank)
+
+    async def _call_store(self, rank: int) -> None:
+        try:
+            await self._follow_store()
+        except HistoryGoneError:
+            self._needs_listing = True
+            self._telemetry.log_state_change(
+                'store_history_gone', revision=self._belief.revision
+            )
+        except StoreUnavailableError as error:
+            self._record_contact_lost(str(error))
+            self._backoff.record_failure(rank, loop_time())
+        else:
+            self._backoff.record_success()
+
+    async def _wait_for_readers(
+        self, readers: tuple[str, ...], left_s: float
+    ) -> None:
+        """Ask the nodes that call the store before this one for its return."""
+        self._record_contact_lost('no node before this one has contact')
+        if not readers:
+            await asyncio.sleep(min(left_s, READER_WAIT_MS / MS_PER_S))
+            return
+        for other in readers[1:]:
+            if await self._follow_reader(other, 0):
+                return
+        wait_ms = min(READER_WAIT_MS, left_s * MS_PER_S)
+        await self._follow_reader(readers[0], wait_ms)
 
     async def poll_other_nodes(self) -> None:
         """Query other nodes while the store is unavailable, until cancelled."""
@@ -380,39 +449,57 @@
         )
         return Reply(kind=MessageKind.view_answer, message=answer)
 
-    def _choose_reader(self) -> str | None:
-        if self._needs_listing:
-            return None
+    def _find_readers(self) -> tuple[tuple[str, ...], int]:
+        """Return the nodes that call the store before this one.
+
+        :returns: the first of them, if this node may follow one, and its place
+            in the order of all
+        """
         now = loop_time()
-        eligible = {
-            name
-            for name in self._recently_heard()
-            if now >= self._excluded_until.get(name, now)
+        excluded = {
+            name for name, end in self._excluded_until.items() if now < end
         }
         neighbours = self._neighbours
-        excluded_count = sum(now < end for end in self._excluded_until.values())
-        reader = None
-        if excluded_count < MAX_READERS_TRIED:
-            reader = choose_reader(
-                neighbours.own_name,
-                neighbours.same_data_centre,
-                eligible,
-                neighbours.links,
-            )
+        own = neighbours.own_name
+        order = order_readers(
+            own,
+            neighbours.same_data_centre,
+            set(self._recently_heard()) - excluded,
+            neighbours.links,
+        )
+        rank = order.index(own) if own in order else len(order)
+        if len(neighbours.same_data_centre) < MIN_OTHERS_FOR_READER:
+            # Each node watches the store itself.
+            return (), 0
+        if self._needs_listing or len(excluded) >= MAX_READERS_TRIED:
+            return (), min(rank, 1)
+        return order[: min(rank, MAX_READERS_ASKED)], rank
+
+    def _log_reader(self, reader: str | None) -> None:
         if reader != self._reader:
             self._reader = reader
             self._telemetry.log_state_change(
                 'reader_changed', reader=reader or 'self'
             )
-        return reader
 
-    async def _follow_reader(self, reader: str) -> None:
+    async def _follow_reader(self, reader: str, wait_ms: float) -> bool:
+        """Apply the view of a reader, and return whether it has contact."""
         address = self._neighbours.address(reader)
-        if await self._query_node(address, READER_WAIT_MS):
+        has_contact = await self._query_node(address, wait_ms)
+        until = loop_time() + READER_EXCLUSION_S
+        if has_contact:
+            self._without_store.pop(reader, None)
             self._record_contact()
-            return
-        self._excluded_until[reader] = loop_time() + READER_EXCLUSION_S
-        self._telemetry.log_state_change('reader_distrusted', reader=reader)
+            self._backoff.reset()
+        elif has_contact is None:
+            self._excluded_until[reader] = until
+            self._telemetry.log_state_change('reader_distrusted', reader=reader)
+        else:
+            self._without_store[reader] = until
+            self._telemetry.log_state_change(
+                'reader_without_store', reader=reader
+            )
+        return bool(has_contact)
 
     async def _follow_store(self) -> None:
         """Apply one listing, or the answer to one watch."""
@@ -425,7 +512,9 @@
                 self._belief.apply_listing(listing, sent_at, loop_time())
             )
             return
-        view = await self._store.watch('', self._belief.revision, WATCH_WAIT_MS)
+        # A store that is back answers at once, so that others learn of it.
+        wait_ms = WATCH_WAIT_MS if self._in_contact else 0
+        view = await self._store.watch('', self._belief.revision, wait_ms)
         self._record_contact()
         self._notify(self._belief.apply(view, sent_at, loop_time()))
         if view.entries:
@@ -440,8 +529,11 @@
             return FALLBACK_WATCH_DELAY_S
         return WATCH_DELAY_S
 
-    async def _query_node(self, address: str, wait_ms: float) -> bool:
-        """Apply the view of another node, and return whether it is current."""
+    async def _query_node(self, address: str, wait_ms: float) -> bool | None:
+        """Apply the view of another node, and return whether it has contact.
+
+        :returns: ``None`` if it does not tell a view that can be used
+        """
         asked_at = boottime_clock()
         known = self._belief.revision
         try:
@@ -457,9 +549,9 @@
                 'a node did not tell its view',
                 extra={'address': address, 'reason': str(error)},
             )
-            return False
+            return None
         if answer.revision < known or answer.age_ms == float('inf'):
-            return False
+            return None
         try:
             entries = tuple(unpack(entry) for entry in answer.entries)
         except PackingError as error:
@@ -467,7 +559,7 @@
                 'view of another node cannot be decoded',
                 extra={'address': address, 'reason': str(error)},
             )
-            return False
+            return None
         view = StoreView(revision=answer.revision, entries=entries)
         # The node answered after holding the query for at least ``held_ms``, so
         # this is the earliest time at which its view can have been verified.
@@ -475,9 +567,13 @@
         self._notify(self._belief.apply(view, verified_at, loop_time()))
         return answer.is_current
 
-    def _notify(self, changed: tuple[str, ...]) -> None:
+    def _wake_queries(self) -> None:
+        """Answer the queries of other nodes that are held."""
         self._updated.set()
         self._updated = asyncio.Event()
+
+    def _notify(self, changed: tuple[str, ...]) -> None:
+        self._wake_queries()
         if not changed:
             return
         configuration = self._belief.configuration
@@ -495,6 +591,7 @@
         self._belief.record_contact(loop_time())
         if not self._in_contact:
             self._in_contact = True
+            self._contact.set()
             self._telemetry.log_state_change(
                 'store_regained', revision=self._belief.revision
             )
@@ -503,6 +600,8 @@
         self._belief.record_contact_lost()
         if self._in_contact:
             self._in_contact = False
+            self._contact.clear()
+            self._wake_queries()
             self._telemetry.log_state_change(
                 'store_lost',
                 reason=reason,
@@ -511,16 +610,19 @@
             )
 
 
-async def keep_registered(store: Store, key: str, content: bytes) -> None:
+async def keep_registered(
+    store: Store, key: str, content: bytes, follower: StoreFollower
+) -> None:
     """Keep a key registered under a lease until cancelled.
 
     :param store: the platform's store
     :param key: key of this node
     :param content: encoded registration of this node
+    :param follower: tells whether the store is in contact
     """
     while True:
         try:
-            await _register(store, key, content)
+            await _register(store, key, content, follower)
         except LeaseLapsedError:
             logging.warning(
                 'registration lease of this node expired; registering again'
@@ -530,23 +632,54 @@
                 'registration of this node failed; trying again',
                 extra={'reason': str(error)},
             )
-            await asyncio.sleep(RENEWAL_INTERVAL_S)
+            await _pause_renewals(follower, error)
 
 
-async def _register(store: Store, key: str, content: bytes) -> None:
+async def _register(
+    store: Store, key: str, content: bytes, follower: StoreFollower
+) -> None:
     lease = await store.grant_lease(LEASE_MS)
     try:
         await store.put(key, content, lease)
+        await asyncio.sleep(RENEWAL_INTERVAL_S)
         while True:
-            await asyncio.sleep(RENEWAL_INTERVAL_S)
-            with contextlib.suppress(StoreUnavailableError):
-                await store.renew_lease(lease)
+            await _renew(store, lease, follower)
     except asyncio.CancelledError:
         with contextlib.suppress(StoreUnavailableError):
             await store.end_lease(lease)
         raise
 
 
+async def _renew(store: Store, lease: int, follower: StoreFollower) -> None:
+    """Renew a lease, and wait until the next renewal."""
+    try:
+        await store.renew_lease(lease)
+    except StoreUnavailableError as error:
+        await _pause_renewals(follower, error)
+    else:
+        await asyncio.sleep(RENEWAL_INTERVAL_S)
+
+
+async def _pause_renewals(
+    follower: StoreFollower, error: StoreUnavailableError
+) -> None:
+    """Wait until the next renewal after one that failed.
+
+    :param follower: tells whether the store is in contact
+    :param error: how it failed
+    """
+    longest_s = REFUSED_RENEWAL_S if error.is_refusal else UNANSWERED_RENEWAL_S
+    if follower.in_contact:
+        # The follower may not have noticed yet.
+        await asyncio.sleep(RENEWAL_INTERVAL_S)
+        longest_s -= RENEWAL_INTERVAL_S
+    if follower.in_contact:
+        return
+    if await follower.wait_for_contact(longest_s):
+        # Not all nodes at once.
+        await asyncio.sleep(random.uniform(0, RENEWAL_SPREAD_S))  # noqa: S311
+
+
 async def _run_again_after_errors(worker: Worker) -> None:
     """Run a background task, and start it again if it fails.
 
--- a/tests/standins/house_store.py
+++ b/tests/standins/house_store.py
@@ -27,8 +27,9 @@
     """Store of keys with revisions, leases and watches.
 
     Attributes inject faults: ``refuse_status`` is the status of every response
-    unless it is zero, ``lose_answers`` executes calls but closes without a
-    response, and ``is_silent`` never responds.
+    unless it is zero, ``resets`` closes each connection without executing its
+    call, ``lose_answers`` executes calls but closes without a response, and
+    ``is_silent`` never responds.
 
     ``is_endless`` adds further pages of 1 MB without end to each answer.
     ``first_revision`` is the first revision that a watch can start at, and
@@ -42,6 +43,7 @@
         self.events: list[dict[str, Any]] = []
         self.leases: dict[int, float] = {}
         self.refuse_status = 0
+        self.resets = False
         self.lose_answers = False
         self.is_silent = False
         self.first_revision = 0
@@ -100,6 +102,9 @@
         self.calls.append(f'{request.method} {request.path}')
         if self.is_silent:
             await asyncio.Event().wait()
+        if self.resets and request.transport is not None:
+            request.transport.abort()
+            return web.Response()
         if self.refuse_status:
             return web.Response(status=self.refuse_status)
         response = await handler(request)
