--- a/packages/node/mastichatch_node/relay/rollouts/assembly.py
+++ b/packages/node/mastichatch_node/relay/rollouts/assembly.py
@@ -109,10 +109,7 @@
         parts.adapter.rollout_status,
     )
 
-    def is_in_contact() -> bool:
-        return follower.in_contact
-
     async def decide() -> None:
-        await decider.decide_periodically(store, is_in_contact)
+        await decider.decide_periodically(store, follower)
 
     return (reporter.report_periodically, decide)
--- a/packages/node/mastichatch_node/relay/rollouts/deciding.py
+++ b/packages/node/mastichatch_node/relay/rollouts/deciding.py
@@ -12,7 +12,6 @@
 
 from mastichatch_core.generated.messages import ViewEntry
 from mastichatch_core.generated.records import RolloutRecord
-from mastichatch_core.relay.model import MalformedError
 from mastichatch_core.relay.rollouts.order import (
     Phase,
     changes_status,
@@ -41,7 +40,7 @@
 )
 from mastichatch_node.relay.rollouts.state import ServiceRollout
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
-from mastichatch_node.relay.store_following import Store
+from mastichatch_node.relay.store_following import Store, StoreFollower
 from mastichatch_node.relay.telemetry import Telemetry
 
 DECISION_INTERVAL_S: Final = 0.2
@@ -88,12 +87,13 @@
         self._next_write_at: dict[tuple[str, int], float] = {}
 
     async def decide_periodically(
-        self, store: Store, is_in_contact: Callable[[], bool]
+        self, store: Store, follower: StoreFollower
     ) -> None:
         """Decide on open roll-outs until cancelled.
 
         :param store: the platform's store
-        :param is_in_contact: whether the store is in contact
+        :param follower: tells whether the store is in contact, and takes in
+            what another node has written
         """
         while True:
             await asyncio.sleep(DECISION_INTERVAL_S)
@@ -103,8 +103,8 @@
                 self._next_write_at.clear()
             for rollout in rollouts:
                 record = self._due_record(rollout)
-                if record is not None and is_in_contact():
-                    await self._write(store, rollout, record)
+                if record is not None and follower.in_contact:
+                    await self._write(store, follower, rollout, record)
 
     def _due_record(self, rollout: ServiceRollout) -> RolloutRecord | None:
         """Return the record that this node is to write now, if any."""
@@ -175,33 +175,41 @@
             run.endpoint in former for run in self._sharing.table.iter_runs(now)
         )
 
-    async def _write(
-        self, store: Store, rollout: ServiceRollout, record: RolloutRecord
-    ) -> None:
+    def _create_transaction(
+        self, rollout: ServiceRollout, record: RolloutRecord
+    ) -> Transaction | None:
         order, order_entry = rollout.order, rollout.order_entry
         if order is None or order_entry is None:
-            return
+            return None
         record_key = RECORD_PREFIX + rollout.service
         puts = {record_key: codec.encode_json(record)}
         if changes_status(record):
-            try:
-                key, status = self._encode_status(record.phase, order_entry)
-            except MalformedError:
-                return
+            key, status = self._encode_status(record.phase, order_entry)
             puts[key] = status
-        transaction = Transaction(
+        return Transaction(
             expected={
                 record_key: rollout.record_revision,
                 order_entry.key: order.revision,
             },
             puts=puts,
         )
+
+    async def _write(
+        self,
+        store: Store,
+        follower: StoreFollower,
+        rollout: ServiceRollout,
+        record: RolloutRecord,
+    ) -> None:
+        transaction = self._create_transaction(rollout, record)
+        if transaction is None:
+            return
         result, delay_s = 'written', WRITTEN_WAIT_S
+        known: tuple[ViewEntry, ...] = ()
         try:
             await store.commit(transaction)
         except ConflictError as error:
-            # The watch brings what another node has written.
-            result, delay_s = str(error), RETRY_DELAY_S
+            result, delay_s, known = str(error), RETRY_DELAY_S, error.entries
         except StoreUnavailableError as error:
             # It may have been written; writing it again does no harm.
             result, delay_s = str(error), RETRY_DELAY_S
@@ -218,6 +226,9 @@
             order_revision=record.order_revision,
             age_s=round(rollout.age_s(loop_time()), 3),
         )
+        if known:
+            # Another node has written, which the watch may bring later.
+            follower.take_entries(known)
 
 
 def _is_on_trial(rollout: ServiceRollout) -> bool:
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -21,6 +21,7 @@
     MessageKind,
     RunChanges,
     ViewAnswer,
+    ViewEntry,
     ViewQuery,
 )
 from mastichatch_core.generated.records import NodeRecord
@@ -295,6 +296,17 @@
         """
         self._subscribers.append(callback)
 
+    def take_entries(self, entries: tuple[ViewEntry, ...]) -> None:
+        """Apply entries that the store returned with an answer to a write.
+
+        A watch may be late to bring them. They do not show that the rest of
+        the view is current.
+
+        :param entries: entries of the store, as they are now
+        """
+        view = StoreView(revision=0, entries=entries)
+        self._notify(self._belief.apply(view, boottime_clock(), loop_time()))
+
     async def follow(self) -> None:
         """Follow the store or a reader until cancelled."""
         while True:
