--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -23,6 +23,7 @@
     MessageKind,
     RunChanges,
     ViewAnswer,
+    ViewEntry,
     ViewQuery,
 )
 from mastichatch_core.generated.records import NodeRecord
@@ -331,6 +332,17 @@
                 await self._contact.wait()
         return self._in_contact
 
+    def take_entries(self, entries: tuple[ViewEntry, ...]) -> None:
+        """Apply entries that the store returned with an answer to a write.
+
+        A watch may be late to bring them. They do not show that the rest of
+        the view is current.
+
+        :param entries: entries of the store, as they are now
+        """
+        view = StoreView(revision=0, entries=entries)
+        self._notify(self._belief.apply(view, boottime_clock(), loop_time()))
+
     async def follow(self) -> None:
         """Follow the store or a reader until cancelled.
 
@@ -523,15 +535,9 @@
         self._notify(self._belief.apply(view, sent_at, loop_time()))
         if view.entries:
             # Changes that follow within the delay are read with one call.
-            await asyncio.sleep(self._watch_delay_s())
-
-    def _watch_delay_s(self) -> float:
-        now = loop_time()
-        if now - self._started_at < STARTUP_PERIOD_S:
-            return STARTUP_WATCH_DELAY_S
-        if any(now < end for end in self._excluded_until.values()):
-            return FALLBACK_WATCH_DELAY_S
-        return WATCH_DELAY_S
+            await asyncio.sleep(
+                _watch_delay_s(self._started_at, self._excluded_until.values())
+            )
 
     async def _query_node(self, address: str, wait_ms: float) -> bool | None:
         """Apply the view of another node, and return whether it has contact.
@@ -614,6 +620,20 @@
             )
 
 
+def _watch_delay_s(started_at: float, exclusions: Iterable[float]) -> float:
+    """Return the delay until the next watch, in seconds.
+
+    :param started_at: time at which this node started, in seconds
+    :param exclusions: times until which readers are not chosen, in seconds
+    """
+    now = loop_time()
+    if now - started_at < STARTUP_PERIOD_S:
+        return STARTUP_WATCH_DELAY_S
+    if any(now < end for end in exclusions):
+        return FALLBACK_WATCH_DELAY_S
+    return WATCH_DELAY_S
+
+
 async def keep_registered(
     store: Store, key: str, content: bytes, follower: StoreFollower
 ) -> None:
