--- a/packages/core/mastichatch_core/relay/rollouts/bayes_factor.py
+++ b/packages/core/mastichatch_core/relay/rollouts/bayes_factor.py
@@ -21,9 +21,11 @@
 
 # Shares of the answers that a bad version or endpoint spoils; the first stands
 # for none.
-SPOILED_SHARES: Final = (0.0, 0.25, 0.4, 0.55, 0.7, 0.85, 0.99)
+SPOILED_SHARES: Final = (0, 0.25, 0.4, 0.55, 0.7, 0.85, 0.99)
 # Probability that an endpoint is faulty whatever its version.
 FAULTY_ENDPOINT: Final = 0.1
+# Fewest answers from a part on for which the version may be bad from there on.
+MIN_LATE_ANSWERS: Final = 5
 # Keeps the sums of likelihoods within the range of a float.
 MAX_LOGARITHM: Final = 300.0
 # Weight of all routes among the routes, and of the whole period among the parts
@@ -62,6 +64,7 @@
     :param comparisons: answers of the target, with what is expected
     :param last_part: latest part of the period
     """
+    comparisons = tuple(comparisons)
     endpoints: dict[str, _Likelihoods] = {}
     for one in comparisons:
         likelihoods = endpoints.setdefault(
@@ -70,7 +73,9 @@
         likelihoods.add(one)
     weights = {
         extent: prior * _factor(extent, tuple(endpoints.values()))
-        for extent, prior in _extents(endpoints.values(), last_part)
+        for extent, prior in _extents(
+            endpoints.values(), _latest_start(comparisons, last_part)
+        )
     }
     return Weight(
         factor=sum(weights.values()),
@@ -94,14 +99,17 @@
         return self._by_route
 
     def add(self, one: Comparison) -> None:
-        levels = self._by_route.setdefault(
-            one.route, [[0.0] * (self._last_part + 2) for _ in SPOILED_SHARES]
-        )
+        levels = self._by_route.get(one.route)
+        if levels is None:
+            levels = [self._zeros() for _ in SPOILED_SHARES]
+            self._by_route[one.route] = levels
         part = min(one.part, self._last_part)
-        for sums, share in zip(levels, SPOILED_SHARES, strict=True):
+        for level, share in enumerate(SPOILED_SHARES):
             likelihood = _log_likelihood(one, share)
-            for later in range(part + 1, len(sums)):
-                sums[later] += likelihood
+            levels[level] = [
+                total + likelihood * (later > part)
+                for later, total in enumerate(levels[level])
+            ]
 
     def log_mixture(self, extent: Extent, level: int) -> float:
         """Return the logarithm of the likelihood for a spoiled extent.
@@ -116,8 +124,11 @@
             [self._log_likelihood(extent, level, own) for own in _BAD_LEVELS],
         )
 
+    def _zeros(self) -> list[float]:
+        return list(itertools.repeat(0, self._last_part + 2))
+
     def _log_likelihood(self, extent: Extent, level: int, own: int) -> float:
-        total = 0.0
+        total: float = 0
         for route, levels in self._by_route.items():
             if extent.route in {'', route}:
                 first = extent.first_part
@@ -128,12 +139,29 @@
         return total
 
 
+def _latest_start(comparisons: Collection[Comparison], last_part: int) -> int:
+    """Return the latest part from which on there are enough answers.
+
+    What a version does later than it was tried cannot be judged.
+
+    :param comparisons: answers of the target
+    :param last_part: latest part of the period
+    """
+    for part in range(last_part, 0, -1):
+        answers = sum(
+            one.tally.answers for one in comparisons if one.part >= part
+        )
+        if answers >= MIN_LATE_ANSWERS:
+            return part
+    return 0
+
+
 def _extents(
-    endpoints: Iterable[_Likelihoods], last_part: int
+    endpoints: Iterable[_Likelihoods], latest_start: int
 ) -> Iterator[tuple[Extent, float]]:
     routes = sorted({route for one in endpoints for route in one.routes})
     route_weights = _spread('', routes if len(routes) > 1 else ())
-    part_weights = _spread(0, range(1, last_part + 1))
+    part_weights = _spread(0, range(1, latest_start + 1))
     for (route, by_route), (part, by_part) in itertools.product(
         route_weights, part_weights
     ):
--- a/packages/core/mastichatch_core/relay/rollouts/exposure.py
+++ b/packages/core/mastichatch_core/relay/rollouts/exposure.py
@@ -12,13 +12,13 @@
 
 # Part of the share that is used; the rest is for requests that the store or
 # the endpoints count otherwise.
-SHARE_USED: Final = 0.8
+SHARE_USED: Final = 0.9
 # Part of the slack that is given out as tokens at the start.
-SLACK_USED: Final = 0.6
+SLACK_USED: Final = 0.7
 # Part of the slack that is kept for the random phases of the hosts, as a
-# multiple of the square root of their number: the sum of as many phases lies
-# five standard deviations, of at most one half each, below it.
-PHASE_MARGIN: Final = 2.5
+# multiple of the square root of their number: four standard deviations of the
+# sum, with at most one half for each host.
+PHASE_MARGIN: Final = 2.0
 # Share of the period after which all starting tokens are released. All at once
 # would be a burst at the few endpoints on trial.
 RELEASED_AT: Final = 0.6
@@ -40,8 +40,8 @@
         """
         self._gain = share * SHARE_USED
         self._total = start
-        self._released = 0.0
-        self._tokens = 0.0
+        self._released: float = 0
+        self._tokens: float = 0
 
     @property
     def tokens(self) -> float:
--- a/packages/core/mastichatch_core/relay/rollouts/strata.py
+++ b/packages/core/mastichatch_core/relay/rollouts/strata.py
@@ -28,17 +28,19 @@
 MIN_DURATIONS: Final = 5
 # Fewest durations from which the median of one part is taken.
 MIN_PART_DURATIONS: Final = 12
-# Answers for which those of a stratum's whole period count in each part.
-BLENDED_ANSWERS: Final = 4.0
+# Most answers for which those of a stratum's whole period, and those of all
+# strata in the same part, count in each part of a stratum.
+WHOLE_ANSWERS: Final = 4.0
+SERVICE_ANSWERS: Final = 8.0
 # Prior of the bad share: answers, and the bad ones among them.
-PRIOR_ANSWERS: Final = 5.0
-PRIOR_BAD: Final = 0.3
+PRIOR_ANSWERS: Final = 3.0
+PRIOR_BAD: Final = 0.2
 # Most answers that what is expected may rest on. Endpoints and times differ,
 # so that more answers do not make it more certain.
 MAX_PRECISION: Final = 40.0
 # Weight of one mean time between events: a stream reports several, which
 # depend on each other.
-PACE_WEIGHT: Final = 0.25
+PACE_WEIGHT: Final = 0.1
 
 
 class Signal(StrEnum):
@@ -108,6 +110,7 @@
                 self._target.append(cell)
             else:
                 self._add(cell)
+        self._services = self._by_part()
 
     @property
     def other_total(self) -> Tally:
@@ -155,9 +158,23 @@
             part = _Answers(self._signal)
         is_enough = part.count >= MIN_PART_DURATIONS
         slow_bin = part.slow_bin if is_enough else whole.slow_bin
-        known = whole.expected(slow_bin)
-        factor = min(1, BLENDED_ANSWERS / max(1, known.answers))
-        return slow_bin, part.expected(slow_bin).plus(known, factor)
+        known = part.expected(slow_bin)
+        service = self._services.get(cell.part, Tally())
+        for tally, most in (
+            (whole.expected(slow_bin), WHOLE_ANSWERS),
+            (service, SERVICE_ANSWERS),
+        ):
+            known = known.plus(tally, min(1, most / max(1, tally.answers)))
+        return slow_bin, known
+
+    def _by_part(self) -> dict[int, Tally]:
+        services: dict[int, Tally] = {}
+        for (route, side, number), part in self._parts.items():
+            slow_bin = self._wholes[route, side].slow_bin
+            if side is not None:
+                earlier = services.get(number, Tally())
+                services[number] = earlier.plus(part.expected(slow_bin))
+        return services
 
 
 class _Answers:
--- a/packages/core/mastichatch_core/relay/rollouts/verdict.py
+++ b/packages/core/mastichatch_core/relay/rollouts/verdict.py
@@ -35,8 +35,9 @@
 # Time in which requests to previous versions end, in seconds. Runs of engines
 # are waited for longer, as long as the period allows.
 PLAIN_DRAIN_S: Final = 0.7
-# Bayes factors for a bad version: from the first on it is reverted at any time,
-# up to the second the trial ends early, and up to the third at its end.
+# Bayes factors for a bad version: from the first on it is reverted at any time;
+# up to the second it is good; and up to the third it is likely good, which is
+# enough at the end of the trial.
 REVERT_FACTOR: Final = 100.0
 COMPLETE_FACTOR: Final = 0.05
 UNCLEAR_FACTOR: Final = 0.5
@@ -148,17 +149,13 @@
         return Decision.revert, 'many bad answers'
     if progress < DECIDE_AT:
         return Decision.hold, 'trial'
-    has_answers = verdict.answers >= MIN_ANSWERS
-    if has_answers and verdict.factor <= COMPLETE_FACTOR:
-        return Decision.complete, 'good'
-    if progress < DECIDE_BY:
-        return Decision.hold, 'unclear'
-    limit = UNCLEAR_FACTOR if progress < FINISH_BY else 1
-    if has_answers and verdict.factor <= limit:
-        return Decision.complete, 'nothing against it'
-    if progress < FINISH_BY:
-        return Decision.hold, 'too little evidence'
-    return Decision.revert, 'not proven good in time'
+    is_last = progress >= DECIDE_BY
+    limit = UNCLEAR_FACTOR if is_last else COMPLETE_FACTOR
+    if verdict.answers >= MIN_ANSWERS and verdict.factor <= limit:
+        return Decision.complete, 'likely good' if is_last else 'good'
+    if progress >= FINISH_BY:
+        return Decision.revert, 'not proven good in time'
+    return Decision.hold, 'unclear'
 
 
 def _weigh(cells: tuple[RolloutCell, ...], last_part: int) -> Verdict:
--- a/packages/core/mastichatch_core/relay/rollouts/versions.py
+++ b/packages/core/mastichatch_core/relay/rollouts/versions.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Iterable
 from enum import StrEnum
+from typing import Final
 
 from mastichatch_core import rendezvous
 from mastichatch_core.relay.model import Endpoint
@@ -18,6 +19,10 @@
     current_phase,
 )
 
+# Endpoints on trial at a time, as a multiple of the share of requests that they
+# get: the starting tokens come on top of the share.
+CONCENTRATION: Final = 2
+
 
 class Access(StrEnum):
     """Which new requests a version may get.
@@ -111,7 +116,7 @@
         return frozenset()
     key = f'rollout/{view.order.service}/{view.order.revision}'
     ranked = rendezvous.ranked(names, key)
-    count = math.ceil(share * len(names))
+    count = math.ceil(CONCENTRATION * share * len(names))
     first = int(progress * PARTS) * count
     turns = range(first, first + count)
     return frozenset(ranked[turn % len(ranked)] for turn in turns)
