Measure round trips by the kernel, and count the bytes of calls

Cause: the time of a connect includes delays of this process. A trial with ten nodes in one busy process took loopback for 10 ms, and the first sample stays for long where few connections leave. With a measured way of almost nothing, calls no longer preferred home, although their bytes cost as before.

Change: the round trip of new connections is that of TCP_INFO; where the kernel does not tell, the specified one stays.

--- a/packages/core/mastichatch_core/relay/placement/leaving.py
+++ b/packages/core/mastichatch_core/relay/placement/leaving.py
@@ -425,16 +425,23 @@
     return 0 if options.is_link_full else REMOTE_MEMORY_SHARE
 
 
-def remote_call_ms(ways: Ways, data_centres: Iterable[str]) -> dict[str, float]:
-    """Return how much longer calls to other data centres take.
+def remote_call_ms(
+    ways: Ways, data_centres: Iterable[str], mb_ms: float
+) -> dict[str, float]:
+    """Return what calls to other data centres cost more than at home.
 
     :param ways: ways to the other data centres
     :param data_centres: names of the other data centres
+    :param mb_ms: waiting time that one MB between data centres is worth, in
+        milliseconds
     :returns: time in milliseconds by data centre
     """
     silent = ways.silent
+    bytes_ms = HEAD_BYTES * mb_ms / BYTES_PER_MB
     return {
-        name: ways.round_trip_ms(name) + SILENT_CALL_MS * (name in silent)
+        name: ways.round_trip_ms(name)
+        + bytes_ms
+        + SILENT_CALL_MS * (name in silent)
         for name in data_centres
     }
 
--- a/packages/core/mastichatch_core/relay/placement/ways.py
+++ b/packages/core/mastichatch_core/relay/placement/ways.py
@@ -25,8 +25,8 @@
 QUIET_CUTS_PER_S: Final = 1 / 3600
 # Extra round trip before any was measured: about the specified one.
 DEFAULT_ROUND_TRIP_MS: Final = 1.8
-# Weight of a slower connection in the measured time. A host that is busy
-# measures its own delay too, so the shortest times count.
+# Weight of a longer round trip in the measured one. Queues on a link lengthen
+# single round trips, so the shortest ones count.
 SLOWER_WEIGHT: Final = 0.05
 
 
@@ -70,7 +70,7 @@
         """
         self._data_centre = data_centre
         self._ways: dict[str, _Way] = {}
-        self._connect_ms: dict[str, float] = {}
+        self._trip_ms: dict[str, float] = {}
 
     @property
     def silent(self) -> frozenset[str]:
@@ -79,17 +79,17 @@
             name for name, way in self._ways.items() if way.is_silent
         )
 
-    def record_connect(self, data_centre: str, duration_s: float) -> None:
-        """Record how long it took to open a connection to an endpoint.
+    def record_connect(self, data_centre: str, round_trip_s: float) -> None:
+        """Record the round trip of a new connection to an endpoint.
 
         :param data_centre: data centre of the endpoint
-        :param duration_s: time in seconds
+        :param round_trip_s: time in seconds
         """
-        duration_ms = duration_s * MS_PER_S
-        known_ms = self._connect_ms.get(data_centre, duration_ms)
-        slower_ms = max(0, duration_ms - known_ms)
-        self._connect_ms[data_centre] = (
-            min(known_ms, duration_ms) + SLOWER_WEIGHT * slower_ms
+        measured_ms = round_trip_s * MS_PER_S
+        known_ms = self._trip_ms.get(data_centre, measured_ms)
+        slower_ms = max(0, measured_ms - known_ms)
+        self._trip_ms[data_centre] = (
+            min(known_ms, measured_ms) + SLOWER_WEIGHT * slower_ms
         )
 
     def round_trip_ms(self, data_centre: str) -> float:
@@ -98,8 +98,8 @@
         :param data_centre: another data centre
         :returns: time in milliseconds
         """
-        there_ms = self._connect_ms.get(data_centre)
-        home_ms = self._connect_ms.get(self._data_centre)
+        there_ms = self._trip_ms.get(data_centre)
+        home_ms = self._trip_ms.get(self._data_centre)
         if there_ms is None or home_ms is None:
             return DEFAULT_ROUND_TRIP_MS
         return max(0, there_ms - home_ms)
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import socket
+import struct
 from collections.abc import (
     AsyncIterator,
     Callable,
@@ -121,6 +122,10 @@
         return None
 
 
+# The field ``tcpi_rtt`` of ``struct tcp_info``, in microseconds.
+_ROUND_TRIP: Final = struct.Struct('=68xI')
+US_PER_S: Final = 1_000_000
+
 HeadObserver = Callable[[str, ResponseHead], None]
 ConnectObserver = Callable[[str, float], None]
 
@@ -269,6 +274,7 @@
         self._is_closed = False
         self._is_closed_by_peer = False
         self._observers: list[HeadObserver] = []
+        self.round_trip_s = measure_round_trip_s(writer)
 
     @property
     def address(self) -> str:
@@ -620,6 +626,28 @@
         await asyncio.sleep(PROBE_SIGN_INTERVAL_S)
 
 
+def measure_round_trip_s(writer: asyncio.StreamWriter) -> float | None:
+    """Return the round trip that the kernel measured, in seconds.
+
+    Unlike the time of a connect, it does not include delays of this process.
+
+    :param writer: stream of an open connection
+    :returns: ``None`` if the kernel does not tell
+    """
+    peer_socket = writer.get_extra_info('socket')
+    if peer_socket is None:
+        return None
+    try:
+        measured = peer_socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _ROUND_TRIP.size
+        )
+    except OSError:
+        return None
+    if len(measured) < _ROUND_TRIP.size:
+        return None
+    return float(_ROUND_TRIP.unpack(measured)[0]) / US_PER_S
+
+
 def configure_keepalive(
     writer: asyncio.StreamWriter, timeout_ms: int = SILENCE_TIMEOUT_MS
 ) -> None:
@@ -692,9 +720,9 @@
         self._observers.append(observer)
 
     def observe_connects(self, observer: ConnectObserver) -> None:
-        """Call a function with the address and duration of each connect.
+        """Call a function with the address and round trip of new connections.
 
-        :param observer: the function; the duration is in seconds
+        :param observer: the function; the round trip is in seconds
         """
         self._connect_observers.append(observer)
 
@@ -714,12 +742,13 @@
                 return connection
             connection.close()
         self._opened += 1
-        started_at = loop_time()
         connection = await connect(
             address, self._connect_timeout_s, self._resources
         )
-        for observe_connect in self._connect_observers:
-            observe_connect(address, loop_time() - started_at)
+        round_trip_s = connection.round_trip_s
+        if round_trip_s is not None:
+            for observe_connect in self._connect_observers:
+                observe_connect(address, round_trip_s)
         for observer in self._observers:
             connection.observe_heads(observer)
         return connection
--- a/packages/node/mastichatch_node/relay/remote_sharing.py
+++ b/packages/node/mastichatch_node/relay/remote_sharing.py
@@ -74,15 +74,15 @@
             self.review()
             await asyncio.sleep(REVIEW_INTERVAL_S)
 
-    def record_connect(self, address: str, duration_s: float) -> None:
-        """Record how long it took to open a connection to an endpoint.
+    def record_connect(self, address: str, round_trip_s: float) -> None:
+        """Record the round trip of a new connection to an endpoint.
 
         :param address: IP address and port
-        :param duration_s: time in seconds
+        :param round_trip_s: time in seconds
         """
         endpoint = endpoint_at(self._context.belief, address, loop_time())
         if endpoint is not None:
-            self._ways.record_connect(endpoint.data_centre, duration_s)
+            self._ways.record_connect(endpoint.data_centre, round_trip_s)
 
     def review(self) -> None:
         """Update the ways, and the shares and costs of each service."""
@@ -98,7 +98,9 @@
         remotes.data_centres = data_centres
         known = self._context.belief.endpoints(now).values()
         remotes.call_ms = remote_call_ms(
-            self._ways, {endpoint.data_centre for endpoint in known}
+            self._ways,
+            {endpoint.data_centre for endpoint in known},
+            self._settings.remote_mb_ms,
         )
         remotes.costs = {
             service.name: self._review_service(service, service.engine, now)
--- a/tests/test_relay_leaving.py
+++ b/tests/test_relay_leaving.py
@@ -402,7 +402,7 @@
         records.get('n1').running = 24
 
         def first() -> str:
-            extra = remote_call_ms(ways, ('east',))
+            extra = remote_call_ms(ways, ('east',), 2500)
             return rank_endpoints(pair, records, 'north', 0, extra)[0].instance
 
         assert first() == 'e1'
--- a/tests/test_relay_remote_sharing.py
+++ b/tests/test_relay_remote_sharing.py
@@ -3,10 +3,12 @@
 import pytest
 
 from mastichatch_core.relay.load_control import LoadControl
+from mastichatch_node.relay.http_client import open_pool
 from tests.relay_nodes import (
     RelayFixture,
     call,
     known_endpoints,
+    new_resources,
     open_relay,
     until,
 )
@@ -64,3 +66,14 @@
             while is_on and share_line(0.0) not in await metrics(relay):
                 continue
             assert is_on is any('remote_share{' in line for line in lines)
+
+
+async def test_new_connections_tell_the_round_trip() -> None:
+    near = HouseEndpoint(instance='i-n', script=endpoints.respond_ok)
+    told: list[tuple[str, float]] = []
+    async with endpoints.open_endpoints(near):
+        with open_pool(1, new_resources()) as pool:
+            pool.observe_connects(lambda *seen: told.append(seen))
+            (await pool.take(near.address, 0)).close()
+    assert [address for address, _ in told] == [near.address]
+    assert 0 <= told[0][1] < 1
