--- a/packages/core/mastichatch_core/relay/rollouts/bayes_factor.py
+++ b/packages/core/mastichatch_core/relay/rollouts/bayes_factor.py
@@ -71,8 +71,9 @@
             one.instance, _Likelihoods(last_part)
         )
         likelihoods.add(one)
+    good = math.fsum(one.log_mixture(Extent(), 0) for one in endpoints.values())
     weights = {
-        extent: prior * _factor(extent, tuple(endpoints.values()))
+        extent: prior * _factor(extent, tuple(endpoints.values()), good)
         for extent, prior in _extents(
             endpoints.values(), _latest_start(comparisons, last_part)
         )
@@ -179,8 +180,9 @@
         yield other, (1 - WHOLE_WEIGHT) / len(others)
 
 
-def _factor(extent: Extent, endpoints: tuple[_Likelihoods, ...]) -> float:
-    good = math.fsum(one.log_mixture(extent, 0) for one in endpoints)
+def _factor(
+    extent: Extent, endpoints: tuple[_Likelihoods, ...], good: float
+) -> float:
     factors = (
         _exp(
             math.fsum(one.log_mixture(extent, level) for one in endpoints)
