--- a/packages/core/mastichatch_core/relay/rollouts/bayes_factor.py
+++ b/packages/core/mastichatch_core/relay/rollouts/bayes_factor.py
@@ -71,7 +71,9 @@
             one.instance, _Likelihoods(last_part)
         )
         likelihoods.add(one)
-    good = math.fsum(one.log_mixture(Extent(), 0) for one in endpoints.values())
+    good = math.fsum(
+        each.log_mixture(Extent(), 0) for each in endpoints.values()
+    )
     weights = {
         extent: prior * _factor(extent, tuple(endpoints.values()), good)
         for extent, prior in _extents(
