--- a/packages/core/mastichatch_core/relay/rollouts/bayes_factor.py
+++ b/packages/core/mastichatch_core/relay/rollouts/bayes_factor.py
@@ -72,7 +72,7 @@
         )
         likelihoods.add(one)
     good = math.fsum(
-        found.log_mixture(Extent(), 0) for found in endpoints.values()
+        each.log_mixture(Extent(), 0) for each in endpoints.values()
     )
     weights = {
         extent: prior * _factor(extent, tuple(endpoints.values()), good)
