--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -493,6 +493,11 @@
     fleet: Fleet
     generations: list[Generation] = dataclasses.field(default_factory=list)
 
+    @property
+    def configuration(self) -> None:
+        """None, so that no decision is made for hard load."""
+        return None
+
     @property
     def table(self) -> '_View':
         return self
