Compare versions of a configuration with one piece of code

Change: core's `differences.compare_entries` serves both, with the text of a field's change as a parameter; `error_at` and `warning_at` are shared. Result: output is the same; tests of the check and of the command line pass.

--- a/packages/core/mastichatch_core/relay/configuration_check.py
+++ b/packages/core/mastichatch_core/relay/configuration_check.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from typing import Any
 
+from mastichatch_core.differences import compare_entries
 from mastichatch_core.relay.model import (
     Configuration,
     Engine,
@@ -55,6 +56,24 @@
     fields: tuple[str, ...] = ()
 
 
+def error_at(place: str, reason: str) -> Finding:
+    """Return an error.
+
+    :param place: the entry
+    :param reason: what is wrong
+    """
+    return Finding(severity=Severity.error, place=place, reason=reason)
+
+
+def warning_at(place: str, reason: str) -> Finding:
+    """Return a warning.
+
+    :param place: the entry
+    :param reason: what looks wrong
+    """
+    return Finding(severity=Severity.warning, place=place, reason=reason)
+
+
 def check_configuration(configuration: Configuration) -> tuple[Finding, ...]:
     """Return what is wrong with a configuration, errors first.
 
@@ -106,17 +125,9 @@
     keys: frozenset[str]
 
 
-def _error(place: str, reason: str) -> Finding:
-    return Finding(severity=Severity.error, place=place, reason=reason)
-
-
-def _warning(place: str, reason: str) -> Finding:
-    return Finding(severity=Severity.warning, place=place, reason=reason)
-
-
 def _duplicates(configuration: Configuration) -> Iterator[Finding]:
     for name in _repeated(route.name for route in configuration.routes):
-        yield _error(f'routes[{name}]', 'two routes have this name')
+        yield error_at(f'routes[{name}]', 'two routes have this name')
 
 
 def _repeated(names: Iterable[Hashable]) -> list[Any]:
@@ -136,17 +147,17 @@
         key = (route.host, route.prefix)
         other = first.setdefault(key, route.name)
         if other != route.name:
-            yield _error(
+            yield error_at(
                 place,
                 f'never matches: {other!r} has the same host and prefix',
             )
         if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
-            yield _error(
+            yield error_at(
                 place,
                 f'prefix {route.prefix!r} does not begin and end with a slash',
             )
         if not route.host or ':' in route.host:
-            yield _error(
+            yield error_at(
                 place, f'never matches: host {route.host!r} is no host name'
             )
 
@@ -158,12 +169,12 @@
         for weighted in route.services:
             yield from _reference_findings(configuration, route, weighted)
         if not any(one.weight > 0 for one in route.services):
-            yield _error(
+            yield error_at(
                 f'routes[{route.name}]', 'no service has a weight above zero'
             )
     for name in configuration.services:
         if name not in used:
-            yield _warning(f'services[{name}]', 'no route names it')
+            yield warning_at(f'services[{name}]', 'no route names it')
 
 
 def _reference_findings(
@@ -172,11 +183,11 @@
     place = f'routes[{route.name}]'
     service = configuration.services.get(weighted.service)
     if service is None:
-        yield _error(place, f'there is no service {weighted.service!r}')
+        yield error_at(place, f'there is no service {weighted.service!r}')
     elif route.kind is RequestKind.streaming and not service.engine:
-        yield _warning(place, f'streams, but {service.name!r} has no engines')
+        yield warning_at(place, f'streams, but {service.name!r} has no engines')
     if weighted.weight <= 0:
-        yield _warning(
+        yield warning_at(
             place,
             f'{weighted.service!r} never gets a request: '
             f'its weight is {weighted.weight:g}',
@@ -188,24 +199,24 @@
         place = f'routes[{route.name}]'
         yield from _time_findings(route, place)
         if route.kind is RequestKind.once and route.attempts > 1:
-            yield _warning(
+            yield warning_at(
                 place,
                 f'{route.attempts} attempts, but its requests may run once',
             )
         if route.priority < 0:
-            yield _warning(place, f'priority {route.priority} is below zero')
+            yield warning_at(place, f'priority {route.priority} is below zero')
 
 
 def _time_findings(route: Route, place: str) -> Iterator[Finding]:
     if route.timeout_ms <= 0:
-        yield _error(place, f'timeout is {route.timeout_ms:g} ms')
+        yield error_at(place, f'timeout is {route.timeout_ms:g} ms')
         return
     for name, limit_ms in (
         ('objective', route.objective_ms),
         ('pause', route.pause_ms),
     ):
         if limit_ms > route.timeout_ms:
-            yield _error(
+            yield error_at(
                 place,
                 f'{name} of {limit_ms:g} ms is over the timeout of '
                 f'{route.timeout_ms:g} ms',
@@ -221,25 +232,25 @@
 def _engine_findings(service: Service, engine: Engine) -> Iterator[Finding]:
     place = f'services[{service.name}]'
     if engine.batch_limit <= 0 or engine.memory_tokens <= 0:
-        yield _error(place, 'its engines have no places or no memory')
+        yield error_at(place, 'its engines have no places or no memory')
     if 0 < service.connection_limit < engine.batch_limit:
-        yield _error(
+        yield error_at(
             place,
             f'{service.connection_limit} connections cannot fill '
             f'{engine.batch_limit} places',
         )
     moves = engine.can_move or engine.can_back_up
     if moves and engine.link_bytes_per_ms <= 0:
-        yield _warning(place, 'runs may move, but the link has no rate')
+        yield warning_at(place, 'runs may move, but the link has no rate')
 
 
 def _client_limits(configuration: Configuration) -> Iterator[Finding]:
     limits = configuration.limits
     for field in dataclasses.fields(limits):
         if getattr(limits, field.name) <= 0:
-            yield _error('limits', f'{field.name} is not above zero')
+            yield error_at('limits', f'{field.name} is not above zero')
     if limits.header_timeout_ms > limits.idle_timeout_ms:
-        yield _warning(
+        yield warning_at(
             'limits',
             f'a head may take {limits.header_timeout_ms:g} ms, but idle '
             f'connections close after {limits.idle_timeout_ms:g} ms',
@@ -249,11 +260,11 @@
 def _key_findings(configuration: Configuration) -> Iterator[Finding]:
     needing = [one for one in configuration.routes if not one.is_public]
     if configuration.needs_keys and needing and not configuration.keys:
-        yield _error('workspaces', 'keys are needed, but there are none')
+        yield error_at('workspaces', 'keys are needed, but there are none')
     if not configuration.needs_keys and configuration.keys:
-        yield _warning('workspaces', 'there are keys, but none is needed')
+        yield warning_at('workspaces', 'there are keys, but none is needed')
     if '' in configuration.keys:
-        yield _error('workspaces', 'a key is empty')
+        yield error_at('workspaces', 'a key is empty')
 
 
 def _workspaces(configuration: Configuration) -> dict[str, _WorkspaceKeys]:
@@ -274,32 +285,17 @@
 def _compare(
     section: str, old: Mapping[str, Any], new: Mapping[str, Any]
 ) -> Iterator[Change]:
-    for name in sorted(old.keys() | new.keys()):
-        place = f'{section}[{name}]' if name else section
-        if name not in old:
-            yield Change(place=place, effect='added')
-        elif name not in new:
-            yield Change(place=place, effect='removed')
-        elif old[name] != new[name]:
-            yield Change(
-                place=place,
-                effect='changed',
-                fields=tuple(_changed_fields(old[name], new[name])),
-            )
+    for change in compare_entries(old, new, _describe):
+        place = f'{section}[{change.name}]' if change.name else section
+        yield Change(place=place, effect=change.effect, fields=change.fields)
 
 
-def _changed_fields(old: Any, new: Any) -> Iterator[str]:
-    for field in dataclasses.fields(old):
-        before, after = getattr(old, field.name), getattr(new, field.name)
-        if before == after:
-            continue
-        if isinstance(before, frozenset):
-            yield (
-                f'keys: {len(after - before)} added, '
-                f'{len(before - after)} removed'
-            )
-        else:
-            yield f'{field.name}: {_text(before)} -> {_text(after)}'
+def _describe(name: str, before: Any, after: Any) -> str:
+    if isinstance(before, frozenset):
+        return (
+            f'keys: {len(after - before)} added, {len(before - after)} removed'
+        )
+    return f'{name}: {_text(before)} -> {_text(after)}'
 
 
 def _text(value: object) -> str:
--- a/packages/ctl/mastichatch_ctl/differences.py
+++ b/packages/ctl/mastichatch_ctl/differences.py
@@ -1,9 +1,9 @@
 """Compares two manifests item by item."""
 
 import dataclasses
-from collections.abc import Iterator
-from typing import Any, Final
+from typing import Final
 
+from mastichatch_core.differences import compare_entries
 from mastichatch_core.generated.manifest import Manifest
 from mastichatch_ctl.results import Difference
 
@@ -22,42 +22,23 @@
     :param new: manifest to arrive at
     """
     return tuple(
-        difference
+        Difference(
+            section=section.name,
+            name=change.name,
+            effect=change.effect,
+            fields=change.fields,
+        )
         for section in dataclasses.fields(Manifest)
-        for difference in _compare_section(
-            section.name,
+        for change in compare_entries(
             {each.name: each for each in getattr(old, section.name)},
             {each.name: each for each in getattr(new, section.name)},
+            _describe,
         )
     )
 
 
-def _compare_section(
-    section: str,
-    old: dict[str, Any],
-    new: dict[str, Any],
-) -> Iterator[Difference]:
-    for name in sorted(old.keys() | new.keys()):
-        if name not in old:
-            yield Difference(section=section, name=name, effect='added')
-        elif name not in new:
-            yield Difference(section=section, name=name, effect='removed')
-        elif old[name] != new[name]:
-            yield Difference(
-                section=section,
-                name=name,
-                effect='changed',
-                fields=_changed_fields(old[name], new[name]),
-            )
-
-
-def _changed_fields(old: Any, new: Any) -> tuple[str, ...]:
-    changed = []
-    for field in dataclasses.fields(old):
-        before, after = getattr(old, field.name), getattr(new, field.name)
-        if before != after:
-            changed.append(f'{field.name}: {_text(before)} -> {_text(after)}')
-    return tuple(changed)
+def _describe(name: str, before: object, after: object) -> str:
+    return f'{name}: {_text(before)} -> {_text(after)}'
 
 
 def _text(value: object) -> str:
