Measure the costs of engines once for each assignment

Cause: a forecast asked for the costs again that the assignment before it had just been given. Change: the forecast gets the costs of the queue's options. Result: behaviour is the same; tests of forecasts and shares pass.

--- a/packages/node/mastichatch_node/relay/admission_forecasting.py
+++ b/packages/node/mastichatch_node/relay/admission_forecasting.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from mastichatch_core.relay.admission.forecast import (
     Forecast,
@@ -85,14 +85,14 @@
         jobs: Mapping[str, Job],
         plan: QueuePlan,
         usable: tuple[Endpoint, ...],
-        measure_costs: Callable[[str], PlacementCosts],
+        costs: PlacementCosts,
     ) -> Mapping[str, float]:
         """Return which requests are refused because they would wait too long.
 
         :param jobs: queued requests of this node for one service, by id
         :param plan: assignment of engines to the requests of all nodes
         :param usable: engines of the service that accept new requests
-        :param measure_costs: returns what was measured of a service's engines
+        :param costs: what was measured of the engines
         :returns: time after which each should come back, in seconds, by id
         """
         waiting = tuple(
@@ -110,7 +110,7 @@
             plan,
             self._room,
             now,
-            measure_costs(usable[0].service),
+            costs,
         )
         forecasts = forecast_waits(
             plan, supply, self._context.sharing.table.arrived_at, now, jobs
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -325,7 +325,7 @@
             {own_id: one.job for own_id, one in left.items()},
             plan,
             opened.free,
-            self.costs,
+            options.costs,
         )
         _refuse(left, hopeless)
 
