Look up the endpoint of a new connection only where its way is used

Cause: each new connection searched all endpoints for its data centre, also on deployments where leaving the data centre is not decided by measurements. Change: round trips are recorded only while a service is controlled. After a configuration that begins to control one, the specified round trip holds until the next connections. Result: tests of remote sharing pass; the saving was not measured.

--- a/packages/node/mastichatch_node/relay/remote_sharing.py
+++ b/packages/node/mastichatch_node/relay/remote_sharing.py
@@ -81,6 +81,9 @@
         :param address: IP address and port
         :param round_trip_s: time in seconds
         """
+        if not self._services:
+            # Nobody asks for the ways, and finding the endpoint takes a search.
+            return
         endpoint = endpoint_at(self._context.belief, address, loop_time())
         if endpoint is not None:
             self._ways.record_connect(endpoint.data_centre, round_trip_s)
