--- a/packages/core/mastichatch_core/relay/engine_queue.py
+++ b/packages/core/mastichatch_core/relay/engine_queue.py
@@ -144,8 +144,8 @@
     """Choose the engine of each waiting request that can be placed now.
 
     Requests are ordered by rank and then by arrival, or by the shares of
-    workspaces while room is scarce. A request that fits no
-    engine is skipped, so that smaller requests behind it can be placed.
+    workspaces while room is scarce. A request that fits no engine is skipped,
+    so that smaller requests behind it can be placed.
 
     Under overload, strict first-in-first-out order would make every request
     late. Requests that can no longer meet their objective are skipped. They are
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -141,7 +141,7 @@
         and not context.rollouts.is_on_trial(endpoint)
     ]
     is_repeated = len(closed) >= MIN_REPEATED_CRASHES
-    is_trial = bool(closed and crashes.judge(job.parts, closed[-1]).suspects)
+    is_trial = bool(closed) and is_suspected(context, job, closed[-1])
     if is_repeated or is_trial:
         await crashes.report_repeated_crash(job.parts, job.request_id, closed)
 
