Log answers to earlier requests, and requests that a connection carried before

Whether a refusal belongs to a send of a call or to an earlier one of the same call could not be read from logs: both name the same request, and nothing told that they had shared a connection. No decision depends on it yet.

--- /dev/null
+++ b/packages/core/mastichatch_core/relay/sent_requests.py
@@ -0,0 +1,96 @@
+"""Tells which answer on a connection belongs to which of its requests.
+
+Load pattern: a server sends an answer a second time, late, where the next
+answer is due. A refused request may be under way again by then, and the copy
+of its refusal names it like a true answer would.
+"""
+
+from enum import StrEnum
+from typing import Final
+
+# A connection is replaced after so many requests, so that it need not keep the
+# ids of any number of them.
+MAX_REQUESTS: Final = 256
+
+
+class Belonging(StrEnum):
+    """To which request an answer belongs.
+
+    ``due`` is the request in progress, and ``stale`` an earlier one of the same
+    connection. The connection has carried no request that a ``foreign`` answer
+    could belong to.
+    """
+
+    due = 'due'
+    stale = 'stale'
+    foreign = 'foreign'
+
+
+class SentRequests:
+    """The requests that one connection has carried.
+
+    Requests without an id are told apart by their content.
+    """
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        # Hashes, since callers choose the length of ids.
+        self._ids: set[int] = set()
+        self._unnamed: set[int] = set()
+        self._request_id = ''
+        self._is_repeat = False
+        self._count = 0
+
+    @property
+    def is_repeat(self) -> bool:
+        """Whether the request in progress was sent on the connection before."""
+        return self._is_repeat
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection should carry no more requests."""
+        return self._count >= MAX_REQUESTS
+
+    def record(self, request_id: str, content: bytes) -> None:
+        """Record a request that is sent.
+
+        :param request_id: its id; empty without one
+        :param content: what tells it from other requests without an id
+        """
+        known, key = self._lookup(request_id, content)
+        self._is_repeat = key in known
+        known.add(key)
+        self._request_id = request_id
+        self._count += 1
+
+    def can_tell_apart(self, request_id: str, content: bytes) -> bool:
+        """Return whether copies of earlier answers differ from a request's.
+
+        An answer to a request without an id names none, so the connection must
+        have carried no other such request. The same one may be repeated: it
+        does not matter to which of its sends an answer belongs.
+
+        :param request_id: id of the request; empty without one
+        :param content: what tells it from other requests without an id
+        """
+        known, key = self._lookup(request_id, content)
+        if request_id:
+            return not self._unnamed and key not in known
+        return self._unnamed <= {key}
+
+    def assign(self, response_id: str | None) -> Belonging:
+        """Return to which request an answer belongs.
+
+        :param response_id: id of the request that it names; ``None`` without
+            one
+        """
+        if response_id is None or response_id == self._request_id:
+            return Belonging.due
+        if hash(response_id) in self._ids:
+            return Belonging.stale
+        return Belonging.foreign if self._request_id else Belonging.due
+
+    def _lookup(self, request_id: str, content: bytes) -> tuple[set[int], int]:
+        if request_id:
+            return self._ids, hash(request_id)
+        return self._unnamed, hash(content)
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -56,6 +56,7 @@
     :param is_malformed: whether the endpoint sent bytes that are no answer to
         the request
     :param is_timed_out: whether the answer did not arrive in time
+    :param is_repeat: whether the request was sent on the same connection before
     """
 
     fate: AttemptOutcome
@@ -66,6 +67,7 @@
     is_closed_by_peer: bool = False
     is_malformed: bool = False
     is_timed_out: bool = False
+    is_repeat: bool = False
 
     @property
     def status(self) -> int:
@@ -105,6 +107,7 @@
             job.request.headers, forwarding
         ),
         body=job.request.body,
+        request_id=job.request_id,
     )
 
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -27,6 +27,7 @@
     Purpose,
 )
 from mastichatch_core.relay.process_signs import OpenConnection, ProcessSigns
+from mastichatch_core.relay.sent_requests import Belonging, SentRequests
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.resources import Resources
@@ -55,6 +56,10 @@
 
 # Reason of exchanges that end since the process holds too many bytes.
 NO_ROOM: Final = 'no room for more bytes of the answer'
+# Reason of exchanges whose answer may have been cut off.
+UNPROVEN_END: Final = (
+    'an answer without a length ended, and the host refuses connections since'
+)
 
 _FRAMING_HEADERS: Final = (b'content-length', b'transfer-encoding')
 
@@ -96,12 +101,19 @@
     :param target: path and query
     :param headers: all headers except ``Content-Length``
     :param body: complete body
+    :param request_id: id that the answer repeats; empty if it repeats none
     """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes = b''
+    request_id: str = ''
+
+    @property
+    def content(self) -> bytes:
+        """What tells the request from others that have no id."""
+        return b'\0'.join((self.method, self.target, self.body))
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -126,6 +138,20 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerMatching:
+    """What tells to which request of its connection an answer belongs.
+
+    :param read_id: returns the id of the request that an answer names, or
+        ``None`` if it names none
+    :param on_stale: called with the address and the head of an answer to an
+        earlier request
+    """
+
+    read_id: Callable[[ResponseHead], str | None]
+    on_stale: Callable[[str, ResponseHead], None]
+
+
 # The field ``tcpi_rtt`` of ``struct tcp_info``, in microseconds.
 _ROUND_TRIP: Final = struct.Struct('=68xI')
 US_PER_S: Final = 1_000_000
@@ -278,6 +304,8 @@
         self._is_closed = False
         self._is_closed_by_peer = False
         self._observers: list[HeadObserver] = []
+        self._matching: AnswerMatching | None = None
+        self.sent = SentRequests()
         self.round_trip_s = measure_round_trip_s(writer)
 
     @property
@@ -300,12 +328,19 @@
         """Whether only the end of the connection ends the current response."""
         return self._is_unframed
 
-    def observe_heads(self, observer: HeadObserver) -> None:
-        """Call a function with the address and the head of each response.
+    def observe_heads(
+        self,
+        observers: Iterable[HeadObserver],
+        matching: AnswerMatching | None = None,
+    ) -> None:
+        """Call functions with the address and the head of each response.
 
-        :param observer: the function
+        :param observers: the functions
+        :param matching: what tells to which request a response belongs;
+            ``None`` if nothing does
         """
-        self._observers.append(observer)
+        self._observers.extend(observers)
+        self._matching = matching
 
     def set_silence_timeout(self, timeout_ms: int) -> None:
         """Set how long the connection stays open while its peer is silent.
@@ -332,6 +367,7 @@
         :raises ExchangeError: if the request could not be written completely
         """
         self._may_have_sent = False
+        self.sent.record(request.request_id, request.content)
         framing = (b'Content-Length', str(len(request.body)).encode())
         try:
             head = self._protocol.send(
@@ -367,8 +403,7 @@
                     headers=tuple(event.headers),
                 )
                 self._is_unframed = not any(map(head.get, _FRAMING_HEADERS))
-                for observe in self._observers:
-                    observe(self._address, head)
+                self._report_head(head)
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._close_with_error(
@@ -385,7 +420,13 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            await self._check_unframed_end()
+            # An answer without framing may have been ended by a crash: both
+            # close the connection in the same way. Where nothing shows whether
+            # the process lives, it may have crashed.
+            if self._is_unframed:
+                has_ended = await probe_process(self._address, self._resources)
+                if has_ended is not False:
+                    raise self._close_with_error(UNPROVEN_END)
             self._finish()
             return None
         raise self._close_with_error('the answer was cut off')
@@ -424,19 +465,14 @@
         self._writer.transport.abort()
         self._reader.release()
 
-    async def _check_unframed_end(self) -> None:
-        """Check that an answer without framing was not ended by a crash.
-
-        Both close the connection in the same way.
-        """
-        if not self._is_unframed:
-            return
-        # Where nothing shows whether the process lives, the end may be a crash.
-        if await probe_process(self._address, self._resources) is not False:
-            raise self._close_with_error(
-                'an answer without a length ended, and the host refuses '
-                'connections since'
-            )
+    def _report_head(self, head: ResponseHead) -> None:
+        matching = self._matching
+        if matching is not None:
+            belonging = self.sent.assign(matching.read_id(head))
+            if belonging is Belonging.stale:
+                matching.on_stale(self._address, head)
+        for observe in self._observers:
+            observe(self._address, head)
 
     def _finish(self) -> None:
         """Prepare the connection for reuse, or close it."""
@@ -703,6 +739,7 @@
         self._opened = 0
         self._observers: list[HeadObserver] = []
         self._connect_observers: list[ConnectObserver] = []
+        self._matching: AnswerMatching | None = None
 
     @property
     def signs(self) -> ProcessSigns:
@@ -726,6 +763,14 @@
         """
         self._observers.append(observer)
 
+    def match_answers(self, matching: AnswerMatching) -> None:
+        """Tell answers to earlier requests from those that are due.
+
+        :param matching: what tells them apart, on connections that are opened
+            from now
+        """
+        self._matching = matching
+
     def observe_connects(self, observer: ConnectObserver) -> None:
         """Call a function with the address and round trip of new connections.
 
@@ -756,8 +801,7 @@
         if round_trip_s is not None:
             for observe_connect in self._connect_observers:
                 observe_connect(address, round_trip_s)
-        for observer in self._observers:
-            connection.observe_heads(observer)
+        connection.observe_heads(self._observers, self._matching)
         return connection
 
     def release(self, connection: Connection) -> None:
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -247,6 +247,7 @@
         status=result.status,
         reason=result.reason,
         closed_by_peer=result.is_closed_by_peer,
+        repeated_on_connection=result.is_repeat,
         left_ms=round(job.left_ms()),
     )
     return result
@@ -309,7 +310,9 @@
             outcome = AttemptOutcome.answered
             if refused:
                 outcome = AttemptOutcome.refused
-            result = AttemptResult(fate=outcome, head=head)
+            result = AttemptResult(
+                fate=outcome, head=head, is_repeat=connection.sent.is_repeat
+            )
             may_pass_on = not (
                 refused
                 or _is_server_error(result)
