Discard late copies of answers, and tell the sends of a request apart

Callers got a refusal of a call that ran, or a call ran twice: a server sent a copy of a refusal on a kept connection, where the answer to the next request was due. Each copy that named another request ended that request as 502.

Cause: an answer was taken for that to the request in progress by its id alone, or, for orders to engines, by its place. Neither tells two sends apart that share a connection.

A connection now carries a request id only once. An answer that names an earlier request of the connection is discarded, and the next one is awaited; it says nothing of the request in progress, or of its server, so that pauses and marks of leaving do not see it. Requests without an id use only connections that carried no other such request, and named requests only connections without such requests.

--- a/packages/core/mastichatch_core/relay/sent_requests.py
+++ b/packages/core/mastichatch_core/relay/sent_requests.py
@@ -17,8 +17,7 @@
     """To which request an answer belongs.
 
     ``due`` is the request in progress, and ``stale`` an earlier one of the same
-    connection. The connection has carried no request that a ``foreign`` answer
-    could belong to.
+    connection. To which request a ``foreign`` answer belongs is not known.
     """
 
     due = 'due'
@@ -84,11 +83,15 @@
         :param response_id: id of the request that it names; ``None`` without
             one
         """
-        if response_id is None or response_id == self._request_id:
+        if response_id and response_id == self._request_id:
             return Belonging.due
-        if hash(response_id) in self._ids:
+        if response_id and hash(response_id) in self._ids:
             return Belonging.stale
-        return Belonging.foreign if self._request_id else Belonging.due
+        # An answer that names no request may be a copy of an earlier one.
+        is_certain = response_id is None and self._count == 1
+        if self._request_id and not is_certain:
+            return Belonging.foreign
+        return Belonging.due
 
     def _lookup(self, request_id: str, content: bytes) -> tuple[set[int], int]:
         if request_id:
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -39,6 +39,10 @@
 # Largest response head that is accepted, which is the default of h11. Endpoints
 # send smaller ones.
 MAX_HEAD_BYTES: Final = 65536
+# Most copies of earlier answers that are read before the one that is due, and
+# the most bytes of them.
+MAX_STALE_ANSWERS: Final = 16
+MAX_STALE_BYTES: Final = 65536
 # Most interim responses (status 1xx) that are skipped before an answer.
 MAX_INTERIM_RESPONSES: Final = 16
 # The kernel closes a connection after about this time with unacknowledged data
@@ -160,10 +164,15 @@
 ConnectObserver = Callable[[str, float], None]
 
 
-def _ignore() -> None:
+def _ignore(*_: object) -> None:
     """Do nothing."""
 
 
+_ANSWERS_IN_ORDER: Final = AnswerMatching(
+    read_id=lambda head: None, on_stale=_ignore
+)
+
+
 class CountingReader(asyncio.StreamReader):
     """A stream that tells whether bytes arrived that were not read."""
 
@@ -293,9 +302,8 @@
         self._resources = resources
         self._reader = reader
         self._writer = writer
-        self._protocol = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._protocol = _create_protocol()
+        self._request: OutgoingRequest | None = None
         self._turns = TurnLimiter()
         self._used_at = loop_time()
         self._may_have_sent = False
@@ -304,7 +312,7 @@
         self._is_closed = False
         self._is_closed_by_peer = False
         self._observers: list[HeadObserver] = []
-        self._matching: AnswerMatching | None = None
+        self._matching = _ANSWERS_IN_ORDER
         self.sent = SentRequests()
         self.round_trip_s = measure_round_trip_s(writer)
 
@@ -337,10 +345,10 @@
 
         :param observers: the functions
         :param matching: what tells to which request a response belongs;
-            ``None`` if nothing does
+            ``None`` if only the order of the responses does
         """
         self._observers.extend(observers)
-        self._matching = matching
+        self._matching = matching or _ANSWERS_IN_ORDER
 
     def set_silence_timeout(self, timeout_ms: int) -> None:
         """Set how long the connection stays open while its peer is silent.
@@ -355,6 +363,8 @@
         states = (self._protocol.our_state, self._protocol.their_state)
         if self._reader.at_eof() or self._writer.is_closing():
             return False
+        if self.sent.is_full:
+            return False
         # Bytes between two requests belong to neither of them.
         if self._reader.has_unread:
             return False
@@ -368,24 +378,14 @@
         """
         self._may_have_sent = False
         self.sent.record(request.request_id, request.content)
-        framing = (b'Content-Length', str(len(request.body)).encode())
         try:
-            head = self._protocol.send(
-                h11.Request(
-                    method=request.method,
-                    target=request.target,
-                    headers=[*request.headers, framing],
-                )
-            )
+            encoded = _encode(self._protocol, request)
         except h11.LocalProtocolError as error:
             raise ExchangeError(str(error), was_sent=False) from error
-        body = self._protocol.send(h11.Data(data=request.body))
-        end = self._protocol.send(h11.EndOfMessage())
+        self._request = request
         self._may_have_sent = True
         try:
-            await write_in_pieces(
-                self._writer, (head or b'', body or b'', end or b'')
-            )
+            await write_in_pieces(self._writer, encoded)
         except OSError as error:
             self._record_failure(error)
             raise self._close_with_error(str(error)) from error
@@ -393,23 +393,23 @@
     async def read_head(self) -> ResponseHead:
         """Return the head of the response.
 
+        Late copies of earlier responses are discarded.
+
         :raises ExchangeError: if no response arrives
         """
-        for _ in range(MAX_INTERIM_RESPONSES + 1):
-            event = await self._next_event()
-            if isinstance(event, h11.Response):
-                head = ResponseHead(
-                    status=event.status_code,
-                    headers=tuple(event.headers),
-                )
-                self._is_unframed = not any(map(head.get, _FRAMING_HEADERS))
-                self._report_head(head)
-                return head
-            if not isinstance(event, h11.InformationalResponse):
-                raise self._close_with_error(
-                    'the connection ended before an answer'
-                )
-        raise self._close_with_error('too many interim responses')
+        for _ in range(MAX_STALE_ANSWERS + 1):
+            head = await self._read_next_head()
+            belonging = self.sent.assign(self._matching.read_id(head))
+            if belonging is Belonging.stale:
+                await self._discard_response(head)
+                continue
+            if belonging is Belonging.due:
+                for observe in self._observers:
+                    observe(self._address, head)
+            return head
+        raise self._close_with_error(
+            'too many answers to earlier requests', is_malformed=True
+        )
 
     async def read_part(self) -> bytes | None:
         """Return the next part of the body, or ``None`` after its end.
@@ -427,7 +427,12 @@
                 has_ended = await probe_process(self._address, self._resources)
                 if has_ended is not False:
                     raise self._close_with_error(UNPROVEN_END)
-            self._finish()
+            self._used_at = loop_time()
+            self._responses += 1
+            # Bytes after the response cannot belong to any request.
+            if not _start_next_cycle(self._protocol):
+                self.close()
+            self._request = None
             return None
         raise self._close_with_error('the answer was cut off')
 
@@ -465,27 +470,43 @@
         self._writer.transport.abort()
         self._reader.release()
 
-    def _report_head(self, head: ResponseHead) -> None:
-        matching = self._matching
-        if matching is not None:
-            belonging = self.sent.assign(matching.read_id(head))
-            if belonging is Belonging.stale:
-                matching.on_stale(self._address, head)
-        for observe in self._observers:
-            observe(self._address, head)
+    async def _read_next_head(self) -> ResponseHead:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                head = ResponseHead(
+                    status=event.status_code,
+                    headers=tuple(event.headers),
+                )
+                self._is_unframed = not any(map(head.get, _FRAMING_HEADERS))
+                return head
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._close_with_error(
+                    'the connection ended before an answer'
+                )
+        raise self._close_with_error('too many interim responses')
 
-    def _finish(self) -> None:
-        """Prepare the connection for reuse, or close it."""
-        self._used_at = loop_time()
-        self._responses += 1
-        leftover, _ = self._protocol.trailing_data
-        completed = (h11.DONE, h11.DONE)
-        states = (self._protocol.our_state, self._protocol.their_state)
-        # Bytes after the response cannot belong to any request.
-        if leftover or states != completed:
-            self.close()
-            return
-        self._protocol.start_next_cycle()
+    async def _discard_response(self, head: ResponseHead) -> None:
+        """Skip a response to an earlier request, and await the next one."""
+        self._matching.on_stale(self._address, head)
+        size = 0
+        while size <= MAX_STALE_BYTES:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            size += piece_cost_bytes(getattr(event, 'data', b''))
+        is_kept = self._protocol.their_state is h11.DONE
+        if self._request is None or not is_kept:
+            raise self._close_with_error(
+                'the connection ended after an answer to an earlier request'
+            )
+        following, _ = self._protocol.trailing_data
+        self._protocol = _create_protocol()
+        # The request is on its way: only the state is needed here.
+        _encode(self._protocol, self._request)
+        # Without bytes, h11 would take the connection for ended.
+        if following:
+            self._protocol.receive_data(following)
 
     async def _next_event(self) -> object:
         while True:
@@ -531,6 +552,40 @@
         )
 
 
+def _create_protocol() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
+def _encode(
+    protocol: h11.Connection, request: OutgoingRequest
+) -> tuple[bytes, ...]:
+    """Return the bytes of a request, whose response the protocol then awaits.
+
+    :raises h11.LocalProtocolError: if a header is malformed
+    """
+    framing = (b'Content-Length', str(len(request.body)).encode())
+    events = (
+        h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=[*request.headers, framing],
+        ),
+        h11.Data(data=request.body),
+        h11.EndOfMessage(),
+    )
+    return tuple(protocol.send(event) or b'' for event in events)
+
+
+def _start_next_cycle(protocol: h11.Connection) -> bool:
+    """Prepare a protocol for the next request, unless it can carry none."""
+    following, _ = protocol.trailing_data
+    completed = (h11.DONE, h11.DONE)
+    if following or (protocol.our_state, protocol.their_state) != completed:
+        return False
+    protocol.start_next_cycle()
+    return True
+
+
 async def connect(
     address: str, timeout_s: float, resources: Resources
 ) -> Connection:
@@ -778,21 +833,24 @@
         """
         self._connect_observers.append(observer)
 
-    async def take(self, address: str, idle_limit_s: float) -> Connection:
+    async def take(
+        self,
+        address: str,
+        idle_limit_s: float,
+        request: OutgoingRequest | None = None,
+    ) -> Connection:
         """Return an idle connection, or open a new one.
 
         :param address: IP address and port
         :param idle_limit_s: longest time that the connection may have been
             idle, in seconds; zero always opens a new one
+        :param request: the request to send; if it is given, a late copy of an
+            earlier answer on the connection is no answer to it
         :raises ExchangeError: if no connection can be established
         """
-        used_after = loop_time() - idle_limit_s
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_idle and connection.used_at > used_after:
-                return connection
-            connection.close()
+        found = self._take_idle(address, idle_limit_s, request)
+        if found is not None:
+            return found
         self._opened += 1
         connection = await connect(
             address, self._connect_timeout_s, self._resources
@@ -814,6 +872,39 @@
         else:
             connection.close()
 
+    def _take_idle(
+        self, address: str, idle_limit_s: float, request: OutgoingRequest | None
+    ) -> Connection | None:
+        """Return an idle connection that can carry a request, if there is one.
+
+        Those that have been idle for too long are closed.
+        """
+        used_after = loop_time() - idle_limit_s
+        idle = self._idle.pop(address, [])
+        unsuited: list[Connection] = []
+        found: Connection | None = None
+        while idle and found is None:
+            connection = idle.pop()
+            if not connection.is_idle or connection.used_at <= used_after:
+                connection.close()
+            elif self._can_carry(connection, request):
+                found = connection
+            else:
+                unsuited.append(connection)
+        kept = [*idle, *reversed(unsuited)]
+        if kept:
+            self._idle[address] = kept
+        return found
+
+    def _can_carry(
+        self, connection: Connection, request: OutgoingRequest | None
+    ) -> bool:
+        if request is None or self._matching is None:
+            return True
+        return connection.sent.can_tell_apart(
+            request.request_id, request.content
+        )
+
     def discard_idle(self, address: str) -> None:
         """Close all idle connections to an address.
 
@@ -842,7 +933,10 @@
 
 @contextlib.asynccontextmanager
 async def pooled_connection(
-    pool: ConnectionPool, address: str, idle_limit_s: float
+    pool: ConnectionPool,
+    address: str,
+    idle_limit_s: float,
+    request: OutgoingRequest | None = None,
 ) -> AsyncIterator[Connection]:
     """Provide a pooled connection for the length of the block.
 
@@ -852,8 +946,9 @@
     :param address: IP address and port
     :param idle_limit_s: longest time that the connection may have been idle,
         in seconds
+    :param request: the request to send, as for ``ConnectionPool.take``
     """
-    connection = await pool.take(address, idle_limit_s)
+    connection = await pool.take(address, idle_limit_s, request)
     try:
         yield connection
     finally:
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -217,7 +217,7 @@
                 with unforeseen_as_failures(job, endpoint, was_sent=False):
                     outgoing = build_outgoing(context, job, endpoint)
                 async with pooled_connection(
-                    context.pool, endpoint.address, IDLE_LIMIT_S
+                    context.pool, endpoint.address, IDLE_LIMIT_S, outgoing
                 ) as connection:
                     sent = True
                     with unforeseen_as_failures(job, endpoint, was_sent=True):
--- a/tests/test_relay_stale_answers.py
+++ b/tests/test_relay_stale_answers.py
@@ -13,6 +13,11 @@
 from mastichatch_platform.dialect import create_dialect
 from mastichatch_platform.engines import EngineClient
 
+from mastichatch_core.relay.sent_requests import (
+    MAX_REQUESTS,
+    Belonging,
+    SentRequests,
+)
 from mastichatch_node.relay.dialect import MoveOrder
 from mastichatch_node.relay.http_client import (
     AnswerMatching,
@@ -115,6 +120,50 @@
         assert len(ran) == len(set(ran))
         assert [one.status for one in answers] == [200] * COPIES
 
+    async def test_connection_is_replaced_before_it_keeps_many_ids(
+        self,
+    ) -> None:
+        app = HouseEndpoint('i-a', respond_after(0))
+        async with open_relay((app,), document=ATTEMPTS) as relay:
+            for number in range(MAX_REQUESTS + 1):
+                await relay.call('/book/', request_id=f'r{number}')
+        assert {one.connection for one in app.received} == {0, MAX_REQUESTS}
+
+
+class TestBelonging:
+    sent = SentRequests()
+    sent.record('a', b'')
+    sent.record('b', b'')
+
+    @pytest.mark.parametrize(
+        ('named', 'expected'),
+        [
+            ('b', Belonging.due),
+            ('a', Belonging.stale),
+            ('c', Belonging.foreign),
+            (None, Belonging.foreign),
+        ],
+    )
+    def test_answer_belongs_to_the_request_that_it_names(
+        self, named: str | None, expected: Belonging
+    ) -> None:
+        assert self.sent.assign(named) is expected
+
+    def test_connection_carries_a_request_only_once(self) -> None:
+        assert not self.sent.can_tell_apart('a', b'')
+        assert self.sent.can_tell_apart('c', b'')
+
+    def test_connection_carries_one_kind_of_order_after_named_requests(
+        self,
+    ) -> None:
+        sent = SentRequests()
+        sent.record('a', b'')
+        assert sent.can_tell_apart('', b'stop run-1')
+        sent.record('', b'stop run-1')
+        assert sent.can_tell_apart('', b'stop run-1')
+        assert not sent.can_tell_apart('', b'stop run-2')
+        assert not sent.can_tell_apart('b', b'')
+
 
 async def _repeat(nodes: tuple[str, ...], request_id: str) -> Response:
     """Call until an answer is no refusal, at a random node each time."""
