--- a/tests/test_relay_limit_table.py
+++ b/tests/test_relay_limit_table.py
@@ -76,6 +76,8 @@
         assert table.limit('i', 1e6) == 2
         assert table.in_force(100) == {'i': 2}
         assert not table.record_answer('i', LimitNotice(per_s=2), 11, 100)
+        assert not table.record_answer('i', None, 50, 100)
+        assert table.all_told(100) == (told(2, 89),)
         assert table.record_answer('i', LimitNotice(per_s=0), 12, 100)
         assert table.limit('i', 100) == 0
         assert table.record_answer('i', NO_LIMIT, 13, 100)
@@ -100,11 +102,6 @@
         assert not table.record_answer('i', LimitNotice(per_s=2), 21, 101)
         assert table.record_answer('i', LimitNotice(per_s=2), 23, 101)
 
-    def test_unreadable_notice_changes_nothing(self) -> None:
-        table = limited(2, 10)
-        assert not table.record_answer('i', None, 50, 100)
-        assert table.find_told('i', 100) == told(2, 90)
-
     def test_answer_without_a_limit_leaves_no_state(self) -> None:
         table = LimitTable()
         assert not table.record_answer('i', NO_LIMIT, 10, 11)
