Reproduce the requests to servers that name a limit

A server in need names in its answers what it takes from all hosts together. Nothing reads that header, so that nodes send as much as before. The stand-in of endpoints can name a limit, and notes when each request arrives; open_nodes runs any number of nodes.

--- a/tests/relay_nodes.py
+++ b/tests/relay_nodes.py
@@ -154,6 +154,40 @@
     return {one.registered_id: one for one in known}
 
 
+@contextlib.asynccontextmanager
+async def open_nodes(
+    count: int,
+    *engines: HouseEndpoint,
+    apps: tuple[HouseEndpoint, ...] = (),
+    document: dict[str, Any] | None = None,
+    **options: Any,
+) -> AsyncIterator[tuple[RelayFixture, ...]]:
+    """Run nodes that have heard of each other."""
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        first = await enter(open_relay(apps, engines, document, **options))
+        relays = [first]
+        for number in range(2, count + 1):
+            settings = create_settings(
+                first.settings.store_address,
+                **{**options, 'name': f'north-{number}'},
+            )
+            node = await enter(
+                open_node(settings, create_adapter(), Telemetry())
+            )
+            relays.append(
+                dataclasses.replace(first, node=node, settings=settings)
+            )
+        for relay in relays:
+            await until(lambda: relay.node.is_ready)
+        # A node knows another one once that is registered.
+        for relay in relays:
+            await until(lambda: len(registered(relay.node)) == count)
+        for relay in relays:
+            await until(lambda: len(heard(relay.node)) == count - 1)
+        yield tuple(relays)
+
+
 @contextlib.asynccontextmanager
 async def open_two_nodes(
     *engines: HouseEndpoint,
@@ -162,17 +196,9 @@
     **options: Any,
 ) -> AsyncIterator[tuple[RelayFixture, str, RelayNode]]:
     """Run two nodes that have heard of each other."""
-    async with open_relay(apps, engines, document, **options) as relay:
-        settings = create_settings(
-            relay.settings.store_address, **{**options, 'name': 'north-2'}
-        )
-        async with open_node(settings, create_adapter(), Telemetry()) as node:
-            await until(lambda: node.is_ready)
-            # The first node knows the second one once it is registered.
-            await until(lambda: len(registered(relay.node)) == 2)
-            await until(lambda: len(registered(node)) == 2)
-            await until(lambda: bool(heard(relay.node) and heard(node)))
-            yield relay, settings.callers_address, node
+    opened = open_nodes(2, *engines, apps=apps, document=document, **options)
+    async with opened as (relay, second):
+        yield relay, second.settings.callers_address, second.node
 
 
 def heard(node: RelayNode) -> frozenset[str]:
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, cast
 
@@ -21,7 +22,7 @@
     """A request received by an endpoint.
 
     ``connection`` is the number of requests that the endpoint had received when
-    the connection was opened.
+    the connection was opened, ``at`` the time of the arrival in seconds.
     """
 
     method: str
@@ -29,6 +30,7 @@
     headers: dict[str, str]
     body: bytes
     connection: int
+    at: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
     def request_id(self) -> str:
@@ -60,6 +62,10 @@
             data = status + b'\r\n' + self._headers + rest
         self._writer.write(data)
 
+    def write_unchanged(self, data: bytes) -> None:
+        """Write bytes as they are, also if they begin an answer."""
+        self._writer.write(data)
+
 
 @dataclasses.dataclass
 class HouseEndpoint:
@@ -71,8 +77,9 @@
     that were freed. Unless ``drops_closed``, a run goes on after its connection
     has closed; ``working`` holds the ids of those in progress. The first
     ``stop_conflicts`` orders to stop are refused, and so are resumptions from
-    ``lost_handles``. All answers carry ``said_headers``. A resumption is
-    answered after ``resume_delay_s``, and an order to stop takes effect after
+    ``lost_handles``. All answers carry ``said_headers``, and name ``limit``, in
+    as many headers as it has values. A resumption is answered after
+    ``resume_delay_s``, and an order to stop takes effect after
     ``stop_delay_s``.
     """
 
@@ -92,6 +99,7 @@
     lost_handles: set[str] = dataclasses.field(default_factory=set)
     resume_delay_s: float = 0
     said_headers: str = ''
+    limit: str | tuple[str, ...] | None = None
     working: set[str] = dataclasses.field(default_factory=set)
     stopped: set[str] = dataclasses.field(default_factory=set)
     freed: list[str] = dataclasses.field(default_factory=list)
@@ -103,6 +111,15 @@
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
 
+    @property
+    def announced_headers(self) -> str:
+        """Headers that all answers carry."""
+        limits = self.limit or ()
+        if isinstance(self.limit, str):
+            limits = (self.limit,)
+        named = ''.join(f'Server-Limit: {one}\r\n' for one in limits)
+        return self.said_headers + named
+
     async def open(self, port: int = 0) -> None:
         """Listen on loopback, and set the address."""
         # More connections than one flood of a test opens at once.
@@ -172,7 +189,7 @@
                 request = await _read(protocol, reader, number)
                 if request is None:
                     break
-                said = AnnouncingWriter(writer, self.said_headers)
+                said = AnnouncingWriter(writer, self.announced_headers)
                 await self._answer(
                     request, reader, cast(asyncio.StreamWriter, said)
                 )
