Keep the requests of all nodes within the limits that servers name

A server in need got several times what it had said it takes: nothing read Server-Limit, and each node would have kept it for itself alone.

Each request to a server with a limit now uses a turn. One node of the server's data centre grants the turns of all nodes, at the rate of the limit; a second one grants fewer while the first does not answer. Limits travel with these messages and with the broadcasts of runs, each with the age of its evidence, so that a late answer does not bring an earlier value back.

While other servers have room, no request waits: a turn is requested beside it, and held for a later one. Where all servers have limits, a call waits up to 0.5 s for its turn, or is refused at once with the time until one is expected. A run that has to go on elsewhere is sent without a turn, and later turns move back. After a limit has ended the requests return over 3 s. Reports and transfers that can be done without are not sent to such a server.

--- a/packages/core/mastichatch_core/relay/limit_turns.py
+++ b/packages/core/mastichatch_core/relay/limit_turns.py
@@ -138,12 +138,20 @@
         :param instance: instance id of the server
         :param now: time in seconds
         """
-        held = self._drop_expired(instance, now)
-        if not held or held[0] > now:
+        if not self.is_usable(instance, now):
             return False
-        self._usable_at[instance] = held[1:]
+        self._usable_at[instance] = self._usable_at[instance][1:]
         return True
 
+    def is_usable(self, instance: str, now: float) -> bool:
+        """Return whether a turn is held that may be used now.
+
+        :param instance: instance id of the server
+        :param now: time in seconds
+        """
+        held = self._drop_expired(instance, now)
+        return bool(held) and held[0] <= now
+
     def has(self, instance: str, now: float) -> bool:
         """Return whether a turn is held that may be used now or later.
 
--- a/packages/core/mastichatch_core/relay/server_limits.py
+++ b/packages/core/mastichatch_core/relay/server_limits.py
@@ -100,6 +100,11 @@
         """Start without limits."""
         self._known: dict[str, _Evidence] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is known of any limit."""
+        return not self._known
+
     def record_answer(
         self,
         instance: str,
--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -28,6 +28,7 @@
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.run_stopping import RunStopper
 from mastichatch_node.relay.telemetry import Telemetry
+from mastichatch_node.relay.turn_keeping import TurnKeeper
 
 # Size of the digest by which calls with the same content are told.
 DIGEST_BYTES: Final = 12
@@ -138,6 +139,7 @@
     :param belief: local view of the platform's store
     :param sharing: generations in progress on all nodes
     :param records: latency and failure statistics of endpoints
+    :param turns: turns at endpoints that name a limit
     :param retries: retry budget of this node
     :param pool: connections to endpoints
     :param dialect: wire protocol of the platform
@@ -154,6 +156,7 @@
     belief: StoreCache
     sharing: RunBroadcaster
     records: EndpointStatsTable
+    turns: TurnKeeper
     retries: RetryAllowance
     pool: ConnectionPool
     dialect: Dialect
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from mastichatch_core.relay.model import Endpoint, RequestMetadata
+from mastichatch_core.relay.server_limits import LimitNotice
 from mastichatch_node.relay.http_client import ResponseHead, Headers
 
 
@@ -99,6 +100,8 @@
         a response
     :param read_pause_s: returns the time for which an endpoint that turns a
         request away wants no others, in seconds; ``None`` without a valid one
+    :param read_limit: returns what a response says of its endpoint's limit;
+        ``None`` if it says nothing
     :param is_genuine: returns whether a successful response has the
         endpoint's signature
     :param query_departure: asks an engine, given its address, whether it is
@@ -115,6 +118,7 @@
     read_response_id: Callable[[ResponseHead], str | None]
     says_leaving: Callable[[ResponseHead], bool]
     read_pause_s: Callable[[ResponseHead], float | None]
+    read_limit: Callable[[ResponseHead], LimitNotice | None]
     is_genuine: Callable[[ResponseHead], bool]
     query_departure: Callable[[str], Awaitable[bool | None]]
     move_run: Callable[[MoveOrder], Awaitable[MoveResponse]]
--- /dev/null
+++ b/packages/node/mastichatch_node/relay/endpoint_notices.py
@@ -0,0 +1,69 @@
+"""Reads what endpoints say of themselves in their answers."""
+
+import dataclasses
+
+from mastichatch_core.relay.plain_choice import EndpointStatsTable
+from mastichatch_core.relay.store_cache import StoreCache
+from mastichatch_node.peers import Peers
+from mastichatch_node.relay.answer_matching import create_matching
+from mastichatch_node.relay.dialect import Dialect
+from mastichatch_node.relay.http_client import ConnectionPool
+from mastichatch_node.relay.limit_tracking import LimitTracker
+from mastichatch_node.relay.run_broadcast import RunBroadcaster
+from mastichatch_node.relay.server_pausing import PauseKeeper
+from mastichatch_node.relay.store_following import NodeRegistry
+from mastichatch_node.relay.telemetry import Telemetry
+from mastichatch_node.relay.turn_keeping import TurnKeeper
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NoticeSources:
+    """What notices of endpoints are read with.
+
+    :param cache: cached entries of the store
+    :param registry: registrations of the other nodes
+    :param broadcaster: tells other nodes of limits
+    :param peers: connections to other nodes
+    :param telemetry: log and metrics of the node
+    """
+
+    cache: StoreCache
+    registry: NodeRegistry
+    broadcaster: RunBroadcaster
+    peers: Peers
+    telemetry: Telemetry
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointNotices:
+    """What endpoints have said of themselves.
+
+    :param records: statistics of endpoints, with the pauses they asked for
+    :param turns: turns at endpoints that name limits
+    :param dialect: holds control calls back from both
+    """
+
+    records: EndpointStatsTable
+    turns: TurnKeeper
+    dialect: Dialect
+
+
+def read_notices(
+    sources: NoticeSources, pool: ConnectionPool, dialect: Dialect
+) -> EndpointNotices:
+    """Read the notices in all answers of endpoints.
+
+    :param sources: what they are read with
+    :param pool: connections to endpoints
+    :param dialect: decodes the answers, and sends control calls
+    """
+    pool.match_answers(create_matching(dialect, sources.telemetry))
+    pauses = PauseKeeper(sources.cache, sources.telemetry)
+    limits = LimitTracker(sources.cache, sources.broadcaster, sources.telemetry)
+    return EndpointNotices(
+        records=pauses.records,
+        turns=TurnKeeper(
+            sources.cache, sources.registry, sources.peers, limits
+        ),
+        dialect=limits.attach(pool, pauses.attach(pool, dialect)),
+    )
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -34,6 +34,7 @@
     QueuePlan,
     plan_queue,
 )
+from mastichatch_core.relay.limit_turns import return_delay_s
 from mastichatch_core.relay.load_control import LoadControl, LoadControls
 from mastichatch_core.relay.model import Endpoint, Engine
 from mastichatch_core.relay.placement.costs import (
@@ -150,6 +151,9 @@
             # The prompt exceeds the memory of every engine.
             raise self._unavailable(job)
         refuse_if_all_paused(self._context, job)
+        _refuse_if_all_limited(
+            self._context, job, self.usable_engines(job.service.name)
+        )
         future: asyncio.Future[Candidate] = (
             asyncio.get_running_loop().create_future()
         )
@@ -317,17 +321,15 @@
             queued, runs = self._expose(
                 queued, runs, _Engines(opened.trial, engine), options
             )
-        plan = _assign(
+        queued, runs = _use_turns(
             self._context, queued, runs, _Engines(opened.free, engine), options
         )
-        left = _still_waiting(queued)
-        hopeless = self._forecaster.refuse_hopeless(
-            {own_id: one.job for own_id, one in left.items()},
-            plan,
-            opened.free,
-            options.costs,
+        free = _without_limit(self._context, opened.free)
+        plan = _assign(
+            self._context, queued, runs, _Engines(free, engine), options
         )
-        _refuse(left, hopeless)
+        if free:
+            _refuse_hopeless(self._forecaster, queued, plan, free, options)
 
     def _judge_queued(
         self, service: str, usable: tuple[Endpoint, ...]
@@ -376,11 +378,7 @@
             if not rollouts.try_expose(service):
                 break
             # Other waiting requests do not use the allowance of this node.
-            visible = tuple(
-                run
-                for run in runs
-                if run.state is RunState.running or run.request_id == own_id
-            )
+            visible = _without_other_waiting(runs, own_id)
             own = {own_id: queued_request}
             _assign(self._context, own, visible, trial, options)
             if not queued_request.future.done():
@@ -501,6 +499,7 @@
             for one in self.usable_engines(job.service.name)
             if one.instance not in excluded
             and self._context.rollouts.may_continue(source, one)
+            and self._context.turns.limits.limit(one) is None
         }
         criteria = dataclasses.replace(
             placement_request(run, self._context.data_centre), part=''
@@ -544,6 +543,21 @@
         queued[request_id].future.set_exception(error)
 
 
+def _refuse_hopeless(
+    forecaster: AdmissionForecaster,
+    queued: Mapping[str, _QueuedRequest],
+    plan: QueuePlan,
+    engines: tuple[Endpoint, ...],
+    options: QueueOptions,
+) -> None:
+    """Refuse the queued requests that will not be placed in time."""
+    left = _still_waiting(queued)
+    jobs = {request_id: one.job for request_id, one in left.items()}
+    _refuse(
+        left, forecaster.refuse_hopeless(jobs, plan, engines, options.costs)
+    )
+
+
 def _queue_options(
     context: RelayContext, forecaster: AdmissionForecaster, service: str
 ) -> QueueOptions:
@@ -574,6 +588,18 @@
     return lambda run: data_centres.get(table.node_of(run), context.data_centre)
 
 
+def _without_other_waiting(runs: Iterable[Run], own_id: str) -> tuple[Run, ...]:
+    return tuple(
+        run
+        for run in runs
+        if run.state is RunState.running or run.request_id == own_id
+    )
+
+
+def _most_urgent(queued: Mapping[str, _QueuedRequest]) -> str:
+    return min(queued, key=lambda request_id: queued[request_id].job.rank)
+
+
 def _still_waiting(
     queued: Mapping[str, _QueuedRequest],
 ) -> dict[str, _QueuedRequest]:
@@ -596,6 +622,55 @@
     engine: Engine
 
 
+def _without_limit(
+    context: RelayContext, engines: Iterable[Endpoint]
+) -> tuple[Endpoint, ...]:
+    """Return the engines that need no turn.
+
+    After the limit of an engine has ended, requests return over some time.
+    """
+    turns = context.turns
+    return tuple(
+        one
+        for one in engines
+        if turns.limits.limit(one) is None and turns.accepts(one)
+    )
+
+
+def _use_turns(
+    context: RelayContext,
+    queued: Mapping[str, _QueuedRequest],
+    runs: tuple[Run, ...],
+    engines: _Engines,
+    options: QueueOptions,
+) -> tuple[dict[str, _QueuedRequest], tuple[Run, ...]]:
+    """Assign engines that name limits, as far as this node has turns.
+
+    New turns are requested for later requests: those that are queued go to
+    other engines, if these have room.
+
+    :returns: the requests that are left, and the runs without the others
+    """
+    turns = context.turns
+    waiting = dict(queued)
+    for endpoint in engines.endpoints:
+        if turns.limits.limit(endpoint) is None:
+            continue
+        turns.request_beside((endpoint,))
+        if waiting and turns.accepts(endpoint):
+            own_id = _most_urgent(waiting)
+            # The turn is for requests of this node only.
+            visible = _without_other_waiting(runs, own_id)
+            single = _Engines((endpoint,), engines.engine)
+            own = {own_id: waiting[own_id]}
+            _assign(context, own, visible, single, options)
+            if waiting[own_id].future.done():
+                turns.take(endpoint)
+                waiting = _still_waiting(waiting)
+    assigned = queued.keys() - waiting.keys()
+    return waiting, tuple(run for run in runs if run.request_id not in assigned)
+
+
 def _assign(
     context: RelayContext,
     queued: Mapping[str, _QueuedRequest],
@@ -651,6 +726,27 @@
     )
 
 
+def _refuse_if_all_limited(
+    context: RelayContext, job: Job, usable: tuple[Endpoint, ...]
+) -> None:
+    """Refuse a request if no engine will have a turn for it in time.
+
+    :raises EngineUnavailableError: with the time until one may have
+    """
+    turns = context.turns
+    if not usable or any(turns.limits.limit(one) is None for one in usable):
+        return
+    opens_in_s = turns.opens_in_s(usable)
+    if loop_time() + opens_in_s < waits_until(job):
+        return
+    context.telemetry.limits.count_refusal()
+    draw = random.random()  # noqa: S311
+    raise EngineUnavailableError(
+        'all engines have reached the limits that they name',
+        return_delay_s(opens_in_s, draw),
+    )
+
+
 def quarantine_error(refusal: Verdict) -> EngineUnavailableError:
     """Return the error for a request that would crash every endpoint.
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -126,10 +126,12 @@
 
     :param status: HTTP status
     :param headers: headers, with lower-case names
+    :param sent_at: loop time at which its request was sent, in seconds
     """
 
     status: int
     headers: Headers
+    sent_at: float = 0
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None`` without one.
@@ -304,8 +306,9 @@
         self._writer = writer
         self._protocol = _create_protocol()
         self._request: OutgoingRequest | None = None
-        self._turns = TurnLimiter()
         self._used_at = loop_time()
+        self._sent_at = self._used_at
+        self._turns = TurnLimiter()
         self._may_have_sent = False
         self._responses = 0
         self._is_unframed = False
@@ -383,6 +386,7 @@
         except h11.LocalProtocolError as error:
             raise ExchangeError(str(error), was_sent=False) from error
         self._request = request
+        self._sent_at = loop_time()
         self._may_have_sent = True
         try:
             await write_in_pieces(self._writer, encoded)
@@ -477,6 +481,7 @@
                 head = ResponseHead(
                     status=event.status_code,
                     headers=tuple(event.headers),
+                    sent_at=self._sent_at,
                 )
                 self._is_unframed = not any(map(head.get, _FRAMING_HEADERS))
                 return head
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -34,6 +34,7 @@
     open_http_server,
 )
 from mastichatch_node.relay.departure_polling import DeparturePoller
+from mastichatch_node.relay.endpoint_notices import NoticeSources, read_notices
 from mastichatch_node.relay.context import RetryAllowance, RelayContext
 from mastichatch_node.relay.node_record import create_node_record
 from mastichatch_node.relay.message_handling import register_handlers
@@ -44,7 +45,6 @@
 from mastichatch_node.relay.relay import Relay
 from mastichatch_node.relay.remote_sharing import RemoteReviewer
 from mastichatch_node.relay.rollouts import assembly, keeper as rollouts
-from mastichatch_node.relay.server_pausing import PauseKeeper
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.standby_copying import StandbyCopier
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
@@ -260,10 +260,11 @@
             placer = EnginePlacer(context)
             relay = _create_relay(settings, context, placer)
             migrator = RunMigrator(context, placer, relay)
-            _attach_evidence(components, placer, relay)
+            _attach_evidence(components, context, placer, relay)
             node = RelayNode(components, context, relay)
             async with contextlib.AsyncExitStack() as stack:
                 stack.callback(context.stopper.close)
+                stack.callback(context.turns.close)
                 stack.callback(migrator.close)
                 await stack.enter_async_context(
                     _run_updates(components, context, placer, migrator, relay)
@@ -303,15 +304,26 @@
 def _create_context(
     components: _Components, pool: ConnectionPool
 ) -> RelayContext:
-    keeper = PauseKeeper(components.cache, components.telemetry)
-    dialect = keeper.attach(pool, components.adapter.open_dialect(pool))
+    notices = read_notices(
+        NoticeSources(
+            cache=components.cache,
+            registry=components.registry,
+            broadcaster=components.broadcaster,
+            peers=components.peers,
+            telemetry=components.telemetry,
+        ),
+        pool,
+        components.adapter.open_dialect(pool),
+    )
+    dialect = notices.dialect
     percent = int(components.settings.retry_percent * RETRY_ALLOWANCE_SHARE)
     return RelayContext(
         node=components.settings.name,
         data_centre=components.settings.data_centre,
         belief=components.cache,
         sharing=components.broadcaster,
-        records=keeper.records,
+        records=notices.records,
+        turns=notices.turns,
         retries=RetryAllowance(percent, burst=0),
         pool=pool,
         dialect=dialect,
@@ -390,6 +402,7 @@
                 departures.handle_changes,
                 placer.handle_changes,
                 components.crashes.handle_changes,
+                context.turns.limits.handle_changes,
             ),
         )
         async with run_in_background(
@@ -416,6 +429,7 @@
 def _forget_former_endpoints(context: RelayContext) -> None:
     known = context.belief.endpoints(loop_time())
     context.records.keep_only(known)
+    context.turns.keep_only(known)
     context.sharing.outcomes.keep_only(known)
     context.stopper.gate.keep_only(known)
     context.pool.signs.keep_only(
@@ -424,11 +438,17 @@
 
 
 def _attach_evidence(
-    components: _Components, placer: EnginePlacer, relay: Relay
+    components: _Components,
+    context: RelayContext,
+    placer: EnginePlacer,
+    relay: Relay,
 ) -> None:
-    """Apply new evidence on crashes to queued requests and to runs."""
+    """Apply new evidence on crashes, and turns, to queued requests and runs."""
     crashes = components.crashes
-    components.broadcaster.attach_evidence(crashes.current_evidence)
+    components.broadcaster.attach_evidence(
+        crashes.current_evidence, lambda: context.turns.limits.current
+    )
+    context.turns.subscribe(placer.reconcile)
     for react in (placer.reconcile, relay.withdraw_quarantined):
         crashes.subscribe(react)
 
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -8,6 +8,7 @@
 
 from mastichatch_core.generated.messages import (
     CrashReport,
+    EndpointLimit,
     Envelope,
     ForwardScope,
     MessageKind,
@@ -42,6 +43,7 @@
 
 
 Evidence = tuple[tuple[CrashReport, ...], tuple[SoundParts, ...]]
+Limits = tuple[EndpointLimit, ...]
 
 
 class NodeDirectory(Protocol):
@@ -86,6 +88,7 @@
         self._links: tuple[NodeLink, ...] = ()
         self._links_expire_at = -math.inf
         self._current_evidence: Callable[[], Evidence] = _no_evidence
+        self._current_limits: Callable[[], Limits] = tuple
 
     @property
     def table(self) -> RunTable:
@@ -158,16 +161,26 @@
             dataclasses.replace(message, crashes=crashes, sound=sound)
         )
 
-    def announce_outcomes(self) -> None:
-        """Tell other nodes of outcomes of calls that no change has told of."""
-        self._send_to_all(self._create_message(()))
+    def announce_outcomes(self, limits: Limits = ()) -> None:
+        """Tell other nodes of outcomes of calls that no change has told of.
 
-    def attach_evidence(self, current_evidence: Callable[[], Evidence]) -> None:
-        """Send evidence on crashes with each full list of runs.
+        :param limits: limits that endpoints have begun or ceased to name
+        """
+        message = self._create_message(())
+        self._send_to_all(dataclasses.replace(message, limits=limits))
+
+    def attach_evidence(
+        self,
+        current_evidence: Callable[[], Evidence],
+        current_limits: Callable[[], Limits],
+    ) -> None:
+        """Send what is known of endpoints with each full list of runs.
 
-        :param current_evidence: returns the evidence
+        :param current_evidence: returns the evidence on crashes
+        :param current_limits: returns the limits that endpoints name
         """
         self._current_evidence = current_evidence
+        self._current_limits = current_limits
 
     async def handle_changes(
         self, message: RunChanges, envelope: Envelope
@@ -211,6 +224,7 @@
             self._create_message(self._table.own, is_whole=True),
             crashes=crashes,
             sound=sound,
+            limits=self._current_limits(),
         )
         self._peers.send_all(receivers, MessageKind.run_changes, message)
 
--- a/packages/node/mastichatch_node/relay/server_pausing.py
+++ b/packages/node/mastichatch_node/relay/server_pausing.py
@@ -7,7 +7,6 @@
 from mastichatch_core.relay.server_pauses import pause_s
 from mastichatch_core.relay.store_cache import StoreCache, endpoint_at
 from mastichatch_node.clock import loop_time
-from mastichatch_node.relay.answer_matching import create_matching
 from mastichatch_node.relay.dialect import Dialect, MoveOrder, MoveResponse
 from mastichatch_node.relay.http_client import ConnectionPool, ResponseHead
 from mastichatch_node.relay.telemetry import Telemetry
@@ -43,7 +42,6 @@
             self.record_request(address, dialect.read_pause_s(head))
 
         pool.observe_heads(read_answer)
-        pool.match_answers(create_matching(dialect, self._telemetry))
         return _hold_back_control_calls(dialect, self)
 
     def record_request(self, address: str, requested_s: float | None) -> None:
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -33,6 +33,10 @@
     quarantine_error,
     refuse_if_all_paused,
 )
+from mastichatch_node.relay.limited_choice import (
+    choose_with_turn,
+    refuse_if_all_limited,
+)
 from mastichatch_node.relay.http_client import (
     Connection,
     ExchangeError,
@@ -85,10 +89,12 @@
     tried: dict[str, Endpoint] = {}
     may_crash = _check_quarantine(context, job)
     while True:
-        endpoint = _choose_endpoint(context, job, tried)
+        ranked = _rank_endpoints(context, job, tried)
+        endpoint = await choose_with_turn(context, job, ranked)
         if endpoint is None:
             if not any(map(_may_have_run, results)):
                 refuse_if_all_paused(context, job)
+                refuse_if_all_limited(context, job, ranked)
             raise _create_error(results)
         tried[endpoint.instance] = endpoint
         result = await _attempt(context, job, reply, endpoint, len(results))
@@ -146,9 +152,10 @@
         await crashes.report_repeated_crash(job.parts, job.request_id, closed)
 
 
-def _choose_endpoint(
+def _rank_endpoints(
     context: RelayContext, job: Job, tried: Collection[str]
-) -> Endpoint | None:
+) -> tuple[Endpoint, ...]:
+    """Return the endpoints that a call may be sent to, the best one first."""
     now = loop_time()
     service = job.service.name
     usable, _ = split_paused(
@@ -161,9 +168,10 @@
     )
     candidates = opened.free
     # A call that is tried again goes to a proven version, if there is one.
-    if opened.trial and not (tried and opened.free):
+    trial = tuple(filter(context.turns.accepts, opened.trial))
+    if trial and not (tried and opened.free):
         if context.rollouts.try_expose(service):
-            candidates = opened.trial
+            candidates = trial
     ranked = rank_endpoints(
         candidates,
         context.records,
@@ -173,11 +181,9 @@
         judge_endpoints(context, usable),
         _draw_trial(job, is_first=not tried),
     )
-    if not ranked:
-        return None
-    if not tried:
+    if ranked and not tried:
         context.rollouts.record_request(service)
-    return ranked[0]
+    return ranked
 
 
 def _draw_trial(job: Job, *, is_first: bool) -> float:
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -354,6 +354,8 @@
         self._head_at = None
         if source.prepared is None:
             self._handover.begin_at(endpoint)
+        if source.resumption is not None:
+            self._context.turns.charge(endpoint)
         if source.is_resumed:
             self._handover.log_resumption(endpoint)
             # Engines count a resumption as a retry. It is not subject to the
@@ -565,6 +567,7 @@
         async with asyncio.timeout(job.longest_stall_s):
             outgoing = _build_request(context, job, source)
             connection = await context.pool.take(endpoint.address, 0)
+            context.turns.charge(endpoint)
             with _failures_of(job, source):
                 await connection.send(outgoing)
                 head = await read_answer_head(context, job, connection)
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -25,6 +25,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.logs import set_up_logging
+from mastichatch_node.relay.limit_metrics import LimitMetrics
 from mastichatch_node.relay.placement_metrics import PlacementMetrics
 
 # A host at the users' sites serves about ten requests a second, with about four
@@ -211,12 +212,18 @@
         )
 
         self._placement = PlacementMetrics(self._registry)
+        self._limits = LimitMetrics(self._registry)
 
     @property
     def placement(self) -> PlacementMetrics:
         """Metrics of where and when generations are placed."""
         return self._placement
 
+    @property
+    def limits(self) -> LimitMetrics:
+        """Metrics of the limits that endpoints name."""
+        return self._limits
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -554,6 +554,7 @@
         belief=cast(Any, view),
         sharing=cast(Any, view),
         records=EndpointStatsTable(),
+        turns=cast(Any, _Quiet()),
         retries=RetryAllowance(100, 1000),
         pool=cast(Any, fleet),
         dialect=dialect,
