Let the model of hand-overs take connections for a request

The pool takes a connection for the request that it is to carry since late copies of answers are told apart; the emulated one of the hand-over tests did not accept that argument, and its streams ended in a TypeError.

--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -335,7 +335,9 @@
             )
         )
 
-    async def take(self, address: str, idle_limit_s: float) -> Any:
+    async def take(
+        self, address: str, idle_limit_s: float, request: object = None
+    ) -> Any:
         """Open a connection."""
         await self._connect(address)
         return EmulatedConnection(self.engines[address])
