Let requests return at a growing rate after a limit has ended

After a limit had ended each node thinned its requests by chance, and refused those of a server without others: at few requests that turned away calls that the server could have run. The rate of turns now doubles each 0.5 s from the limit on, for 3 s, so that callers wait for a turn as before or go elsewhere.

--- a/packages/core/mastichatch_core/relay/server_limits.py
+++ b/packages/core/mastichatch_core/relay/server_limits.py
@@ -20,10 +20,11 @@
 
 # No server of the target size gets a fraction of so many requests.
 MAX_LIMIT_PER_S: Final = 1000.0
-# Share of requests that may use a server as soon as its limit has ended, and
-# time until all may.
-RAMP_FIRST_SHARE: Final = 0.1
+# Time after the end of a limit for which a server gets requests at a rate that
+# doubles in each interval, from the limit or the first rate on.
 RAMP_S: Final = 3.0
+RAMP_DOUBLING_S: Final = 0.5
+RAMP_FIRST_PER_S: Final = 1.0
 # Time for which a limit that has ended is told to other hosts.
 LIFTED_KEPT_S: Final = 30.0
 # The age of evidence lacks the time that its message took. Evidence that
@@ -69,11 +70,13 @@
     :param sent_at: when the request was sent whose answer said so
     :param lifted_at: when this host learned that the limit has ended;
         ``None`` while it is in force
+    :param lifted_per_s: the limit that has ended; zero while one is in force
     """
 
     per_s: float | None
     sent_at: float
     lifted_at: float | None
+    lifted_per_s: float = 0
 
 
 def read_notice(texts: Sequence[str]) -> LimitNotice | None:
@@ -150,18 +153,24 @@
         known = self._find(instance, now)
         return None if known is None else known.per_s
 
-    def share(self, instance: str, now: float) -> float:
-        """Return the share of requests that may use a server.
+    def rate(self, instance: str, now: float) -> float | None:
+        """Return the requests a second that a server may get.
+
+        That is its limit. After that has ended, the rate grows for some time,
+        so that requests do not return all at once.
 
         :param instance: instance id of the server
         :param now: time in seconds
-        :returns: 1, or less for some time after its limit has ended
+        :returns: ``None`` if it may get any number
         """
         known = self._find(instance, now)
         if known is None or known.lifted_at is None:
-            return 1
-        passed = max(0, now - known.lifted_at) / RAMP_S
-        return min(1, RAMP_FIRST_SHARE + (1 - RAMP_FIRST_SHARE) * passed)
+            return None if known is None else known.per_s
+        passed_s = max(0, now - known.lifted_at)
+        if passed_s >= RAMP_S:
+            return None
+        first_per_s = max(known.lifted_per_s, RAMP_FIRST_PER_S)
+        return first_per_s * math.pow(2, passed_s / RAMP_DOUBLING_S)
 
     def find_told(self, instance: str, now: float) -> ToldLimit | None:
         """Return what to tell other hosts of a server's limit, if anything.
@@ -223,11 +232,17 @@
         elif _rank(per_s, sent_at) <= _rank(known.per_s, known.sent_at):
             return False
         is_changed = known is None or known.per_s != per_s
-        lifted_at = None
-        if per_s is None:
-            lifted_at = now if is_changed or known is None else known.lifted_at
+        lifted_at: float | None = None
+        lifted_per_s: float = 0
+        if per_s is None and known is not None:
+            lifted_at, lifted_per_s = known.lifted_at, known.lifted_per_s
+            if known.per_s is not None:
+                lifted_at, lifted_per_s = now, known.per_s
         self._known[instance] = _Evidence(
-            per_s=per_s, sent_at=sent_at, lifted_at=lifted_at
+            per_s=per_s,
+            sent_at=sent_at,
+            lifted_at=lifted_at,
+            lifted_per_s=lifted_per_s,
         )
         return is_changed
 
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -625,16 +625,9 @@
 def _without_limit(
     context: RelayContext, engines: Iterable[Endpoint]
 ) -> tuple[Endpoint, ...]:
-    """Return the engines that need no turn.
-
-    After the limit of an engine has ended, requests return over some time.
-    """
-    turns = context.turns
-    return tuple(
-        one
-        for one in engines
-        if turns.limits.limit(one) is None and turns.accepts(one)
-    )
+    """Return the engines that need no turn."""
+    limits = context.turns.limits
+    return tuple(one for one in engines if limits.limit(one) is None)
 
 
 def _use_turns(
--- a/packages/node/mastichatch_node/relay/limit_tracking.py
+++ b/packages/node/mastichatch_node/relay/limit_tracking.py
@@ -97,24 +97,16 @@
             self.record_told(limit, message.node)
 
     def limit(self, endpoint: Endpoint) -> float | None:
-        """Return the limit of an endpoint, in requests a second.
+        """Return the requests a second that an endpoint may get.
 
-        :param endpoint: the endpoint
-        :returns: ``None`` without one
-        """
-        if self._table.is_empty:
-            return None
-        return self._table.limit(endpoint.instance, loop_time())
-
-    def share(self, endpoint: Endpoint) -> float:
-        """Return the share of requests that may use an endpoint.
+        After a limit has ended, that grows for some time.
 
         :param endpoint: the endpoint
-        :returns: one, or less for some time after its limit has ended
+        :returns: ``None`` without a limit
         """
         if self._table.is_empty:
-            return 1
-        return self._table.share(endpoint.instance, loop_time())
+            return None
+        return self._table.rate(endpoint.instance, loop_time())
 
     def is_limited_at(self, address: str) -> bool:
         """Return whether the endpoint at an address has a limit.
--- a/packages/node/mastichatch_node/relay/turn_keeping.py
+++ b/packages/node/mastichatch_node/relay/turn_keeping.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import math
-import random
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
@@ -103,14 +102,11 @@
     def accepts(self, endpoint: Endpoint) -> bool:
         """Return whether a request may be sent to an endpoint now.
 
-        After a limit has ended, requests return over some time.
-
         :param endpoint: the endpoint
         """
-        if self._limits.limit(endpoint) is not None:
-            return self._held.is_usable(endpoint.instance, loop_time())
-        share = self._limits.share(endpoint)
-        return share >= 1 or random.random() < share  # noqa: S311
+        if self._limits.limit(endpoint) is None:
+            return True
+        return self._held.is_usable(endpoint.instance, loop_time())
 
     def take(self, endpoint: Endpoint) -> bool:
         """Use up a turn, and return whether a request may be sent.
@@ -266,15 +262,16 @@
         """Return this node's answer to a request for a turn."""
         instance = endpoint.instance
         limit = self._limits.tell(instance)
-        if limit.per_s is None:
+        per_s = self._limits.limit(endpoint)
+        if per_s is None:
             return TurnAnswer(limit=limit, is_granted=True)
         now = loop_time()
         share = granted_share(self._granters(endpoint), self._registry.own_name)
         if request.is_charge:
-            self._ledger.charge(instance, limit.per_s, now, share)
+            self._ledger.charge(instance, per_s, now, share)
             return TurnAnswer(limit=limit)
         turn = self._ledger.request(
-            instance, limit.per_s, request.wait_ms / MS_PER_S, now, share
+            instance, per_s, request.wait_ms / MS_PER_S, now, share
         )
         return TurnAnswer(
             limit=limit,
--- a/tests/test_relay_limit_table.py
+++ b/tests/test_relay_limit_table.py
@@ -14,7 +14,8 @@
 from mastichatch_core.relay.server_limits import (
     LIFTED_KEPT_S,
     MAX_LIMIT_PER_S,
-    RAMP_FIRST_SHARE,
+    RAMP_DOUBLING_S,
+    RAMP_FIRST_PER_S,
     RAMP_S,
     TOLD_TOLERANCE_S,
     LimitNotice,
@@ -115,7 +116,7 @@
         assert table.in_force(100) == {'i': 2, 'k': 3}
         table.keep_only(['k', 'other'])
         assert table.in_force(100) == {'k': 3}
-        assert table.share('i', 100) == 1
+        assert table.rate('i', 100) is None
 
     def test_request_of_the_future_does_not_block_evidence(self) -> None:
         table = limited(2, 1e9)
@@ -123,19 +124,18 @@
 
 
 class TestEnd:
-    def test_share_grows_after_a_limit_was_lifted(self) -> None:
+    def test_rate_grows_after_a_limit_was_lifted(self) -> None:
         table = limited(2, 10)
-        assert table.share('i', 100) == 1
         table.record_answer('i', NO_LIMIT, 50, 100)
         table.record_answer('i', NO_LIMIT, 101, 101)
-        middle = (1 + RAMP_FIRST_SHARE) / 2
-        assert table.share('i', 100) == RAMP_FIRST_SHARE
-        assert table.share('i', 100 + RAMP_S / 2) == pytest.approx(middle)
-        assert table.share('i', 100 + RAMP_S) == 1
-        assert table.record_answer('i', LimitNotice(per_s=2), 102, 102)
-        assert table.share('i', 102) == 1
+        assert table.rate('i', 100) == 2
+        assert table.rate('i', 100 + RAMP_DOUBLING_S) == 4
+        assert table.rate('i', 100 + 2 * RAMP_DOUBLING_S) == 8
+        assert table.rate('i', 100 + RAMP_S) is None
+        assert table.record_answer('i', LimitNotice(per_s=0.5), 102, 102)
+        assert table.rate('i', 102) == 0.5
         assert table.record_answer('i', NO_LIMIT, 103, 103)
-        assert table.share('i', 103) == RAMP_FIRST_SHARE
+        assert table.rate('i', 103) == RAMP_FIRST_PER_S
 
     def test_lifted_limit_is_told_for_some_time(self) -> None:
         table = limited(2, 10)
@@ -144,7 +144,7 @@
         before, after = 99 + LIFTED_KEPT_S, 100 + LIFTED_KEPT_S
         assert table.all_told(before) == (told(None, before - 101),)
         assert not table.all_told(after)
-        assert table.share('i', after) == 1
+        assert table.rate('i', after) is None
 
 
 class TestTold:
@@ -155,7 +155,7 @@
         assert not table.record_answer('i', NO_LIMIT, 94, 101)
         assert not table.record_told(told(None, 6.5), 101)
         assert table.record_told(told(None, 5.5), 101)
-        assert table.share('i', 101) == RAMP_FIRST_SHARE
+        assert table.rate('i', 101) == 2
 
     @pytest.mark.parametrize(
         ('per_s', 'age_s'),
