Let endpoints of the soak copy refusals, and callers repeat refused calls

The soak had neither late copies of refusals that bear their request's id, nor callers that send a refused request again under it, so that it could not see what users saw. A fault lets endpoints refuse a share of calls and write each refusal once more, up to 1.5 s later; calls run for longer meanwhile. Callers send a refused request again twice at most, at any node. The promises hold for each attempt: a run belongs to the last attempt that was sent before it, and what was refused last must not have run. For requests sent once that is the check that was there.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,6 +22,9 @@
 LEAVING_S: Final = 4.0
 # Time for a planned stop, over the nodes' own limit of 8 s.
 STOP_TIMEOUT_S: Final = 12.0
+# Time for which refusals are copied at least, since few copies come while their
+# request is under way again on the same connection.
+COPIES_S: Final = 4.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -176,10 +179,10 @@
         await fleet.store.remove(f'servers/a-odd-{service}')
 
 
-def _flag(name: str) -> Strike:
+def _flag(name: str, more_s: float = 0) -> Strike:
     async def strike(fleet: Fleet, _name: str, for_s: float) -> None:
         setattr(fleet, name, True)
-        await asyncio.sleep(for_s)
+        await asyncio.sleep(for_s + more_s)
         setattr(fleet, name, False)
 
     return strike
@@ -216,6 +219,7 @@
     'configure': _configure,
     'deadly_part': _flag('has_deadly_part'),
     'odd_answers': _flag('has_odd_answers'),
+    'copied_refusals': _flag('has_copied_refusals', COPIES_S),
     'odd_entry': _add_odd_entry,
 }
 STRIKES: Final = NODE_FAULTS | ENDPOINT_FAULTS | SHARED_FAULTS
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -42,6 +42,12 @@
 ROLLOUT_SLACK: Final = 12.0
 # Share of calls that are answered oddly while that fault lasts.
 ODD_SHARE: Final = 0.3
+# Share of calls that are refused while refusals are copied, and the latest time
+# of a copy: the next request on its connection comes sooner or later than it.
+# Calls run longer meanwhile, so that copies come before their answers.
+COPIED_SHARE: Final = 0.3
+LATEST_COPY_S: Final = 1.5
+COPIED_RUN_S: Final = 0.2
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -87,6 +93,7 @@
         self.is_calm = False
         self.has_deadly_part = False
         self.has_odd_answers = False
+        self.has_copied_refusals = False
         # Time that endpoints ask for in refusals, in seconds, by instance.
         self.asking: dict[str, float] = {}
         self.bad_version = ''
@@ -163,6 +170,12 @@
         if pause_s or draw < SHED_SHARE:
             await endpoints.refuse(endpoint, seen, writer)
             return
+        if self.has_copied_refusals and self._draws.random() < COPIED_SHARE:
+            copy_after_s = LATEST_COPY_S * self._draws.random() ** 3
+            await endpoints.refuse_and_copy(
+                endpoint, seen, writer, copy_after_s
+            )
+            return
         self.records.runs.append(
             EndpointRun(
                 request_id=seen.request_id,
@@ -180,7 +193,8 @@
             )
             await script(endpoint, seen, writer)
             return
-        await asyncio.sleep(EVENT_GAP_S)
+        run_s = COPIED_RUN_S if self.has_copied_refusals else EVENT_GAP_S
+        await asyncio.sleep(run_s)
         if endpoint.version == self.bad_version:
             await endpoints.fail(endpoint, seen, writer)
             return
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -14,6 +14,10 @@
 # Callers' requests a second on the whole fleet.
 REQUESTS_PER_S: Final = 40.0
 CALL_TIMEOUT_S: Final = 4.0
+# How often a caller sends a refused request again under its id, and the longest
+# time until it does.
+REPEATS: Final = 2
+REPEAT_S: Final = 0.2
 # Tokens of a plan, of its output at the most, and of its parts.
 PLAN_HEADERS: Final = (
     'Mastichatch-Model: m',
@@ -30,6 +34,8 @@
 # the two engines have eight slots each.
 CALM_CALLS: Final = 4
 
+_REFUSED: Final = 503
+
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -66,20 +72,20 @@
         """Return the outcomes of calls of each kind at each node."""
         return await asyncio.gather(
             *(
-                self.call(kind, name)
+                self.call(kind, name, self._new_id(kind))
                 for _ in range(CALM_CALLS)
                 for kind in Kind
                 for name in NODES
             )
         )
 
-    async def call(self, kind: Kind, node: str) -> Outcome:
+    async def call(self, kind: Kind, node: str, request_id: str) -> Outcome:
         """Send one request to a node and return what came back.
 
         :param kind: kind of the request
         :param node: name of the node
+        :param request_id: id of the request
         """
-        request_id = f'{kind}-{next(self._numbers)}'
         sent_at = time.monotonic()
         answer = None
         with contextlib.suppress(OSError, TimeoutError):
@@ -97,8 +103,17 @@
         )
 
     async def _note(self, kind: Kind) -> None:
-        node = self._draws.choice(NODES)
-        self._fleet.records.outcomes.append(await self.call(kind, node))
+        request_id = self._new_id(kind)
+        for _ in range(1 + REPEATS):
+            node = self._draws.choice(NODES)
+            outcome = await self.call(kind, node, request_id)
+            self._fleet.records.outcomes.append(outcome)
+            if outcome.status != _REFUSED:
+                return
+            await asyncio.sleep(self._draws.uniform(0, REPEAT_S))
+
+    def _new_id(self, kind: Kind) -> str:
+        return f'{kind}-{next(self._numbers)}'
 
     async def _exchange(
         self, kind: Kind, node: str, request_id: str
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -51,10 +51,13 @@
 
 
 def _false_refusals(records: Records) -> Iterator[str]:
-    ran = {run.request_id for run in records.runs}
-    for one in records.outcomes:
-        if one.status in PROMISES and one.request_id in ran:
-            yield f'{one.request_id} was answered {one.status} and ran'
+    """Find runs of requests that were refused, and of no later attempt."""
+    attempts = _attempts(records)
+    for run in records.runs:
+        sent = _sent_before(attempts, run.request_id, run.started_at)
+        # A refused request may run for an attempt that follows.
+        if sent and sent[-1].status in PROMISES:
+            yield f'{run.request_id} was answered {sent[-1].status} and ran'
 
 
 def _foreign_answers(records: Records) -> Iterator[str]:
@@ -98,12 +101,13 @@
 
 def _requests_to_leaving_endpoints(records: Records) -> Iterator[str]:
     """Find requests to an endpoint of which their node knew that it leaves."""
-    known = {one.request_id: one for one in records.outcomes}
+    attempts = _attempts(records)
     learned_at: dict[tuple[str, str], float] = {}
     for arrival in sorted(records.arrivals, key=lambda one: one.at):
-        outcome = known.get(arrival.request_id)
-        if outcome is None or not arrival.is_leaving:
+        sent = _sent_before(attempts, arrival.request_id, arrival.at)
+        if not sent or not arrival.is_leaving:
             continue
+        outcome = sent[-1]
         key = (outcome.node, arrival.endpoint)
         learned = learned_at.get(key)
         if learned is None:
@@ -121,13 +125,14 @@
 
 def _requests_in_pauses(records: Records) -> Iterator[str]:
     """Find requests to an endpoint that had asked their node for time."""
-    nodes = {one.request_id: one.node for one in records.outcomes}
-    asked: dict[tuple[str | None, str], Arrival] = {}
+    attempts = _attempts(records)
+    asked: dict[tuple[str, str], Arrival] = {}
     for arrival in sorted(records.arrivals, key=lambda one: one.at):
-        node = nodes.get(arrival.request_id)
-        first = asked.get((node, arrival.endpoint))
-        if node is None:
+        sent = _sent_before(attempts, arrival.request_id, arrival.at)
+        if not sent:
             continue
+        node = sent[-1].node
+        first = asked.get((node, arrival.endpoint))
         if first is not None:
             since_s = arrival.at - first.at
             if PAUSE_REACTION_S < since_s < first.pause_s and not _has_gap(
@@ -142,6 +147,21 @@
             asked[node, arrival.endpoint] = arrival
 
 
+def _attempts(records: Records) -> dict[str, list[Outcome]]:
+    """Return the attempts of each request, in the order of sending."""
+    attempts: dict[str, list[Outcome]] = {}
+    for one in sorted(records.outcomes, key=lambda one: one.sent_at):
+        attempts.setdefault(one.request_id, []).append(one)
+    return attempts
+
+
+def _sent_before(
+    attempts: dict[str, list[Outcome]], request_id: str, at: float
+) -> list[Outcome]:
+    """Return the attempts of a request that were sent until a time."""
+    return [one for one in attempts.get(request_id, ()) if one.sent_at <= at]
+
+
 def _has_gap(records: Records, node: str, start: float, end: float) -> bool:
     return any(
         gap.node == node and gap.start < end and gap.end > start
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Outcome:
-    """What a caller got for one request.
+    """What a caller got for one request, or for one that it sent again.
 
     :param request_id: id of the request
     :param kind: its kind
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -325,6 +325,25 @@
     writer.write(build_response(503, b'', headers))
 
 
+async def refuse_and_copy(
+    endpoint: HouseEndpoint,
+    request: ReceivedRequest,
+    writer: asyncio.StreamWriter,
+    copy_after_s: float,
+    headers: str = '',
+) -> None:
+    """Refuse a request, and write that once more, late and with headers."""
+    await refuse(endpoint, request, writer)
+    refusal = build_response(
+        503,
+        b'',
+        f'{signature_headers(request)}Mastichatch-Not-Executed: 1\r\n{headers}',
+    )
+    asyncio.get_running_loop().call_later(
+        copy_after_s, _write_if_open, writer, refusal
+    )
+
+
 def refuse_first(
     then: Script, copy_after_s: float | None, headers: str = ''
 ) -> Script:
@@ -343,16 +362,11 @@
             await then(endpoint, request, writer)
             return
         refused.add(request.request_id)
-        await refuse(endpoint, request, writer)
-        if copy_after_s is not None:
-            refusal = build_response(
-                503,
-                b'',
-                f'{signature_headers(request)}'
-                f'Mastichatch-Not-Executed: 1\r\n{headers}',
-            )
-            asyncio.get_running_loop().call_later(
-                copy_after_s, _write_if_open, writer, refusal
+        if copy_after_s is None:
+            await refuse(endpoint, request, writer)
+        else:
+            await refuse_and_copy(
+                endpoint, request, writer, copy_after_s, headers
             )
 
     return write
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,10 @@
     return dataclasses.replace(plain, **more)  # type: ignore[arg-type]
 
 
+def _refused(sent_at: float = 0) -> Outcome:
+    return _outcome(sent_at=sent_at, status=503, body=b'')
+
+
 def _stream(body: bytes, *, is_whole: bool = True) -> Outcome:
     return _outcome(kind=Kind.streaming, body=body, is_whole=is_whole)
 
@@ -70,6 +74,9 @@
             ),
             Records(outcomes=[_stream(WHOLE_STREAM[:200], is_whole=False)]),
             Records(runs=[_run(5.0)], key_revoked_at=0),
+            Records(
+                outcomes=[_refused(), _outcome(sent_at=1)], runs=[_run(1.1)]
+            ),
         ],
     )
     def test_hold(self, records: Records) -> None:
@@ -86,6 +93,18 @@
                 Records(outcomes=[_outcome(status=503)], runs=[_run()]),
                 'was answered 503 and ran',
             ),
+            (
+                Records(
+                    outcomes=[_refused(), _outcome(sent_at=1)], runs=[_run(0.9)]
+                ),
+                'was answered 503 and ran',
+            ),
+            (
+                Records(
+                    outcomes=[_refused(), _refused(sent_at=1)], runs=[_run(1.1)]
+                ),
+                'was answered 503 and ran',
+            ),
             (Records(outcomes=[_outcome(body=b'r2')]), "got b'r2'"),
             (
                 Records(
@@ -161,6 +180,24 @@
         )
         assert bool(broken_promises(records)) is is_broken
 
+    @pytest.mark.parametrize(
+        ('node', 'is_broken'), [('north-1', True), ('north-2', False)]
+    )
+    def test_repeated_request_counts_for_the_node_that_sent_it(
+        self, node: str, is_broken: bool
+    ) -> None:
+        records = Records(
+            outcomes=[
+                _refused(),
+                _outcome(sent_at=1, node=node),
+            ],
+            arrivals=[
+                Arrival(request_id='r1', endpoint='a', at=0, pause_s=2.0),
+                Arrival(request_id='r1', endpoint='a', at=1.1),
+            ],
+        )
+        assert bool(broken_promises(records)) is is_broken
+
 
 class TestSeries:
     def test_a_seed_gives_the_same_faults_again(self) -> None:
