Let endpoints of the soak name limits, and check their windows

A server in need names in its answers what it takes from all nodes together, for as long as it is in need. A fault lets an endpoint name 0.5, 1.1 or 2 a second for 7 s and more, beside the other faults; faults of its own wait. The promise counts the requests of nodes that passed on such an answer half a second before or earlier, in each window of 4 s that begins 3 s after the first of these answers. A window is excused if a node was frozen or did not run in it or in the 3 s before. No link between nodes is cut in the soak, and cuts from the store excuse nothing.

Nothing reads the limit yet.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,9 @@
 # Time for which an endpoint says that it leaves: over the users' limit of 2 s
 # after which it gets nothing more.
 LEAVING_S: Final = 4.0
+# Time for which an endpoint names a limit at least: the nodes' reaction, and
+# the users' window.
+LIMIT_S: Final = 7.0
 # Time for a planned stop, over the nodes' own limit of 8 s.
 STOP_TIMEOUT_S: Final = 12.0
 # Time for which refusals are copied at least, since few copies come while their
@@ -166,6 +169,14 @@
     fleet.asking.pop(instance)
 
 
+async def _name_limit(fleet: Fleet, name: str, for_s: float) -> None:
+    """Let an endpoint name what it takes from all nodes together."""
+    endpoint, _ = fleet.endpoints[name]
+    endpoint.limit = fleet.draw_limit()
+    await asyncio.sleep(LIMIT_S + for_s)
+    endpoint.limit = None
+
+
 async def _add_odd_entry(fleet: Fleet, _name: str, for_s: float) -> None:
     """Let another writer add entries that name impossible endpoints."""
     for service in set(SERVICES.values()):
@@ -208,6 +219,7 @@
     'endpoint_connections_silent': _endpoint_link(blackhole_existing=True),
     'leaving': _say_leaving,
     'asks_for_time': _ask_for_time,
+    'limit': _name_limit,
     'replace': _replace,
     'restart': _restart,
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -40,6 +40,8 @@
 # What versions on trial may get, by the nodes' settings.
 ROLLOUT_SHARE: Final = 0.2
 ROLLOUT_SLACK: Final = 12.0
+# Limits that endpoints name, in requests a second.
+LIMITS: Final = ('0.5', '1.1', '2')
 # Share of calls that are answered oddly while that fault lasts.
 ODD_SHARE: Final = 0.3
 # Share of calls that are refused while refusals are copied, and the latest time
@@ -120,6 +122,10 @@
             document['tenants'] = [{'name': 'depots', 'api_keys': ['other']}]
         await self.store.put('op/config', document)
 
+    def draw_limit(self) -> str:
+        """Return a limit for an endpoint to name."""
+        return self._draws.choice(LIMITS)
+
     def create_endpoint(self, name: str) -> HouseEndpoint:
         """Return an endpoint that notes each request it begins to run."""
         endpoint = HouseEndpoint(f'{name}-0', self.answer)
@@ -165,6 +171,7 @@
                 at=time.monotonic(),
                 pause_s=pause_s,
                 is_leaving='Server-Leaving' in endpoint.said_headers,
+                limit=_limit_per_s(endpoint),
             )
         )
         if pause_s or draw < SHED_SHARE:
@@ -315,6 +322,10 @@
         yield fleet
 
 
+def _limit_per_s(endpoint: HouseEndpoint) -> float:
+    return float(endpoint.limit) if isinstance(endpoint.limit, str) else 0
+
+
 def _end(node: NodeUnderTest) -> None:
     node.process.wake()
     node.process.kill()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,5 +1,7 @@
 """Checks the users' promises on what callers and endpoints saw."""
 
+import itertools
+import math
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final
@@ -18,6 +20,14 @@
 # after which one that asks for time is left alone, by the users' pages.
 DRAIN_LIMIT_S: Final = 2.0
 PAUSE_REACTION_S: Final = 0.5
+# From this time after an endpoint first named a limit, each window has at most
+# so many times the requests of the limit, and some more, from nodes that passed
+# on such an answer before, by the users' pages.
+LIMIT_REACTION_S: Final = 3.0
+LIMIT_TOLD_S: Final = 0.5
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_SHARE: Final = 1.5
+LIMIT_SLACK: Final = 5
 
 _OK: Final = 200
 
@@ -35,6 +45,7 @@
         _runs_of_a_revoked_key,
         _requests_to_leaving_endpoints,
         _requests_in_pauses,
+        _requests_over_limits,
         _nodes_that_ended,
     )
     return [line for check in checks for line in check(records)]
@@ -147,6 +158,59 @@
             asked[node, arrival.endpoint] = arrival
 
 
+def _requests_over_limits(records: Records) -> Iterator[str]:
+    """Find endpoints that got more requests than the limit that they named."""
+    attempts = _attempts(records)
+    sent_by: list[tuple[Arrival, Outcome]] = []
+    for arrival in sorted(records.arrivals, key=lambda one: one.at):
+        sent = _sent_before(attempts, arrival.request_id, arrival.at)
+        sent_by.extend((arrival, one) for one in sent[-1:])
+    last = {outcome: arrival for arrival, outcome in sent_by}
+    groups = itertools.groupby(
+        sorted(sent_by, key=lambda one: one[0].endpoint),
+        key=lambda one: (one[0].endpoint, one[0].limit),
+    )
+    for (endpoint, limit), group in groups:
+        pairs = tuple(group)
+        # When nodes had passed on an answer that names it.
+        told_at: dict[str, float] = {}
+        for arrival, one in pairs:
+            if last[one] is arrival and one.is_whole and one.status == _OK:
+                known_at = told_at.get(one.node, math.inf)
+                told_at[one.node] = min(known_at, one.answered_at)
+        times = [
+            arrival.at
+            for arrival, one in pairs
+            if arrival.at >= told_at.get(one.node, math.inf) + LIMIT_TOLD_S
+        ]
+        begins = min(told_at.values(), default=math.inf) + LIMIT_REACTION_S
+        fullest = _fullest_window(records, times, begins)
+        allowed = LIMIT_SHARE * LIMIT_WINDOW_S * limit + LIMIT_SLACK
+        if limit and fullest > allowed:
+            yield (
+                f'{endpoint} got {fullest} requests in {LIMIT_WINDOW_S} s, '
+                f'and had named a limit of {limit} a second'
+            )
+
+
+def _fullest_window(records: Records, times: list[float], begins: float) -> int:
+    """Return the most requests in a window in which all nodes ran.
+
+    A node that was frozen or did not run needs time to learn of a limit.
+    """
+    counts = [
+        sum(start <= at < start + LIMIT_WINDOW_S for at in times)
+        for start in times
+        if start >= begins
+        and not any(
+            gap.start < start + LIMIT_WINDOW_S
+            and gap.end > start - LIMIT_REACTION_S
+            for gap in records.gaps
+        )
+    ]
+    return max(counts, default=0)
+
+
 def _attempts(records: Records) -> dict[str, list[Outcome]]:
     """Return the attempts of each request, in the order of sending."""
     attempts: dict[str, list[Outcome]] = {}
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -62,6 +62,8 @@
     :param pause_s: time that the endpoint asked for when it refused the
         request, in seconds; zero if it did not
     :param is_leaving: whether the answer says that the endpoint leaves
+    :param limit: limit that the answer names, in requests a second; zero
+        without one
     """
 
     request_id: str
@@ -69,6 +71,7 @@
     at: float
     pause_s: float = 0
     is_leaving: bool = False
+    limit: float = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -198,6 +198,46 @@
         )
         assert bool(broken_promises(records)) is is_broken
 
+    @pytest.mark.parametrize(
+        ('requests', 'limit', 'gaps', 'is_broken'),
+        [
+            (11, 1, [], False),
+            (12, 1, [], True),
+            (12, 1.1, [], True),
+            (12, 1.2, [], False),
+            (12, 0, [], False),
+            (12, 1, [NodeGap(node='north-2', start=0, end=1)], False),
+            (12, 1, [NodeGap(node='north-2', start=0, end=0.4)], True),
+        ],
+    )
+    def test_endpoint_that_names_a_limit_gets_no_more(
+        self,
+        requests: int,
+        limit: float,
+        gaps: list[NodeGap],
+        is_broken: bool,
+    ) -> None:
+        times = {'r0': 0.0}
+        for number in range(1, requests + 1):
+            times[f'r{number}'] = 3.5 + number / 10
+        records = Records(
+            outcomes=[
+                _outcome(
+                    request_id=name,
+                    body=name.encode(),
+                    sent_at=at,
+                    answered_at=at + 0.1,
+                )
+                for name, at in times.items()
+            ],
+            arrivals=[
+                Arrival(request_id=name, endpoint='a', at=at, limit=limit)
+                for name, at in times.items()
+            ],
+            gaps=gaps,
+        )
+        assert bool(broken_promises(records)) is is_broken
+
 
 class TestSeries:
     def test_a_seed_gives_the_same_faults_again(self) -> None:
