--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,8 +20,14 @@
 # Time for which an endpoint says that it leaves: over the users' limit of 2 s
 # after which it gets nothing more.
 LEAVING_S: Final = 4.0
+# Time for which an endpoint names a limit at least: the nodes' reaction, and
+# the users' window.
+LIMIT_S: Final = 7.0
 # Time for a planned stop, over the nodes' own limit of 8 s.
 STOP_TIMEOUT_S: Final = 12.0
+# Time for which refusals are copied at least, since few copies come while their
+# request is under way again on the same connection.
+COPIES_S: Final = 4.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -163,6 +169,14 @@
     fleet.asking.pop(instance)
 
 
+async def _name_limit(fleet: Fleet, name: str, for_s: float) -> None:
+    """Let an endpoint name what it takes from all nodes together."""
+    endpoint, _ = fleet.endpoints[name]
+    endpoint.limit = fleet.draw_limit()
+    await asyncio.sleep(LIMIT_S + for_s)
+    endpoint.limit = None
+
+
 async def _add_odd_entry(fleet: Fleet, _name: str, for_s: float) -> None:
     """Let another writer add entries that name impossible endpoints."""
     for service in set(SERVICES.values()):
@@ -176,10 +190,10 @@
         await fleet.store.remove(f'servers/a-odd-{service}')
 
 
-def _flag(name: str) -> Strike:
+def _flag(name: str, more_s: float = 0) -> Strike:
     async def strike(fleet: Fleet, _name: str, for_s: float) -> None:
         setattr(fleet, name, True)
-        await asyncio.sleep(for_s)
+        await asyncio.sleep(for_s + more_s)
         setattr(fleet, name, False)
 
     return strike
@@ -205,6 +219,7 @@
     'endpoint_connections_silent': _endpoint_link(blackhole_existing=True),
     'leaving': _say_leaving,
     'asks_for_time': _ask_for_time,
+    'limit': _name_limit,
     'replace': _replace,
     'restart': _restart,
 }
@@ -216,6 +231,7 @@
     'configure': _configure,
     'deadly_part': _flag('has_deadly_part'),
     'odd_answers': _flag('has_odd_answers'),
+    'copied_refusals': _flag('has_copied_refusals', COPIES_S),
     'odd_entry': _add_odd_entry,
 }
 STRIKES: Final = NODE_FAULTS | ENDPOINT_FAULTS | SHARED_FAULTS
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,5 +1,7 @@
 """Checks the users' promises on what callers and endpoints saw."""
 
+import itertools
+import math
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final
@@ -18,6 +20,14 @@
 # after which one that asks for time is left alone, by the users' pages.
 DRAIN_LIMIT_S: Final = 2.0
 PAUSE_REACTION_S: Final = 0.5
+# From this time after an endpoint first named a limit, each window has at most
+# so many times the requests of the limit, and some more, from nodes that passed
+# on such an answer before, by the users' pages.
+LIMIT_REACTION_S: Final = 3.0
+LIMIT_TOLD_S: Final = 0.5
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_SHARE: Final = 1.5
+LIMIT_SLACK: Final = 5
 
 _OK: Final = 200
 
@@ -35,6 +45,7 @@
         _runs_of_a_revoked_key,
         _requests_to_leaving_endpoints,
         _requests_in_pauses,
+        _requests_over_limits,
         _nodes_that_ended,
     )
     return [line for check in checks for line in check(records)]
@@ -51,10 +62,13 @@
 
 
 def _false_refusals(records: Records) -> Iterator[str]:
-    ran = {run.request_id for run in records.runs}
-    for one in records.outcomes:
-        if one.status in PROMISES and one.request_id in ran:
-            yield f'{one.request_id} was answered {one.status} and ran'
+    """Find runs of requests that were refused, and of no later attempt."""
+    attempts = _attempts(records)
+    for run in records.runs:
+        sent = _sent_before(attempts, run.request_id, run.started_at)
+        # A refused request may run for an attempt that follows.
+        if sent and sent[-1].status in PROMISES:
+            yield f'{run.request_id} was answered {sent[-1].status} and ran'
 
 
 def _foreign_answers(records: Records) -> Iterator[str]:
@@ -98,12 +112,13 @@
 
 def _requests_to_leaving_endpoints(records: Records) -> Iterator[str]:
     """Find requests to an endpoint of which their node knew that it leaves."""
-    known = {one.request_id: one for one in records.outcomes}
+    attempts = _attempts(records)
     learned_at: dict[tuple[str, str], float] = {}
     for arrival in sorted(records.arrivals, key=lambda one: one.at):
-        outcome = known.get(arrival.request_id)
-        if outcome is None or not arrival.is_leaving:
+        sent = _sent_before(attempts, arrival.request_id, arrival.at)
+        if not sent or not arrival.is_leaving:
             continue
+        outcome = sent[-1]
         key = (outcome.node, arrival.endpoint)
         learned = learned_at.get(key)
         if learned is None:
@@ -121,13 +136,14 @@
 
 def _requests_in_pauses(records: Records) -> Iterator[str]:
     """Find requests to an endpoint that had asked their node for time."""
-    nodes = {one.request_id: one.node for one in records.outcomes}
-    asked: dict[tuple[str | None, str], Arrival] = {}
+    attempts = _attempts(records)
+    asked: dict[tuple[str, str], Arrival] = {}
     for arrival in sorted(records.arrivals, key=lambda one: one.at):
-        node = nodes.get(arrival.request_id)
-        first = asked.get((node, arrival.endpoint))
-        if node is None:
+        sent = _sent_before(attempts, arrival.request_id, arrival.at)
+        if not sent:
             continue
+        node = sent[-1].node
+        first = asked.get((node, arrival.endpoint))
         if first is not None:
             since_s = arrival.at - first.at
             if PAUSE_REACTION_S < since_s < first.pause_s and not _has_gap(
@@ -142,6 +158,74 @@
             asked[node, arrival.endpoint] = arrival
 
 
+def _requests_over_limits(records: Records) -> Iterator[str]:
+    """Find endpoints that got more requests than the limit that they named."""
+    attempts = _attempts(records)
+    sent_by: list[tuple[Arrival, Outcome]] = []
+    for arrival in sorted(records.arrivals, key=lambda one: one.at):
+        sent = _sent_before(attempts, arrival.request_id, arrival.at)
+        sent_by.extend((arrival, one) for one in sent[-1:])
+    last = {outcome: arrival for arrival, outcome in sent_by}
+    groups = itertools.groupby(
+        sorted(sent_by, key=lambda one: one[0].endpoint),
+        key=lambda one: (one[0].endpoint, one[0].limit),
+    )
+    for (endpoint, limit), group in groups:
+        pairs = tuple(group)
+        # When nodes had passed on an answer that names it.
+        told_at: dict[str, float] = {}
+        for arrival, one in pairs:
+            if last[one] is arrival and one.is_whole and one.status == _OK:
+                known_at = told_at.get(one.node, math.inf)
+                told_at[one.node] = min(known_at, one.answered_at)
+        times = [
+            arrival.at
+            for arrival, one in pairs
+            if arrival.at >= told_at.get(one.node, math.inf) + LIMIT_TOLD_S
+        ]
+        begins = min(told_at.values(), default=math.inf) + LIMIT_REACTION_S
+        fullest = _fullest_window(records, times, begins)
+        allowed = LIMIT_SHARE * LIMIT_WINDOW_S * limit + LIMIT_SLACK
+        if limit and fullest > allowed:
+            yield (
+                f'{endpoint} got {fullest} requests in {LIMIT_WINDOW_S} s, '
+                f'and had named a limit of {limit} a second'
+            )
+
+
+def _fullest_window(records: Records, times: list[float], begins: float) -> int:
+    """Return the most requests in a window in which all nodes ran.
+
+    A node that was frozen or did not run needs time to learn of a limit.
+    """
+    counts = [
+        sum(start <= at < start + LIMIT_WINDOW_S for at in times)
+        for start in times
+        if start >= begins
+        and not any(
+            gap.start < start + LIMIT_WINDOW_S
+            and gap.end > start - LIMIT_REACTION_S
+            for gap in records.gaps
+        )
+    ]
+    return max(counts, default=0)
+
+
+def _attempts(records: Records) -> dict[str, list[Outcome]]:
+    """Return the attempts of each request, in the order of sending."""
+    attempts: dict[str, list[Outcome]] = {}
+    for one in sorted(records.outcomes, key=lambda one: one.sent_at):
+        attempts.setdefault(one.request_id, []).append(one)
+    return attempts
+
+
+def _sent_before(
+    attempts: dict[str, list[Outcome]], request_id: str, at: float
+) -> list[Outcome]:
+    """Return the attempts of a request that were sent until a time."""
+    return [one for one in attempts.get(request_id, ()) if one.sent_at <= at]
+
+
 def _has_gap(records: Records, node: str, start: float, end: float) -> bool:
     return any(
         gap.node == node and gap.start < end and gap.end > start
