review: the deployment of the cases gives the bounds of roll-outs

Cause: since the template of deploy/system.toml names bounds.expose_share, bounds.expose_slack and bounds.rollback_ms, which the stand-in of the deployment doesn't have. Ruled out: values of their own. A placeholder without a value is rendered as nothing (DEPLOY.md), and the settings take an empty text as not given: roll-outs aren't followed. Change: the stand-in renders the three bounds as empty texts. A case that passes bounds of that name overrides them; none does. No case is changed. The records of the review are kept as they were.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -12,6 +12,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+# The site of the cases has no roll-outs; the platform renders a bound that a
+# site doesn't have as an empty text.
+NO_ROLLOUTS = {'expose_share': '', 'expose_slack': '', 'rollback_ms': ''}
 
 
 class Unable(Exception):
@@ -59,7 +62,7 @@
             'port_range': ['7200', '7215'],
             'platform': {'address': store},
             'limits': {'link_mbps': '1000.0'},
-            'bounds': bounds,
+            'bounds': {**NO_ROLLOUTS, **bounds},
         }
 
     def _value(self, path: str) -> str:
