Use a new connection for each call of the product's platform

Cause: aiohttp matches answers by their order on a connection. It notices no bytes on an idle one, and the platform's answers name no call. A second copy of an answer, which arrives late on a kept connection, answered the next call: a conditional write that the platform refused counted as written, so that a claimed call could run at two nodes; a claimed key counted as absent; a lease that had ended counted as renewed.

Change: each call takes a new connection. The replacement of sessions after a time-out is gone, since there are no idle connections that may have stalled.

Weighed against it: keeping connections and closing those with unread bytes, which misses a copy that arrives once the next call was sent; and revisions, which show a stale success of a write, but no stale refusal, read, lease or watch.

--- a/packages/node/mastichatch_node/platform.py
+++ b/packages/node/mastichatch_node/platform.py
@@ -7,7 +7,7 @@
 import contextlib
 import dataclasses
 import json
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Mapping
 from typing import Any, Final
 
 import aiohttp
@@ -20,7 +20,6 @@
 # A call that waits for a connection spends its own timeout, so the limit is
 # above the number of calls that a burst of requests makes at once.
 MAX_CONNECTIONS: Final = 1024
-KEEPALIVE_S: Final = 15
 # Largest answer of the platform that is accepted.
 ANSWER_LIMIT_BYTES: Final = 8 * 1024 * 1024
 
@@ -123,65 +122,29 @@
     headers: Mapping[str, str]
 
 
-class _SharedSession:
-    """A client session that closes after its last call once it is retired."""
-
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        """Start without any call in progress."""
-        self._session = session
-        self._active_calls = 0
-        self._retired = False
-
-    @contextlib.asynccontextmanager
-    async def use(self) -> AsyncIterator[aiohttp.ClientSession]:
-        """Keep the session open for one call."""
-        self._active_calls += 1
-        try:
-            yield self._session
-        finally:
-            self._active_calls -= 1
-            await self._close_if_unused()
-
-    async def retire(self) -> None:
-        """Close the session as soon as no call uses it."""
-        self._retired = True
-        await self._close_if_unused()
-
-    async def close(self) -> None:
-        """Close the session at once."""
-        await self._session.close()
-
-    async def _close_if_unused(self) -> None:
-        if self._retired and not self._active_calls:
-            await self._session.close()
-
-
 class Platform:
     """Client of the platform's key-value service, leases and host list.
 
     Any call raises ``MastichatchError`` with ``platform_unavailable`` when
     the platform does not answer in time. A write that raises this error may
-    have taken effect, and is never repeated. Reading a key is repeated once, on
-    a new connection: an idle connection may have stopped answering although
-    new ones work.
+    have taken effect, and is never repeated. Reading a key is repeated once.
+
+    Each call uses a new connection: an answer does not name its call, so that
+    a second copy of an earlier answer would be taken for that of the next call.
     """
 
     def __init__(
-        self,
-        address: str,
-        timeout_ms: int,
-        open_session: Callable[[], aiohttp.ClientSession],
+        self, address: str, timeout_ms: int, session: aiohttp.ClientSession
     ) -> None:
         """Create a client; use ``open_platform`` to create and close one.
 
         :param address: IP address and port
         :param timeout_ms: time allowed for one call, in milliseconds
-        :param open_session: opens an HTTP client session
+        :param session: session that closes its connection after each response
         """
         self._base_url = f'http://{address}/v1/'
         self._timeout_s = timeout_ms / MS_PER_S
-        self._open_session = open_session
-        self._session = _SharedSession(open_session())
+        self._session = session
 
     async def read(self, key: str) -> StoredValue | None:
         """Return the value of a key, or ``None`` for an absent key.
@@ -326,10 +289,6 @@
         with _reject_malformed():
             return tuple(HostEntry(**entry) for entry in document['hosts'])
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._session.close()
-
     async def _call(
         self,
         method: str,
@@ -340,36 +299,24 @@
         extra_timeout_s: float = 0,
     ) -> _Reply:
         timeout = aiohttp.ClientTimeout(total=self._timeout_s + extra_timeout_s)
-        shared = self._session
         try:
-            async with (
-                shared.use() as session,
-                session.request(
-                    method,
-                    self._base_url + path,
-                    params=query,
-                    data=body,
-                    timeout=timeout,
-                ) as response,
-            ):
+            async with self._session.request(
+                method,
+                self._base_url + path,
+                params=query,
+                data=body,
+                timeout=timeout,
+            ) as response:
                 return _Reply(
                     status=response.status,
                     body=await read_bounded(response, ANSWER_LIMIT_BYTES),
                     headers=response.headers,
                 )
         except TimeoutError as error:
-            await self._replace_session(shared)
             raise NoAnswerError(f'{method} {path}') from error
         except (aiohttp.ClientError, OSError) as error:
             raise _unavailable_error(str(error)) from error
 
-    async def _replace_session(self, shared: _SharedSession) -> None:
-        # When one connection has stopped answering, the idle connections of the
-        # same session may be dead too.
-        if shared is self._session:
-            self._session = _SharedSession(self._open_session())
-            await shared.retire()
-
 
 @contextlib.asynccontextmanager
 async def open_platform(
@@ -381,19 +328,13 @@
     :param address: IP address and port
     :param timeout_ms: time allowed for one call, in milliseconds
     """
-    platform = Platform(address, timeout_ms, _open_session)
-    try:
-        yield platform
-    finally:
-        await platform.close()
+    async with _open_session() as session:
+        yield Platform(address, timeout_ms, session)
 
 
 def _open_session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=MAX_CONNECTIONS,
-            keepalive_timeout=KEEPALIVE_S,
-        ),
+        connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True),
         middlewares=(_disable_retries,),
     )
 
--- /dev/null
+++ b/tests/test_stale_platform_answers.py
@@ -0,0 +1,188 @@
+"""Tests that late copies of answers do not answer other requests.
+
+A server, or a host on the way, sends an answer a second time on a kept
+connection. The client matches answers by their order alone, so that the copy
+answers the next request: a claim that was refused counts as written, and its
+call runs at two nodes.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final
+
+import aiohttp
+import pytest
+
+from mastichatch_node.platform import (
+    Platform,
+    RevisionMismatchError,
+    open_platform,
+)
+
+TIMEOUT_MS: Final = 2000
+COPY_DELAY_S: Final = 0.02
+# Time of a request while a copy arrives, and time in which one has arrived.
+WORK_S: Final = 0.1
+
+Answer = tuple[int, str, bytes]
+
+
+def build_answer(status: int, headers: str, body: bytes) -> bytes:
+    """Return an answer as it is written."""
+    head = f'HTTP/1.1 {status} x\r\n{headers}Content-Length: {len(body)}\r\n'
+    return f'{head}\r\n'.encode() + body
+
+
+class CopyingServer:
+    """Answers requests in turn, and writes each answer once more, late.
+
+    :ivar answers: what is answered to the requests to come, in their order
+    :ivar delay_s: time of a request, in seconds
+    :ivar connections: number of accepted connections
+    """
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self.answers: list[Answer] = []
+        self.delay_s = 0.0
+        self.connections = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until the client closes it."""
+        self.connections += 1
+        copies: list[asyncio.TimerHandle] = []
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                await _read_request(reader)
+                answer = build_answer(*self.answers.pop(0))
+                await asyncio.sleep(self.delay_s)
+                writer.write(answer)
+                copies.append(
+                    asyncio.get_running_loop().call_later(
+                        COPY_DELAY_S, writer.write, answer
+                    )
+                )
+        for copy in copies:
+            copy.cancel()
+        writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> None:
+    head = await reader.readuntil(b'\r\n\r\n')
+    for line in head.lower().split(b'\r\n'):
+        name, _, length = line.partition(b':')
+        if name == b'content-length':
+            await reader.readexactly(int(length))
+
+
+@contextlib.asynccontextmanager
+async def open_server() -> AsyncIterator[tuple[CopyingServer, str]]:
+    """Run a server that copies its answers."""
+    copying = CopyingServer()
+    server = await asyncio.start_server(copying.serve, '127.0.0.1', 0)
+    try:
+        yield copying, f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+    finally:
+        server.close()
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[tuple[CopyingServer, str]]:
+    """Run a server that copies its answers."""
+    async with open_server() as opened:
+        yield opened
+
+
+async def wait_idle() -> None:
+    """Let a copy arrive before the next request."""
+    await asyncio.sleep(WORK_S)
+
+
+async def go_on() -> None:
+    """Let a copy arrive after the next request was sent."""
+
+
+ARRIVALS = pytest.mark.parametrize('pause', [wait_idle, go_on])
+Pause = Callable[[], Awaitable[None]]
+
+
+class TestClientLibrary:
+    """What aiohttp does, and why connections are not kept as it keeps them."""
+
+    async def test_bytes_on_an_idle_connection_answer_the_next_request(
+        self, server: tuple[CopyingServer, str]
+    ) -> None:
+        copying, address = server
+        copying.answers = [(200, '', b'first'), (200, '', b'second')]
+        async with aiohttp.ClientSession() as session:
+            bodies = []
+            for path in ('a', 'b'):
+                async with session.get(f'http://{address}/{path}') as answer:
+                    bodies.append(await answer.read())
+                await wait_idle()
+        assert bodies == [b'first', b'first']
+        assert copying.connections == 1
+
+
+class TestPlatform:
+    @ARRIVALS
+    async def test_copy_does_not_confirm_another_write(
+        self, server: tuple[CopyingServer, str], pause: Pause
+    ) -> None:
+        copying, address = server
+        copying.answers = [
+            (200, '', b'{"revision": 5}'),
+            (409, '', b'{"revision": 4}'),
+        ]
+        async with open_platform(address, TIMEOUT_MS) as platform:
+            assert await platform.write('claims/a', b'1', expect=0) == 5
+            copying.delay_s = WORK_S
+            await pause()
+            with pytest.raises(RevisionMismatchError):
+                await platform.write('claims/b', b'2', expect=0)
+
+    @ARRIVALS
+    async def test_copy_does_not_say_that_another_key_is_absent(
+        self, server: tuple[CopyingServer, str], pause: Pause
+    ) -> None:
+        copying, address = server
+        copying.answers = [(404, '', b''), (200, 'Revision: 7\r\n', b'claim')]
+        async with open_platform(address, TIMEOUT_MS) as platform:
+            assert await platform.read('claims/a') is None
+            copying.delay_s = WORK_S
+            await pause()
+            stored = await platform.read('claims/b')
+        assert stored is not None
+        assert (stored.value, stored.revision) == (b'claim', 7)
+
+    @ARRIVALS
+    async def test_copy_does_not_renew_a_lease(
+        self, server: tuple[CopyingServer, str], pause: Pause
+    ) -> None:
+        copying, address = server
+        copying.answers = [(200, '', b'{}'), (404, '', b'')]
+        async with open_platform(address, TIMEOUT_MS) as platform:
+            assert await platform.renew_lease('lease-1')
+            copying.delay_s = WORK_S
+            await pause()
+            assert not await platform.renew_lease('lease-1')
+
+    async def test_calls_get_their_own_answers_beside_many_copies(
+        self, server: tuple[CopyingServer, str]
+    ) -> None:
+        copying, address = server
+        copying.delay_s = COPY_DELAY_S / 2
+        async with open_platform(address, TIMEOUT_MS) as platform:
+            for number in range(20):
+                copying.answers.append(
+                    (200, f'Revision: {number + 1}\r\n', b'%d' % number)
+                )
+                assert await _read_value(platform, number) == b'%d' % number
+
+
+async def _read_value(platform: Platform, number: int) -> bytes | None:
+    stored = await platform.read(f'claims/{number}')
+    return None if stored is None else stored.value
