--- a/tests/test_stale_platform_answers.py
+++ b/tests/test_stale_platform_answers.py
@@ -13,14 +13,20 @@
 
 import aiohttp
 import pytest
+from mastichatch_platform.store import StoreClient
 
+from mastichatch_core.relay.store import ConflictError, LeaseLapsedError
+from mastichatch_core.relay.store import Transaction
 from mastichatch_node.platform import (
     Platform,
     RevisionMismatchError,
     open_platform,
 )
+from mastichatch_node.relay.http_client import open_pool
+from tests.relay_nodes import new_resources
 
 TIMEOUT_MS: Final = 2000
+CONNECT_TIMEOUT_S: Final = 1.0
 COPY_DELAY_S: Final = 0.02
 # Time of a request while a copy arrives, and time in which one has arrived.
 WORK_S: Final = 0.1
@@ -40,6 +46,7 @@
     :ivar answers: what is answered to the requests to come, in their order
     :ivar delay_s: time of a request, in seconds
     :ivar connections: number of accepted connections
+    :ivar writers: streams of these connections
     """
 
     def __init__(self) -> None:
@@ -47,12 +54,14 @@
         self.answers: list[Answer] = []
         self.delay_s = 0.0
         self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection until the client closes it."""
         self.connections += 1
+        self.writers.append(writer)
         copies: list[asyncio.TimerHandle] = []
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
@@ -87,6 +96,9 @@
         yield copying, f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
     finally:
         server.close()
+        for writer in copying.writers:
+            writer.close()
+        await asyncio.sleep(0)
 
 
 @pytest.fixture
@@ -186,3 +198,67 @@
 async def _read_value(platform: Platform, number: int) -> bytes | None:
     stored = await platform.read(f'claims/{number}')
     return None if stored is None else stored.value
+
+
+@contextlib.asynccontextmanager
+async def open_store_client(address: str) -> AsyncIterator[StoreClient]:
+    """Open the relay's client of its store."""
+    with open_pool(CONNECT_TIMEOUT_S, new_resources()) as pool:
+        yield StoreClient(address, pool)
+
+
+class TestStoreOfTheRelay:
+    """Calls that are repeated letter for letter, so that copies look right."""
+
+    @ARRIVALS
+    async def test_copy_does_not_renew_a_lease(
+        self, server: tuple[CopyingServer, str], pause: Pause
+    ) -> None:
+        copying, address = server
+        copying.answers = [(200, '', b'{}'), (404, '', b'{}')]
+        async with open_store_client(address) as client:
+            await client.renew_lease(3)
+            copying.delay_s = WORK_S
+            await pause()
+            with pytest.raises(LeaseLapsedError):
+                await client.renew_lease(3)
+
+    @ARRIVALS
+    async def test_copy_does_not_show_that_nothing_has_changed(
+        self, server: tuple[CopyingServer, str], pause: Pause
+    ) -> None:
+        """The age of a view counts from the watch that shows it.
+
+        A copy may be older than that watch, and what has been revoked since
+        would stay in use for longer than it may.
+        """
+        copying, address = server
+        copying.answers = [
+            (200, '', b'{"at": 7, "events": []}'),
+            (
+                200,
+                '',
+                b'{"at": 8, "events": [{"key": "a", "revision": 8,'
+                b' "deleted": true}]}',
+            ),
+        ]
+        async with open_store_client(address) as client:
+            await client.watch('', 7, 0)
+            copying.delay_s = WORK_S
+            await pause()
+            view = await client.watch('', 7, 0)
+        assert [one.key for one in view.entries] == ['a']
+
+    @ARRIVALS
+    async def test_copy_does_not_confirm_a_commit_that_conflicts(
+        self, server: tuple[CopyingServer, str], pause: Pause
+    ) -> None:
+        copying, address = server
+        copying.answers = [(200, '', b'{}'), (412, '', b'{"entries": []}')]
+        transaction = Transaction(expected={'a': 1}, puts={'a': b'x'})
+        async with open_store_client(address) as client:
+            await client.commit(transaction)
+            copying.delay_s = WORK_S
+            await pause()
+            with pytest.raises(ConflictError):
+                await client.commit(transaction)
