--- a/tests/test_stale_platform_answers.py
+++ b/tests/test_stale_platform_answers.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import pytest
+from mastichatch_platform.engines import EngineClient
 from mastichatch_platform.store import StoreClient
 
 from mastichatch_core.relay.store import ConflictError, LeaseLapsedError
@@ -22,6 +23,7 @@
     RevisionMismatchError,
     open_platform,
 )
+from mastichatch_node.relay.dialect import MoveOrder
 from mastichatch_node.relay.http_client import open_pool
 from tests.relay_nodes import new_resources
 
@@ -262,3 +264,51 @@
             await pause()
             with pytest.raises(ConflictError):
                 await client.commit(transaction)
+
+
+class TestOrdersToStop:
+    """An order is repeated letter for letter until it is proved."""
+
+    @pytest.mark.parametrize(
+        ('first', 'then'),
+        [
+            # The run had not begun when the first order arrived.
+            ((404, '', b'{}'), (200, '', b'{"kv_handle": "h-1"}')),
+            # The run has come back to the engine since the first order.
+            ((200, '', b'{"kv_handle": "h-1"}'), (503, '', b'{}')),
+        ],
+    )
+    async def test_copy_does_not_answer_the_same_order_when_it_is_sent_again(
+        self, server: tuple[CopyingServer, str], first: Answer, then: Answer
+    ) -> None:
+        copying, address = server
+        copying.answers = [first, then]
+        order = MoveOrder(
+            address=address,
+            request_id='run-1',
+            target='10.0.0.9:80',
+            is_final=True,
+        )
+        with open_pool(CONNECT_TIMEOUT_S, new_resources()) as pool:
+            client = EngineClient(pool)
+            assert (await client.move(order)).status == first[0]
+            copying.delay_s = WORK_S
+            assert (await client.move(order)).status == then[0]
+
+    async def test_refused_order_is_repeated_on_its_connection(
+        self, server: tuple[CopyingServer, str]
+    ) -> None:
+        """Engines that leave refuse connections above their limit."""
+        copying, address = server
+        copying.answers = [(409, '', b'{}'), (409, '', b'{}')]
+        order = MoveOrder(
+            address=address,
+            request_id='run-1',
+            target='10.0.0.9:80',
+            is_final=True,
+        )
+        with open_pool(CONNECT_TIMEOUT_S, new_resources()) as pool:
+            client = EngineClient(pool)
+            await client.move(order)
+            await client.move(order)
+        assert copying.connections == 1
