Read no report from a connection on which bytes are unread

Cause: load and health reports are polled over kept connections, and a report does not name its request. aiohttp takes bytes that arrived on an idle connection for the answer to the next request. After a second copy of one report each poll got the report before its own, and each further copy added one: reports of an endpoint that copies all of them became older without bound, and the scheduler placed requests by them.

Change: a connection with unread bytes is closed before it is used. A copy that arrives between a request and its report is still read in its place, once: the report itself is unread then, and closes the connection. So at most one report is late, by as much as the copy was.

--- a/packages/node/mastichatch_node/reports.py
+++ b/packages/node/mastichatch_node/reports.py
@@ -2,6 +2,11 @@
 
 If a kept-alive connection does not answer or has been closed, the report is
 read over a new connection before the endpoint counts as unreachable.
+
+A report does not name its request. If an endpoint sends one a second time, the
+next request gets the copy, and each later one the report before its own. A
+connection with unread bytes is therefore not used again, so that at most one
+report is late.
 """
 
 import contextlib
@@ -9,6 +14,8 @@
 from typing import Final
 
 import aiohttp
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
 
 from mastichatch_core.generated.messages import EndpointObservation
 from mastichatch_node.replies import read_bounded
@@ -21,13 +28,39 @@
 ReadReport = Callable[[str], Awaitable[bytes]]
 
 
+class _CheckingConnector(aiohttp.TCPConnector):
+    """Keeps connections, and closes those on which bytes were not read.
+
+    aiohttp would take such bytes for the answer to the next request.
+    """
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection on which nothing is unread.
+
+        :param req: request that is to be sent
+        :param traces: traces of the request
+        :param timeout: time limits of the request
+        """
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if protocol is None or not protocol.should_close:
+                return connection
+            connection.close()
+
+
 @contextlib.asynccontextmanager
 async def open_report_reader() -> AsyncIterator[ReadReport]:
     """Yield the function that reads a report from its URL.
 
     It returns the body, or empty bytes if the endpoint is unreachable.
     """
-    kept = aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S)
+    kept = _CheckingConnector(limit=0, keepalive_timeout=_KEEPALIVE_S)
     fresh = aiohttp.TCPConnector(limit=0, force_close=True)
     async with (
         aiohttp.ClientSession(connector=kept, timeout=_TIMEOUT) as first,
--- a/tests/test_stale_platform_answers.py
+++ b/tests/test_stale_answers.py
@@ -25,6 +25,7 @@
 )
 from mastichatch_node.relay.dialect import MoveOrder
 from mastichatch_node.relay.http_client import open_pool
+from mastichatch_node.reports import open_report_reader
 from tests.relay_nodes import new_resources
 
 TIMEOUT_MS: Final = 2000
@@ -47,6 +48,8 @@
 
     :ivar answers: what is answered to the requests to come, in their order
     :ivar delay_s: time of a request, in seconds
+    :ivar copy_delay_s: time after which an answer is written once more, in
+        seconds; ``None`` for never
     :ivar connections: number of accepted connections
     :ivar writers: streams of these connections
     """
@@ -55,6 +58,7 @@
         """Start without answers."""
         self.answers: list[Answer] = []
         self.delay_s = 0.0
+        self.copy_delay_s: float | None = COPY_DELAY_S
         self.connections = 0
         self.writers: list[asyncio.StreamWriter] = []
 
@@ -71,9 +75,11 @@
                 answer = build_answer(*self.answers.pop(0))
                 await asyncio.sleep(self.delay_s)
                 writer.write(answer)
+                if self.copy_delay_s is None:
+                    continue
                 copies.append(
                     asyncio.get_running_loop().call_later(
-                        COPY_DELAY_S, writer.write, answer
+                        self.copy_delay_s, writer.write, answer
                     )
                 )
         for copy in copies:
@@ -90,12 +96,11 @@
 
 
 @contextlib.asynccontextmanager
-async def open_server() -> AsyncIterator[tuple[CopyingServer, str]]:
+async def open_server(copying: CopyingServer) -> AsyncIterator[str]:
     """Run a server that copies its answers."""
-    copying = CopyingServer()
     server = await asyncio.start_server(copying.serve, '127.0.0.1', 0)
     try:
-        yield copying, f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+        yield f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
     finally:
         server.close()
         for writer in copying.writers:
@@ -106,13 +111,16 @@
 @pytest.fixture
 async def server() -> AsyncIterator[tuple[CopyingServer, str]]:
     """Run a server that copies its answers."""
-    async with open_server() as opened:
-        yield opened
+    copying = CopyingServer()
+    async with open_server(copying) as address:
+        yield copying, address
 
 
 async def wait_idle() -> None:
     """Let a copy arrive before the next request."""
     await asyncio.sleep(WORK_S)
+    # After a pause of the process, the copy is only written by now.
+    await asyncio.sleep(COPY_DELAY_S)
 
 
 async def go_on() -> None:
@@ -312,3 +320,42 @@
             await client.move(order)
             await client.move(order)
         assert copying.connections == 1
+
+
+class TestReports:
+    async def test_reports_do_not_fall_behind_by_copies(
+        self, server: tuple[CopyingServer, str]
+    ) -> None:
+        """Each copy that is read as a report would delay all later ones."""
+        copying, address = server
+        copying.answers = [(200, '', b'%d' % number) for number in range(5)]
+        async with open_report_reader() as read:
+            reports = []
+            for _ in range(5):
+                reports.append(await read(f'http://{address}/v1/load'))
+                await wait_idle()
+        assert reports == [b'0', b'1', b'2', b'3', b'4']
+
+    async def test_copy_beside_a_request_delays_one_report_alone(
+        self, server: tuple[CopyingServer, str]
+    ) -> None:
+        copying, address = server
+        copying.answers = [(200, '', b'%d' % number) for number in range(4)]
+        async with open_report_reader() as read:
+            url = f'http://{address}/v1/load'
+            reports = [await read(url)]
+            copying.delay_s = WORK_S
+            for _ in range(3):
+                reports.append(await read(url))
+                await wait_idle()
+        assert reports == [b'0', b'0', b'2', b'3']
+
+    async def test_connection_is_kept_where_nothing_is_copied(self) -> None:
+        copying = CopyingServer()
+        copying.copy_delay_s = None
+        copying.answers = [(200, '', b'%d' % number) for number in range(3)]
+        async with open_server(copying) as address:
+            async with open_report_reader() as read:
+                for _ in range(3):
+                    assert await read(f'http://{address}/v1/load')
+        assert copying.connections == 1
