Ignore late changes of runs of a former process of a node

Cause: changes of runs are forwarded by other nodes, and those of a former process of a node may arrive after the first ones of its present one. The table took each change of incarnation for a restart: the late message replaced the runs of the present process by those of the former one, and the next message of the present one began an empty list. Until its next full list, a second later or up to eleven in a fleet of 340 nodes, its runs counted for nothing, and others were placed where they already ran.

Change: an incarnation that was replaced is ignored until the present one has been silent for 5 s. A node that has just started may hear of the two in the wrong order, so that the former one is not ruled out for ever.

Tests: test_late_message_of_a_former_incarnation_changes_nothing failed before and passes now; test_incarnation_that_sends_on_counts_again passed before. The other tests of the table's users passed, one run: test_relay_engines, test_relay_forwarding, test_relay_forecast, test_relay_fair_shares, test_relay_leaving, test_relay_engine_speeds.

--- a/packages/core/mastichatch_core/relay/runs.py
+++ b/packages/core/mastichatch_core/relay/runs.py
@@ -6,6 +6,7 @@
 ends its runs.
 """
 
+import collections
 import dataclasses
 import math
 from collections.abc import Collection, Iterable, Iterator
@@ -17,6 +18,12 @@
 # Time without messages after which a node's runs expire, in intervals between
 # its full lists.
 MAX_MISSED_INTERVALS: Final = 3.0
+# Messages of a former incarnation of a node arrive late if other nodes forward
+# them, or if this node was held up. They are ignored until the present one has
+# been silent for this time.
+FORMER_SILENCE_S: Final = 5.0
+# Number of former incarnations that are remembered, of all nodes.
+MAX_FORMER: Final = 256
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -63,6 +70,9 @@
         """Create an empty table."""
         self._own: dict[str, Run] = {}
         self._nodes: dict[str, _NodeRuns] = {}
+        self._former: collections.deque[str] = collections.deque(
+            maxlen=MAX_FORMER
+        )
         self._arrived_at: dict[str, float] = {}
         self._observers: list[RunObserver] = []
 
@@ -113,7 +123,12 @@
         """
         node = self._nodes.get(message.node)
         if node is None or node.incarnation != incarnation:
-            self._forget(() if node is None else node.runs)
+            if node is not None:
+                silence_s = now - node.received_at
+                if incarnation in self._former and silence_s < FORMER_SILENCE_S:
+                    return
+                self._forget(node.runs)
+                self._former.append(node.incarnation)
             node = _NodeRuns(
                 incarnation=incarnation,
                 sequence=0,
--- a/tests/test_relay_engines.py
+++ b/tests/test_relay_engines.py
@@ -34,7 +34,7 @@
     Engine,
     RequestMetadata,
 )
-from mastichatch_core.relay.runs import RunTable
+from mastichatch_core.relay.runs import FORMER_SILENCE_S, RunTable
 
 # An engine of the specified load.
 ENGINE = Engine(
@@ -437,6 +437,29 @@
         table.apply_changes(self.changes(1, run('b')), 'y', 0)
         assert [one.request_id for one in table.iter_runs(0)] == ['b']
 
+    def test_late_message_of_a_former_incarnation_changes_nothing(
+        self,
+    ) -> None:
+        """Other nodes forward changes, so that a restart may overtake them."""
+        table = RunTable()
+        table.apply_changes(self.changes(8, run('a')), 'x', 0)
+        table.apply_changes(self.changes(1, run('b')), 'y', 1)
+        table.apply_changes(self.changes(9, run('a')), 'x', 1.5)
+        table.apply_changes(self.changes(2, run('c')), 'y', 1.6)
+        assert [one.request_id for one in table.iter_runs(2)] == ['b', 'c']
+
+    def test_incarnation_that_sends_on_counts_again(self) -> None:
+        """A node that has just started may hear of two in the wrong order."""
+        table = RunTable()
+        table.apply_changes(self.changes(5, run('b')), 'y', 0)
+        table.apply_changes(self.changes(9, run('a')), 'x', 0)
+        table.apply_changes(
+            self.changes(6, run('b'), whole=True), 'y', FORMER_SILENCE_S
+        )
+        assert [
+            one.request_id for one in table.iter_runs(FORMER_SILENCE_S)
+        ] == ['b']
+
     def test_arrival_time_is_set_by_the_first_message(self) -> None:
         table = RunTable()
         first = run('a', state=RunState.waiting, age_ms=500)
