Tell two requests of one id apart in a node's permits

Cause: callers choose request ids, and a caller that hung up sends its request again under the same one, perhaps while the node still waits for a permit for the former. Permits were kept by id and attempt alone. The grant for one was taken for that of the other, which waited to its deadline; the end of the first withdrew the permit of the second at the scheduler, and ended in a KeyError.

Change: a request whose id is in progress at the node gets a permit under an id of its own. Ids that occur once stay as they are, since the scheduler knows by them a generation that another node takes over. In an explanation, the scheduler's decisions on the second request are found under its own id.

Tests: both of TestSameIdTwice failed before (equal ids; KeyError) and pass now.

--- a/packages/node/mastichatch_node/permits.py
+++ b/packages/node/mastichatch_node/permits.py
@@ -85,6 +85,7 @@
         self._membership = membership
         self._waiting: dict[_PermitKey, _Waiting] = {}
         self._held: dict[_PermitKey, _Held] = {}
+        self._repeats = 0
         self._links = SchedulerLinks(peers, membership)
         self._listeners: list[Callable[[SchedulerOpen], None]] = []
         self._observations: Callable[
@@ -131,10 +132,14 @@
     async def acquire(self, request: PermitRequest) -> PermitGrant:
         """Wait for a permit.
 
+        The grant names the request by another id if the node has one of the
+        same id in progress: callers choose ids, and may send one twice.
+
         :param request: the request; its ``data_centre`` selects the scheduler
         :raises MastichatchError: if the scheduler refuses or does not answer
             within the request's deadline; nothing has run in that case
         """
+        request = self._distinguish(request)
         key = _PermitKey(request.request_id, request.attempt)
         loop = asyncio.get_running_loop()
         future: asyncio.Future[PermitGrant] = loop.create_future()
@@ -193,6 +198,7 @@
         :param request: the request that continues
         :param endpoint: name of the endpoint where it runs
         """
+        request = self._distinguish(request)
         grant = PermitGrant(
             request_id=request.request_id,
             attempt=request.attempt,
@@ -335,6 +341,16 @@
         ):
             self.release(held.grant, PermitOutcome.unused)
 
+    def _distinguish(self, request: PermitRequest) -> PermitRequest:
+        """Return a request with an id that no other one in progress has."""
+        key = _PermitKey(request.request_id, request.attempt)
+        if key not in self._waiting and key not in self._held:
+            return request
+        self._repeats += 1
+        return dataclasses.replace(
+            request, request_id=f'{request.request_id}/{self._repeats}'
+        )
+
     def _withdraw_unless_granted(
         self,
         request: PermitRequest,
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -21,6 +21,7 @@
     Envelope,
     ErrorKind,
     MessageKind,
+    PermitGrant,
     PermitRefusal,
     PermitRequest,
     Registration,
@@ -99,6 +100,68 @@
             await second
 
 
+class TestSameIdTwice:
+    """A caller sends its request again while the former one is waiting."""
+
+    async def open_recording(self) -> tuple[Permits, list[Any]]:
+        """Return permits that follow a scheduler, and what they send it."""
+        sent: list[Any] = []
+        peers: Any = types.SimpleNamespace(
+            send=lambda address, kind, message: sent.append(message)
+        )
+        own = types.SimpleNamespace(name='north-node', data_centre='north')
+        membership: Any = types.SimpleNamespace(own=own, all_known=tuple)
+        opened = Permits(peers, membership)
+        await opened.on_open(scheduler_of('north'), message_from('north'))
+        sent.clear()
+        return opened, sent
+
+    def grant_for(self, request: PermitRequest) -> PermitGrant:
+        return PermitGrant(
+            request_id=request.request_id,
+            attempt=request.attempt,
+            service=request.service,
+            endpoint='engine',
+            term=scheduler_of('north').term,
+            lease_ms=5000,
+            reason='test',
+            registration=1,
+        )
+
+    async def test_each_gets_a_permit_of_its_own(self) -> None:
+        permits, sent = await self.open_recording()
+        tasks = [
+            asyncio.create_task(permits.acquire(request_to('north')))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0)
+        for request in tuple(sent):
+            await permits.on_grant(
+                self.grant_for(request), message_from('north')
+            )
+        async with asyncio.timeout(1):
+            granted = await asyncio.gather(*tasks)
+        assert all(permits.still_valid(grant) for grant in granted)
+        assert granted[0].request_id != granted[1].request_id
+
+    async def test_end_of_one_does_not_withdraw_the_other(self) -> None:
+        permits, sent = await self.open_recording()
+        tasks = [
+            asyncio.create_task(permits.acquire(request_to('north')))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0)
+        requested = [one.request_id for one in sent]
+        tasks[0].cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await tasks[0]
+        assert [one.request_id for one in sent[2:]] == requested[:1]
+        assert requested[0] != requested[1]
+        await permits.on_grant(self.grant_for(sent[1]), message_from('north'))
+        async with asyncio.timeout(1):
+            assert permits.still_valid(await tasks[1])
+
+
 class TestSearch:
     async def test_silent_scheduler_is_searched_for_at_every_node(
         self,
