Test that answers to earlier questions between nodes answer no other

Numbers of questions begin at one in each process, so that an answer to a former process at the same address, a doubled one, or one after the time-out may bear the number of a question that is open or was. The answer names the process that asked, and a number is given once. Both cases pass on the code as it is; without the check of the process the first one fails (run as a control).

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,6 +16,7 @@
     ErrorKind,
     MessageKind,
 )
+from mastichatch_node import codec
 from mastichatch_node.connections import SEND_BUFFER_MESSAGES
 from mastichatch_node.peers import Peers, Reply, open_peers
 
@@ -175,6 +176,54 @@
             assert received == ['b']
 
 
+def answer_frame(correlation: int, recipient: str) -> bytes:
+    """Return an answer as a node writes it, to the question of this number."""
+    answer = ChunkAnswer(found=True, body=b'stale')
+    return codec.encode(
+        Envelope(
+            kind=MessageKind.chunk_answer,
+            sender='127.0.0.1:1',
+            incarnation='two',
+            body=codec.encode(answer),
+            correlation=correlation,
+            recipient=recipient,
+            answer=True,
+        )
+    )
+
+
+class TestStaleAnswers:
+    """Each process numbers its questions from one."""
+
+    @pytest.mark.parametrize(
+        ('correlation', 'recipient'),
+        [
+            # To a question of a former process at the same address.
+            (2, 'former'),
+            # Doubled, or to a question whose time is over.
+            (1, 'one'),
+        ],
+    )
+    async def test_answer_to_an_earlier_question_answers_no_other(
+        self, correlation: int, recipient: str
+    ) -> None:
+        async with open_pair() as (one, two):
+
+            async def answer_late(
+                query: ChunkQuery, envelope: Envelope
+            ) -> Reply:
+                await asyncio.sleep(0.1)
+                return await echo(query, envelope)
+
+            two.on(MessageKind.chunk_query, ChunkQuery, answer_late)
+            assert (await ask(one, two.address, 'first')).body == b'first'
+            later = asyncio.create_task(ask(one, two.address, 'second'))
+            with pynng.Push0() as push:
+                push.dial(f'tcp://{one.address}', block=True)
+                push.send(answer_frame(correlation, recipient))
+                assert (await later).body == b'second'
+
+
 class TestBadFrames:
     async def test_bad_frames_are_counted_and_receiving_continues(self) -> None:
         async with open_pair() as (one, two):
