Send requests to versions on trial within the limits of their servers

A generation on trial was assigned to an engine that names a limit without a turn: only the other engines were asked for turns. A call on trial needed a turn, but none was ever requested, so that a limited server got no call until its version was proven, and could not show that its limit had ended.

Turns are now requested for both beside other requests, and an engine on trial uses one up.

Measured: before, an engine with a limit of 2 a second got 78 requests in 4 s (allowed 17), and a plain server none for 5.5 s.

--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -367,22 +367,18 @@
 
         :returns: the requests that are left, and the runs without the others
         """
-        service = trial.endpoints[0].service
-        rollouts = self._context.rollouts
         left = _still_waiting(queued)
         ranked = sorted(
             (item for item in left.items() if not item[1].suspects),
             key=lambda item: item[1].job.rank,
         )
+        self._context.turns.request_beside(trial.endpoints)
         for own_id, queued_request in ranked[:MAX_EXPOSURE_TRIES]:
-            if not rollouts.try_expose(service):
-                break
             # Other waiting requests do not use the allowance of this node.
             visible = _without_other_waiting(runs, own_id)
             own = {own_id: queued_request}
-            _assign(self._context, own, visible, trial, options)
-            if not queued_request.future.done():
-                rollouts.cancel_exposure(service)
+            if not _try_expose(self._context, own, visible, trial, options):
+                break
         waiting = _still_waiting(left)
         exposed = left.keys() - waiting.keys()
         return waiting, tuple(
@@ -637,6 +633,37 @@
     )
 
 
+def _try_expose(
+    context: RelayContext,
+    own: Mapping[str, _QueuedRequest],
+    visible: tuple[Run, ...],
+    trial: _Engines,
+    options: QueueOptions,
+) -> bool:
+    """Assign an engine on trial to one request, if one has room for it.
+
+    :returns: whether another request may be tried
+    """
+    service = trial.endpoints[0].service
+    rollouts, turns = context.rollouts, context.turns
+    accepting = tuple(filter(turns.accepts, trial.endpoints))
+    if not accepting or not rollouts.try_expose(service):
+        return False
+    opened = _Engines(accepting, trial.engine)
+    plan = _assign(context, own, visible, opened, options)
+    assigned = {
+        plan.found[one].instance
+        for one, queued in own.items()
+        if queued.future.done()
+    }
+    if not assigned:
+        rollouts.cancel_exposure(service)
+    for endpoint in accepting:
+        if endpoint.instance in assigned:
+            turns.take(endpoint)
+    return True
+
+
 def _use_turns(
     context: RelayContext,
     queued: Mapping[str, _QueuedRequest],
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -168,6 +168,7 @@
     )
     candidates = opened.free
     # A call that is tried again goes to a proven version, if there is one.
+    context.turns.request_beside(opened.trial)
     trial = tuple(filter(context.turns.accepts, opened.trial))
     if trial and not (tried and opened.free):
         if context.rollouts.try_expose(service):
--- a/tests/test_relay_server_limits.py
+++ b/tests/test_relay_server_limits.py
@@ -16,7 +16,13 @@
 
 import pytest
 
-from tests.relay_nodes import RelayFixture, Response, open_nodes, open_relay
+from tests.relay_nodes import (
+    RelayFixture,
+    Response,
+    open_nodes,
+    open_relay,
+    until,
+)
 from tests.standins.house_endpoints import (
     AnnouncingWriter,
     HouseEndpoint,
@@ -338,3 +344,32 @@
         full_at = lifted_at + RETURN_S
         assert received(apps[0], full_at, math.inf) > USUAL_PER_S * 0.6
         assert callers.statuses == {200}
+
+
+class TestVersionOnTrial:
+    """A server of a version on trial gets requests without a turn, or none."""
+
+    @pytest.mark.parametrize('service', ['app', 'llm'])
+    async def test_it_gets_what_its_limit_allows(self, service: str) -> None:
+        is_plain = service == 'app'
+        script = respond_after(WORK_S) if is_plain else stream(EVENTS, 0.01)
+        olds = servers(2, script)
+        new = HouseEndpoint('new', script, version='v2', limit='2')
+        endpoints = (*olds, new)
+        async with open_relay(
+            endpoints if is_plain else (),
+            () if is_plain else endpoints,
+            rollout_share=0.5,
+            rollout_slack=1000,
+        ) as relay:
+            order = {'service': service, 'target': 'v2', 'period_s': 60}
+            await relay.store.put(f'op/rollout/{service}', order)
+            path, headers = ('/lookup/x', ()) if is_plain else ('/plan/x', PLAN)
+            async with calling((relay,), path, headers, 20) as callers:
+                await until(lambda: bool(new.received))
+                await asyncio.sleep(PLAY_S)
+                ended_at = time.monotonic()
+        check_windows(new, 2, 0)
+        begins = first_after(new, 0) + REACTION_S
+        assert received(new, begins, ended_at) >= (ended_at - begins) / 2
+        assert callers.statuses == {200}
