Ask later for turns that are denied again

All hosts that had been denied a turn asked for the next one at the moment at which it was free, so that the granter got about as many messages as hosts times the limit. After a second denial and further ones, a host now asks a random time later, up to 2 s. A host alone is granted a turn when it was told to ask, and is not delayed.

The new test bounds them by 2 * (hosts + limit) a second, 8,000 and 8,600, and asks for 0.7 of the limit in use.

--- a/packages/core/mastichatch_core/relay/limit_turns.py
+++ b/packages/core/mastichatch_core/relay/limit_turns.py
@@ -31,6 +31,11 @@
 # Share of the limit that the second granter grants.
 FALLBACK_SHARE: Final = 0.3
 GRANTERS: Final = 2
+# Longest time by which a host that is denied turns again and again asks later.
+# Else all hosts would ask for each turn, at the moment at which it is free.
+MAX_ASK_SPREAD_S: Final = 2.0
+# The spread doubles with each denial, up to so many times.
+MAX_DOUBLINGS: Final = 8
 # A caller that returns exactly when it was told to is not too early.
 ROUNDING_S: Final = 1e-6
 
@@ -122,6 +127,8 @@
         """Start without turns."""
         self._usable_at: dict[str, tuple[float, ...]] = {}
         self._opens_at: dict[str, float] = {}
+        # Denials since the last turn, by server.
+        self._denials: dict[str, int] = {}
 
     def add(self, instance: str, usable_at: float) -> None:
         """Hold a turn.
@@ -168,6 +175,28 @@
         """
         self._opens_at[instance] = until
 
+    def record_answer(
+        self, instance: str, turn: Turn, now: float, draw: float
+    ) -> None:
+        """Record the answer to a request for a turn.
+
+        After the first denial, the server is closed for the time it names,
+        and after further ones for a random time longer.
+
+        :param instance: instance id of the server
+        :param turn: the answer
+        :param now: time in seconds
+        :param draw: random number from 0 to 1
+        """
+        if turn.is_granted:
+            self._denials.pop(instance, None)
+            return
+        denials = self._denials.get(instance, 0)
+        self._denials[instance] = min(denials + 1, MAX_DOUBLINGS)
+        spread_s = turn.delay_s * 2**denials if denials else 0
+        later_s = draw * min(spread_s, MAX_ASK_SPREAD_S)
+        self.close(instance, now + turn.delay_s + later_s)
+
     def opens_at(self, instance: str) -> float:
         """Return the time before which no turn is to be had.
 
@@ -186,6 +215,8 @@
             self._usable_at.pop(instance)
         for closed in self._opens_at.keys() - kept:
             self._opens_at.pop(closed)
+        for denied in self._denials.keys() - kept:
+            self._denials.pop(denied)
 
     def _drop_expired(self, instance: str, now: float) -> tuple[float, ...]:
         held = self._usable_at.get(instance, ())
--- a/packages/node/mastichatch_node/relay/turn_keeping.py
+++ b/packages/node/mastichatch_node/relay/turn_keeping.py
@@ -209,17 +209,17 @@
         for granter in self._granters(endpoint):
             if answer is None:
                 answer = await self._request_from(granter, endpoint, request)
+        now = loop_time()
         if answer is None:
             self._metrics.count_turn(TurnOutcome.unanswered)
-            answer = TurnAnswer(
-                limit=request.limit, delay_ms=UNANSWERED_S * MS_PER_S
-            )
+            self._held.close(endpoint.instance, now + UNANSWERED_S)
+            return Turn(is_granted=False, delay_s=UNANSWERED_S)
         turn = Turn(
             is_granted=answer.is_granted,
             delay_s=max(0, answer.delay_ms / MS_PER_S),
         )
-        if not turn.is_granted:
-            self._held.close(endpoint.instance, loop_time() + turn.delay_s)
+        draw = random.random()  # noqa: S311
+        self._held.record_answer(endpoint.instance, turn, now, draw)
         return turn
 
     async def _request_from(
--- a/tests/test_relay_limit_turns.py
+++ b/tests/test_relay_limit_turns.py
@@ -19,6 +19,7 @@
 from mastichatch_core.relay.limit_turns import (
     FALLBACK_SHARE,
     HOLD_S,
+    MAX_ASK_SPREAD_S,
     MAX_DEBT_S,
     MIN_RATE_PER_S,
     HeldTurns,
@@ -35,6 +36,9 @@
 HOSTS = (1, 4, 9, 195)
 LIMITS = (0, 0.3, 1.1, 2, 20)
 PHASE_S = 10
+# Length of a time of high demand, and longest wait for a turn meanwhile.
+BUSY_S = 20
+BUSY_WAIT_S = 0.25
 MAX_WAIT_S = 1.0
 MAX_TRANSIT_S = 0.05
 
@@ -143,6 +147,20 @@
         assert held.opens_at('i') == -math.inf
         assert not held.has('k', 10)
 
+    def test_host_that_is_denied_again_asks_later(self) -> None:
+        held = HeldTurns()
+        opens_at = []
+        for _ in range(3):
+            held.record_answer('i', refused(0.25), 10, 1)
+            opens_at.append(held.opens_at('i'))
+        assert opens_at == [10.25, 10.75, 11.25]
+        for _ in range(100):
+            held.record_answer('i', refused(0.25), 10, 1)
+        assert held.opens_at('i') == 10.25 + MAX_ASK_SPREAD_S
+        held.record_answer('i', granted(0), 10, 1)
+        held.record_answer('i', refused(0.25), 10, 1)
+        assert held.opens_at('i') == 10.25
+
 
 class TestGranters:
     def choose(self, data_centre: str, instance: str = 'i-a') -> list[str]:
@@ -316,3 +334,32 @@
         fleet = Fleet(hosts, {0: limit}, has_faults=False)
         fleet.play(until=60 / rate)
         assert bisect.bisect(fleet.sends, 60 / rate) >= 0.8 * 60
+
+
+@pytest.mark.parametrize('limit', [1, 5, 20])
+@pytest.mark.parametrize('hosts', [1, 9, 195])
+def test_each_host_asks_seldom_while_all_have_requests(
+    hosts: int, limit: float
+) -> None:
+    """All hosts ask for each turn, at the moment at which it is free.
+
+    The requests of a host are 25 ms apart, and each would use the server.
+    """
+    draw = random.Random(hosts)
+    ledger = TurnLedger()
+    all_held = [HeldTurns() for _ in range(hosts)]
+    asked = sent = 0
+    for number in range(40 * BUSY_S):
+        now = number / 40
+        for held in draw.sample(all_held, hosts):
+            if held.take('i', now):
+                sent += 1
+            elif not held.has('i', now) and held.opens_at('i') <= now:
+                asked += 1
+                turn = ledger.request('i', limit, BUSY_WAIT_S, now)
+                held.record_answer('i', turn, now, draw.random())
+                if turn.is_granted:
+                    held.add('i', now + turn.delay_s)
+    # A sum, and not a product, of the hosts and the turns.
+    assert asked <= BUSY_S * 2 * (hosts + limit)
+    assert sent >= 0.7 * limit * BUSY_S
