Go without a turn when its granters stop while they are asked

A node that granted turns and was removed from the store while the first one was asked failed the caller's request with a KeyError: its address was looked up without a check. It now counts as a node that does not answer.

Measured: the new test, with nodes that leave the store when one of them is asked, failed before and passes now.

--- a/packages/node/mastichatch_node/relay/turn_keeping.py
+++ b/packages/node/mastichatch_node/relay/turn_keeping.py
@@ -229,9 +229,13 @@
         if granter == self._registry.own_name:
             answer = self._grant(request, endpoint)
         else:
+            # It may have stopped while another one was asked.
+            addresses = self._registry.addresses_of((granter,))
+            if not addresses:
+                return None
             try:
                 answer = await self._peers.ask(
-                    self._registry.address(granter),
+                    addresses[0],
                     MessageKind.turn_request,
                     request,
                     TurnAnswer,
--- /dev/null
+++ b/tests/test_relay_turn_keeping.py
@@ -0,0 +1,83 @@
+"""Tests of how a node requests turns from the nodes that grant them.
+
+Nodes stop one after the other in a restart of a data centre. A request for a
+turn that fails with them would fail the caller's request.
+"""
+
+from typing import Any, cast
+
+import pytest
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import EndpointLimit, ErrorKind
+from mastichatch_core.generated.records import NodeRecord
+from mastichatch_core.relay.model import Endpoint, EndpointState
+from mastichatch_node import codec
+from mastichatch_node.peers import Peers
+from mastichatch_node.relay.limit_tracking import LimitTracker
+from mastichatch_node.relay.store_following import NodeRegistry
+from mastichatch_node.relay.telemetry import Telemetry
+from mastichatch_node.relay.turn_keeping import TurnKeeper
+
+ENDPOINT = Endpoint(
+    instance='i-0',
+    service='app',
+    address='127.0.0.1:1',
+    data_centre='south',
+    slots=1,
+    state=EndpointState.ready,
+)
+
+
+class Entries:
+    """Entries of nodes in the store."""
+
+    def __init__(self) -> None:
+        self.names: tuple[str, ...] = ()
+
+    def entries_under(self, prefix: str) -> dict[str, bytes]:
+        return {
+            f'{prefix}{name}': codec.encode_json(
+                NodeRecord(
+                    name=name,
+                    incarnation=name,
+                    data_centre='south',
+                    peer_address=f'{name}:1',
+                    http_address=f'{name}:2',
+                )
+            )
+            for name in self.names
+        }
+
+
+class StoppingPeers:
+    """Peers that do not answer, and are gone from the store then."""
+
+    def __init__(self, registry: NodeRegistry) -> None:
+        self._registry = registry
+        self.asked: list[str] = []
+
+    def on(self, *_: object) -> None:
+        """Ignore handlers."""
+
+    async def ask(self, address: str, *_: object, **__: object) -> None:
+        self.asked.append(address)
+        self._registry.update(cast(Any, Entries()))
+        raise MastichatchError(ErrorKind.peer_unreachable)
+
+
+@pytest.mark.parametrize('names', [('a', 'b'), ('a',)])
+async def test_no_turn_is_had_while_all_granters_stop(
+    names: tuple[str, ...],
+) -> None:
+    registry = NodeRegistry('own', 'north')
+    entries = Entries()
+    entries.names = names
+    registry.update(cast(Any, entries))
+    assert len(registry.addresses) == len(names)
+    peers = StoppingPeers(registry)
+    limits = LimitTracker(cast(Any, None), cast(Any, None), Telemetry())
+    turns = TurnKeeper(cast(Any, None), registry, cast(Peers, peers), limits)
+    limits.record_told(EndpointLimit(instance='i-0', per_s=1), 'a')
+    await turns.wait_for_turn((ENDPOINT,), 0.5)
+    assert len(peers.asked) == 1
