Let only nodes that grant turns be asked for them

Nodes of an earlier release do not know requests for turns. While both granters of a server were such nodes, no turn was had: the nodes of this release sent the server nothing, and did not learn of the end of its limit. Nodes now register whether they grant turns, and earlier ones do not.

--- a/packages/core/mastichatch_core/relay/forwarder_choice.py
+++ b/packages/core/mastichatch_core/relay/forwarder_choice.py
@@ -44,6 +44,8 @@
     :param can_forward: whether it forwards changes and was heard recently
     :param accepts_forwarded: whether it knows the node that a forwarded change
         comes from; earlier releases do not
+    :param grants_turns: whether it grants turns at endpoints that name limits;
+        earlier releases do not
     """
 
     name: str
@@ -51,6 +53,7 @@
     link_mbps: float
     can_forward: bool
     accepts_forwarded: bool = True
+    grants_turns: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/mastichatch_core/relay/limit_turns.py
+++ b/packages/core/mastichatch_core/relay/limit_turns.py
@@ -241,6 +241,8 @@
     near: list[str] = []
     far: list[str] = []
     for node in nodes:
+        if not node.grants_turns:
+            continue
         is_near = node.data_centre == endpoint.data_centre
         (near if is_near else far).append(node.name)
     ranked = rendezvous.ranked(near, endpoint.instance)
--- a/packages/node/mastichatch_node/relay/node_record.py
+++ b/packages/node/mastichatch_node/relay/node_record.py
@@ -21,5 +21,6 @@
             http_address=settings.callers_address,
             link_mbps=settings.link_mbps,
             forwards_runs=True,
+            grants_turns=True,
         )
     )
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -200,6 +200,7 @@
                 link_mbps=record.link_mbps,
                 can_forward=record.forwards_runs and name in heard,
                 accepts_forwarded=record.forwards_runs,
+                grants_turns=record.grants_turns,
             )
             for name, record in self._records.items()
         )
--- a/tests/test_relay_turn_keeping.py
+++ b/tests/test_relay_turn_keeping.py
@@ -1,7 +1,9 @@
 """Tests of how a node requests turns from the nodes that grant them.
 
 Nodes stop one after the other in a restart of a data centre. A request for a
-turn that fails with them would fail the caller's request.
+turn that fails with them would fail the caller's request. Nodes of an earlier
+release answer none, and the server would get no requests while they grant its
+turns.
 """
 
 from typing import Any, cast
@@ -34,6 +36,7 @@
 
     def __init__(self) -> None:
         self.names: tuple[str, ...] = ()
+        self.grants_turns = True
 
     def entries_under(self, prefix: str) -> dict[str, bytes]:
         return {
@@ -44,6 +47,7 @@
                     data_centre='south',
                     peer_address=f'{name}:1',
                     http_address=f'{name}:2',
+                    grants_turns=self.grants_turns,
                 )
             )
             for name in self.names
@@ -70,14 +74,28 @@
 async def test_no_turn_is_had_while_all_granters_stop(
     names: tuple[str, ...],
 ) -> None:
+    asked, _ = await request_turn(names, grants_turns=True)
+    assert len(asked) == 1
+
+
+async def test_nodes_of_an_earlier_release_are_not_asked() -> None:
+    asked, endpoint = await request_turn(('a', 'b'), grants_turns=False)
+    assert not asked
+    assert endpoint == ENDPOINT
+
+
+async def request_turn(
+    names: tuple[str, ...], *, grants_turns: bool
+) -> tuple[list[str], Endpoint | None]:
+    """Return the nodes that were asked, and the endpoint with a turn."""
     registry = NodeRegistry('own', 'north')
     entries = Entries()
     entries.names = names
+    entries.grants_turns = grants_turns
     registry.update(cast(Any, entries))
     assert len(registry.addresses) == len(names)
     peers = StoppingPeers(registry)
     limits = LimitTracker(cast(Any, None), cast(Any, None), Telemetry())
     turns = TurnKeeper(cast(Any, None), registry, cast(Peers, peers), limits)
     limits.record_told(EndpointLimit(instance='i-0', per_s=1), 'a')
-    await turns.wait_for_turn((ENDPOINT,), 0.5)
-    assert len(peers.asked) == 1
+    return peers.asked, await turns.wait_for_turn((ENDPOINT,), 0.5)
