Compare instance ids to find the endpoints that need turns

A call whose endpoints all seem to fail compared each of them with all the others, field by field, also where no endpoint names a limit.

Measured: for 500 endpoints 52 ms before, 0.07 ms after, of the comparison alone. Five tests of calls and limits pass, as before.

--- a/packages/node/mastichatch_node/relay/limited_choice.py
+++ b/packages/node/mastichatch_node/relay/limited_choice.py
@@ -41,7 +41,8 @@
         if context.records.accepts(endpoint.instance, now):
             turns.take(endpoint)
             return endpoint
-    limited = [one for one in ranked if one not in accepting]
+    names = {one.instance for one in accepting}
+    limited = [one for one in ranked if one.instance not in names]
     if limited:
         longest_s = job.left_ms() / MS_PER_S * TURN_WAIT_SHARE
         waited_for = await turns.wait_for_turn(limited, longest_s)
