Bound the wait for turns at several endpoints together

A call whose endpoints all name limits asked the granters of each one in turn, each time with its whole time to wait. While granters did not answer, a call with 0.2 s to wait was kept for 2.4 s, past its deadline. The time now holds for all endpoints together; the questions to two granters may exceed it by 0.3 s.

--- a/packages/node/mastichatch_node/relay/turn_keeping.py
+++ b/packages/node/mastichatch_node/relay/turn_keeping.py
@@ -175,10 +175,14 @@
         :param longest_s: longest time to wait, in seconds
         :returns: ``None`` if there is no turn in time, which is known at once
         """
+        ends_at = loop_time() + min(longest_s, MAX_WAIT_S)
         for endpoint in endpoints:
-            if self._held.opens_at(endpoint.instance) > loop_time():
+            now = loop_time()
+            if now >= ends_at:
+                break
+            if self._held.opens_at(endpoint.instance) > now:
                 continue
-            turn = await self._request(endpoint, min(longest_s, MAX_WAIT_S))
+            turn = await self._request(endpoint, ends_at - now)
             if turn.is_granted:
                 await asyncio.sleep(turn.delay_s)
                 return endpoint
--- a/tests/test_relay_turn_keeping.py
+++ b/tests/test_relay_turn_keeping.py
@@ -6,6 +6,9 @@
 turns.
 """
 
+import asyncio
+import dataclasses
+import time
 from typing import Any, cast
 
 import pytest
@@ -14,12 +17,16 @@
 from mastichatch_core.generated.messages import EndpointLimit, ErrorKind
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.model import Endpoint, EndpointState
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node import codec
 from mastichatch_node.peers import Peers
 from mastichatch_node.relay.limit_tracking import LimitTracker
 from mastichatch_node.relay.store_following import NodeRegistry
 from mastichatch_node.relay.telemetry import Telemetry
-from mastichatch_node.relay.turn_keeping import TurnKeeper
+from mastichatch_node.relay.turn_keeping import (
+    ASK_TIMEOUT_MS,
+    TurnKeeper,
+)
 
 ENDPOINT = Endpoint(
     instance='i-0',
@@ -31,6 +38,10 @@
 )
 
 
+WAIT_S = 0.2
+SCHEDULING_S = 0.3
+
+
 class Entries:
     """Entries of nodes in the store."""
 
@@ -54,6 +65,17 @@
         }
 
 
+class SilentPeers:
+    """Peers that do not answer."""
+
+    def on(self, *_: object) -> None:
+        """Ignore handlers."""
+
+    async def ask(self, *_: object, timeout_ms: float, **__: object) -> None:
+        await asyncio.sleep(timeout_ms / MS_PER_S)
+        raise MastichatchError(ErrorKind.peer_unreachable)
+
+
 class StoppingPeers:
     """Peers that do not answer, and are gone from the store then."""
 
@@ -84,6 +106,29 @@
     assert endpoint == ENDPOINT
 
 
+async def test_wait_for_silent_granters_of_many_endpoints_is_short() -> None:
+    """A call with a short deadline may be sent to any of the endpoints."""
+    registry = NodeRegistry('own', 'north')
+    entries = Entries()
+    entries.names = ('a', 'b')
+    registry.update(cast(Any, entries))
+    limits = LimitTracker(cast(Any, None), cast(Any, None), Telemetry())
+    turns = TurnKeeper(
+        cast(Any, None), registry, cast(Any, SilentPeers()), limits
+    )
+    endpoints = [
+        dataclasses.replace(ENDPOINT, instance=f'i-{number}')
+        for number in range(8)
+    ]
+    for one in endpoints:
+        limits.record_told(EndpointLimit(instance=one.instance, per_s=1), 'a')
+    started_at = time.monotonic()
+    assert await turns.wait_for_turn(endpoints, WAIT_S) is None
+    # The last two questions may end later.
+    longest_s = WAIT_S + 2 * ASK_TIMEOUT_MS / MS_PER_S
+    assert time.monotonic() - started_at < longest_s + SCHEDULING_S
+
+
 async def request_turn(
     names: tuple[str, ...], *, grants_turns: bool
 ) -> tuple[list[str], Endpoint | None]:
