--- a/packages/node/mastichatch_node/relay/turn_keeping.py
+++ b/packages/node/mastichatch_node/relay/turn_keeping.py
@@ -171,10 +171,14 @@
         :param longest_s: longest time to wait, in seconds
         :returns: ``None`` if there is no turn in time, which is known at once
         """
+        ends_at = loop_time() + min(longest_s, MAX_WAIT_S)
         for endpoint in endpoints:
-            if self._held.opens_at(endpoint.instance) > loop_time():
+            now = loop_time()
+            if now >= ends_at:
+                break
+            if self._held.opens_at(endpoint.instance) > now:
                 continue
-            turn = await self._request(endpoint, min(longest_s, MAX_WAIT_S))
+            turn = await self._request(endpoint, ends_at - now)
             if turn.is_granted:
                 await asyncio.sleep(turn.delay_s)
                 return endpoint
@@ -205,17 +209,17 @@
         for granter in self._granters(endpoint):
             if answer is None:
                 answer = await self._request_from(granter, endpoint, request)
+        now = loop_time()
         if answer is None:
             self._metrics.count_turn(TurnOutcome.unanswered)
-            answer = TurnAnswer(
-                limit=request.limit, delay_ms=UNANSWERED_S * MS_PER_S
-            )
+            self._held.close(endpoint.instance, now + UNANSWERED_S)
+            return Turn(is_granted=False, delay_s=UNANSWERED_S)
         turn = Turn(
             is_granted=answer.is_granted,
             delay_s=max(0, answer.delay_ms / MS_PER_S),
         )
-        if not turn.is_granted:
-            self._held.close(endpoint.instance, loop_time() + turn.delay_s)
+        draw = random.random()  # noqa: S311
+        self._held.record_answer(endpoint.instance, turn, now, draw)
         return turn
 
     async def _request_from(
@@ -225,9 +229,13 @@
         if granter == self._registry.own_name:
             answer = self._grant(request, endpoint)
         else:
+            # It may have stopped while another one was asked.
+            addresses = self._registry.addresses_of((granter,))
+            if not addresses:
+                return None
             try:
                 answer = await self._peers.ask(
-                    self._registry.address(granter),
+                    addresses[0],
                     MessageKind.turn_request,
                     request,
                     TurnAnswer,
