Send calls without an id on connections of their own

A call without an id was answered with a refusal although it ran: the copy of the refusal of an equal call, sent before on the connection, was taken for its answer. Both bear an empty id.

Cause: requests without an id may be repeated on a connection if their content is equal, which holds for orders to engines, but was allowed for calls too.

A request without an id is now repeated on a connection only if it says that this does not matter; other requests without an id use a connection that carried none. The content is put together for such orders alone: it was copied with the body for each idle connection that was looked at.

--- a/packages/core/mastichatch_core/relay/sent_requests.py
+++ b/packages/core/mastichatch_core/relay/sent_requests.py
@@ -28,7 +28,7 @@
 class SentRequests:
     """The requests that one connection has carried.
 
-    Requests without an id are told apart by their content.
+    Requests without an id are told apart by their content, if they have any.
     """
 
     def __init__(self) -> None:
@@ -54,7 +54,8 @@
         """Record a request that is sent.
 
         :param request_id: its id; empty without one
-        :param content: what tells it from other requests without an id
+        :param content: what equal requests without an id share; empty if
+            nothing does
         """
         known, key = self._lookup(request_id, content)
         self._is_repeat = key in known
@@ -66,12 +67,15 @@
         """Return whether copies of earlier answers differ from a request's.
 
         An answer to a request without an id names none, so the connection must
-        have carried no other such request. The same one may be repeated: it
+        have carried no other such request. One with content may be repeated: it
         does not matter to which of its sends an answer belongs.
 
         :param request_id: id of the request; empty without one
-        :param content: what tells it from other requests without an id
+        :param content: what equal requests without an id share; empty if
+            nothing does
         """
+        if not request_id and not content:
+            return self._count == 0
         known, key = self._lookup(request_id, content)
         if request_id:
             return not self._unnamed and key not in known
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -106,6 +106,8 @@
     :param headers: all headers except ``Content-Length``
     :param body: complete body
     :param request_id: id that the answer repeats; empty if it repeats none
+    :param is_repeatable: whether it does not matter to which of several sends
+        an answer belongs
     """
 
     method: bytes
@@ -113,10 +115,13 @@
     headers: Headers
     body: bytes = b''
     request_id: str = ''
+    is_repeatable: bool = False
 
     @property
     def content(self) -> bytes:
-        """What tells the request from others that have no id."""
+        """What equal requests without an id share; empty if nothing does."""
+        if not self.is_repeatable:
+            return b''
         return b'\0'.join((self.method, self.target, self.body))
 
 
--- a/tests/test_relay_stale_answers.py
+++ b/tests/test_relay_stale_answers.py
@@ -120,6 +120,16 @@
         assert len(ran) == len(set(ran))
         assert [one.status for one in answers] == [200] * COPIES
 
+    async def test_copy_does_not_answer_an_equal_call_without_an_id(
+        self,
+    ) -> None:
+        app = server()
+        async with open_relay((app,), document=ATTEMPTS) as relay:
+            first = await relay.call('/book/', request_id='')
+            again = await relay.call('/book/', request_id='')
+        assert (first.status, again.status) == (503, 200)
+        assert app.ran == ['']
+
     async def test_connection_is_replaced_before_it_keeps_many_ids(
         self,
     ) -> None:
@@ -153,6 +163,10 @@
         assert not self.sent.can_tell_apart('a', b'')
         assert self.sent.can_tell_apart('c', b'')
 
+    def test_call_without_an_id_gets_a_connection_of_its_own(self) -> None:
+        assert SentRequests().can_tell_apart('', b'')
+        assert not self.sent.can_tell_apart('', b'')
+
     def test_connection_carries_one_kind_of_order_after_named_requests(
         self,
     ) -> None:
