Send orders on no connection that carried an answer without an id

The copy of a call's answer without an id was taken for the answer to an order to stop a run, sent next on the connection. A 404 then proves that the run has ended, and it may go on elsewhere while its engine works on it.

Cause: an answer to an order names no request, like such a copy, and the connection only had to have carried no other request without an id.

Orders now take no connection on which a request with an id was answered without one. The new test failed before (404 where 409 is due) and passes; the other 17 of its module pass.

--- a/packages/core/mastichatch_core/relay/sent_requests.py
+++ b/packages/core/mastichatch_core/relay/sent_requests.py
@@ -38,6 +38,7 @@
         self._unnamed: set[int] = set()
         self._request_id = ''
         self._is_repeat = False
+        self._has_unnamed_answer = False
         self._count = 0
 
     @property
@@ -67,8 +68,8 @@
         """Return whether copies of earlier answers differ from a request's.
 
         An answer to a request without an id names none, so the connection must
-        have carried no other such request. One with content may be repeated: it
-        does not matter to which of its sends an answer belongs.
+        have carried no other such request or answer. One with content may be
+        repeated: it does not matter to which of its sends an answer belongs.
 
         :param request_id: id of the request; empty without one
         :param content: what equal requests without an id share; empty if
@@ -79,14 +80,16 @@
         known, key = self._lookup(request_id, content)
         if request_id:
             return not self._unnamed and key not in known
-        return self._unnamed <= {key}
+        return self._unnamed <= {key} and not self._has_unnamed_answer
 
     def assign(self, response_id: str | None) -> Belonging:
-        """Return to which request an answer belongs.
+        """Return to which request an answer belongs, and record it.
 
         :param response_id: id of the request that it names; ``None`` without
             one
         """
+        if self._request_id and not response_id:
+            self._has_unnamed_answer = True
         if response_id and response_id == self._request_id:
             return Belonging.due
         if response_id and hash(response_id) in self._ids:
--- a/tests/test_relay_stale_answers.py
+++ b/tests/test_relay_stale_answers.py
@@ -259,6 +259,34 @@
                 answer = await client.move(order(address, 'run-1'))
         assert (answer.status, answer.handle) == (200, 'h-1')
 
+    async def test_copy_without_an_id_does_not_answer_an_order(self) -> None:
+        """A call's 404 would prove that the run has ended."""
+        missing = build_response(404, b'')
+        refused = build_response(409, b'{}')
+        connections = 0
+        scripts = (
+            answer_orders((missing,), (missing, refused)),
+            answer_orders((refused,)),
+        )
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connections
+            connections += 1
+            await scripts[connections - 1](reader, writer)
+
+        async with open_server(serve) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                client = engine_client(pool)
+                connection = await pool.take(address, 1.0)
+                await connection.send(plain_request('a'))
+                await connection.read_head()
+                await connection.read_part()
+                pool.release(connection)
+                answer = await client.move(order(address, 'run-1'))
+        assert answer.status == 409
+
     async def test_copy_of_an_orders_answer_does_not_answer_another(
         self,
     ) -> None:
