Close a connection at a copy of an answer that has no length

Such a copy was read until the deadline of the request in progress, whose answer would have been taken for a part of the copy.

The connection is now closed at the head of the copy, unless its status has no body. The new test failed before (TimeoutError) and passes; one for a copy with status 204 passes before and after.

--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -66,6 +66,7 @@
 )
 
 _FRAMING_HEADERS: Final = (b'content-length', b'transfer-encoding')
+_BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
 class ExchangeError(Exception):
@@ -494,6 +495,12 @@
     async def _discard_response(self, head: ResponseHead) -> None:
         """Skip a response to an earlier request, and await the next one."""
         self._matching.on_stale(self._address, head)
+        if self._is_unframed and head.status not in _BODILESS_STATUSES:
+            # An answer that is due would be read as part of the body.
+            raise self._close_with_error(
+                'an answer to an earlier request has no length',
+                is_malformed=True,
+            )
         size = 0
         while size <= MAX_STALE_BYTES:
             event = await self._next_event()
--- a/tests/test_relay_stale_answers.py
+++ b/tests/test_relay_stale_answers.py
@@ -21,7 +21,9 @@
 from mastichatch_node.relay.dialect import MoveOrder
 from mastichatch_node.relay.http_client import (
     AnswerMatching,
+    Connection,
     ConnectionPool,
+    ExchangeError,
     open_pool,
 )
 from tests.relay_nodes import (
@@ -120,6 +122,32 @@
         assert len(ran) == len(set(ran))
         assert [one.status for one in answers] == [200] * COPIES
 
+    async def test_copy_without_a_length_is_not_read_until_the_deadline(
+        self,
+    ) -> None:
+        """Only the end of the connection would end its body."""
+        head = b'HTTP/1.1 503 X\r\nMastichatch-Attempt-Id: a\r\n\r\n'
+        async with open_server(answer_orders((REFUSAL,), (head,))) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                engine_client(pool)
+                connection = await take_after_call(pool, address)
+                await connection.send(plain_request('b'))
+                with pytest.raises(ExchangeError):
+                    async with asyncio.timeout(WORK_S):
+                        await connection.read_head()
+
+    async def test_copy_of_an_answer_without_a_body_is_discarded(self) -> None:
+        head = b'HTTP/1.1 204 X\r\nMastichatch-Attempt-Id: a\r\n\r\n'
+        due = build_response(200, b'', 'Mastichatch-Attempt-Id: b\r\n')
+        serve = answer_orders((REFUSAL,), (head, due))
+        async with open_server(serve) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                engine_client(pool)
+                connection = await take_after_call(pool, address)
+                await connection.send(plain_request('b'))
+                answer = await connection.read_head()
+        assert answer.status == 200
+
     async def test_copy_does_not_answer_an_equal_call_without_an_id(
         self,
     ) -> None:
@@ -242,6 +270,15 @@
     return client
 
 
+async def take_after_call(pool: ConnectionPool, address: str) -> Connection:
+    """Return a connection that has carried the call ``a``, and its answer."""
+    connection = await pool.take(address, 1.0)
+    await connection.send(plain_request('a'))
+    await connection.read_head()
+    await connection.read_part()
+    return connection
+
+
 class TestCopiesBesideOrders:
     async def test_copy_of_a_refused_call_does_not_answer_an_order(
         self,
@@ -279,11 +316,7 @@
         async with open_server(serve) as address:
             with open_pool(1.0, new_resources()) as pool:
                 client = engine_client(pool)
-                connection = await pool.take(address, 1.0)
-                await connection.send(plain_request('a'))
-                await connection.read_head()
-                await connection.read_part()
-                pool.release(connection)
+                pool.release(await take_after_call(pool, address))
                 answer = await client.move(order(address, 'run-1'))
         assert answer.status == 409
 
