Keep few connections that a repeated call cannot use

A caller that repeated a refused call left one open connection for each repeat, since a connection carries an id only once and the others are kept: a trial of 200 repeats of one call at a full server left 200 connections open there.

If no idle connection can carry a request, all but 16 of those that cannot are closed, the longest idle first. The new test failed before (48 connections after 48 calls) and passes. Each repeat of the only caller still takes a new connection.

--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -43,6 +43,9 @@
 # the most bytes of them.
 MAX_STALE_ANSWERS: Final = 16
 MAX_STALE_BYTES: Final = 65536
+# Most idle connections to an address that are kept though none of them can
+# carry the request that is sent.
+MAX_UNSUITED: Final = 16
 # Most interim responses (status 1xx) that are skipped before an answer.
 MAX_INTERIM_RESPONSES: Final = 16
 # The kernel closes a connection after about this time with unacknowledged data
@@ -889,7 +892,8 @@
     ) -> Connection | None:
         """Return an idle connection that can carry a request, if there is one.
 
-        Those that have been idle for too long are closed.
+        Those that have been idle for too long are closed, and so are all but a
+        few of those that cannot carry it if there is none.
         """
         used_after = loop_time() - idle_limit_s
         idle = self._idle.pop(address, [])
@@ -903,6 +907,10 @@
                 found = connection
             else:
                 unsuited.append(connection)
+        if found is None:
+            for surplus in unsuited[MAX_UNSUITED:]:
+                surplus.close()
+            del unsuited[MAX_UNSUITED:]
         kept = [*idle, *reversed(unsuited)]
         if kept:
             self._idle[address] = kept
--- a/tests/test_relay_stale_answers.py
+++ b/tests/test_relay_stale_answers.py
@@ -20,6 +20,7 @@
 )
 from mastichatch_node.relay.dialect import MoveOrder
 from mastichatch_node.relay.http_client import (
+    MAX_UNSUITED,
     AnswerMatching,
     Connection,
     ConnectionPool,
@@ -41,6 +42,7 @@
     build_response,
     open_server,
     plain_request,
+    refuse,
     refuse_first,
     respond_after,
 )
@@ -106,6 +108,14 @@
                 await relay.call('/book/', request_id=f'r{number}')
         assert {one.connection for one in app.received} == {0}
 
+    async def test_call_repeated_many_times_keeps_few_connections(self) -> None:
+        app = HouseEndpoint('i-a', refuse)
+        async with open_relay((app,), document=ATTEMPTS) as relay:
+            for _ in range(3 * MAX_UNSUITED):
+                await relay.call('/book/', request_id='a')
+            # The last one, and one whose end has not arrived.
+            assert len(app.writers) <= MAX_UNSUITED + 2
+
     async def test_calls_repeated_at_two_nodes_run_once(self) -> None:
         """Each caller repeats its refused call under the same id."""
         apps = (
