Prove no second stop of a run by a copy of the answer to the first

An order to stop a run may be repeated on its connection. Where the run was stopped, came back to the engine and is stopped there again within the time for which a connection is kept, the copy of the first answer was taken for the second: a proof that the run stands still while it may go on.

A connection on which an order has succeeded carries no other order. It stays open, since an open connection shows that the process lives; a refused order is still repeated on its connection.

--- a/packages/core/mastichatch_core/relay/sent_requests.py
+++ b/packages/core/mastichatch_core/relay/sent_requests.py
@@ -38,7 +38,7 @@
         self._unnamed: set[int] = set()
         self._request_id = ''
         self._is_repeat = False
-        self._has_unnamed_answer = False
+        self._allows_unnamed = True
         self._count = 0
 
     @property
@@ -64,6 +64,10 @@
         self._request_id = request_id
         self._count += 1
 
+    def forbid_repeats(self) -> None:
+        """Let the connection carry no more requests without an id."""
+        self._allows_unnamed = False
+
     def can_tell_apart(self, request_id: str, content: bytes) -> bool:
         """Return whether copies of earlier answers differ from a request's.
 
@@ -80,7 +84,7 @@
         known, key = self._lookup(request_id, content)
         if request_id:
             return not self._unnamed and key not in known
-        return self._unnamed <= {key} and not self._has_unnamed_answer
+        return self._allows_unnamed and self._unnamed <= {key}
 
     def assign(self, response_id: str | None) -> Belonging:
         """Return to which request an answer belongs, and record it.
@@ -89,7 +93,7 @@
             one
         """
         if self._request_id and not response_id:
-            self._has_unnamed_answer = True
+            self._allows_unnamed = False
         if response_id and response_id == self._request_id:
             return Belonging.due
         if response_id and hash(response_id) in self._ids:
--- a/tests/test_relay_stale_answers.py
+++ b/tests/test_relay_stale_answers.py
@@ -260,6 +260,18 @@
     return serve
 
 
+def answer_connections(*answers: Answer) -> Answer:
+    """Return a server that serves its connections in turn."""
+    left = iter(answers)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await next(left)(reader, writer)
+
+    return serve
+
+
 def order(address: str, request_id: str) -> MoveOrder:
     """Return an order to stop a run."""
     return MoveOrder(
@@ -310,19 +322,10 @@
         """A call's 404 would prove that the run has ended."""
         missing = build_response(404, b'')
         refused = build_response(409, b'{}')
-        connections = 0
-        scripts = (
+        serve = answer_connections(
             answer_orders((missing,), (missing, refused)),
             answer_orders((refused,)),
         )
-
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            nonlocal connections
-            connections += 1
-            await scripts[connections - 1](reader, writer)
-
         async with open_server(serve) as address:
             with open_pool(1.0, new_resources()) as pool:
                 client = engine_client(pool)
@@ -330,6 +333,34 @@
                 answer = await client.move(order(address, 'run-1'))
         assert answer.status == 409
 
+    async def test_copy_does_not_prove_that_a_run_stopped_again(self) -> None:
+        """The run has come back to the engine since it was stopped there."""
+        stopped = build_response(200, HANDLE)
+        refused = build_response(409, b'{}')
+        serve = answer_connections(
+            answer_orders((stopped,), (stopped, refused)),
+            answer_orders((refused,)),
+        )
+        async with open_server(serve) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                client = engine_client(pool)
+                first = await client.move(order(address, 'run-1'))
+                again = await client.move(order(address, 'run-1'))
+        assert (first.status, again.status) == (200, 409)
+
+    async def test_refused_order_is_repeated_on_its_connection(self) -> None:
+        """An engine that is about to end may accept no other."""
+        refused = build_response(409, b'{}')
+        stopped = build_response(200, HANDLE)
+        serve = answer_orders((refused,), (stopped,))
+        async with open_server(serve) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                client = engine_client(pool)
+                await client.move(order(address, 'run-1'))
+                answer = await client.move(order(address, 'run-1'))
+                assert pool.opened == 1
+        assert answer.status == 200
+
     async def test_copy_of_an_orders_answer_does_not_answer_another(
         self,
     ) -> None:
