--- a/packages/core/mastichatch_core/relay/sent_requests.py
+++ b/packages/core/mastichatch_core/relay/sent_requests.py
@@ -28,7 +28,7 @@
 class SentRequests:
     """The requests that one connection has carried.
 
-    Requests without an id are told apart by their content.
+    Requests without an id are told apart by their content, if they have any.
     """
 
     def __init__(self) -> None:
@@ -38,6 +38,7 @@
         self._unnamed: set[int] = set()
         self._request_id = ''
         self._is_repeat = False
+        self._allows_unnamed = True
         self._count = 0
 
     @property
@@ -54,7 +55,8 @@
         """Record a request that is sent.
 
         :param request_id: its id; empty without one
-        :param content: what tells it from other requests without an id
+        :param content: what equal requests without an id share; empty if
+            nothing does
         """
         known, key = self._lookup(request_id, content)
         self._is_repeat = key in known
@@ -62,27 +64,36 @@
         self._request_id = request_id
         self._count += 1
 
+    def forbid_repeats(self) -> None:
+        """Let the connection carry no more requests without an id."""
+        self._allows_unnamed = False
+
     def can_tell_apart(self, request_id: str, content: bytes) -> bool:
         """Return whether copies of earlier answers differ from a request's.
 
         An answer to a request without an id names none, so the connection must
-        have carried no other such request. The same one may be repeated: it
-        does not matter to which of its sends an answer belongs.
+        have carried no other such request or answer. One with content may be
+        repeated: it does not matter to which of its sends an answer belongs.
 
         :param request_id: id of the request; empty without one
-        :param content: what tells it from other requests without an id
+        :param content: what equal requests without an id share; empty if
+            nothing does
         """
+        if not request_id and not content:
+            return self._count == 0
         known, key = self._lookup(request_id, content)
         if request_id:
             return not self._unnamed and key not in known
-        return self._unnamed <= {key}
+        return self._allows_unnamed and self._unnamed <= {key}
 
     def assign(self, response_id: str | None) -> Belonging:
-        """Return to which request an answer belongs.
+        """Return to which request an answer belongs, and record it.
 
         :param response_id: id of the request that it names; ``None`` without
             one
         """
+        if self._request_id and not response_id:
+            self._allows_unnamed = False
         if response_id and response_id == self._request_id:
             return Belonging.due
         if response_id and hash(response_id) in self._ids:
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -43,6 +43,9 @@
 # the most bytes of them.
 MAX_STALE_ANSWERS: Final = 16
 MAX_STALE_BYTES: Final = 65536
+# Most idle connections to an address that are kept though none of them can
+# carry the request that is sent.
+MAX_UNSUITED: Final = 16
 # Most interim responses (status 1xx) that are skipped before an answer.
 MAX_INTERIM_RESPONSES: Final = 16
 # The kernel closes a connection after about this time with unacknowledged data
@@ -66,6 +69,7 @@
 )
 
 _FRAMING_HEADERS: Final = (b'content-length', b'transfer-encoding')
+_BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
 class ExchangeError(Exception):
@@ -106,6 +110,8 @@
     :param headers: all headers except ``Content-Length``
     :param body: complete body
     :param request_id: id that the answer repeats; empty if it repeats none
+    :param is_repeatable: whether it does not matter to which of several sends
+        an answer belongs
     """
 
     method: bytes
@@ -113,10 +119,13 @@
     headers: Headers
     body: bytes = b''
     request_id: str = ''
+    is_repeatable: bool = False
 
     @property
     def content(self) -> bytes:
-        """What tells the request from others that have no id."""
+        """What equal requests without an id share; empty if nothing does."""
+        if not self.is_repeatable:
+            return b''
         return b'\0'.join((self.method, self.target, self.body))
 
 
@@ -494,6 +503,12 @@
     async def _discard_response(self, head: ResponseHead) -> None:
         """Skip a response to an earlier request, and await the next one."""
         self._matching.on_stale(self._address, head)
+        if self._is_unframed and head.status not in _BODILESS_STATUSES:
+            # An answer that is due would be read as part of the body.
+            raise self._close_with_error(
+                'an answer to an earlier request has no length',
+                is_malformed=True,
+            )
         size = 0
         while size <= MAX_STALE_BYTES:
             event = await self._next_event()
@@ -882,7 +897,8 @@
     ) -> Connection | None:
         """Return an idle connection that can carry a request, if there is one.
 
-        Those that have been idle for too long are closed.
+        Those that have been idle for too long are closed, and so are all but a
+        few of those that cannot carry it if there is none.
         """
         used_after = loop_time() - idle_limit_s
         idle = self._idle.pop(address, [])
@@ -896,6 +912,10 @@
                 found = connection
             else:
                 unsuited.append(connection)
+        if found is None:
+            for surplus in unsuited[MAX_UNSUITED:]:
+                surplus.close()
+            del unsuited[MAX_UNSUITED:]
         kept = [*idle, *reversed(unsuited)]
         if kept:
             self._idle[address] = kept
--- a/packages/node/mastichatch_node/relay/turn_keeping.py
+++ b/packages/node/mastichatch_node/relay/turn_keeping.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import math
+import random
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
--- a/tests/relay_nodes.py
+++ b/tests/relay_nodes.py
@@ -8,10 +8,13 @@
 from typing import Any
 
 import h11
+from mastichatch_platform.dialect import create_dialect
+from mastichatch_platform.engines import EngineClient
 from mastichatch_platform.program import create_adapter
 
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.http_client import AnswerMatching, ConnectionPool
 from mastichatch_node.relay.program import RelayNode, open_node
 from mastichatch_node.relay.resources import Resources, create_resources
 from mastichatch_node.relay.settings import RelaySettings
@@ -148,6 +151,16 @@
     return create_resources(MEMORY_MB, Telemetry())
 
 
+def engine_client(pool: ConnectionPool) -> EngineClient:
+    """Return a client whose pool reads the ids of answers."""
+    client = EngineClient(pool)
+    read_id = create_dialect(client).read_response_id
+    pool.match_answers(
+        AnswerMatching(read_id=read_id, on_stale=lambda *_: None)
+    )
+    return client
+
+
 def known_endpoints(node: RelayNode) -> dict[str, Endpoint]:
     """Return the endpoints that a node knows, by the id that they register."""
     known = node.belief.endpoints(0).values()
--- a/tests/test_relay_stale_answers.py
+++ b/tests/test_relay_stale_answers.py
@@ -10,8 +10,6 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from mastichatch_platform.dialect import create_dialect
-from mastichatch_platform.engines import EngineClient
 
 from mastichatch_core.relay.sent_requests import (
     MAX_REQUESTS,
@@ -20,14 +18,17 @@
 )
 from mastichatch_node.relay.dialect import MoveOrder
 from mastichatch_node.relay.http_client import (
-    AnswerMatching,
+    MAX_UNSUITED,
+    Connection,
     ConnectionPool,
+    ExchangeError,
     open_pool,
 )
 from tests.relay_nodes import (
     Response,
     call,
     configuration,
+    engine_client,
     known_endpoints,
     new_resources,
     open_relay,
@@ -39,6 +40,7 @@
     build_response,
     open_server,
     plain_request,
+    refuse,
     refuse_first,
     respond_after,
 )
@@ -104,6 +106,14 @@
                 await relay.call('/book/', request_id=f'r{number}')
         assert {one.connection for one in app.received} == {0}
 
+    async def test_call_repeated_many_times_keeps_few_connections(self) -> None:
+        app = HouseEndpoint('i-a', refuse)
+        async with open_relay((app,), document=ATTEMPTS) as relay:
+            for _ in range(3 * MAX_UNSUITED):
+                await relay.call('/book/', request_id='a')
+            # The last one, and one whose end has not arrived.
+            assert len(app.writers) <= MAX_UNSUITED + 2
+
     async def test_calls_repeated_at_two_nodes_run_once(self) -> None:
         """Each caller repeats its refused call under the same id."""
         apps = (
@@ -120,6 +130,42 @@
         assert len(ran) == len(set(ran))
         assert [one.status for one in answers] == [200] * COPIES
 
+    async def test_copy_without_a_length_is_not_read_until_the_deadline(
+        self,
+    ) -> None:
+        """Only the end of the connection would end its body."""
+        head = b'HTTP/1.1 503 X\r\nMastichatch-Attempt-Id: a\r\n\r\n'
+        async with open_server(answer_orders((REFUSAL,), (head,))) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                engine_client(pool)
+                connection = await take_after_call(pool, address)
+                await connection.send(plain_request('b'))
+                with pytest.raises(ExchangeError):
+                    async with asyncio.timeout(WORK_S):
+                        await connection.read_head()
+
+    async def test_copy_of_an_answer_without_a_body_is_discarded(self) -> None:
+        head = b'HTTP/1.1 204 X\r\nMastichatch-Attempt-Id: a\r\n\r\n'
+        due = build_response(200, b'', 'Mastichatch-Attempt-Id: b\r\n')
+        serve = answer_orders((REFUSAL,), (head, due))
+        async with open_server(serve) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                engine_client(pool)
+                connection = await take_after_call(pool, address)
+                await connection.send(plain_request('b'))
+                answer = await connection.read_head()
+        assert answer.status == 200
+
+    async def test_copy_does_not_answer_an_equal_call_without_an_id(
+        self,
+    ) -> None:
+        app = server()
+        async with open_relay((app,), document=ATTEMPTS) as relay:
+            first = await relay.call('/book/', request_id='')
+            again = await relay.call('/book/', request_id='')
+        assert (first.status, again.status) == (503, 200)
+        assert app.ran == ['']
+
     async def test_connection_is_replaced_before_it_keeps_many_ids(
         self,
     ) -> None:
@@ -153,6 +199,10 @@
         assert not self.sent.can_tell_apart('a', b'')
         assert self.sent.can_tell_apart('c', b'')
 
+    def test_call_without_an_id_gets_a_connection_of_its_own(self) -> None:
+        assert SentRequests().can_tell_apart('', b'')
+        assert not self.sent.can_tell_apart('', b'')
+
     def test_connection_carries_one_kind_of_order_after_named_requests(
         self,
     ) -> None:
@@ -208,6 +258,18 @@
     return serve
 
 
+def answer_connections(*answers: Answer) -> Answer:
+    """Return a server that serves its connections in turn."""
+    left = iter(answers)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await next(left)(reader, writer)
+
+    return serve
+
+
 def order(address: str, request_id: str) -> MoveOrder:
     """Return an order to stop a run."""
     return MoveOrder(
@@ -218,14 +280,13 @@
     )
 
 
-def engine_client(pool: ConnectionPool) -> EngineClient:
-    """Return a client whose pool reads the ids of answers."""
-    client = EngineClient(pool)
-    read_id = create_dialect(client).read_response_id
-    pool.match_answers(
-        AnswerMatching(read_id=read_id, on_stale=lambda *_: None)
-    )
-    return client
+async def take_after_call(pool: ConnectionPool, address: str) -> Connection:
+    """Return a connection that has carried the call ``a``, and its answer."""
+    connection = await pool.take(address, 1.0)
+    await connection.send(plain_request('a'))
+    await connection.read_head()
+    await connection.read_part()
+    return connection
 
 
 class TestCopiesBesideOrders:
@@ -245,6 +306,49 @@
                 answer = await client.move(order(address, 'run-1'))
         assert (answer.status, answer.handle) == (200, 'h-1')
 
+    async def test_copy_without_an_id_does_not_answer_an_order(self) -> None:
+        """A call's 404 would prove that the run has ended."""
+        missing = build_response(404, b'')
+        refused = build_response(409, b'{}')
+        serve = answer_connections(
+            answer_orders((missing,), (missing, refused)),
+            answer_orders((refused,)),
+        )
+        async with open_server(serve) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                client = engine_client(pool)
+                pool.release(await take_after_call(pool, address))
+                answer = await client.move(order(address, 'run-1'))
+        assert answer.status == 409
+
+    async def test_copy_does_not_prove_that_a_run_stopped_again(self) -> None:
+        """The run has come back to the engine since it was stopped there."""
+        stopped = build_response(200, HANDLE)
+        refused = build_response(409, b'{}')
+        serve = answer_connections(
+            answer_orders((stopped,), (stopped, refused)),
+            answer_orders((refused,)),
+        )
+        async with open_server(serve) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                client = engine_client(pool)
+                first = await client.move(order(address, 'run-1'))
+                again = await client.move(order(address, 'run-1'))
+        assert (first.status, again.status) == (200, 409)
+
+    async def test_refused_order_is_repeated_on_its_connection(self) -> None:
+        """An engine that is about to end may accept no other."""
+        refused = build_response(409, b'{}')
+        stopped = build_response(200, HANDLE)
+        serve = answer_orders((refused,), (stopped,))
+        async with open_server(serve) as address:
+            with open_pool(1.0, new_resources()) as pool:
+                client = engine_client(pool)
+                await client.move(order(address, 'run-1'))
+                answer = await client.move(order(address, 'run-1'))
+                assert pool.opened == 1
+        assert answer.status == 200
+
     async def test_copy_of_an_orders_answer_does_not_answer_another(
         self,
     ) -> None:
--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -13,7 +13,6 @@
 
 import aiohttp
 import pytest
-from mastichatch_platform.engines import EngineClient
 from mastichatch_platform.store import StoreClient
 
 from mastichatch_core.relay.store import ConflictError, LeaseLapsedError
@@ -26,7 +25,7 @@
 from mastichatch_node.relay.dialect import MoveOrder
 from mastichatch_node.relay.http_client import open_pool
 from mastichatch_node.reports import open_report_reader
-from tests.relay_nodes import new_resources
+from tests.relay_nodes import engine_client, new_resources
 
 TIMEOUT_MS: Final = 2000
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -298,7 +297,7 @@
             is_final=True,
         )
         with open_pool(CONNECT_TIMEOUT_S, new_resources()) as pool:
-            client = EngineClient(pool)
+            client = engine_client(pool)
             assert (await client.move(order)).status == first[0]
             copying.delay_s = WORK_S
             assert (await client.move(order)).status == then[0]
@@ -316,7 +315,7 @@
             is_final=True,
         )
         with open_pool(CONNECT_TIMEOUT_S, new_resources()) as pool:
-            client = EngineClient(pool)
+            client = engine_client(pool)
             await client.move(order)
             await client.move(order)
         assert copying.connections == 1
