Let a former process at an address say nothing of the next one

Cause: Server-Leaving and Retry-After were applied to whatever is registered at the address of an answer. A process that leaves in order answers on its connections to the end, while the next one listens at its address and is registered. Its late answer marked the next one as leaving until its own next start, at all nodes, since that is passed on; or paused it for as long as the former one had asked for.

Change: when another instance is registered at an address, the connections open then may be those of the former. While one of them is open, and for 1 s after, in which its last answer is read, these two headers of answers from that address are ignored. The store and engines' reports tell of the next one as before.

Those of TestFormerProcess are new with the code.

--- a/packages/core/mastichatch_core/relay/process_signs.py
+++ b/packages/core/mastichatch_core/relay/process_signs.py
@@ -7,11 +7,13 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Mapping
 from typing import Final
 
 # Bytes that arrive this long after a refused connection were sent after it.
 SIGN_DELAY_S: Final = 0.1
+# Answers are read within this time after their connection has ended.
+UNREAD_LIMIT_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -35,6 +37,9 @@
         self._open: dict[str, set[OpenConnection]] = {}
         self._refused_at: dict[str, float] = {}
         self._serving: set[str] = set()
+        self._instances: dict[str, str] = {}
+        self._former: dict[str, frozenset[OpenConnection]] = {}
+        self._former_ended_at: dict[str, float] = {}
 
     def record_connect(self, connection: OpenConnection) -> None:
         """Record that a connection was established: a process listens.
@@ -74,6 +79,41 @@
         if refused_at is not None and now - refused_at >= SIGN_DELAY_S:
             self._serving.add(address)
 
+    def record_processes(self, instances: Mapping[str, str]) -> None:
+        """Record which processes are registered.
+
+        :param instances: instance ids by IP address and port
+        """
+        for address, instance in instances.items():
+            if self._instances.setdefault(address, instance) == instance:
+                continue
+            self._instances[address] = instance
+            self._former[address] = frozenset(self._open.get(address, ()))
+            self._former_ended_at.pop(address, None)
+
+    def review_former(self, now: float) -> None:
+        """Forget former processes to which no connection is left.
+
+        :param now: current time, in seconds
+        """
+        for address in tuple(self._former):
+            if self._former[address] & self._open.get(address, frozenset()):
+                continue
+            ended_at = self._former_ended_at.setdefault(address, now)
+            if now - ended_at >= UNREAD_LIMIT_S:
+                self._former.pop(address)
+                self._former_ended_at.pop(address)
+
+    def may_be_former(self, address: str) -> bool:
+        """Return whether an answer may be that of a former process.
+
+        A process that stops in order answers on its connections to the end,
+        while the next one listens at its address.
+
+        :param address: IP address and port
+        """
+        return address in self._former
+
     def keep_only(self, addresses: Container[str]) -> None:
         """Forget all other processes to which no connection is open.
 
@@ -83,6 +123,9 @@
             if address not in addresses and address not in self._open:
                 self._refused_at.pop(address)
                 self._serving.discard(address)
+        for address in tuple(self._instances):
+            if address not in addresses and address not in self._open:
+                self._instances.pop(address)
 
     def is_open(self, address: str) -> bool:
         """Return whether a connection to an address is known to be open.
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -418,9 +418,10 @@
     context.records.keep_only(known)
     context.sharing.outcomes.keep_only(known)
     context.stopper.gate.keep_only(known)
-    context.pool.signs.keep_only(
-        {endpoint.address for endpoint in known.values()}
-    )
+    signs = context.pool.signs
+    by_start = sorted(known.values(), key=lambda one: one.started_ms)
+    signs.record_processes({one.address: one.instance for one in by_start})
+    signs.keep_only({one.address for one in by_start})
 
 
 def _attach_evidence(
@@ -453,5 +454,6 @@
     while True:
         await asyncio.sleep(MAINTENANCE_INTERVAL_S)
         pool.close_idle(IDLE_CONNECTION_LIMIT_S)
+        pool.signs.review_former(loop_time())
         placer.reconcile()
         migrator.reconcile()
--- a/packages/node/mastichatch_node/relay/server_pausing.py
+++ b/packages/node/mastichatch_node/relay/server_pausing.py
@@ -40,6 +40,8 @@
         """
 
         def read_answer(address: str, head: ResponseHead) -> None:
+            if pool.signs.may_be_former(address):
+                return
             self.record_request(address, dialect.read_pause_s(head))
 
         pool.observe_heads(read_answer)
--- a/tests/test_relay_new_starts.py
+++ b/tests/test_relay_new_starts.py
@@ -4,15 +4,28 @@
 expired.
 """
 
+import asyncio
+
 import pytest
 
 from mastichatch_core.generated.messages import Run, RunState
 from mastichatch_core.relay.engine_choice import measure_loads
 from mastichatch_core.relay.model import Endpoint, EndpointState
+from mastichatch_core.relay.process_signs import (
+    UNREAD_LIMIT_S,
+    OpenConnection,
+    ProcessSigns,
+)
 from mastichatch_node.clock import loop_time
 from tests.relay_nodes import RelayFixture, known_endpoints, open_relay, until
 from tests.standins import house_endpoints as endpoints
-from tests.standins.house_endpoints import HouseEndpoint
+from tests.standins.house_endpoints import (
+    HouseEndpoint,
+    ReceivedRequest,
+    Script,
+    build_response,
+    signature_headers,
+)
 
 
 def known(relay: RelayFixture) -> Endpoint:
@@ -97,3 +110,92 @@
             assert (await relay.call('/book/x')).status >= 500
             await app.restart(keeps_id=True)
             assert (await relay.call('/book/x')).status == 200
+
+
+def respond_once(started: asyncio.Event, status: int, headers: str) -> Script:
+    """Return a script that waits for the next start before it answers."""
+
+    async def write(
+        endpoint: HouseEndpoint,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await started.wait()
+        head = f'{signature_headers(request)}{headers}'
+        writer.write(build_response(status, b'', head))
+
+    return write
+
+
+class TestLateAnswerOfAnEarlierStart:
+    """A process that leaves in order serves what it has to the end.
+
+    By then the next one may listen at the same address, and be registered.
+    """
+
+    async def test_it_does_not_mark_the_next_start_as_leaving(self) -> None:
+        started = asyncio.Event()
+        script = respond_once(started, 200, 'Server-Leaving: 1\r\n')
+        app = HouseEndpoint('i-a', script)
+        async with open_relay((app,)) as relay:
+            call = asyncio.create_task(relay.call('/book/x'))
+            await until(lambda: bool(app.received))
+            await start_again(relay, app, 'app')
+            started.set()
+            assert (await call).status == 200
+            assert known(relay).state is EndpointState.ready
+
+    async def test_it_does_not_pause_the_next_start(self) -> None:
+        started = asyncio.Event()
+        headers = 'Mastichatch-Not-Executed: 1\r\nRetry-After: 30\r\n'
+        app = HouseEndpoint('i-a', respond_once(started, 503, headers))
+        async with open_relay((app,)) as relay:
+            call = asyncio.create_task(relay.call('/book/x'))
+            await until(lambda: bool(app.received))
+            await start_again(relay, app, 'app')
+            app.script = endpoints.respond_ok
+            started.set()
+            await call
+            records = relay.node.relay._context.records
+            stats = records.get(known(relay).instance)
+            assert not stats.is_paused(loop_time())
+
+
+class TestFormerProcess:
+    def open_signs(self) -> tuple[ProcessSigns, OpenConnection]:
+        """Return signs of a process that has started again."""
+        signs = ProcessSigns()
+        signs.record_processes({'a:1': 'i@1'})
+        connection = OpenConnection('a:1', lambda: True)
+        signs.record_connect(connection)
+        signs.record_processes({'a:1': 'i@2'})
+        return signs, connection
+
+    def test_may_answer_while_a_connection_to_it_is_open(self) -> None:
+        signs, _ = self.open_signs()
+        signs.record_connect(OpenConnection('a:1', lambda: True))
+        signs.review_former(100)
+        signs.review_former(200)
+        assert signs.may_be_former('a:1')
+
+    def test_may_have_answered_just_before_its_connection_ended(self) -> None:
+        signs, connection = self.open_signs()
+        signs.record_end(connection)
+        signs.review_former(100)
+        assert signs.may_be_former('a:1')
+        signs.review_former(100 + UNREAD_LIMIT_S)
+        assert not signs.may_be_former('a:1')
+
+    def test_connections_to_the_next_start_do_not_count(self) -> None:
+        signs, connection = self.open_signs()
+        signs.record_connect(OpenConnection('a:1', lambda: True))
+        signs.record_end(connection)
+        signs.review_former(100)
+        signs.review_former(100 + UNREAD_LIMIT_S)
+        assert not signs.may_be_former('a:1')
+
+    def test_same_start_is_not_its_own_former_one(self) -> None:
+        signs = ProcessSigns()
+        signs.record_processes({'a:1': 'i@1'})
+        signs.record_processes({'a:1': 'i@1'})
+        assert not signs.may_be_former('a:1')
