Test a node whose new connections to the store are silent too

Its proxy leaves existing connections silent and resets new ones, on the premise that the next watch uses an existing one. Now that watch is reset, and the node knows at once that it has lost the store. It learns of the removal from the other node 0.7 s after it, as before, but keeps the endpoint for 2 s, as all nodes do that have lost the store (EXPIRY_GRACE_S); the test looks after 1.9 s. Each rule by which a watch does not use the connection of an earlier one gives the same.

Added: the same test with a proxy that accepts new connections and passes nothing on, which is what the head of the old one describes.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -467,6 +467,18 @@
             answer = await call(second_address, '/book/x', request_id='r2')
             assert answer.status == 503
 
+    async def test_lagging_node_queries_others_while_its_link_is_silent(
+        self,
+    ) -> None:
+        """New connections of one node to the store carry no data either."""
+        async with _open_two_nodes(
+            disconnects=False, is_silent_for_new=True
+        ) as (relay, second_address):
+            await relay.store.remove('servers/i-a')
+            await asyncio.sleep(1.9)
+            answer = await call(second_address, '/book/x', request_id='r2')
+            assert answer.status == 503
+
 
 @contextlib.asynccontextmanager
 async def _open_running_plan(
@@ -705,12 +717,12 @@
 
 @contextlib.asynccontextmanager
 async def _open_two_nodes(
-    *, disconnects: bool = True
+    *, disconnects: bool = True, is_silent_for_new: bool = False
 ) -> AsyncIterator[tuple[RelayFixture, str]]:
     """Run two nodes, and cut or stall the second one's store connection."""
     one = app()
     async with open_relay((one,)) as relay:
-        proxy = _StoreProxy(relay.settings.store_address)
+        proxy = _StoreProxy(relay.settings.store_address, is_silent_for_new)
         async with proxy.open() as proxy_address:
             settings = create_settings(proxy_address, name='north-2')
             adapter = create_adapter()
@@ -724,10 +736,14 @@
 
 
 class _StoreProxy:
-    """TCP proxy that stops forwarding data while it is stalled."""
+    """TCP proxy that stops forwarding data while it is stalled.
+
+    It closes new connections then, unless it is silent for them as well.
+    """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, is_silent_for_new: bool) -> None:
         self.target = target
+        self.is_silent_for_new = is_silent_for_new
         self.is_stalled = False
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -748,7 +764,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.is_stalled:
+        if self.is_stalled and not self.is_silent_for_new:
             writer.transport.abort()
             return
         host, _, port = self.target.rpartition(':')
