Log the answers to orders to stop a run, and where a stream ends without framing

The log could not tell the hypotheses on lost answers apart: of an order it had the last status alone, and of an attempt neither whether the answer was framed nor whether an order to stop was sent to that engine or had no answer by then. No decision reads the new fields.

--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -84,6 +84,11 @@
     is_connection_refused: bool = False
     is_unreachable: bool = False
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether the engine may have received the order."""
+        return not (self.is_connection_refused or self.is_unreachable)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Dialect:
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -188,12 +188,16 @@
         )
         answer, proof = MoveResponse(status=0), StopProof.none
         started_at = loop_time() + delay_s
-        tries = 0
+        statuses: list[int] = []
         pause_s: float | None = delay_s
         while pause_s is not None:
             await asyncio.sleep(pause_s)
+            order.record_send()
             answer = await self._dialect.move_run(move)
-            tries += 1
+            if answer.status or not answer.was_sent:
+                order.record_answer()
+            if statuses[-1:] != [answer.status]:
+                statuses.append(answer.status)
             if answer.is_connection_refused:
                 order.record_reach(Reach.refused)
             elif answer.is_unreachable:
@@ -204,7 +208,7 @@
             pause_s = repeat_delay_s(
                 proof,
                 answer.status,
-                tries,
+                order.sent,
                 loop_time() - started_at,
                 run.ends_at - loop_time(),
             )
@@ -214,10 +218,12 @@
             source=source.instance,
             destination=destination.instance,
             status=answer.status,
+            answers=statuses,
             proof=proof,
             refused=answer.is_connection_refused,
             open=self._pool.signs.is_open(source.address),
-            tries=tries,
+            tries=order.sent,
+            unanswered=order.unanswered,
             last_event=run.last_event,
             took_ms=round((loop_time() - started_at) * MS_PER_S),
         )
@@ -410,6 +416,17 @@
             possibly_at_work=_describe(possible),
         )
 
+    def describe_order(self, endpoint: Endpoint) -> dict[str, object]:
+        """Return what is known of the order to an engine, for the log.
+
+        :param endpoint: the engine
+        """
+        order = self._orders.get(endpoint.instance)
+        return {
+            'orders_sent': 0 if order is None else order.sent,
+            'orders_unanswered': 0 if order is None else order.unanswered,
+        }
+
     def newest_copy(self, location: RunLocation) -> RunLocation:
         """Return the copy that an order has made in place of an older one.
 
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -71,6 +71,8 @@
         self.task: asyncio.Task[StopOutcome] | None = None
         # Whether its copy of the run is used or was freed.
         self.is_settled = False
+        self._sent = 0
+        self._answered = 0
 
     @property
     def source(self) -> Endpoint:
@@ -82,6 +84,16 @@
         """What the last attempt to connect to the engine has shown."""
         return self._reach
 
+    @property
+    def sent(self) -> int:
+        """Number of times that it was sent."""
+        return self._sent
+
+    @property
+    def unanswered(self) -> int:
+        """Number of times that it was sent without an answer so far."""
+        return self._sent - self._answered
+
     @property
     def is_over(self) -> bool:
         """Whether it is no longer repeated."""
@@ -99,6 +111,14 @@
         """
         self._reach = reach
 
+    def record_send(self) -> None:
+        """Record that it is about to be sent."""
+        self._sent += 1
+
+    def record_answer(self) -> None:
+        """Record an answer, or a proof that the engine did not get it."""
+        self._answered += 1
+
     def cancel(self) -> None:
         """Stop repeating the order."""
         if self.task is not None:
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -119,6 +119,7 @@
         self._source: AttemptSource | None = None
         self._connection: Connection | None = None
         self._head_at: float | None = None
+        self._is_unframed = False
         self._is_withdrawn = False
         self._evidence: StreamEvidence | None = None
         self._transfer = RunTransfer()
@@ -352,6 +353,7 @@
         endpoint = source.placement.endpoint
         started_at = loop_time()
         self._head_at = None
+        self._is_unframed = False
         if source.prepared is None:
             self._handover.begin_at(endpoint)
         if source.resumption is not None:
@@ -396,6 +398,8 @@
             self._job.request_id,
             endpoint=endpoint.instance,
             resumed=source.is_resumed,
+            unframed=self._is_unframed,
+            **self._handover.describe_order(endpoint),
             fate=result.fate,
             status=result.status,
             reason=result.reason,
@@ -435,6 +439,7 @@
         self, connection: Connection, head: ResponseHead, source: AttemptSource
     ) -> None:
         longest_s = self._job.longest_stall_s
+        self._is_unframed = connection.is_unframed
         with open_event_reader(connection, self._order, longest_s) as reader:
             while True:
                 with _failures_of(self._job, source):
