--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -99,7 +99,8 @@
     :param drops_closed: whether engines drop a run whose connection closed
     :param has_copy: whether the copy can be used
     :param order_faults: answers to the first orders to stop, instead of the
-        true one: ``reset``, ``conflict``, ``no_room`` or ``full``
+        true one: ``reset``, ``conflict``, ``no_room`` or ``full``; ``lost``: it
+        is carried out, and its answer is lost
     :param queues: whether the engine with the copy does not know a run before
         it begins its answer
     :param listener_delay_s: time after the trouble at which the first engine
@@ -107,6 +108,8 @@
     :param stop_delay_s: time until the first engine obeys an order to stop
     :param is_entry_lost: whether the first engine's entry is lost in the
         trouble, besides
+    :param is_unframed: whether a stream ends with its connection, so that a
+        stopped run looks like a complete one
     """
 
     trouble: str
@@ -119,6 +122,7 @@
     listener_delay_s: float | None = None
     stop_delay_s: float = 0
     is_entry_lost: bool = False
+    is_unframed: bool = False
 
 
 class EmulatedRun:
@@ -200,6 +204,8 @@
         handle = f'{self.endpoint.instance}/h{next(fleet.handles)}'
         if order.is_final:
             run.end()
+        if fault == 'lost':
+            return MoveResponse(status=0)
         if fault == 'full':
             self.copies.add(handle)
             return MoveResponse(status=503, handle=handle.split('/')[1])
@@ -211,12 +217,12 @@
 class EmulatedConnection:
     """A connection of the node to an engine, as the client provides it."""
 
-    is_unframed = False
     is_new = True
 
     def __init__(self, engine: EmulatedEngine) -> None:
         """Open a connection."""
         self.address = engine.endpoint.address
+        self.is_unframed = engine.scenario.is_unframed
         self.engine = engine
         self.run: EmulatedRun | None = None
         self.task: asyncio.Task[None] | None = None
@@ -305,7 +311,9 @@
                 break
             if engine.trouble != 'stall':
                 await self._put(b'id: %d\ndata: x\n\n' % run.last)
-        is_whole = run.is_working
+        is_whole = run.is_working or (
+            self.is_unframed and not engine.is_gone and not self.is_closed
+        )
         run.end()
         if engine.trouble != 'stall':
             await self._put(b'' if is_whole else None)
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -80,7 +80,10 @@
     ``lost_handles``. All answers carry ``said_headers``, and name ``limit``, in
     as many headers as it has values. A resumption is answered after
     ``resume_delay_s``, and an order to stop takes effect after
-    ``stop_delay_s``.
+    ``stop_delay_s``. The first orders to stop are carried out, and their
+    answers are lost: for each entry of ``lost_answers`` the connection is
+    closed (``close``), reset (``reset``) or left open (``hang``). Later orders
+    to stop that run are answered with ``repeat_status``.
     """
 
     instance: str
@@ -98,10 +101,13 @@
     drops_closed: bool = True
     lost_handles: set[str] = dataclasses.field(default_factory=set)
     resume_delay_s: float = 0
+    lost_answers: list[str] = dataclasses.field(default_factory=list)
+    repeat_status: int = 404
     said_headers: str = ''
     limit: str | tuple[str, ...] | None = None
     working: set[str] = dataclasses.field(default_factory=set)
     stopped: set[str] = dataclasses.field(default_factory=set)
+    stopped_unheard: set[str] = dataclasses.field(default_factory=set)
     freed: list[str] = dataclasses.field(default_factory=list)
     leaves_ms: int | None = None
     reports: int = 0
@@ -205,7 +211,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         if request.target == '/mastichatch/kv-move':
-            await self._move(request, writer)
+            await self._move(request, reader, writer)
             return
         if request.target.startswith('/mastichatch/kv-handle/'):
             self.freed.append(request.target.rpartition('/')[2])
@@ -225,6 +231,7 @@
             await refuse(self, request, writer)
             return
         self.stopped.discard(request.request_id)
+        self.stopped_unheard.discard(request.request_id)
         self.working.add(request.request_id)
         try:
             await self._work(request, reader, writer)
@@ -250,12 +257,23 @@
         await asyncio.gather(response, disconnect, return_exceptions=True)
 
     async def _move(
-        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+        self,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         body = json.loads(request.body)
         self.moves.append(body)
         if body['final']:
             await asyncio.sleep(self.stop_delay_s)
+            if self.lost_answers:
+                self.stopped.add(body['id'])
+                self.stopped_unheard.add(body['id'])
+                await _lose_answer(self.lost_answers.pop(0), reader, writer)
+                return
+            if body['id'] in self.stopped_unheard:
+                writer.write(build_response(self.repeat_status, b'{}'))
+                return
         answer = {'kv_handle': f'h-{body["id"]}', 'created': 0}
         status = self.stop_status if body['final'] else self.move_status
         if body['final'] and self.stop_conflicts:
@@ -275,6 +293,16 @@
         writer.write(build_response(200, json.dumps(answer).encode()))
 
 
+async def _lose_answer(
+    how: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    if how == 'hang':
+        await reader.read(1)
+    if how == 'reset':
+        writer.transport.abort()
+    writer.close()
+
+
 def plain_request(request_id: str = '') -> OutgoingRequest:
     """Return a request for tests of the client alone."""
     return OutgoingRequest(
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -460,6 +460,83 @@
         assert sources == [f'{first.address}/h-r1']
 
 
+class TestLostAnswerToAnOrderToStop:
+    """Guards against a part of a stream that is passed on as complete.
+
+    An order to stop a run is carried out, and its answer is lost. The order is
+    repeated, and answered that there is no such run.
+    """
+
+    @pytest.mark.parametrize('is_framed', [True, False])
+    @pytest.mark.parametrize('how', ['close', 'reset', 'hang'])
+    async def test_run_goes_on_from_the_copy_made_before(
+        self, how: str, is_framed: bool
+    ) -> None:
+        first = engine('i-e', is_framed=is_framed, resets_on_stop=False)
+        first.lost_answers = [how]
+        second = engine('i-f')
+        async with open_plan(first, second, backups=False) as (relay, work):
+            await asyncio.sleep(GAP_S * 10)
+            await drain(relay, first)
+            assert await doubled_s(work, first, second) < MAX_DOUBLED_S
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        sources = [one.headers['kv-from'] for one in second.received]
+        assert sources == [f'{first.address}/h-r1']
+
+    @pytest.mark.parametrize('is_framed', [True, False])
+    async def test_stream_is_broken_off_if_the_copy_is_gone(
+        self, is_framed: bool
+    ) -> None:
+        first = engine('i-e', is_framed=is_framed, resets_on_stop=False)
+        first.lost_answers = ['close']
+        second = engine('i-f')
+        second.lost_handles.add('h-r1')
+        async with open_plan(first, second, backups=False) as (relay, work):
+            await asyncio.sleep(GAP_S * 10)
+            await drain(relay, first)
+            answer = await work
+        assert not answer.is_whole
+        events = event_ids(answer)
+        assert events == list(range(1, len(events) + 1))
+
+    async def test_copy_that_is_not_needed_is_freed(self) -> None:
+        first = engine('i-e')
+        first.stop_status = 404
+        second = engine('i-f')
+        async with open_plan(first, second, backups=False) as (relay, work):
+            await asyncio.sleep(GAP_S * 10)
+            await drain(relay, first)
+            answer = await work
+            await until(lambda: first.freed == ['h-r1'])
+        assert answer.is_whole
+
+    async def test_unframed_stream_of_a_copy_that_is_left_is_not_complete(
+        self,
+    ) -> None:
+        """The engine where the run has resumed is ordered to stop, too."""
+        first = HouseEndpoint(
+            instance='i-e',
+            script=endpoints.stream(300, GAP_S),
+            drops_closed=False,
+            stop_delay_s=0.8,
+        )
+        second = HouseEndpoint(
+            instance='i-f',
+            script=endpoints.stream(
+                300, GAP_S, is_framed=False, resets_on_stop=False
+            ),
+        )
+        async with open_plan(first, second) as (relay, work):
+            await until_backed_up(relay)
+            await drain(relay, first)
+            answer = await work
+        assert second.stopped
+        assert event_ids(answer) == list(range(1, 301))
+        assert answer.is_whole
+
+
 class TestAllHandovers:
     """Explores how each step of a hand-over may end, in all combinations."""
 
--- a/tests/test_relay_handover_times.py
+++ b/tests/test_relay_handover_times.py
@@ -22,6 +22,11 @@
     ('conflict', 'conflict', 'conflict'),
     ('no_room',),
 )
+LOST_ANSWERS = (
+    ('lost',),
+    ('lost', 'reset'),
+    ('conflict', 'lost', 'conflict'),
+)
 
 
 def scenarios(
@@ -63,6 +68,56 @@
         assert not broken
 
 
+@pytest.mark.parametrize('trouble', ['drain', 'reset', 'stall', 'crash'])
+class TestLostAnswersToOrders:
+    """Guards against a part of a stream that is passed on as complete.
+
+    An engine stops a run on order, and an unframed stream ends like a complete
+    one. The order's answer is lost, or the order is not that of the last move.
+    """
+
+    @pytest.mark.parametrize('order_faults', LOST_ANSWERS)
+    async def test_stream_goes_on_whoever_stopped_it(
+        self, trouble: str, order_faults: tuple[str, ...]
+    ) -> None:
+        doubled, broken = await play_all(
+            scenarios(
+                {
+                    'head_delay_s': HEAD_DELAYS_S,
+                    'drops_closed': (True, False),
+                    'has_copy': (True, False),
+                    'is_unframed': (True, False),
+                },
+                trouble=trouble,
+                order_faults=order_faults,
+            ),
+            has_place,
+        )
+        assert not doubled
+        assert not broken
+
+    @pytest.mark.parametrize('order_faults', ORDER_FAULTS)
+    async def test_unframed_stream_is_whole(
+        self, trouble: str, order_faults: tuple[str, ...]
+    ) -> None:
+        doubled, broken = await play_all(
+            scenarios(
+                {
+                    'head_delay_s': HEAD_DELAYS_S,
+                    'drops_closed': (True, False),
+                    'has_copy': (True, False),
+                    'stop_delay_s': (0, 0.1, 0.8),
+                },
+                trouble=trouble,
+                order_faults=order_faults,
+                is_unframed=True,
+            ),
+            has_place,
+        )
+        assert not doubled
+        assert not broken
+
+
 class TestSignsThatProveNothing:
     """Guards against signs that are taken for the end of a run.
 
@@ -130,7 +185,7 @@
     """Play scenarios, and return what went wrong in which of them.
 
     :returns: the time for which two engines were at work, and the number of
-        events of streams that broke off
+        events of streams that broke off, or ended as complete too early
     """
     doubled, broken = {}, {}
     for scenario in faults:
@@ -138,9 +193,9 @@
             if fleet.doubled_s() > MAX_DOUBLED_S:
                 doubled[scenario] = fleet.doubled_s()
             is_complete = caller.events == list(range(1, EVENTS + 1))
-            if must_be_whole(scenario) and not (
-                is_complete and caller.is_whole
-            ):
+            is_whole = is_complete and caller.is_whole
+            is_cut = caller.is_whole and not is_complete
+            if is_cut or (must_be_whole(scenario) and not is_whole):
                 broken[scenario] = len(caller.events)
     return doubled, broken
 
