Do not take the 404 to a repeated order for a run's own end

Callers saw a part of an unframed stream as a complete answer: the engine had stopped the run on a final move whose answer was lost, the order was repeated, and the 404 to the repetition was taken for the proof that the run had ended by itself. It proves that the engine is not at work, and not who ended the run.

Each order now counts how often it was sent and how often the engine answered that it had not carried it out. A 404 proves that the run ended by itself (ended) only if all orders sent before it were refused; otherwise the run is absent: it may go on elsewhere, and an unframed stream is not complete.

--- a/packages/core/mastichatch_core/relay/run_stops.py
+++ b/packages/core/mastichatch_core/relay/run_stops.py
@@ -1,5 +1,8 @@
 """Interprets answers to orders to stop a run, and paces their repetition.
 
+An order is repeated if its answer is lost. The answer to a repetition says how
+the engine found the run, and not who ended it: that may be an earlier order.
+
 Load pattern: engines that leave or lose their streams are asked to stop dozens
 of runs at once, while they transfer others and refuse connections above their
 limit. Each run waits for a proof before it goes on elsewhere, and a caller is
@@ -38,6 +41,9 @@
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 409
 _NO_ROOM: Final = 503
+_REFUSALS: Final = frozenset(
+    (400, 408, 421, 429, _NOT_FOUND, _CONFLICT, _NO_ROOM)
+)
 
 
 class Reach(StrEnum):
@@ -55,13 +61,15 @@
 class StopProof(StrEnum):
     """What the answer to an order to stop says of the engine.
 
-    ``stopped``: it was at work, and is no longer. ``ended``: it is not at work.
-    ``gone``: its process has ended. ``not_begun``: it is not at
+    ``stopped``: it was at work, and is no longer. ``ended``: it is not at work,
+    and no order has stopped it. ``absent``: it is not at work, and an earlier
+    order may have stopped it. ``gone``: its process has ended. ``not_begun``: it is not at
     work, but may begin. ``none``: it may be at work.
     """
 
     stopped = 'stopped'
     ended = 'ended'
+    absent = 'absent'
     gone = 'gone'
     not_begun = 'not_begun'
     none = 'none'
@@ -69,7 +77,7 @@
     @property
     def is_final(self) -> bool:
         """Whether the engine is not at work, and will not be."""
-        return self in {self.stopped, self.ended, self.gone}
+        return self not in {self.not_begun, self.none}
 
     @property
     def allows_resumption(self) -> bool:
@@ -77,12 +85,22 @@
         return self is not self.none
 
 
+def shows_no_effect(status: int, *, has_handle: bool) -> bool:
+    """Return whether an answer shows that its order has not stopped a run.
+
+    :param status: HTTP status of the answer; zero without one
+    :param has_handle: whether it names the copy that the engine has made
+    """
+    return status in _REFUSALS and not has_handle
+
+
 def read_stop_answer(
     status: int,
     *,
     has_handle: bool,
     has_process_ended: bool,
     has_begun: bool,
+    may_have_stopped: bool = False,
 ) -> StopProof:
     """Return what an answer to an order to stop proves.
 
@@ -91,13 +109,17 @@
     :param has_process_ended: whether the engine's process has ended; that a
         connection is refused does not show it
     :param has_begun: whether the engine had begun its answer to the request
+    :param may_have_stopped: whether an earlier order, whose answer is unknown,
+        may have stopped the run
     """
     if has_process_ended:
         return StopProof.gone
     if has_handle and status in {_OK, _NO_ROOM}:
         return StopProof.stopped
+    if status == _NOT_FOUND and has_begun:
+        return StopProof.absent if may_have_stopped else StopProof.ended
     if status == _NOT_FOUND:
-        return StopProof.ended if has_begun else StopProof.not_begun
+        return StopProof.not_begun
     return StopProof.none
 
 
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -25,6 +25,7 @@
     StopProof,
     read_stop_answer,
     repeat_delay_s,
+    shows_no_effect,
 )
 from mastichatch_core.relay.switch_gate import SwitchGate
 from mastichatch_core.units import MS_PER_S
@@ -195,14 +196,14 @@
             order.record_send()
             answer = await self._dialect.move_run(move)
             if answer.status or not answer.was_sent:
-                order.record_answer()
+                order.record_answer(is_refused=_is_refused(answer))
             if statuses[-1:] != [answer.status]:
                 statuses.append(answer.status)
             if answer.is_connection_refused:
                 order.record_reach(Reach.refused)
             elif answer.is_unreachable:
                 order.record_reach(Reach.none)
-            proof = self._read_proof(answer, source, engines)
+            proof = self._read_proof(answer, order, engines)
             if proof.allows_resumption:
                 order.cleared.set()
             pause_s = repeat_delay_s(
@@ -230,8 +231,9 @@
         return _stop_outcome(answer, proof, source, destination)
 
     def _read_proof(
-        self, answer: MoveResponse, source: Endpoint, engines: RunEngines
+        self, answer: MoveResponse, order: StopOrder, engines: RunEngines
     ) -> StopProof:
+        source = order.source
         has_process_ended = (
             answer.is_connection_refused
             and engines.was_closed_by_peer(source)
@@ -242,6 +244,7 @@
             has_handle=bool(answer.handle),
             has_process_ended=has_process_ended,
             has_begun=engines.has_begun(source),
+            may_have_stopped=order.may_have_stopped,
         )
 
     async def _release(self, order: StopOrder) -> None:
@@ -628,6 +631,13 @@
     return source if is_same else destination
 
 
+def _is_refused(answer: MoveResponse) -> bool:
+    """Return whether an order was not carried out, or did not arrive."""
+    return not answer.was_sent or shows_no_effect(
+        answer.status, has_handle=bool(answer.handle)
+    )
+
+
 def _stop_outcome(
     answer: MoveResponse,
     proof: StopProof,
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -48,7 +48,7 @@
     """Result of an order to an engine to stop a run.
 
     :param location: where the run can continue; ``None`` if that is unknown
-    :param had_ended: whether the engine no longer ran it
+    :param had_ended: whether the run had ended, and not by an order
     :param has_stopped: whether the engine is not at work on it
     """
 
@@ -73,6 +73,7 @@
         self.is_settled = False
         self._sent = 0
         self._answered = 0
+        self._refused = 0
 
     @property
     def source(self) -> Endpoint:
@@ -94,6 +95,11 @@
         """Number of times that it was sent without an answer so far."""
         return self._sent - self._answered
 
+    @property
+    def may_have_stopped(self) -> bool:
+        """Whether it may have been carried out."""
+        return self._sent > self._refused
+
     @property
     def is_over(self) -> bool:
         """Whether it is no longer repeated."""
@@ -115,9 +121,14 @@
         """Record that it is about to be sent."""
         self._sent += 1
 
-    def record_answer(self) -> None:
-        """Record an answer, or a proof that the engine did not get it."""
+    def record_answer(self, *, is_refused: bool) -> None:
+        """Record an answer, or a proof that the engine did not get it.
+
+        :param is_refused: whether the engine has not carried it out
+        """
         self._answered += 1
+        if is_refused:
+            self._refused += 1
 
     def cancel(self) -> None:
         """Stop repeating the order."""
