Go on from the copy made before an order to stop whose answer was lost

Callers lost each stream whose last move was answered by nothing: framed or not, the run was broken off, although the engine to which it was to move had the copy of the move before, whose handle was known. The copy was never freed either, also where the run ended by itself before the order.

EarlierCopies keeps the copies that were made before an order. Once the run is known not to be at work, it goes on from the newest that an engine may take up, and that engine reads what the copy lacks. A copy is used once; those that are not needed are freed when another has proved usable, and when the run ends.

--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -158,7 +158,7 @@
         if not self._runs_on(generation, source):
             await self._context.dialect.drop_copy(source.address, copied.handle)
             return
-        await generation.move_to(copied.endpoint)
+        await generation.move_to(copied)
 
     async def _wait_for_turn(
         self, generation: Generation, source: Endpoint
--- a/packages/node/mastichatch_node/relay/run_orders.py
+++ b/packages/node/mastichatch_node/relay/run_orders.py
@@ -5,7 +5,7 @@
 """
 
 from mastichatch_core.relay.model import Endpoint
-from mastichatch_node.relay.run_transfer import StopOrder
+from mastichatch_node.relay.run_transfer import RunLocation, StopOrder
 
 
 class RunOrders:
@@ -63,6 +63,20 @@
         outcome = await order.result()
         return not outcome.had_ended
 
+    def newest_copy(self, location: RunLocation) -> RunLocation:
+        """Return the copy that an order has made in place of an older one.
+
+        :param location: the older copy, on the engine where the run resumes
+        """
+        for order in self.all:
+            made = order.known_location()
+            if made is None or order.is_settled:
+                continue
+            if made.endpoint.instance == location.endpoint.instance:
+                order.is_settled = True
+                return made
+        return location
+
     def describe(self, endpoint: Endpoint) -> dict[str, object]:
         """Return what is known of the order to an engine, for the log.
 
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -31,6 +31,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import Dialect, MoveOrder, MoveResponse
+from mastichatch_node.relay.earlier_copies import EarlierCopies
 from mastichatch_node.relay.http_client import ConnectionPool, ExchangeError
 from mastichatch_node.relay.run_orders import RunOrders
 from mastichatch_node.relay.run_transfer import (
@@ -155,6 +156,13 @@
         """
         self.start_task(self._release(order))
 
+    def free(self, location: RunLocation) -> None:
+        """Free a copy that nobody uses.
+
+        :param location: location of the copy
+        """
+        self.start_task(self._free(location))
+
     def close(self) -> None:
         """Cancel all orders in progress."""
         for task in self._tasks:
@@ -251,9 +259,10 @@
     async def _release(self, order: StopOrder) -> None:
         outcome = await order.result()
         if outcome.location is not None:
-            await self._dialect.drop_copy(
-                outcome.location.address, outcome.location.handle
-            )
+            await self._free(outcome.location)
+
+    async def _free(self, location: RunLocation) -> None:
+        await self._dialect.drop_copy(location.address, location.handle)
 
 
 class Handover:
@@ -284,6 +293,7 @@
         self._engines = engines
         self._current_run = current_run
         self._orders = RunOrders()
+        self._copies = EarlierCopies()
         self._choose_other: Callable[[], Endpoint]
 
     @property
@@ -291,6 +301,11 @@
         """Orders to stop the run."""
         return self._orders
 
+    @property
+    def copies(self) -> EarlierCopies:
+        """Copies that were made before an order to stop the run."""
+        return self._copies
+
     def begin_at(self, endpoint: Endpoint) -> None:
         """Record that the run is about to be sent to an engine.
 
@@ -422,20 +437,6 @@
             possibly_at_work=_describe(possible),
         )
 
-    def newest_copy(self, location: RunLocation) -> RunLocation:
-        """Return the copy that an order has made in place of an older one.
-
-        :param location: the older copy, on the engine where the run resumes
-        """
-        for order in self._orders.all:
-            made = order.known_location()
-            if made is None or order.is_settled:
-                continue
-            if made.endpoint.instance == location.endpoint.instance:
-                order.is_settled = True
-                return made
-        return location
-
     async def take_transferred(self) -> RunLocation | None:
         """Return where a stopped run can resume if its copy was unusable."""
         for order in self._orders.all:
@@ -456,11 +457,13 @@
         return outcome.location
 
     def release(self) -> None:
-        """Free what was transferred, since the run does not need it."""
+        """Free the copies that the run does not need."""
         for order in self._orders.all:
             if not order.is_settled:
                 order.is_settled = True
                 self._stopper.release(order)
+        for location in self._copies.take_all():
+            self._stopper.free(location)
 
     async def _switch(
         self,
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -221,13 +221,14 @@
             suspects=_untried_suspects(self._source, self._order),
         )
 
-    async def move_to(self, destination: Endpoint) -> None:
+    async def move_to(self, location: RunLocation) -> None:
         """Stop the run, and transfer the last part of it to another engine.
 
-        :param destination: engine that has a copy of the rest
+        :param location: copy of the rest on that engine
         """
+        self._handover.copies.add(location)
         if self.endpoint is not None and not self._transfer.has_ended:
-            order = self._handover.order_stop(self.endpoint, destination)
+            order = self._handover.order_stop(self.endpoint, location.endpoint)
             self._transfer.stop_order = order
             await order.result()
 
@@ -337,16 +338,20 @@
             self._order,
             source.placement.endpoint,
         )
-        location = _usable_copy(
-            source, self._transfer.standby, self._job.request_id, may_resume
-        )
+        location = self._handover.copies.take(may_resume)
+        if location is None:
+            location = _usable_copy(
+                source, self._transfer.standby, self._job.request_id, may_resume
+            )
         if location is None:
             location = await self._handover.take_transferred()
         if location is None or not await self._handover.ensure_alone(
             location.endpoint, source.placement.endpoint
         ):
             return None
-        return _resume_at(self._handover.newest_copy(location), self.last_event)
+        return _resume_at(
+            self._handover.orders.newest_copy(location), self.last_event
+        )
 
     async def _attempt(self, source: AttemptSource) -> AttemptResult:
         """Run or resume the generation on one engine."""
@@ -425,6 +430,9 @@
             self._head_at = loop_time()
             self._engines.record_answer(source.placement.endpoint)
             if head.status == _OK:
+                self._handover.copies.forget_used(
+                    source.placement.endpoint, source.resumption
+                )
                 if source.prepared is None:
                     self._handover.release()
                 await self._forward_events(connection, head, source)
