Repeat the write of a registration under the lease that it was sent with

A write to the store whose answer was lost may be executed seconds later. The registration of a node was then written again under a new lease, which answered each renewal, while the late write had moved the key to the former lease, which nobody renewed: the node disappeared from the store and did not notice. The answer to the second write was read as if it had settled the first.

The write is now repeated under the same lease until the store acknowledges it or says that the lease has ended.

--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -665,7 +665,7 @@
 ) -> None:
     lease = await store.grant_lease(LEASE_MS)
     try:
-        await store.put(key, content, lease)
+        await _write(store, key, content, lease, follower)
         await asyncio.sleep(RENEWAL_INTERVAL_S)
         while True:
             await _renew(store, lease, follower)
@@ -675,6 +675,27 @@
         raise
 
 
+async def _write(
+    store: Store, key: str, content: bytes, lease: int, follower: StoreFollower
+) -> None:
+    """Write a key until the store acknowledges it.
+
+    A write without an answer may be executed late. With another lease, it would
+    take the key away from the one that is renewed.
+    """
+    while True:
+        try:
+            await store.put(key, content, lease)
+        except StoreUnavailableError as error:
+            logging.info(
+                'registration of this node failed; trying again',
+                extra={'reason': str(error)},
+            )
+            await _pause_renewals(follower, error)
+        else:
+            return
+
+
 async def _renew(store: Store, lease: int, follower: StoreFollower) -> None:
     """Renew a lease, and wait until the next renewal."""
     try:
--- /dev/null
+++ b/tests/test_relay_registration.py
@@ -0,0 +1,79 @@
+"""Tests of the registration of a node in the platform's store."""
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+
+from mastichatch_core.relay.store import LeaseLapsedError, StoreUnavailableError
+from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.store_following import LEASE_MS, keep_registered
+
+pytestmark = pytest.mark.looptime
+
+LATE_S = 3.0
+
+
+class LateStore:
+    """A store that loses the answer to a write, and executes it late."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.expires_at: dict[int, float] = {}
+        self.owner = 0
+        self.writes = 0
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Grant a lease."""
+        lease = len(self.expires_at) + 1
+        self.expires_at[lease] = loop_time() + ttl_ms / 1000
+        return lease
+
+    async def put(self, key: str, content: bytes, lease: int) -> None:
+        """Write the key, at once but for the first time."""
+        self._check(lease)
+        self.writes += 1
+        if self.writes == 1:
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_S, setattr, self, 'owner', lease)
+            raise StoreUnavailableError('no response')
+        self.owner = lease
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease."""
+        self._check(lease)
+        self.expires_at[lease] = loop_time() + LEASE_MS / 1000
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease."""
+        self.expires_at[lease] = 0
+
+    @property
+    def is_registered(self) -> bool:
+        """Whether the key is there."""
+        return self.expires_at.get(self.owner, 0) > loop_time()
+
+    def _check(self, lease: int) -> None:
+        if self.expires_at[lease] <= loop_time():
+            raise LeaseLapsedError
+
+
+class _Follower:
+    in_contact = True
+
+
+async def test_late_write_does_not_end_the_registration() -> None:
+    """The store may execute a write seconds after its answer was lost.
+
+    The key must not move to a lease that nobody renews.
+    """
+    store = LateStore()
+    work = asyncio.ensure_future(
+        keep_registered(
+            cast(Any, store), 'mastichatch/nodes/x', b'', cast(Any, _Follower())
+        )
+    )
+    await asyncio.sleep(3 * LEASE_MS / 1000)
+    assert store.writes > 1
+    assert store.is_registered
+    work.cancel()
