--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -119,6 +119,7 @@
         self._source: AttemptSource | None = None
         self._connection: Connection | None = None
         self._head_at: float | None = None
+        self._is_unframed = False
         self._is_withdrawn = False
         self._evidence: StreamEvidence | None = None
         self._transfer = RunTransfer()
@@ -220,13 +221,14 @@
             suspects=_untried_suspects(self._source, self._order),
         )
 
-    async def move_to(self, destination: Endpoint) -> None:
+    async def move_to(self, location: RunLocation) -> None:
         """Stop the run, and transfer the last part of it to another engine.
 
-        :param destination: engine that has a copy of the rest
+        :param location: copy of the rest on that engine
         """
+        self._handover.copies.add(location)
         if self.endpoint is not None and not self._transfer.has_ended:
-            order = self._handover.order_stop(self.endpoint, destination)
+            order = self._handover.order_stop(self.endpoint, location.endpoint)
             self._transfer.stop_order = order
             await order.result()
 
@@ -336,22 +338,27 @@
             self._order,
             source.placement.endpoint,
         )
-        location = _usable_copy(
-            source, self._transfer.standby, self._job.request_id, may_resume
-        )
+        location = self._handover.copies.take(may_resume)
+        if location is None:
+            location = _usable_copy(
+                source, self._transfer.standby, self._job.request_id, may_resume
+            )
         if location is None:
             location = await self._handover.take_transferred()
         if location is None or not await self._handover.ensure_alone(
             location.endpoint, source.placement.endpoint
         ):
             return None
-        return _resume_at(self._handover.newest_copy(location), self.last_event)
+        return _resume_at(
+            self._handover.orders.newest_copy(location), self.last_event
+        )
 
     async def _attempt(self, source: AttemptSource) -> AttemptResult:
         """Run or resume the generation on one engine."""
         endpoint = source.placement.endpoint
         started_at = loop_time()
         self._head_at = None
+        self._is_unframed = False
         if source.prepared is None:
             self._handover.begin_at(endpoint)
         if source.resumption is not None:
@@ -396,6 +403,8 @@
             self._job.request_id,
             endpoint=endpoint.instance,
             resumed=source.is_resumed,
+            unframed=self._is_unframed,
+            **self._handover.orders.describe(endpoint),
             fate=result.fate,
             status=result.status,
             reason=result.reason,
@@ -421,6 +430,9 @@
             self._head_at = loop_time()
             self._engines.record_answer(source.placement.endpoint)
             if head.status == _OK:
+                self._handover.copies.forget_used(
+                    source.placement.endpoint, source.resumption
+                )
                 if source.prepared is None:
                     self._handover.release()
                 await self._forward_events(connection, head, source)
@@ -435,6 +447,7 @@
         self, connection: Connection, head: ResponseHead, source: AttemptSource
     ) -> None:
         longest_s = self._job.longest_stall_s
+        self._is_unframed = connection.is_unframed
         with open_event_reader(connection, self._order, longest_s) as reader:
             while True:
                 with _failures_of(self._job, source):
@@ -442,9 +455,11 @@
                 if fresh is None:
                     break
                 await self._forward(fresh, head)
-        if connection.is_unframed and await self._transfer.was_stopped():
+        orders = self._handover.orders
+        endpoint = source.placement.endpoint
+        if connection.is_unframed and await orders.may_have_stopped(endpoint):
             raise ExchangeError(
-                'the engine stopped the run on order', was_sent=True
+                'the engine may have stopped the run on order', was_sent=True
             )
         await start_reply(self._context, self._job, self._reply, head)
         await self._reply.finish()
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -99,7 +99,8 @@
     :param drops_closed: whether engines drop a run whose connection closed
     :param has_copy: whether the copy can be used
     :param order_faults: answers to the first orders to stop, instead of the
-        true one: ``reset``, ``conflict``, ``no_room`` or ``full``
+        true one: ``reset``, ``conflict``, ``no_room`` or ``full``; ``lost``: it
+        is carried out, and its answer is lost
     :param queues: whether the engine with the copy does not know a run before
         it begins its answer
     :param listener_delay_s: time after the trouble at which the first engine
@@ -107,6 +108,8 @@
     :param stop_delay_s: time until the first engine obeys an order to stop
     :param is_entry_lost: whether the first engine's entry is lost in the
         trouble, besides
+    :param is_unframed: whether a stream ends with its connection, so that a
+        stopped run looks like a complete one
     """
 
     trouble: str
@@ -119,6 +122,7 @@
     listener_delay_s: float | None = None
     stop_delay_s: float = 0
     is_entry_lost: bool = False
+    is_unframed: bool = False
 
 
 class EmulatedRun:
@@ -200,6 +204,8 @@
         handle = f'{self.endpoint.instance}/h{next(fleet.handles)}'
         if order.is_final:
             run.end()
+        if fault == 'lost':
+            return MoveResponse(status=0)
         if fault == 'full':
             self.copies.add(handle)
             return MoveResponse(status=503, handle=handle.split('/')[1])
@@ -211,12 +217,12 @@
 class EmulatedConnection:
     """A connection of the node to an engine, as the client provides it."""
 
-    is_unframed = False
     is_new = True
 
     def __init__(self, engine: EmulatedEngine) -> None:
         """Open a connection."""
         self.address = engine.endpoint.address
+        self.is_unframed = engine.scenario.is_unframed
         self.engine = engine
         self.run: EmulatedRun | None = None
         self.task: asyncio.Task[None] | None = None
@@ -296,7 +302,8 @@
         run.has_head = True
         if engine.scenario.queues:
             run.began_at = loop_time()
-        if run.is_working:
+        has_begun = run.is_working
+        if has_begun:
             await self._put(ResponseHead(status=200, headers=()))
         while run.is_working and run.last < EVENTS:
             await asyncio.sleep(GAP_S)
@@ -305,7 +312,11 @@
                 break
             if engine.trouble != 'stall':
                 await self._put(b'id: %d\ndata: x\n\n' % run.last)
-        is_whole = run.is_working
+        is_whole = run.is_working or (
+            has_begun
+            and self.is_unframed
+            and not (engine.is_gone or self.is_closed)
+        )
         run.end()
         if engine.trouble != 'stall':
             await self._put(b'' if is_whole else None)
