--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -24,6 +24,7 @@
 from mastichatch_node.relay.dialect import Dialect
 from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.http_server import IncomingRequest
+from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.run_stopping import RunStopper
@@ -147,6 +148,7 @@
     :param crashes: evidence on prompts that crash engines
     :param stopper: stops runs that are to continue on other engines
     :param rollouts: roll-outs of versions, and which versions they open
+    :param isolation: whether this node is cut off from endpoints
     :param controls: for which services each decision under load is made
     :param remotes: what was decided on leaving this host's data centre
     """
@@ -164,6 +166,7 @@
     crashes: CrashTracker
     stopper: RunStopper
     rollouts: RolloutKeeper
+    isolation: IsolationTracker
     controls: LoadControls = LoadControls()
     remotes: RemoteDecisions = dataclasses.field(
         default_factory=RemoteDecisions
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -36,6 +36,7 @@
 from mastichatch_node.relay.departure_polling import DeparturePoller
 from mastichatch_node.relay.endpoint_notices import NoticeSources, read_notices
 from mastichatch_node.relay.context import RetryAllowance, RelayContext
+from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.node_record import create_node_record
 from mastichatch_node.relay.message_handling import register_handlers
 from mastichatch_node.relay.run_migration import RunMigrator
@@ -331,6 +332,7 @@
         crashes=components.crashes,
         stopper=RunStopper(dialect, components.telemetry, pool),
         rollouts=components.rollouts,
+        isolation=IsolationTracker(),
         controls=components.settings.load_controls,
     )
 
