Pass requests of a partitioned node on to nodes that reach the endpoints

Callers of a node that is partitioned from all endpoints were answered 503 or 502, and those of the nodes beside it were served. Such a node now passes requests on, once, to a node that reaches the endpoints: over a listener of its own, proved with tokens that only registered nodes know. The other node treats them like those of its own callers, and the answer says whether the request has run. What waits in the queue when the node is cut off goes too, and a call or generation that was never sent.

Nothing counts as isolated yet: that half comes with the detection.

--- a/packages/core/mastichatch_core/relay/byte_budget.py
+++ b/packages/core/mastichatch_core/relay/byte_budget.py
@@ -80,6 +80,11 @@
         """Size of all buffers, in bytes."""
         return self._total
 
+    @property
+    def held_share(self) -> float:
+        """Size of all buffers, as a share of the limit."""
+        return self._total / self._limit if self._limit else 1
+
     @property
     def buffers(self) -> int:
         """Number of buffers."""
--- a/packages/core/mastichatch_core/relay/runs.py
+++ b/packages/core/mastichatch_core/relay/runs.py
@@ -153,6 +153,14 @@
             else:
                 node.runs[run.request_id] = run
 
+    def run_count(self, name: str) -> int:
+        """Return the number of runs of another node, as far as it is known.
+
+        :param name: name of the node
+        """
+        node = self._nodes.get(name)
+        return 0 if node is None else len(node.runs)
+
     def node_of(self, run: Run) -> str:
         """Return the name of the node of a run; empty for this node.
 
--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -4,6 +4,7 @@
 import hashlib
 from typing import Final
 
+from mastichatch_core.generated.messages import ProxyHop
 from mastichatch_core.relay.events import max_stall_ms
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_core.relay.load_control import LoadControls
@@ -25,6 +26,7 @@
 from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.http_server import IncomingRequest
 from mastichatch_node.relay.isolation_tracking import IsolationTracker
+from mastichatch_node.relay.proxy_peers import ProxyPeers
 from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.run_stopping import RunStopper
@@ -45,6 +47,8 @@
     :param workspace: workspace of the caller; ``None`` on a public route
     :param service: service that the request is sent to
     :param ends_at: deadline of the answer, as loop time in seconds
+    :param hop: what the node told that passed the request on; ``None`` for a
+        request of a caller
     """
 
     request: IncomingRequest
@@ -53,6 +57,17 @@
     workspace: Workspace | None
     service: Service
     ends_at: float
+    hop: ProxyHop | None = None
+
+    @property
+    def earlier_attempts(self) -> int:
+        """Attempts at other nodes that may have run."""
+        return 0 if self.hop is None else self.hop.attempts
+
+    @property
+    def is_counted(self) -> bool:
+        """Whether another node has counted its first attempt."""
+        return self.hop is not None and self.hop.is_counted
 
     @property
     def request_id(self) -> str:
@@ -149,6 +164,8 @@
     :param stopper: stops runs that are to continue on other engines
     :param rollouts: roll-outs of versions, and which versions they open
     :param isolation: whether this node is cut off from endpoints
+    :param proxy_peers: nodes to which requests may be passed on
+    :param proxy_pool: connections to these nodes
     :param controls: for which services each decision under load is made
     :param remotes: what was decided on leaving this host's data centre
     """
@@ -167,6 +184,8 @@
     stopper: RunStopper
     rollouts: RolloutKeeper
     isolation: IsolationTracker
+    proxy_peers: ProxyPeers
+    proxy_pool: ConnectionPool
     controls: LoadControls = LoadControls()
     remotes: RemoteDecisions = dataclasses.field(
         default_factory=RemoteDecisions
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -91,6 +91,8 @@
 
     :param read_facts: decodes the headers of a caller's request
     :param relayed_headers: returns the headers of a forwarded request
+    :param proxied_headers: returns the headers of a request that is passed on
+        to another node
     :param response_headers: returns the response headers for the caller
     :param proves_not_run: returns whether a response proves that the request
         was not executed
@@ -113,6 +115,7 @@
 
     read_facts: Callable[[Headers], RequestMetadata]
     relayed_headers: Callable[[Headers, ForwardingContext], Headers]
+    proxied_headers: Callable[[Headers], Headers]
     response_headers: Callable[[Headers], Headers]
     proves_not_run: Callable[[ResponseHead], bool]
     read_response_id: Callable[[ResponseHead], str | None]
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -54,6 +54,11 @@
     AttemptOutcome,
     AttemptResult,
 )
+from mastichatch_node.relay.proxy_decision import (
+    PassOnError,
+    may_pass_on_unsent,
+    must_pass_on,
+)
 from mastichatch_node.relay.speed_tracking import SpeedTracker
 
 # Shorter outputs finish before a copy of their KV cache is of any use.
@@ -147,6 +152,9 @@
             prompt would crash it
         """
         engine = require_engine(job)
+        is_unsent = bool(excluded) and may_pass_on_unsent(self._context, job)
+        if is_unsent or must_pass_on(self._context, job):
+            raise PassOnError
         if job.facts.prompt_tokens > engine.memory_tokens:
             # The prompt exceeds the memory of every engine.
             raise self._unavailable(job)
@@ -178,6 +186,7 @@
 
     def reconcile(self) -> None:
         """Assign engines to the queued requests that are next in order."""
+        _release_isolated(self._context, self._waiting.values())
         services = {one.job.service.name for one in self._waiting.values()}
         for service in services:
             self._assign_engines(service)
@@ -519,6 +528,17 @@
         return endpoints[chosen]
 
 
+def _release_isolated(
+    context: RelayContext, waiting: Iterable[_QueuedRequest]
+) -> None:
+    """Let other nodes go on with the queued requests of a partitioned node."""
+    if not context.isolation.is_isolated or not context.proxy_peers.has_any:
+        return
+    for queued in waiting:
+        if not queued.future.done():
+            queued.future.set_exception(PassOnError())
+
+
 def _is_healthy(context: RelayContext, endpoint: Endpoint, now: float) -> bool:
     record = context.records.get(endpoint.instance)
     if record.is_avoided(now):
--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -109,6 +109,7 @@
         self._writer = writer
         self._status = 0
         self._omits_body = False
+        self._added: Headers = ()
 
     @property
     def status(self) -> int:
@@ -119,6 +120,13 @@
         """Send no body, since the request has the method HEAD."""
         self._omits_body = True
 
+    def set_added_headers(self, headers: Headers) -> None:
+        """Add headers to the response, in place of those set before.
+
+        :param headers: the headers
+        """
+        self._added = headers
+
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response.
 
@@ -159,6 +167,7 @@
 
     def _head(self, status: int, headers: Headers) -> h11.Response:
         self._status = status
+        headers = (*headers, *self._added)
         if self._is_last():
             headers = (*headers, (b'Connection', b'close'))
         return h11.Response(status_code=status, headers=list(headers))
@@ -175,6 +184,11 @@
 
 
 Handler = Callable[[IncomingRequest, ResponseWriter], Awaitable[None]]
+HeadCheck = Callable[[h11.Request, ResponseWriter], None]
+
+
+def _accept_all(head: h11.Request, reply: ResponseWriter) -> None:
+    """Accept every head."""
 
 
 class HttpServer:
@@ -186,6 +200,7 @@
         limits: Callable[[], ClientLimits],
         body_timeout_s: float,
         budget: ByteBudget,
+        check_head: HeadCheck = _accept_all,
     ) -> None:
         """Start without connections.
 
@@ -194,7 +209,10 @@
         :param body_timeout_s: longest time for the whole body of a request, in
             seconds
         :param budget: holds the bytes of callers
+        :param check_head: called with each head before its body is read; raises
+            ``ConnectionResetError`` to close the connection
         """
+        self._check_head = check_head
         self._budget = budget
         self._body_timeout_s = body_timeout_s
         self._handler = handler
@@ -289,7 +307,7 @@
         ) as held:
             try:
                 request = await self._read_request(
-                    protocol, reader, writer, held
+                    protocol, reader, writer, reply, held
                 )
             except _REQUEST_ERRORS as error:
                 held.close()
@@ -341,6 +359,7 @@
         protocol: h11.Connection,
         reader: CountingReader,
         writer: asyncio.StreamWriter,
+        reply: ResponseWriter,
         held: HeldBuffer,
     ) -> IncomingRequest | None:
         """Return the next request, or ``None`` if the connection ends."""
@@ -353,6 +372,7 @@
             raise MastichatchError(ErrorKind.head_timeout) from None
         if not isinstance(head, h11.Request):
             return None
+        self._check_head(head, reply)
         headers = tuple(head.headers)
         _check_head_size(head, limits.header_bytes)
         _check_framing(headers)
--- a/packages/node/mastichatch_node/relay/node_record.py
+++ b/packages/node/mastichatch_node/relay/node_record.py
@@ -6,11 +6,14 @@
 from mastichatch_node.relay.settings import RelaySettings
 
 
-def create_node_record(settings: RelaySettings, peers: Peers) -> bytes:
+def create_node_record(
+    settings: RelaySettings, peers: Peers, proxy_token: str
+) -> bytes:
     """Return the record of a node, as JSON.
 
     :param settings: settings of the node
     :param peers: its connections to other nodes
+    :param proxy_token: secret that proves requests between nodes
     """
     return codec.encode_json(
         NodeRecord(
@@ -22,5 +25,7 @@
             link_mbps=settings.link_mbps,
             forwards_runs=True,
             grants_turns=True,
+            proxy_address=settings.proxy_address,
+            proxy_token=proxy_token,
         )
     )
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -3,15 +3,11 @@
 import asyncio
 import contextlib
 import dataclasses
-import signal
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Final
 
-from absl import logging
-
 from mastichatch_core.relay.store_cache import StoreCache
-from mastichatch_core.relay.model import ClientLimits
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, open_peers
@@ -25,13 +21,6 @@
     NodeRegistry,
     run_in_background,
     keep_registered,
-    boottime_clock,
-)
-from mastichatch_node.relay.http_server import (
-    HttpServer,
-    IncomingRequest,
-    ResponseWriter,
-    open_http_server,
 )
 from mastichatch_node.relay.departure_polling import DeparturePoller
 from mastichatch_node.relay.endpoint_notices import NoticeSources, read_notices
@@ -39,11 +28,21 @@
 from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.node_record import create_node_record
 from mastichatch_node.relay.message_handling import register_handlers
+from mastichatch_node.relay.proxy_peers import ProxyPeers
+from mastichatch_node.relay.proxying import (
+    IDLE_LIMIT_S as PROXY_IDLE_LIMIT_S,
+    PeerProxy,
+)
 from mastichatch_node.relay.run_migration import RunMigrator
 from mastichatch_node.relay.run_stopping import RunStopper
 from mastichatch_node.relay.rate_limiting import rate_limited
 from mastichatch_node.relay.engine_placement import EnginePlacer
 from mastichatch_node.relay.relay import Relay
+from mastichatch_node.relay.relay_node import (
+    KEY_AGE_SHARE,
+    RelayNode,
+    listen,
+)
 from mastichatch_node.relay.remote_sharing import RemoteReviewer
 from mastichatch_node.relay.rollouts import assembly, keeper as rollouts
 from mastichatch_node.relay.settings import RelaySettings
@@ -54,12 +53,6 @@
 # A handshake takes 1 ms by the users' specification. A lost packet is
 # retransmitted after 1 s, which is too late for most requests.
 CONNECT_TIMEOUT_S: Final = 0.25
-# The load balancer checks readiness once a second, and removes a node after
-# two failed checks.
-DRAIN_NOTICE_S: Final = 2.5
-# Part of the grace time of a stop that is reserved for closing connections.
-CLOSE_RESERVE_S: Final = 0.5
-DRAIN_POLL_INTERVAL_S: Final = 0.05
 MAINTENANCE_INTERVAL_S: Final = 0.25
 # Assigning sixty waiting requests to thirty engines takes a few ms on half a
 # core, and latency objectives are at least 1.5 s.
@@ -70,156 +63,6 @@
 # Share of the common retry allowance that is used. The rest covers nodes that
 # do not know of each other.
 RETRY_ALLOWANCE_SHARE: Final = 0.7
-# Share of ``key_limit_ms`` up to which an outdated view of the API keys is
-# used.
-KEY_AGE_SHARE: Final = 0.9
-
-
-class RelayNode:
-    """A running relay node."""
-
-    def __init__(
-        self,
-        components: '_Components',
-        context: RelayContext,
-        relay: Relay,
-    ) -> None:
-        """Create the HTTP servers of the node.
-
-        :param components: settings and shared state of the node
-        :param context: shared components of the node
-        :param relay: handler of callers' requests
-        """
-        settings = components.settings
-        budget = components.shared.budget
-        self._orders = components.orders
-        self._settings = settings
-        self._context = context
-        self._relay = relay
-        body_timeout_s = settings.body_timeout_ms / MS_PER_S
-        self._caller_server = HttpServer(
-            relay.handle, self._limits, body_timeout_s, budget
-        )
-        self._admin_server = HttpServer(
-            self._answer_admin, ClientLimits, body_timeout_s, budget
-        )
-
-    @property
-    def belief(self) -> StoreCache:
-        """Local copy of the platform's store."""
-        return self._context.belief
-
-    @property
-    def relay(self) -> Relay:
-        """Handler of callers' requests, with the generations in progress."""
-        return self._relay
-
-    @property
-    def broadcaster(self) -> RunBroadcaster:
-        """Exchange of runs with the other nodes."""
-        return self._context.sharing
-
-    @property
-    def rollouts(self) -> rollouts.RolloutKeeper:
-        """Roll-outs of versions, as this node knows them."""
-        return self._context.rollouts
-
-    @property
-    def caller_server(self) -> HttpServer:
-        """HTTP server for callers."""
-        return self._caller_server
-
-    @property
-    def admin_server(self) -> HttpServer:
-        """HTTP server for readiness checks and metrics."""
-        return self._admin_server
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether the load balancer should send connections to this node."""
-        cache = self._context.belief
-        if self._caller_server.is_draining or cache.configuration is None:
-            return False
-        age_ms = cache.age(boottime_clock()) * MS_PER_S
-        return age_ms < self._settings.key_limit_ms * KEY_AGE_SHARE
-
-    def set_draining(self) -> None:
-        """Begin to drain the node for a planned stop."""
-        self._caller_server.set_draining()
-        grace_s = self._settings.grace_ms / MS_PER_S
-        self._relay.begin_draining(
-            notice_ends_at=loop_time() + DRAIN_NOTICE_S,
-            stops_at=loop_time() + grace_s - CLOSE_RESERVE_S,
-        )
-
-    def _limits(self) -> ClientLimits:
-        configuration = self._context.belief.configuration
-        return ClientLimits() if configuration is None else configuration.limits
-
-    async def _answer_admin(
-        self, request: IncomingRequest, reply: ResponseWriter
-    ) -> None:
-        if request.path == '/metrics':
-            self._context.telemetry.update_active(
-                self._caller_server.active_requests
-            )
-            headers = ((b'Content-Type', b'text/plain; version=0.0.4'),)
-            await reply.send(200, headers, self._context.telemetry.text())
-            return
-        if request.path == quarantine_orders.QUARANTINE_PATH:
-            await self._orders.answer(request, reply)
-            return
-        status = 200 if self.is_ready else 503
-        await reply.send(status, (), b'')
-
-
-async def run_relay(
-    settings: RelaySettings, adapter: Adapter, telemetry: Telemetry
-) -> None:
-    """Run a node until it receives SIGTERM or SIGINT, and then drain it.
-
-    :param settings: settings of the node
-    :param adapter: implementation of the platform's protocols
-    :param telemetry: log and metrics of the node
-    """
-    stop_requested = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, _log_ignored_reload)
-    async with open_node(settings, adapter, telemetry) as node:
-        telemetry.log_state_change('started', address=settings.callers_address)
-        await stop_requested.wait()
-        stopped_at = loop_time()
-        node.set_draining()
-        telemetry.log_state_change(
-            'stopping', requests=node.caller_server.active_requests
-        )
-        await _drain(
-            node.caller_server, stopped_at, settings.grace_ms / MS_PER_S
-        )
-        telemetry.log_state_change(
-            'stopped', requests=node.caller_server.active_requests
-        )
-
-
-def _log_ignored_reload() -> None:
-    logging.info('SIGHUP ignored: settings are read only at startup')
-
-
-async def _drain(server: HttpServer, stopped_at: float, grace_s: float) -> None:
-    """Wait until requests have ended, or until the grace time is almost over.
-
-    New requests are still served, because the load balancer notices the stop
-    with a delay.
-    """
-    while True:
-        elapsed = loop_time() - stopped_at
-        if elapsed >= grace_s - CLOSE_RESERVE_S:
-            return
-        if elapsed >= DRAIN_NOTICE_S and not server.active_requests:
-            return
-        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -237,6 +80,7 @@
     shared: resources.Resources
     orders: quarantine_orders.QuarantineOrders
     rollouts: rollouts.RolloutKeeper
+    proxy_token: str
 
 
 @contextlib.asynccontextmanager
@@ -256,13 +100,19 @@
         components = _create_components(
             settings, adapter, telemetry, peers, shared
         )
-        with open_pool(CONNECT_TIMEOUT_S, shared) as pool:
-            context = _create_context(components, pool)
+        with _open_pools(shared) as pools:
+            context = _create_context(components, *pools)
             placer = EnginePlacer(context)
-            relay = _create_relay(settings, context, placer)
+            relay = _create_relay(components, context, placer)
             migrator = RunMigrator(context, placer, relay)
             _attach_evidence(components, context, placer, relay)
-            node = RelayNode(components, context, relay)
+            node = RelayNode(
+                settings,
+                components.orders,
+                relay,
+                components.registry,
+                components.proxy_token,
+            )
             async with contextlib.AsyncExitStack() as stack:
                 stack.callback(context.stopper.close)
                 stack.callback(context.turns.close)
@@ -270,10 +120,22 @@
                 await stack.enter_async_context(
                     _run_updates(components, context, placer, migrator, relay)
                 )
-                await stack.enter_async_context(_listen(settings, node))
+                await stack.enter_async_context(listen(settings, node))
                 yield node
 
 
+@contextlib.contextmanager
+def _open_pools(
+    shared: resources.Resources,
+) -> Iterator[tuple[ConnectionPool, ConnectionPool]]:
+    """Provide the pools of connections to endpoints and to other nodes."""
+    with (
+        open_pool(CONNECT_TIMEOUT_S, shared) as pool,
+        open_pool(CONNECT_TIMEOUT_S, shared) as proxy_pool,
+    ):
+        yield pool, proxy_pool
+
+
 def _create_components(
     settings: RelaySettings,
     adapter: Adapter,
@@ -299,11 +161,12 @@
         shared=shared,
         orders=quarantine_orders.QuarantineOrders(crashes),
         rollouts=assembly.create_keeper(settings, cache, telemetry, registry),
+        proxy_token=uuid.uuid4().hex,
     )
 
 
 def _create_context(
-    components: _Components, pool: ConnectionPool
+    components: _Components, pool: ConnectionPool, proxy_pool: ConnectionPool
 ) -> RelayContext:
     notices = read_notices(
         NoticeSources(
@@ -317,6 +180,7 @@
         components.adapter.open_dialect(pool),
     )
     dialect = notices.dialect
+    isolation = IsolationTracker()
     percent = int(components.settings.retry_percent * RETRY_ALLOWANCE_SHARE)
     return RelayContext(
         node=components.settings.name,
@@ -332,19 +196,25 @@
         crashes=components.crashes,
         stopper=RunStopper(dialect, components.telemetry, pool),
         rollouts=components.rollouts,
-        isolation=IsolationTracker(),
+        isolation=isolation,
+        proxy_peers=ProxyPeers(
+            components.registry, isolation, components.broadcaster.table
+        ),
+        proxy_pool=proxy_pool,
         controls=components.settings.load_controls,
     )
 
 
 def _create_relay(
-    settings: RelaySettings, context: RelayContext, placer: EnginePlacer
+    components: _Components, context: RelayContext, placer: EnginePlacer
 ) -> Relay:
+    settings = components.settings
     return Relay(
         context,
         placer,
         settings.key_limit_ms * KEY_AGE_SHARE / MS_PER_S,
         settings.denial_limit_ms / MS_PER_S,
+        PeerProxy(context, components.proxy_token),
     )
 
 
@@ -413,13 +283,17 @@
             lambda: keep_registered(
                 store,
                 NODE_PREFIX + components.settings.name,
-                create_node_record(components.settings, components.peers),
+                create_node_record(
+                    components.settings,
+                    components.peers,
+                    components.proxy_token,
+                ),
                 follower,
             ),
             components.broadcaster.broadcast_periodically,
             departures.poll_periodically,
             reviewer.review_periodically,
-            lambda: _maintain_periodically(context.pool, placer, migrator),
+            lambda: _maintain_periodically(context, placer, migrator),
             StandbyCopier(context, placer, relay).review_periodically,
             lambda: crash_store.write_evidence(components.crashes, store),
             components.telemetry.watch_event_loop,
@@ -452,30 +326,19 @@
         crashes.current_evidence, lambda: context.turns.limits.current
     )
     context.turns.subscribe(placer.reconcile)
+    context.isolation.subscribe(placer.reconcile)
     for react in (placer.reconcile, relay.withdraw_quarantined):
         crashes.subscribe(react)
 
 
-@contextlib.asynccontextmanager
-async def _listen(
-    settings: RelaySettings, node: RelayNode
-) -> AsyncIterator[None]:
-    """Accept connections of callers, of the load balancer and for metrics."""
-    async with (
-        open_http_server(node.caller_server, settings.callers_address),
-        open_http_server(node.admin_server, settings.ready_address),
-        open_http_server(node.admin_server, settings.metrics_address),
-    ):
-        yield
-
-
 async def _maintain_periodically(
-    pool: ConnectionPool, placer: EnginePlacer, migrator: RunMigrator
+    context: RelayContext, placer: EnginePlacer, migrator: RunMigrator
 ) -> None:
     """Close idle connections, and review runs in case of missed events."""
     while True:
         await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-        pool.close_idle(IDLE_CONNECTION_LIMIT_S)
-        pool.signs.review_former(loop_time())
+        context.pool.close_idle(IDLE_CONNECTION_LIMIT_S)
+        context.proxy_pool.close_idle(PROXY_IDLE_LIMIT_S)
+        context.pool.signs.review_former(loop_time())
         placer.reconcile()
         migrator.reconcile()
--- /dev/null
+++ b/packages/node/mastichatch_node/relay/proxy_decision.py
@@ -0,0 +1,52 @@
+"""Decides which requests this node passes on to other nodes."""
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_node.relay.context import Job, RelayContext
+
+
+class PassOnError(MastichatchError):
+    """A request goes on at another node, if one accepts it.
+
+    It is what the caller gets if none does.
+
+    :param earlier_attempts: attempts of this node that may have run
+    """
+
+    def __init__(self, earlier_attempts: int = 0) -> None:
+        """Set the kind of the error by what may have run."""
+        kind = ErrorKind.peer_unreachable
+        if earlier_attempts:
+            kind = ErrorKind.outcome_unknown
+        super().__init__(kind, 'no endpoint and no other node was reached')
+        self.earlier_attempts = earlier_attempts
+
+
+def must_pass_on(context: RelayContext, job: Job) -> bool:
+    """Return whether a request goes to another node instead of an endpoint.
+
+    A request that another node has passed on never does.
+
+    :param context: shared components of the relay
+    :param job: the request, of which nothing is in progress
+    """
+    if job.hop is not None or not context.isolation.is_isolated:
+        return False
+    return context.proxy_peers.has_any
+
+
+def may_pass_on_unsent(context: RelayContext, job: Job) -> bool:
+    """Return whether a request may go to another node that was never sent.
+
+    That is so before it is certain that this node is partitioned, too.
+
+    :param context: shared components of the relay
+    :param job: the request
+    """
+    if job.hop is not None:
+        return False
+    if context.isolation.is_isolated:
+        return context.proxy_peers.has_any
+    if context.isolation.reaches(job.service.name):
+        return False
+    return context.proxy_peers.has_any
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -5,12 +5,16 @@
 import dataclasses
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
 from mastichatch_core.errors import MastichatchError
-from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.generated.messages import (
+    ErrorKind,
+    ProxyHop,
+    ProxyOutcome,
+)
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_core.relay.model import (
     Configuration,
@@ -18,6 +22,7 @@
     RequestKind,
 )
 from mastichatch_core.relay.prompt_quarantine import Action
+from mastichatch_core.relay.proxy_hop import proxy_outcome
 from mastichatch_core.relay.routing import (
     ViewAge,
     choose_service,
@@ -27,6 +32,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.store_following import boottime_clock
+from mastichatch_node.relay.http_client import Headers
 from mastichatch_node.relay.http_server import (
     IncomingRequest,
     ResponseWriter,
@@ -37,6 +43,8 @@
     EngineUnavailableError,
     EnginePlacer,
 )
+from mastichatch_node.relay.proxy_decision import PassOnError, must_pass_on
+from mastichatch_node.relay.proxying import PeerProxy
 from mastichatch_node.relay.service_call import relay_call
 from mastichatch_node.relay.streaming import Generation
 
@@ -50,6 +58,7 @@
         placer: EnginePlacer,
         key_limit_s: float,
         denial_limit_s: float,
+        proxy: PeerProxy,
     ) -> None:
         """Start without generations.
 
@@ -59,7 +68,9 @@
             are accepted, in seconds
         :param denial_limit_s: greatest age of the store view at which callers
             are denied, in seconds
+        :param proxy: passes requests on to other nodes
         """
+        self._proxy = proxy
         self._context = context
         self._placer = placer
         self._key_limit_s = key_limit_s
@@ -68,6 +79,11 @@
         self._notice_ends_at = math.inf
         self._stops_at = math.inf
 
+    @property
+    def context(self) -> RelayContext:
+        """Components that all parts of the relay share."""
+        return self._context
+
     @property
     def generations(self) -> frozenset[Generation]:
         """Generations in progress on this node."""
@@ -124,6 +140,28 @@
         finally:
             self._context.telemetry.count_answer(kind, reply.status, reason)
 
+    async def handle_proxied(
+        self,
+        request: IncomingRequest,
+        reply: ResponseWriter,
+        hop: ProxyHop,
+        outcome_headers: Callable[[ProxyOutcome], Headers],
+    ) -> None:
+        """Respond to a request that another node has passed on.
+
+        :param request: the request, as that node got it
+        :param reply: writer of the response
+        :param hop: what that node tells of it
+        :param outcome_headers: returns the headers that prove an outcome
+        """
+        metadata = self._context.dialect.read_facts(request.headers)
+        try:
+            job = self._create_job(request, metadata)
+            await self._run(dataclasses.replace(job, hop=hop), reply)
+        except MastichatchError as error:
+            reply.set_added_headers(outcome_headers(proxy_outcome(error)))
+            await self._send_error(request, metadata.request_id, reply, error)
+
     def _create_job(
         self, request: IncomingRequest, metadata: RequestMetadata
     ) -> Job:
@@ -160,6 +198,40 @@
 
     async def _run(self, job: Job, reply: ResponseWriter) -> None:
         self._check_draining(job)
+        if must_pass_on(self._context, job):
+            await self._pass_on(job, reply, PassOnError(), is_counted=False)
+            return
+        try:
+            await self._run_here(job, reply)
+        except PassOnError as error:
+            await self._pass_on(job, reply, error, is_counted=True)
+
+    async def _pass_on(
+        self,
+        job: Job,
+        reply: ResponseWriter,
+        error: PassOnError,
+        *,
+        is_counted: bool,
+    ) -> None:
+        """Let another node go on with a request.
+
+        :param error: what the caller gets if none accepts it
+        :param is_counted: whether its first attempt has added to the retry
+            budget
+        """
+        if job.hop is not None:
+            raise error
+        was_accepted = await self._proxy.relay(
+            job,
+            reply,
+            earlier_attempts=error.earlier_attempts,
+            is_counted=is_counted,
+        )
+        if not was_accepted:
+            raise error
+
+    async def _run_here(self, job: Job, reply: ResponseWriter) -> None:
         if job.route.kind is not RequestKind.streaming:
             await relay_call(self._context, job, reply)
             return
@@ -185,7 +257,8 @@
     def _tracked_generation(
         self, job: Job, reply: ResponseWriter
     ) -> Iterator[Generation]:
-        self._context.retries.record_first_attempt()
+        if not job.is_counted:
+            self._context.retries.record_first_attempt()
         generation = Generation(self._context, self._placer, job, reply)
         self._generations.add(generation)
         try:
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -49,6 +49,11 @@
     judge_endpoints,
     record_outcome,
 )
+from mastichatch_node.relay.proxy_decision import (
+    PassOnError,
+    may_pass_on_unsent,
+    must_pass_on,
+)
 from mastichatch_node.relay.turns import piece_cost_bytes
 
 RESPONSE_LIMIT_BYTES: Final = 16 * 1024 * 1024
@@ -84,11 +89,14 @@
     :param reply: writer of the response
     :raises MastichatchError: if no endpoint responded
     """
-    context.retries.record_first_attempt()
+    if not job.is_counted:
+        context.retries.record_first_attempt()
     results: list[AttemptResult] = []
     tried: dict[str, Endpoint] = {}
     may_crash = _check_quarantine(context, job)
-    while True:
+    is_final = False
+    is_passed_on = False
+    while not (is_final or is_passed_on):
         ranked = _rank_endpoints(context, job, tried)
         endpoint = await choose_with_turn(context, job, ranked)
         if endpoint is None:
@@ -100,12 +108,32 @@
         result = await _attempt(context, job, reply, endpoint, len(results))
         results.append(result)
         is_begun = reply.status > 0
-        if is_begun or may_crash or _is_final(context, job, results):
-            break
+        is_final = is_begun or may_crash or _is_final(context, job, results)
+        is_passed_on = not is_begun and _may_pass_on(
+            context, job, results, is_final
+        )
     await _record_evidence(context, job, tuple(tried.values()), results)
+    if is_passed_on:
+        raise PassOnError(sum(map(_may_have_run, results)))
     await _send_response(context, job, reply, results)
 
 
+def _may_pass_on(
+    context: RelayContext,
+    job: Job,
+    results: list[AttemptResult],
+    is_final: bool,  # noqa: FBT001
+) -> bool:
+    """Return whether another node may go on with a call.
+
+    :param is_final: whether this node sends it to no other endpoint
+    """
+    if any(map(_may_have_run, results)):
+        # The repetition is taken from the retry budget already.
+        return not is_final and must_pass_on(context, job)
+    return may_pass_on_unsent(context, job)
+
+
 def _check_quarantine(context: RelayContext, job: Job) -> bool:
     """Refuse a call that would crash its server.
 
@@ -212,7 +240,8 @@
     started_at = loop_time()
     left_s = job.ends_at - started_at
     may_repeat = job.route.kind is RequestKind.idempotent
-    if may_repeat and job.route.attempts > 1 and not number:
+    is_first = not number and not job.earlier_attempts
+    if may_repeat and job.route.attempts > 1 and is_first:
         left_s *= FIRST_ATTEMPT_SHARE
     sent = False
     try:
@@ -406,7 +435,7 @@
         return True
     if job.route.kind is not RequestKind.idempotent:
         return True
-    ran = sum(map(_may_have_run, results))
+    ran = sum(map(_may_have_run, results)) + job.earlier_attempts
     return ran >= job.route.attempts or not context.retries.try_spend()
 
 
--- a/packages/node/mastichatch_node/relay/settings.py
+++ b/packages/node/mastichatch_node/relay/settings.py
@@ -35,6 +35,8 @@
     :param peers_address: address to serve other nodes on, as IP:PORT
     :param metrics_address: address to serve metrics on, as IP:PORT
     :param store_address: address of the platform's store, as IP:PORT
+    :param proxy_address: address to serve requests on that other nodes pass
+        on, as IP:PORT; empty if none are accepted
     :param key_limit_ms: greatest age of the store view at which API keys are
         accepted, in milliseconds
     :param denial_limit_ms: greatest age of the store view at which callers are
@@ -74,6 +76,7 @@
     peers_address: str
     metrics_address: str
     store_address: str
+    proxy_address: str = ''
     key_limit_ms: float = 5000
     denial_limit_ms: float = 3500
     retry_percent: float = 20
@@ -124,6 +127,7 @@
     'peers_address': 'address to serve other nodes on, as IP:PORT',
     'metrics_address': 'address to serve metrics on, as IP:PORT',
     'store_address': "address of the platform's store, as IP:PORT",
+    'proxy_address': 'address to serve requests of other nodes on, as IP:PORT',
     'key_limit_ms': 'greatest age of the view that accepts API keys, in ms',
     'denial_limit_ms': 'greatest age of the view that may deny callers, in ms',
     'retry_percent': 'retries of all nodes together, in percent of requests',
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -240,6 +240,20 @@
         """
         return self._records[name].peer_address
 
+    def is_near(self, record: NodeRecord) -> bool:
+        """Return whether a node is in the data centre of this one.
+
+        :param record: registration of the node
+        """
+        return record.data_centre == self._data_centre
+
+    def record(self, name: str) -> NodeRecord | None:
+        """Return the registration of another node, if it is registered.
+
+        :param name: name of the node
+        """
+        return self._records.get(name)
+
     def update(self, belief: StoreCache) -> None:
         """Replace the registrations by those in the store.
 
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -27,6 +27,7 @@
 from mastichatch_node.logs import set_up_logging
 from mastichatch_node.relay.limit_metrics import LimitMetrics
 from mastichatch_node.relay.placement_metrics import PlacementMetrics
+from mastichatch_node.relay.proxy_metrics import ProxyMetrics
 
 # A host at the users' sites serves about ten requests a second, with about four
 # log lines for each. An incident may cause several times as many lines.
@@ -213,6 +214,7 @@
 
         self._placement = PlacementMetrics(self._registry)
         self._limits = LimitMetrics(self._registry)
+        self._proxying = ProxyMetrics(self._registry)
 
     @property
     def placement(self) -> PlacementMetrics:
@@ -224,6 +226,11 @@
         """Metrics of the limits that endpoints name."""
         return self._limits
 
+    @property
+    def proxying(self) -> ProxyMetrics:
+        """Metrics of requests that nodes pass on to each other."""
+        return self._proxying
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/tests/isolated_nodes.py
+++ b/tests/isolated_nodes.py
@@ -9,7 +9,7 @@
 from mastichatch_node.relay import program
 from mastichatch_node.relay.http_client import ExchangeError
 from mastichatch_node.relay.isolation_tracking import IsolationTracker
-from mastichatch_node.relay.program import RelayNode
+from mastichatch_node.relay.relay_node import RelayNode
 from tests.relay_nodes import RelayFixture, open_nodes
 
 
@@ -61,7 +61,7 @@
 
 def context_of(node: RelayNode) -> Any:
     """Return the shared components of a node."""
-    return node._context
+    return node.relay.context
 
 
 def cut_off(relay: RelayFixture, *peers: str) -> None:
--- a/tests/relay_nodes.py
+++ b/tests/relay_nodes.py
@@ -15,7 +15,8 @@
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.http_client import AnswerMatching, ConnectionPool
-from mastichatch_node.relay.program import RelayNode, open_node
+from mastichatch_node.relay.program import open_node
+from mastichatch_node.relay.relay_node import RelayNode
 from mastichatch_node.relay.resources import Resources, create_resources
 from mastichatch_node.relay.settings import RelaySettings
 from mastichatch_node.relay.telemetry import Telemetry
@@ -133,7 +134,7 @@
 
 def create_settings(store_address: str, **more: Any) -> RelaySettings:
     """Return settings with unused ports."""
-    names = ('callers', 'ready', 'peers', 'metrics')
+    names = ('callers', 'ready', 'peers', 'metrics', 'proxy')
     addresses = {f'{name}_address': free_address() for name in names}
     return RelaySettings(
         **{
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -12,7 +12,8 @@
 
 from mastichatch_platform.program import create_adapter
 
-from mastichatch_node.relay.program import RelayNode, open_node
+from mastichatch_node.relay.program import open_node
+from mastichatch_node.relay.relay_node import RelayNode
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.relay_nodes import (
     call,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,8 @@
 import pytest
 from mastichatch_platform.program import create_adapter
 
-from mastichatch_node.relay.program import DRAIN_NOTICE_S, open_node
+from mastichatch_node.relay.program import open_node
+from mastichatch_node.relay.relay_node import DRAIN_NOTICE_S
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.relay_nodes import (
     known_endpoints,
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -11,7 +11,8 @@
 from mastichatch_platform.program import create_adapter
 
 from mastichatch_ctl.main import run
-from mastichatch_node.relay.program import RelayNode, open_node
+from mastichatch_node.relay.program import open_node
+from mastichatch_node.relay.relay_node import RelayNode
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.relay_nodes import (
     RelayFixture,
--- a/tests/test_relay_readers.py
+++ b/tests/test_relay_readers.py
@@ -16,7 +16,8 @@
 )
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.peers import Peers
-from mastichatch_node.relay.program import RelayNode, open_node
+from mastichatch_node.relay.program import open_node
+from mastichatch_node.relay.relay_node import RelayNode
 from mastichatch_node.relay.telemetry import Telemetry
 from tests.relay_nodes import configuration, create_settings, route, until
 from tests.standins.house_store import HouseStore, open_store
--- a/tests/test_relay_reports.py
+++ b/tests/test_relay_reports.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mastichatch_node.relay.program import DRAIN_NOTICE_S
+from mastichatch_node.relay.relay_node import DRAIN_NOTICE_S
 from tests.relay_nodes import open_relay
 from tests.standins import house_endpoints as endpoints
 from tests.standins.house_endpoints import HouseEndpoint, ReceivedRequest
--- a/tests/test_relay_store_outage.py
+++ b/tests/test_relay_store_outage.py
@@ -14,7 +14,8 @@
 
 from mastichatch_core.relay.reader_choice import order_readers
 from mastichatch_core.relay.store_backoff import BASE_DELAY_S, StoreBackoff
-from mastichatch_node.relay.program import RelayNode, open_node
+from mastichatch_node.relay.program import open_node
+from mastichatch_node.relay.relay_node import RelayNode
 from mastichatch_node.relay.store_following import (
     RENEWAL_INTERVAL_S,
     boottime_clock,
