--- a/tests/isolated_nodes.py
+++ b/tests/isolated_nodes.py
@@ -1,16 +1,23 @@
 """Nodes that are partitioned from all endpoints, by order of a test."""
 
+import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Iterator
+import dataclasses
+import re
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any, NoReturn
 
 import pytest
 
+from mastichatch_core.generated.messages import ProxyHop, ProxyOutcome
+from mastichatch_core.relay.proxy_hop import answer_proof
+from mastichatch_node import codec
 from mastichatch_node.relay import program
 from mastichatch_node.relay.http_client import ExchangeError
 from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.relay_node import RelayNode
-from tests.relay_nodes import RelayFixture, open_nodes
+from tests.relay_nodes import RelayFixture, open_nodes, until
+from tests.standins.house_endpoints import build_response, open_server
 
 
 class ManualIsolation(IsolationTracker):
@@ -79,6 +86,12 @@
     context_of(relay.node).pool.take = refuse
 
 
+def reconnect(relay: RelayFixture) -> None:
+    """Let a node reach endpoints again, and know that it does."""
+    del context_of(relay.node).pool.take
+    isolation_of(relay).set(is_isolated=False)
+
+
 @contextlib.contextmanager
 def manual_isolation() -> Iterator[None]:
     """Let tests set the isolation of the nodes that start in the block."""
@@ -97,3 +110,101 @@
             others = tuple(one.settings.name for one in relays[1:])
             cut_off(relays[0], *others)
             yield relays
+
+
+@dataclasses.dataclass
+class FakePeer:
+    """A registered node, whose ``script`` responds to passed-on requests."""
+
+    script: 'PeerScript'
+    token: str = 'token-of-the-fake'
+    hops: list[ProxyHop] = dataclasses.field(default_factory=list)
+
+    def proof(self, outcome: ProxyOutcome) -> str:
+        """Return the headers that prove an outcome of the last request."""
+        proof = answer_proof(self.token, self.hops[-1], outcome).decode()
+        return (
+            f'Mastichatch-Proxy-Outcome: {outcome}\r\n'
+            f'Mastichatch-Proxy-Proof: {proof}\r\n'
+        )
+
+    async def answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Respond to the requests of one connection."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while not writer.is_closing():
+                head = await reader.readuntil(b'\r\n\r\n')
+                found = HOP.search(head)
+                assert found is not None
+                self.hops.append(codec.decode_json(found[1], ProxyHop))
+                await self.script(self, writer)
+                await writer.drain()
+
+
+PeerScript = Callable[[FakePeer, asyncio.StreamWriter], Awaitable[None]]
+HOP = re.compile(rb'mastichatch-proxy-hop: ([^\r]*)\r\n')
+
+
+@contextlib.asynccontextmanager
+async def open_peer(
+    relay: RelayFixture, script: PeerScript
+) -> AsyncIterator[FakePeer]:
+    """Register a fake node, and let a node know only that one."""
+    peer = FakePeer(script)
+    async with open_server(peer.answer) as address:
+        await register(relay, 'fake', address, peer.token)
+        isolation_of(relay).set('fake')
+        yield peer
+
+
+async def register(
+    relay: RelayFixture, name: str, address: str, token: str
+) -> None:
+    """Register a node that serves passed-on requests at an address."""
+    record = {
+        'name': name,
+        'incarnation': 'x',
+        'data_centre': 'north',
+        'peer_address': '127.0.0.1:9',
+        'http_address': '127.0.0.1:9',
+        'proxy_address': address,
+        'proxy_token': token,
+    }
+    await relay.store.put(f'mastichatch/nodes/{name}', record)
+    await until(
+        lambda: bool(
+            relay.node.belief.entries_under(f'mastichatch/nodes/{name}')
+        )
+    )
+
+
+def answer_with(
+    status: int, outcome: ProxyOutcome | None, headers: str = ''
+) -> PeerScript:
+    """Return a script that answers, and proves an outcome if there is one."""
+
+    async def write(peer: FakePeer, writer: asyncio.StreamWriter) -> None:
+        proof = '' if outcome is None else peer.proof(outcome)
+        writer.write(build_response(status, b'fake', proof + headers))
+
+    return write
+
+
+def write_raw(
+    text: str, outcome: ProxyOutcome = ProxyOutcome.answered
+) -> PeerScript:
+    """Return a script that writes bytes after the proof, and closes."""
+
+    async def write(peer: FakePeer, writer: asyncio.StreamWriter) -> None:
+        head = f'HTTP/1.1 200 OK\r\n{peer.proof(outcome)}{text}'
+        writer.write(head.encode())
+        await writer.drain()
+        writer.close()
+
+    return write
+
+
+async def hang_up(peer: FakePeer, writer: asyncio.StreamWriter) -> None:
+    """Close the connection instead of an answer."""
+    writer.close()
