--- a/tests/isolated_nodes.py
+++ b/tests/isolated_nodes.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import re
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any, NoReturn
 
@@ -12,7 +13,6 @@
 from mastichatch_core.generated.messages import ProxyHop, ProxyOutcome
 from mastichatch_core.relay.proxy_hop import answer_proof
 from mastichatch_node import codec
-from mastichatch_node.relay import program
 from mastichatch_node.relay.http_client import ExchangeError
 from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.relay_node import RelayNode
@@ -20,50 +20,39 @@
 from tests.standins.house_endpoints import build_response, open_server
 
 
-class ManualIsolation(IsolationTracker):
-    """Isolation that a test sets."""
+class ManualIsolation:
+    """Isolation of a node that a test sets, in place of what it detects."""
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
+    def __init__(self) -> None:
         """Start as a node that reaches all endpoints."""
-        super().__init__(*arguments, **options)
-        self._is_isolated = False
-        self._peers: tuple[str, ...] = ()
-        self._unreached: set[str] = set()
-        self._observers: list[Callable[[], None]] = []
-
-    @property
-    def is_isolated(self) -> bool:
-        """Whether the test has partitioned the node."""
-        return self._is_isolated
-
-    def reachable_peers(self) -> tuple[str, ...]:
-        """Return the nodes that the test names."""
-        return self._peers
-
-    def reaches(self, service: str) -> bool:
-        """Return whether the test has not excluded a service."""
-        return service not in self._unreached
-
-    def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call a function whenever the test changes the state."""
-        self._observers.append(callback)
+        self.is_isolated = False
+        self.peers: tuple[str, ...] = ()
+        self.unreached = ''
+        self.observers: list[Callable[[], None]] = []
 
     def set(
         self, *peers: str, is_isolated: bool = True, unreached: str = ''
     ) -> None:
         """Change the state: which peers reach endpoints, and what is not."""
-        self._peers = peers
-        self._is_isolated = is_isolated
-        self._unreached = {unreached}
-        for observe in self._observers:
+        self.peers = peers
+        self.is_isolated = is_isolated
+        self.unreached = unreached
+        for observe in self.observers:
             observe()
 
 
+_STATES: weakref.WeakKeyDictionary[IsolationTracker, ManualIsolation] = (
+    weakref.WeakKeyDictionary()
+)
+
+
+def _state(tracker: IsolationTracker) -> ManualIsolation:
+    return _STATES.setdefault(tracker, ManualIsolation())
+
+
 def isolation_of(relay: RelayFixture) -> ManualIsolation:
     """Return what a test sets of a node."""
-    isolation = context_of(relay.node).isolation
-    assert isinstance(isolation, ManualIsolation)
-    return isolation
+    return _state(context_of(relay.node).isolation)
 
 
 def context_of(node: RelayNode) -> Any:
@@ -95,8 +84,17 @@
 @contextlib.contextmanager
 def manual_isolation() -> Iterator[None]:
     """Let tests set the isolation of the nodes that start in the block."""
+    members = {
+        'is_isolated': property(lambda tracker: _state(tracker).is_isolated),
+        'reachable_peers': lambda tracker: _state(tracker).peers,
+        'reaches': lambda tracker, name: _state(tracker).unreached != name,
+        'subscribe': lambda tracker, callback: _state(tracker).observers.append(
+            callback
+        ),
+    }
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(program, 'IsolationTracker', ManualIsolation)
+        for name, member in members.items():
+            patch.setattr(IsolationTracker, name, member)
         yield
 
 
