--- a/packages/core/mastichatch_core/relay/endpoint_outcomes.py
+++ b/packages/core/mastichatch_core/relay/endpoint_outcomes.py
@@ -189,6 +189,12 @@
         self._has_untold_failures = False
         return told
 
+    def discard(self) -> None:
+        """Forget all outcomes, most of which may be due to a cut network."""
+        self._counts.clear()
+        self._untold.clear()
+        self._has_untold_failures = False
+
     def keep_only(self, instances: Iterable[str]) -> None:
         """Forget the endpoints that no longer exist.
 
--- a/packages/core/mastichatch_core/relay/plain_choice.py
+++ b/packages/core/mastichatch_core/relay/plain_choice.py
@@ -110,6 +110,13 @@
             if instance not in kept and not stats.running:
                 self._stats.pop(instance)
 
+    def forget_failures(self) -> None:
+        """Forget all failures, but not what endpoints asked for."""
+        for stats in self._stats.values():
+            stats.failure_share = 0
+            stats.avoided_until = -math.inf
+            stats.breaker = Breaker()
+
     def accepts(self, instance: str, now: float) -> bool:
         """Return whether the circuit breaker of an endpoint lets a call pass.
 
--- a/packages/core/mastichatch_core/relay/process_signs.py
+++ b/packages/core/mastichatch_core/relay/process_signs.py
@@ -40,6 +40,17 @@
         self._instances: dict[str, str] = {}
         self._former: dict[str, frozenset[OpenConnection]] = {}
         self._former_ended_at: dict[str, float] = {}
+        self._reached_since: Callable[[float], bool] = _assume_reached
+
+    def attach_contact(self, reached_since: Callable[[float], bool]) -> None:
+        """Distrust refusals until another process was reached.
+
+        A network that is cut may refuse connections in place of all processes.
+
+        :param reached_since: returns whether one was reached since a time, in
+            seconds
+        """
+        self._reached_since = reached_since
 
     def record_connect(self, connection: OpenConnection) -> None:
         """Record that a connection was established: a process listens.
@@ -114,6 +125,11 @@
         """
         return address in self._former
 
+    def forget_refusals(self) -> None:
+        """Forget all refused connections, which others than hosts refused."""
+        self._refused_at.clear()
+        self._serving.clear()
+
     def keep_only(self, addresses: Container[str]) -> None:
         """Forget all other processes to which no connection is open.
 
@@ -151,8 +167,8 @@
     def has_ended(self, address: str) -> bool:
         """Return whether a process that has closed a connection has ended.
 
-        It has if connections are refused, and none is left that its end would
-        have closed as well.
+        It has if connections are refused, though other processes are reached,
+        and none is left that its end would have closed as well.
 
         :param address: IP address and port
         """
@@ -160,4 +176,10 @@
             self.refuses(address)
             and not self.is_serving(address)
             and not self.is_open(address)
+            and self._reached_since(self._refused_at[address])
         )
+
+
+def _assume_reached(_: float) -> bool:
+    """Return that another process was reached."""
+    return True
--- a/packages/node/mastichatch_node/relay/departure_polling.py
+++ b/packages/node/mastichatch_node/relay/departure_polling.py
@@ -119,5 +119,6 @@
         if not self._follower.in_contact:
             return True
         others = self._context.sharing.table.nodes_with_runs_on(instance)
+        others -= self._context.isolation.cut_off_peers()
         own = self._context.node
         return rendezvous.pick({own, *others}, instance) == own
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -229,14 +229,22 @@
             self._context.telemetry.log_state_change(
                 'engine_avoided', instance=instance, reason=result.reason
             )
-            self._context.sharing.announce_avoidance(instance, shared_s)
+            if result.is_connection_refused:
+                self._context.isolation.tell(
+                    lambda: self._context.sharing.announce_avoidance(
+                        instance, shared_s
+                    )
+                )
+            else:
+                self._context.sharing.announce_avoidance(instance, shared_s)
 
     def handle_changes(self, message: RunChanges) -> None:
         """Avoid the engines that another node found to be gone.
 
         :param message: message with their instance ids
         """
-        self.avoid(message.avoided, message.avoided_ms / MS_PER_S)
+        if not message.is_cut_off:
+            self.avoid(message.avoided, message.avoided_ms / MS_PER_S)
 
     def avoid(self, instances: Iterable[str], duration_s: float) -> None:
         """Send no requests to some engines for a while.
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -7,16 +7,19 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import socket
 import struct
+import weakref
 from collections.abc import (
     AsyncIterator,
     Callable,
     Iterable,
     Iterator,
+    Mapping,
     Sequence,
 )
-from typing import Final, SupportsIndex
+from typing import Final, Protocol, SupportsIndex
 
 import h11
 
@@ -52,6 +55,8 @@
 # or unanswered keepalive probes. Until then, lost packets are retransmitted.
 SILENCE_TIMEOUT_MS: Final = 3000
 KEEPALIVE_INTERVAL_S: Final = 1
+# A connection whose time limit ends this much late is no sign of its peer.
+MAX_TIMER_LAG_S: Final = 0.1
 # Time limit of a connection that shows whether a process still exists.
 PROBE_TIMEOUT_S: Final = 0.25
 # Time within which other connections to a process that refuses new ones end, or
@@ -175,6 +180,17 @@
 ConnectObserver = Callable[[str, float], None]
 
 
+class OutcomeObserver(Protocol):
+    """Follows whether connections are established."""
+
+    def __call__(self, address: str, *, is_established: bool) -> None:
+        """Record the outcome of a new connection.
+
+        :param address: IP address and port
+        :param is_established: whether the peer has accepted it
+        """
+
+
 def _ignore(*_: object) -> None:
     """Do nothing."""
 
@@ -317,6 +333,7 @@
         self._request: OutgoingRequest | None = None
         self._used_at = loop_time()
         self._sent_at = self._used_at
+        self._read_at = self._used_at
         self._turns = TurnLimiter()
         self._may_have_sent = False
         self._responses = 0
@@ -343,6 +360,22 @@
         """Whether no response was received before the current one."""
         return self._responses == 0
 
+    @property
+    def read_at(self) -> float:
+        """Loop time of the last bytes that were read, in seconds."""
+        return self._read_at
+
+    @property
+    def waiting_since(self) -> float | None:
+        """Loop time since which the peer is silent, in seconds.
+
+        It is ``None`` while nothing is due, or bytes have arrived.
+        """
+        is_due = self._request is not None and not self._is_closed
+        if not is_due or self._reader.has_unread:
+            return None
+        return max(self._sent_at, self._read_at)
+
     @property
     def is_unframed(self) -> bool:
         """Whether only the end of the connection ends the current response."""
@@ -549,6 +582,8 @@
             raise self._close_with_error(str(error)) from error
         except BudgetExceededError as error:
             raise self._close_with_error(NO_ROOM) from error
+        if received:
+            self._read_at = loop_time()
         if self._is_closed:
             # This end of the stream is no end of the response.
             raise self._close_with_error('this node closed the connection')
@@ -814,6 +849,8 @@
         self._opened = 0
         self._observers: list[HeadObserver] = []
         self._connect_observers: list[ConnectObserver] = []
+        self._outcome_observers: list[OutcomeObserver] = []
+        self._taken: weakref.WeakSet[Connection] = weakref.WeakSet()
         self._matching: AnswerMatching | None = None
 
     @property
@@ -853,6 +890,13 @@
         """
         self._connect_observers.append(observer)
 
+    def observe_outcomes(self, observer: OutcomeObserver) -> None:
+        """Call a function with the outcome of each new connection.
+
+        :param observer: the function
+        """
+        self._outcome_observers.append(observer)
+
     async def take(
         self,
         address: str,
@@ -870,11 +914,11 @@
         """
         found = self._take_idle(address, idle_limit_s, request)
         if found is not None:
+            self._taken.add(found)
             return found
         self._opened += 1
-        connection = await connect(
-            address, self._connect_timeout_s, self._resources
-        )
+        connection = await self._connect(address)
+        self._taken.add(connection)
         round_trip_s = connection.round_trip_s
         if round_trip_s is not None:
             for observe_connect in self._connect_observers:
@@ -882,11 +926,46 @@
         connection.observe_heads(self._observers, self._matching)
         return connection
 
+    def waiting(self) -> tuple[Mapping[str, float], float]:
+        """Return since when answers of peers are due.
+
+        :returns: the time by address, and the time of the last bytes of any
+            peer, as loop times in seconds
+        """
+        since: dict[str, float] = {}
+        last_byte_at = -math.inf
+        for connection in tuple(self._taken):
+            last_byte_at = max(last_byte_at, connection.read_at)
+            waiting_since = connection.waiting_since
+            if waiting_since is not None:
+                since[connection.address] = waiting_since
+        return since, last_byte_at
+
+    async def _connect(self, address: str) -> Connection:
+        """Open a connection, and tell the observers of the outcome."""
+        ends_at = loop_time() + self._connect_timeout_s
+        try:
+            connection = await connect(
+                address, self._connect_timeout_s, self._resources
+            )
+        except ExchangeError:
+            # A late timer shows only that this process was held up.
+            if loop_time() - ends_at < MAX_TIMER_LAG_S:
+                self._notify_outcome(address, is_established=False)
+            raise
+        self._notify_outcome(address, is_established=True)
+        return connection
+
+    def _notify_outcome(self, address: str, *, is_established: bool) -> None:
+        for observe in self._outcome_observers:
+            observe(address, is_established=is_established)
+
     def release(self, connection: Connection) -> None:
         """Keep a connection for reuse, or close it if it is not idle.
 
         :param connection: connection that ``take`` returned
         """
+        self._taken.discard(connection)
         if connection.is_idle:
             self._idle.setdefault(connection.address, []).append(connection)
         else:
--- a/packages/node/mastichatch_node/relay/outcome_sharing.py
+++ b/packages/node/mastichatch_node/relay/outcome_sharing.py
@@ -65,6 +65,8 @@
     # The way of one node to an endpoint does not concern the others.
     if is_unreached or not shares_outcomes(context):
         return
+    if result.fate is AttemptOutcome.not_sent or result.is_closed_by_peer:
+        context.isolation.check()
     now = loop_time()
     outcomes = context.sharing.outcomes
     was_untold = outcomes.has_untold_failures
@@ -82,5 +84,11 @@
 
 def _tell_failures(context: RelayContext) -> None:
     """Tell other nodes of failures, unless a change of runs has."""
-    if context.sharing.outcomes.has_untold_failures:
+    if not context.sharing.outcomes.has_untold_failures:
+        return
+    if context.isolation.may_tell:
         context.sharing.announce_outcomes()
+    elif not context.isolation.is_cut_off:
+        asyncio.get_running_loop().call_later(
+            TELL_DELAY_S, _tell_failures, context
+        )
--- a/packages/node/mastichatch_node/relay/rollouts/observing.py
+++ b/packages/node/mastichatch_node/relay/rollouts/observing.py
@@ -39,9 +39,17 @@
         self._telemetry = telemetry
         self._data_centre = data_centre
         self._waits = 0
+        self._is_cut_off: Callable[[], bool] = bool
         # When an endpoint is no longer cold, by instance and registered time.
         self._cold_until: dict[tuple[str, float], float] = {}
 
+    def attach_contact(self, is_cut_off: Callable[[], bool]) -> None:
+        """Count nothing while this node reaches no endpoint.
+
+        :param is_cut_off: returns whether it reaches none
+        """
+        self._is_cut_off = is_cut_off
+
     def forget(self) -> None:
         """Forget which endpoints were cold."""
         self._cold_until.clear()
@@ -68,7 +76,7 @@
         :param is_pace: whether the duration is the time between events
         """
         rollout = self._find(endpoint.service)
-        if rollout is None or not rollout.is_open:
+        if rollout is None or not rollout.is_open or self._is_cut_off():
             return
         observation = self._observe(
             route,
@@ -138,6 +146,7 @@
                     duration_ms=(now - one.since) * MS_PER_S,
                 )
                 for one in rollout.waiting.values()
+                if not self._is_cut_off()
             ],
             now - rollout.seen_at,
         )
--- a/packages/node/mastichatch_node/relay/rollouts/stream_evidence.py
+++ b/packages/node/mastichatch_node/relay/rollouts/stream_evidence.py
@@ -4,6 +4,7 @@
 longer than a trial, so that their pace is recorded while they run.
 """
 
+import functools
 from typing import Final
 
 from mastichatch_core.relay.model import Endpoint
@@ -90,8 +91,15 @@
         if result.fate is AttemptOutcome.not_sent:
             context.rollouts.return_exposure(self._endpoint)
         elif is_endpoint_failure(result) and not was_ordered:
-            if not is_suspected(context, self._job, self._endpoint):
-                self._record(self._started_at, is_failed=True)
+            if is_suspected(context, self._job, self._endpoint):
+                return
+            record = functools.partial(
+                self._record, self._started_at, is_failed=True
+            )
+            if result.is_closed_by_peer:
+                context.isolation.tell(record)
+            else:
+                record()
 
     def close(self) -> None:
         """End the wait for the first event."""
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -46,6 +46,31 @@
 Limits = tuple[EndpointLimit, ...]
 
 
+class Contact(Protocol):
+    """What this node tells of its way to the endpoints."""
+
+    @property
+    def contact_ms(self) -> float | None:
+        """Time since the last connection to an endpoint, in milliseconds."""
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether connections fail at all endpoints."""
+
+    @property
+    def may_tell(self) -> bool:
+        """Whether failures of endpoints may be told to other nodes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UnknownContact:
+    """What a node tells that does not track its way to the endpoints."""
+
+    contact_ms: float | None = None
+    is_cut_off: bool = False
+    may_tell: bool = True
+
+
 class NodeDirectory(Protocol):
     """The other nodes, as far as they are registered."""
 
@@ -89,6 +114,7 @@
         self._links_expire_at = -math.inf
         self._current_evidence: Callable[[], Evidence] = _no_evidence
         self._current_limits: Callable[[], Limits] = tuple
+        self._contact: Contact = UnknownContact()
 
     @property
     def table(self) -> RunTable:
@@ -169,6 +195,17 @@
         message = self._create_message(())
         self._send_to_all(dataclasses.replace(message, limits=limits))
 
+    def announce_contact(self) -> None:
+        """Tell other nodes whether this one reaches endpoints."""
+        self._send_to_all(self._create_message(()))
+
+    def attach_contact(self, contact: Contact) -> None:
+        """Tell of this node's way to the endpoints with each message.
+
+        :param contact: the way
+        """
+        self._contact = contact
+
     def attach_evidence(
         self,
         current_evidence: Callable[[], Evidence],
@@ -235,7 +272,9 @@
             dataclasses.replace(
                 message,
                 origin=self._peers.incarnation,
-                outcomes=self._outcomes.take_untold(),
+                outcomes=self._outcomes.take_untold()
+                if self._contact.may_tell
+                else (),
             ),
         )
 
@@ -286,6 +325,8 @@
             is_whole=is_whole,
             runs=runs,
             leaving=leaving,
+            contact_ms=self._contact.contact_ms,
+            is_cut_off=self._contact.is_cut_off,
         )
 
 
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import random
 from collections.abc import AsyncIterator, Collection, Iterator
 from typing import Final
@@ -283,13 +284,18 @@
         or result.fate is AttemptOutcome.answered
     )
     if is_counted and not is_suspected(context, job, endpoint):
-        context.rollouts.observer.record(
+        record = functools.partial(
+            context.rollouts.observer.record,
             job.route.name,
             endpoint,
             started_at,
             is_failed=is_failed,
             duration_ms=(loop_time() - started_at) * MS_PER_S,
         )
+        if result.is_timed_out or result.is_closed_by_peer:
+            context.isolation.tell(record)
+        else:
+            record()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -46,6 +46,7 @@
     ResponseHead,
 )
 from mastichatch_node.relay.http_server import IncomingRequest
+from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
 from mastichatch_node.relay.rollouts.state import RolloutOptions
 from mastichatch_node.relay.run_migration import RunMigrator
@@ -570,6 +571,7 @@
             'north',
             lambda: 1,
         ),
+        isolation=IsolationTracker(),
     )
 
 
