--- a/packages/core/mastichatch_core/relay/isolation.py
+++ b/packages/core/mastichatch_core/relay/isolation.py
@@ -10,9 +10,18 @@
 
 import dataclasses
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from typing import Final
 
+from mastichatch_core.generated.messages import RunChanges
+from mastichatch_core.units import MS_PER_S
+
 # Number of endpoints at which connections fail or break from which on a node
 # checks whether it reaches any, and the time within which they do.
 SUSPICIOUS_ENDPOINTS: Final = 2
@@ -35,6 +44,10 @@
 # between its messages.
 PEER_CONTACT_S: Final = 3.0
 PEER_CONTACT_INTERVALS: Final = 2.0
+# Time for which messages with lower numbers than the last one are late ones.
+OVERTAKEN_S: Final = 1.0
+# Time for which the list of peers that reach endpoints is kept.
+LIST_LIFETIME_S: Final = 0.1
 
 
 class ContactEvidence:
@@ -46,7 +59,7 @@
     def __init__(self) -> None:
         """Start without evidence."""
         self._reached_at = -math.inf
-        self._began_at: float | None = None
+        self._began_at = math.inf
         self._unreached: dict[str, float] = {}
         self._broken: dict[str, float] = {}
         self._connects = 0
@@ -60,7 +73,7 @@
     @property
     def began_at(self) -> float:
         """Time of the first failure since then; infinite without one."""
-        return math.inf if self._began_at is None else self._began_at
+        return self._began_at
 
     @property
     def is_cut_off(self) -> bool:
@@ -77,35 +90,35 @@
         """Addresses at which connections failed since the last one did not."""
         return frozenset(self._unreached)
 
-    def record_connect(self, now: float, endpoints: int) -> None:
+    def record_connect(self, now: float) -> None:
         """Record an established connection.
 
         :param now: current time
-        :param endpoints: number of endpoints that may be tried
         """
         self._reached_at = now
         self._connects += 1
-        if self._is_cut_off and self._connects < min(
-            RETURN_CONNECTS, endpoints
-        ):
+        if self._is_cut_off and self._connects < RETURN_CONNECTS:
             return
         self._is_cut_off = False
-        self._began_at = None
+        self._began_at = math.inf
         self._unreached.clear()
         self._broken.clear()
 
-    def record_unreached(
-        self, address: str, now: float, endpoints: int
-    ) -> None:
+    def record_unreached(self, address: str, now: float) -> None:
         """Record a connection that was refused, or not accepted in time.
 
         :param address: IP address and port
         :param now: current time
-        :param endpoints: number of endpoints that may be tried
         """
         self._connects = 0
         self._begin(now)
         _record(self._unreached, address, now)
+
+    def record_failed_check(self, endpoints: int) -> None:
+        """Record that no endpoint of several services accepted a connection.
+
+        :param endpoints: number of endpoints that may be tried
+        """
         needed = max(SUSPICIOUS_ENDPOINTS, min(CUT_OFF_ENDPOINTS, endpoints))
         if len(self._unreached) >= needed:
             self._is_cut_off = True
@@ -170,39 +183,83 @@
         return not self.is_cut_off and now - self.reached_at <= lifetime_s
 
 
-def reaching_peers(
-    contacts: Mapping[str, PeerContact], heard: Collection[str], now: float
-) -> tuple[str, ...]:
-    """Return the names of the peers that reach endpoints, in order.
+class PeerContacts:
+    """What the other nodes have told of their ways to the endpoints."""
 
-    :param contacts: what peers have told, by name
-    :param heard: names of the peers whose messages arrive
-    :param now: current time, in seconds
-    """
-    return tuple(
-        sorted(
-            name
-            for name, contact in contacts.items()
-            if name in heard and contact.is_reaching(now)
+    def __init__(self) -> None:
+        """Start without peers."""
+        self._contacts: dict[str, PeerContact] = {}
+        self._reaching: tuple[str, ...] = ()
+        self._chosen_at = -math.inf
+
+    @property
+    def cut_off(self) -> frozenset[str]:
+        """Names of the peers that reach no endpoint."""
+        return frozenset(
+            name for name, one in self._contacts.items() if one.is_cut_off
         )
-    )
 
+    def __len__(self) -> int:
+        """Return the number of peers that were heard."""
+        return len(self._contacts)
 
-def is_isolated(
-    evidence: ContactEvidence, contacts: Iterable[PeerContact]
-) -> bool:
-    """Return whether a node is cut off from endpoints that peers reach.
+    def record(self, message: RunChanges, now: float) -> None:
+        """Record the message of a peer, unless a later one has overtaken it.
 
-    Where no peer has reached one since the first sign, the endpoints are gone
-    for all, or all nodes are cut off.
+        :param message: the message
+        :param now: current time, in seconds
+        """
+        known = self._contacts.get(message.node)
+        if known is not None and message.sequence < known.sequence:
+            # The numbers begin anew with each start of a node.
+            if now - known.received_at < OVERTAKEN_S:
+                return
+        reached_at = -math.inf
+        if message.contact_ms is not None:
+            reached_at = now - max(0, message.contact_ms) / MS_PER_S
+        if message.is_cut_off != (known is not None and known.is_cut_off):
+            self._chosen_at = -math.inf
+        self._contacts[message.node] = PeerContact(
+            reached_at=reached_at,
+            is_cut_off=message.is_cut_off,
+            interval_s=message.interval_ms / MS_PER_S,
+            sequence=message.sequence,
+            received_at=now,
+        )
 
-    :param evidence: what the node's own connections tell
-    :param contacts: what the peers that reach endpoints have told
-    """
-    if not evidence.is_cut_off:
-        return False
-    since = evidence.began_at + CONTACT_MARGIN_S
-    return any(contact.reached_at >= since for contact in contacts)
+    def reaching(
+        self, heard: Callable[[], Collection[str]], now: float
+    ) -> tuple[str, ...]:
+        """Return the names of the peers that reach endpoints, in order.
+
+        The list is kept for a moment, as its length is that of the fleet.
+
+        :param heard: returns the names of the peers whose messages arrive
+        :param now: current time, in seconds
+        """
+        if now - self._chosen_at < LIST_LIFETIME_S:
+            return self._reaching
+        present = heard()
+        for former in self._contacts.keys() - set(present):
+            self._contacts.pop(former)
+        self._reaching = tuple(
+            sorted(
+                name
+                for name, contact in self._contacts.items()
+                if contact.is_reaching(now)
+            )
+        )
+        self._chosen_at = now
+        return self._reaching
+
+    def has_reached_since(self, names: Iterable[str], since: float) -> bool:
+        """Return whether any of some peers reached an endpoint since a time.
+
+        :param names: names of peers
+        :param since: time in seconds
+        """
+        known = (self._contacts[one] for one in names if one in self._contacts)
+        return any(contact.reached_at >= since for contact in known)
 
 
 def is_silent(
@@ -222,7 +279,7 @@
 
 
 def choose_checked(
-    endpoints: Mapping[str, tuple[str, ...]],
+    endpoints: Mapping[str, Sequence[str]],
     excluded: Collection[str],
     draw: float,
     count: int,
@@ -235,20 +292,16 @@
     :param count: number of addresses
     :returns: IP addresses and ports
     """
-    chosen: list[str] = []
     services = [addresses for addresses in endpoints.values() if addresses]
-    for is_repeated in (False, True):
-        for turn in range(count):
-            for addresses in services:
-                start = int(draw * len(addresses)) + turn
-                address = addresses[start % len(addresses)]
-                if address in chosen:
-                    continue
-                if is_repeated or address not in excluded:
-                    chosen.append(address)
-                if len(chosen) == count:
-                    return tuple(chosen)
-    return tuple(chosen)
+    first = int(draw * len(services))
+    rotated = services[first:] + services[:first]
+    candidates = dict.fromkeys(
+        addresses[(int(draw * len(addresses)) + turn) % len(addresses)]
+        for turn in range(count + len(excluded))
+        for addresses in rotated
+    )
+    ranked = sorted(candidates, key=lambda address: address in excluded)
+    return tuple(ranked[:count])
 
 
 def _record(failed: dict[str, float], address: str, now: float) -> None:
--- a/packages/node/mastichatch_node/relay/endpoint_attempt.py
+++ b/packages/node/mastichatch_node/relay/endpoint_attempt.py
@@ -256,7 +256,7 @@
     now = loop_time()
     context.telemetry.count_attempt(result.fate)
     if result.is_closed_by_peer:
-        context.isolation.record_break(endpoint.address)
+        context.isolation.contact.record_break(endpoint.address)
     if result.fate in {AttemptOutcome.not_sent, AttemptOutcome.unknown}:
         reached = result.fate is AttemptOutcome.unknown
         context.records.record_unanswered(
--- a/packages/node/mastichatch_node/relay/endpoint_notices.py
+++ b/packages/node/mastichatch_node/relay/endpoint_notices.py
@@ -4,10 +4,16 @@
 
 from mastichatch_core.relay.plain_choice import EndpointStatsTable
 from mastichatch_core.relay.store_cache import StoreCache
+from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers
 from mastichatch_node.relay.answer_matching import create_matching
+from mastichatch_node.relay.contact_tracking import ContactTracker
 from mastichatch_node.relay.dialect import Dialect
 from mastichatch_node.relay.http_client import ConnectionPool
+from mastichatch_node.relay.isolation_tracking import (
+    IsolationSources,
+    IsolationTracker,
+)
 from mastichatch_node.relay.limit_tracking import LimitTracker
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.server_pausing import PauseKeeper
@@ -41,11 +47,13 @@
     :param records: statistics of endpoints, with the pauses they asked for
     :param turns: turns at endpoints that name limits
     :param dialect: holds control calls back from both
+    :param isolation: whether endpoints are reached at all
     """
 
     records: EndpointStatsTable
     turns: TurnKeeper
     dialect: Dialect
+    isolation: IsolationTracker
 
 
 def read_notices(
@@ -60,10 +68,28 @@
     pool.match_answers(create_matching(dialect, sources.telemetry))
     pauses = PauseKeeper(sources.cache, sources.telemetry)
     limits = LimitTracker(sources.cache, sources.broadcaster, sources.telemetry)
+    broadcaster = sources.broadcaster
+    contact = ContactTracker(pool, sources.telemetry)
+    isolation = IsolationTracker(
+        IsolationSources(
+            contact=contact,
+            heard=lambda: broadcaster.table.heard(loop_time()),
+            announce=broadcaster.announce_outcomes,
+            answer=lambda name: broadcaster.greet((name,)),
+            telemetry=sources.telemetry,
+        )
+    )
+    for discard in (
+        pauses.records.forget_failures,
+        broadcaster.outcomes.discard,
+        pool.signs.forget_refusals,
+    ):
+        contact.discard_with(discard)
     return EndpointNotices(
         records=pauses.records,
         turns=TurnKeeper(
             sources.cache, sources.registry, sources.peers, limits
         ),
         dialect=limits.attach(pool, pauses.attach(pool, dialect)),
+        isolation=isolation,
     )
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -230,7 +230,7 @@
                 'engine_avoided', instance=instance, reason=result.reason
             )
             if result.is_connection_refused:
-                self._context.isolation.tell(
+                self._context.isolation.contact.tell(
                     lambda: self._context.sharing.announce_avoidance(
                         instance, shared_s
                     )
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -213,6 +213,7 @@
         self._held = budget.open(Purpose.unread, owner, self.cut)
         self._unread = 0
         self._has_ended = False
+        self._received_at = loop_time()
         self._source: asyncio.BaseTransport | None = None
         self._on_bytes: Callable[[], None] = _ignore
         self._on_end: Callable[[], None] = _ignore
@@ -231,6 +232,11 @@
         if self._has_ended:
             self._report_end()
 
+    @property
+    def received_at(self) -> float:
+        """Loop time of the last bytes, in seconds."""
+        return self._received_at
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes have arrived that were not read."""
@@ -247,6 +253,7 @@
         except BudgetExceededError:
             return
         self._unread += len(received)
+        self._received_at = loop_time()
         self._on_bytes()
         super().feed_data(received)
 
@@ -314,6 +321,44 @@
         self._held.close()
 
 
+class PeerSilence:
+    """Since when a peer sends nothing though its answer is due."""
+
+    def __init__(self, reader: CountingReader) -> None:
+        """Start while no answer is due.
+
+        :param reader: bytes of the peer
+        """
+        self._reader = reader
+        self._sent_at: float | None = None
+
+    @property
+    def last_byte_at(self) -> float:
+        """Loop time of the last bytes of the peer, in seconds."""
+        return self._reader.received_at
+
+    @property
+    def since(self) -> float | None:
+        """Loop time since which it is silent, in seconds.
+
+        It is ``None`` while nothing is due, or bytes were not read.
+        """
+        if self._sent_at is None or self._reader.has_unread:
+            return None
+        return max(self._sent_at, self._reader.received_at)
+
+    def begin(self, now: float) -> None:
+        """Record that a request is sent.
+
+        :param now: loop time, in seconds
+        """
+        self._sent_at = now
+
+    def end(self) -> None:
+        """Record that no answer is due any more."""
+        self._sent_at = None
+
+
 class Connection:
     """A client connection, which carries one request at a time."""
 
@@ -333,7 +378,6 @@
         self._request: OutgoingRequest | None = None
         self._used_at = loop_time()
         self._sent_at = self._used_at
-        self._read_at = self._used_at
         self._turns = TurnLimiter()
         self._may_have_sent = False
         self._responses = 0
@@ -343,6 +387,7 @@
         self._observers: list[HeadObserver] = []
         self._matching = _ANSWERS_IN_ORDER
         self.sent = SentRequests()
+        self.silence = PeerSilence(reader)
         self.round_trip_s = measure_round_trip_s(writer)
 
     @property
@@ -360,22 +405,6 @@
         """Whether no response was received before the current one."""
         return self._responses == 0
 
-    @property
-    def read_at(self) -> float:
-        """Loop time of the last bytes that were read, in seconds."""
-        return self._read_at
-
-    @property
-    def waiting_since(self) -> float | None:
-        """Loop time since which the peer is silent, in seconds.
-
-        It is ``None`` while nothing is due, or bytes have arrived.
-        """
-        is_due = self._request is not None and not self._is_closed
-        if not is_due or self._reader.has_unread:
-            return None
-        return max(self._sent_at, self._read_at)
-
     @property
     def is_unframed(self) -> bool:
         """Whether only the end of the connection ends the current response."""
@@ -430,6 +459,7 @@
         self._request = request
         self._sent_at = loop_time()
         self._may_have_sent = True
+        self.silence.begin(self._sent_at)
         try:
             await write_in_pieces(self._writer, encoded)
         except OSError as error:
@@ -479,6 +509,7 @@
             if not _start_next_cycle(self._protocol):
                 self.close()
             self._request = None
+            self.silence.end()
             return None
         raise self._close_with_error('the answer was cut off')
 
@@ -513,6 +544,7 @@
     def close(self) -> None:
         """Abort the connection, which cancels a request in progress."""
         self._is_closed = True
+        self.silence.end()
         self._writer.transport.abort()
         self._reader.release()
 
@@ -582,8 +614,6 @@
             raise self._close_with_error(str(error)) from error
         except BudgetExceededError as error:
             raise self._close_with_error(NO_ROOM) from error
-        if received:
-            self._read_at = loop_time()
         if self._is_closed:
             # This end of the stream is no end of the response.
             raise self._close_with_error('this node closed the connection')
@@ -935,10 +965,10 @@
         since: dict[str, float] = {}
         last_byte_at = -math.inf
         for connection in tuple(self._taken):
-            last_byte_at = max(last_byte_at, connection.read_at)
-            waiting_since = connection.waiting_since
-            if waiting_since is not None:
-                since[connection.address] = waiting_since
+            last_byte_at = max(last_byte_at, connection.silence.last_byte_at)
+            silent_since = connection.silence.since
+            if silent_since is not None:
+                since[connection.address] = silent_since
         return since, last_byte_at
 
     async def _connect(self, address: str) -> Connection:
--- a/packages/node/mastichatch_node/relay/isolation_metrics.py
+++ b/packages/node/mastichatch_node/relay/isolation_metrics.py
@@ -40,7 +40,7 @@
         )
         self._dropped = Counter(
             'mastichatch_relay_evidence_dropped',
-            'Failures of endpoints that were not told, as the node was cut off.',
+            'Failures of endpoints that were not told to other nodes.',
             registry=registry,
         )
         for state in ContactState:
--- a/packages/node/mastichatch_node/relay/outcome_sharing.py
+++ b/packages/node/mastichatch_node/relay/outcome_sharing.py
@@ -66,7 +66,7 @@
     if is_unreached or not shares_outcomes(context):
         return
     if result.fate is AttemptOutcome.not_sent or result.is_closed_by_peer:
-        context.isolation.check()
+        context.isolation.contact.checker.start()
     now = loop_time()
     outcomes = context.sharing.outcomes
     was_untold = outcomes.has_untold_failures
@@ -86,9 +86,9 @@
     """Tell other nodes of failures, unless a change of runs has."""
     if not context.sharing.outcomes.has_untold_failures:
         return
-    if context.isolation.may_tell:
+    if context.isolation.contact.may_tell:
         context.sharing.announce_outcomes()
-    elif not context.isolation.is_cut_off:
+    elif not context.isolation.contact.is_cut_off:
         asyncio.get_running_loop().call_later(
             TELL_DELAY_S, _tell_failures, context
         )
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -36,10 +36,6 @@
 from mastichatch_node.relay.departure_polling import DeparturePoller
 from mastichatch_node.relay.endpoint_notices import NoticeSources, read_notices
 from mastichatch_node.relay.context import RetryAllowance, RelayContext
-from mastichatch_node.relay.isolation_tracking import (
-    IsolationSources,
-    IsolationTracker,
-)
 from mastichatch_node.relay.node_record import create_node_record
 from mastichatch_node.relay.message_handling import register_handlers
 from mastichatch_node.relay.run_migration import RunMigrator
@@ -240,7 +236,6 @@
     shared: resources.Resources
     orders: quarantine_orders.QuarantineOrders
     rollouts: rollouts.RolloutKeeper
-    isolation: IsolationTracker
 
 
 @contextlib.asynccontextmanager
@@ -266,12 +261,11 @@
             relay = _create_relay(settings, context, placer)
             migrator = RunMigrator(context, placer, relay)
             _attach_evidence(components, context, placer, relay)
-            _attach_isolation(components, context)
             node = RelayNode(components, context, relay)
             async with contextlib.AsyncExitStack() as stack:
                 stack.callback(context.stopper.close)
                 stack.callback(context.turns.close)
-                stack.callback(context.isolation.close)
+                stack.callback(context.isolation.contact.checker.close)
                 stack.callback(migrator.close)
                 await stack.enter_async_context(
                     _run_updates(components, context, placer, migrator, relay)
@@ -292,8 +286,6 @@
     )
     cache = StoreCache(adapter.decoders)
     broadcaster = RunBroadcaster(peers, registry, lambda: cache.revision)
-    isolation = IsolationTracker()
-    broadcaster.attach_contact(isolation)
     crashes = CrashTracker(cache, broadcaster, telemetry, shared)
     return _Components(
         settings=settings,
@@ -307,7 +299,6 @@
         shared=shared,
         orders=quarantine_orders.QuarantineOrders(crashes),
         rollouts=assembly.create_keeper(settings, cache, telemetry, registry),
-        isolation=isolation,
     )
 
 
@@ -341,7 +332,7 @@
         crashes=components.crashes,
         stopper=RunStopper(dialect, components.telemetry, pool),
         rollouts=components.rollouts,
-        isolation=components.isolation,
+        isolation=notices.isolation,
         controls=components.settings.load_controls,
     )
 
@@ -433,7 +424,7 @@
             StandbyCopier(context, placer, relay).review_periodically,
             lambda: crash_store.write_evidence(components.crashes, store),
             components.telemetry.watch_event_loop,
-            context.isolation.review_periodically,
+            context.isolation.contact.review_periodically,
             *assembly.create_workers(components, store, follower),
         ):
             yield
@@ -449,7 +440,7 @@
     by_start = sorted(known.values(), key=lambda one: one.started_ms)
     signs.record_processes({one.address: one.instance for one in by_start})
     signs.keep_only({one.address for one in by_start})
-    context.isolation.record_endpoints(known.values())
+    context.isolation.contact.checker.replace_endpoints(known.values())
 
 
 def _attach_evidence(
@@ -461,38 +452,21 @@
     """Apply new evidence on crashes, and turns, to queued requests and runs."""
     crashes = components.crashes
     components.broadcaster.attach_evidence(
-        crashes.current_evidence, lambda: context.turns.limits.current
+        crashes.current_evidence,
+        lambda: context.turns.limits.current,
+        context.isolation.contact,
+    )
+    context.isolation.contact.discard_with(
+        lambda: context.stopper.gate.keep_only(())
+    )
+    context.rollouts.observer.attach_contact(
+        lambda: context.isolation.contact.is_cut_off
     )
     context.turns.subscribe(placer.reconcile)
     for react in (placer.reconcile, relay.withdraw_quarantined):
         crashes.subscribe(react)
 
 
-def _attach_isolation(components: _Components, context: RelayContext) -> None:
-    """Follow this node's way to the endpoints, and the ways of its peers."""
-    broadcaster = components.broadcaster
-
-    def discard_failures() -> None:
-        context.records.forget_failures()
-        context.sharing.outcomes.discard()
-        context.stopper.gate.keep_only(())
-        context.pool.signs.forget_refusals()
-
-    context.rollouts.observer.attach_contact(
-        lambda: context.isolation.is_cut_off
-    )
-    context.isolation.attach(
-        IsolationSources(
-            pool=context.pool,
-            heard=lambda: broadcaster.table.heard(loop_time()),
-            announce=broadcaster.announce_contact,
-            answer=lambda name: broadcaster.greet((name,)),
-            discard=discard_failures,
-            telemetry=components.telemetry,
-        )
-    )
-
-
 @contextlib.asynccontextmanager
 async def _listen(
     settings: RelaySettings, node: RelayNode
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -190,32 +190,27 @@
     def announce_outcomes(self, limits: Limits = ()) -> None:
         """Tell other nodes of outcomes of calls that no change has told of.
 
+        Like each message, it also tells whether this node reaches endpoints.
+
         :param limits: limits that endpoints have begun or ceased to name
         """
         message = self._create_message(())
         self._send_to_all(dataclasses.replace(message, limits=limits))
 
-    def announce_contact(self) -> None:
-        """Tell other nodes whether this one reaches endpoints."""
-        self._send_to_all(self._create_message(()))
-
-    def attach_contact(self, contact: Contact) -> None:
-        """Tell of this node's way to the endpoints with each message.
-
-        :param contact: the way
-        """
-        self._contact = contact
-
     def attach_evidence(
         self,
         current_evidence: Callable[[], Evidence],
         current_limits: Callable[[], Limits],
+        contact: Contact,
     ) -> None:
         """Send what is known of endpoints with each full list of runs.
 
         :param current_evidence: returns the evidence on crashes
         :param current_limits: returns the limits that endpoints name
+        :param contact: whether this node reaches endpoints, which is sent with
+            each message
         """
+        self._contact = contact
         self._current_evidence = current_evidence
         self._current_limits = current_limits
 
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -46,7 +46,6 @@
     ResponseHead,
 )
 from mastichatch_node.relay.http_server import IncomingRequest
-from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
 from mastichatch_node.relay.rollouts.state import RolloutOptions
 from mastichatch_node.relay.run_migration import RunMigrator
@@ -454,6 +453,16 @@
         return lambda *positional, **named: None
 
 
+class _Contact(_Quiet):
+    def tell(self, callback: Callable[[], None]) -> None:
+        callback()
+
+
+class _Isolation(_Quiet):
+    is_isolated = False
+    contact = _Contact()
+
+
 class _Placer(_Quiet):
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
@@ -571,7 +580,7 @@
             'north',
             lambda: 1,
         ),
-        isolation=IsolationTracker(),
+        isolation=cast(Any, _Isolation()),
     )
 
 
