--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -25,7 +25,6 @@
 from mastichatch_node.relay.departure_polling import DeparturePoller
 from mastichatch_node.relay.endpoint_notices import NoticeSources, read_notices
 from mastichatch_node.relay.context import RetryAllowance, RelayContext
-from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.node_record import create_node_record
 from mastichatch_node.relay.message_handling import register_handlers
 from mastichatch_node.relay.proxy_peers import ProxyPeers
@@ -116,6 +115,7 @@
             async with contextlib.AsyncExitStack() as stack:
                 stack.callback(context.stopper.close)
                 stack.callback(context.turns.close)
+                stack.callback(context.isolation.contact.checker.close)
                 stack.callback(migrator.close)
                 await stack.enter_async_context(
                     _run_updates(components, context, placer, migrator, relay)
@@ -180,7 +180,6 @@
         components.adapter.open_dialect(pool),
     )
     dialect = notices.dialect
-    isolation = IsolationTracker()
     percent = int(components.settings.retry_percent * RETRY_ALLOWANCE_SHARE)
     return RelayContext(
         node=components.settings.name,
@@ -196,9 +195,11 @@
         crashes=components.crashes,
         stopper=RunStopper(dialect, components.telemetry, pool),
         rollouts=components.rollouts,
-        isolation=isolation,
+        isolation=notices.isolation,
         proxy_peers=ProxyPeers(
-            components.registry, isolation, components.broadcaster.table
+            components.registry,
+            notices.isolation,
+            components.broadcaster.table,
         ),
         proxy_pool=proxy_pool,
         controls=components.settings.load_controls,
@@ -271,6 +272,7 @@
             components.broadcaster,
             follower,
             (
+                context.isolation.handle_changes,
                 departures.handle_changes,
                 placer.handle_changes,
                 components.crashes.handle_changes,
@@ -297,6 +299,7 @@
             StandbyCopier(context, placer, relay).review_periodically,
             lambda: crash_store.write_evidence(components.crashes, store),
             components.telemetry.watch_event_loop,
+            context.isolation.contact.review_periodically,
             *assembly.create_workers(components, store, follower),
         ):
             yield
@@ -312,6 +315,7 @@
     by_start = sorted(known.values(), key=lambda one: one.started_ms)
     signs.record_processes({one.address: one.instance for one in by_start})
     signs.keep_only({one.address for one in by_start})
+    context.isolation.contact.checker.replace_endpoints(known.values())
 
 
 def _attach_evidence(
@@ -323,7 +327,15 @@
     """Apply new evidence on crashes, and turns, to queued requests and runs."""
     crashes = components.crashes
     components.broadcaster.attach_evidence(
-        crashes.current_evidence, lambda: context.turns.limits.current
+        crashes.current_evidence,
+        lambda: context.turns.limits.current,
+        context.isolation.contact,
+    )
+    context.isolation.contact.discard_with(
+        lambda: context.stopper.gate.keep_only(())
+    )
+    context.rollouts.observer.attach_contact(
+        lambda: context.isolation.contact.is_cut_off
     )
     context.turns.subscribe(placer.reconcile)
     context.isolation.subscribe(placer.reconcile)
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -25,6 +25,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.logs import set_up_logging
+from mastichatch_node.relay.isolation_metrics import IsolationMetrics
 from mastichatch_node.relay.limit_metrics import LimitMetrics
 from mastichatch_node.relay.placement_metrics import PlacementMetrics
 from mastichatch_node.relay.proxy_metrics import ProxyMetrics
@@ -214,7 +215,8 @@
 
         self._placement = PlacementMetrics(self._registry)
         self._limits = LimitMetrics(self._registry)
-        self._proxying = ProxyMetrics(self._registry)
+        self.proxying = ProxyMetrics(self._registry)
+        self._isolation = IsolationMetrics(self._registry)
 
     @property
     def placement(self) -> PlacementMetrics:
@@ -227,9 +229,9 @@
         return self._limits
 
     @property
-    def proxying(self) -> ProxyMetrics:
-        """Metrics of requests that nodes pass on to each other."""
-        return self._proxying
+    def isolation(self) -> IsolationMetrics:
+        """Metrics of whether endpoints are reached."""
+        return self._isolation
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -9,7 +9,7 @@
 import contextlib
 import dataclasses
 import itertools
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from types import MappingProxyType
 from typing import Any, Final, cast
 
@@ -46,7 +46,6 @@
     ResponseHead,
 )
 from mastichatch_node.relay.http_server import IncomingRequest
-from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
 from mastichatch_node.relay.rollouts.state import RolloutOptions
 from mastichatch_node.relay.run_migration import RunMigrator
@@ -454,6 +453,16 @@
         return lambda *positional, **named: None
 
 
+class _Contact(_Quiet):
+    def tell(self, callback: Callable[[], None]) -> None:
+        callback()
+
+
+class _Isolation(_Quiet):
+    is_isolated = False
+    contact = _Contact()
+
+
 class _Placer(_Quiet):
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
@@ -571,9 +580,9 @@
             'north',
             lambda: 1,
         ),
-        isolation=IsolationTracker(),
         proxy_peers=cast(Any, _Quiet()),
         proxy_pool=cast(Any, fleet),
+        isolation=cast(Any, _Isolation()),
     )
 
 
--- a/tests/isolated_nodes.py
+++ b/tests/isolated_nodes.py
@@ -11,11 +11,13 @@
 import pytest
 
 from mastichatch_core.generated.messages import ProxyHop, ProxyOutcome
+from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.proxy_hop import answer_proof
 from mastichatch_node import codec
 from mastichatch_node.relay.http_client import ExchangeError
 from mastichatch_node.relay.isolation_tracking import IsolationTracker
 from mastichatch_node.relay.relay_node import RelayNode
+from mastichatch_node.relay.store_following import NodeRegistry
 from tests.relay_nodes import RelayFixture, open_nodes, until
 from tests.standins.house_endpoints import build_response, open_server
 
@@ -170,11 +172,13 @@
         'proxy_token': token,
     }
     await relay.store.put(f'mastichatch/nodes/{name}', record)
-    await until(
-        lambda: bool(
-            relay.node.belief.entries_under(f'mastichatch/nodes/{name}')
-        )
-    )
+    await until(lambda: record_of(relay, name) is not None)
+
+
+def record_of(relay: RelayFixture, name: str) -> NodeRecord | None:
+    """Return the registration of another node, as a node knows it."""
+    registry: NodeRegistry = context_of(relay.node).proxy_peers._registry
+    return registry.record(name)
 
 
 def answer_with(
--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -24,6 +24,7 @@
     open_isolated,
     open_peer,
     reconnect,
+    record_of,
     register,
     write_raw,
 )
@@ -280,9 +281,9 @@
 
         async with open_isolated(2) as (cut, _):
             async with open_peer(cut, alternate) as peer:
-                context = context_of(cut.node)
                 # The same node under another name.
-                record = context.proxy_peers._registry.record('fake')
+                record = record_of(cut, 'fake')
+                assert record is not None
                 await register(cut, 'same', record.proxy_address, peer.token)
                 isolation_of(cut).set('fake', 'same')
                 answer = await call_cut(cut, '/lookup/x')
@@ -448,10 +449,9 @@
     fault: str = '',
 ) -> tuple[str, ...]:
     """Return the headers of a request to ``/book/x`` that a node passes on."""
-    peers = context_of(sender.node).proxy_peers
-    receiver_token = peers._registry.record(receiver.settings.name).proxy_token
-    peers = context_of(receiver.node).proxy_peers
-    sender_token = peers._registry.record(sender.settings.name).proxy_token
+    own = record_of(receiver, sender.settings.name)
+    other = record_of(sender, receiver.settings.name)
+    assert own is not None and other is not None
     hop = ProxyHop(
         node='other' if fault == 'node' else sender.settings.name,
         nonce='n',
@@ -461,8 +461,8 @@
     encoded = codec.encode_json(hop)
     target = b'/lookup/x' if fault == 'target' else b'/book/x'
     proof = request_proof(
-        'x' if fault == 'token' else sender_token,
-        receiver_token,
+        'x' if fault == 'token' else own.proxy_token,
+        other.proxy_token,
         (encoded, b'POST', target),
     )
     if fault == 'none':
