Let streams of a partitioned node go on through another node

Streams under way at a node that was cut off hung until their callers left, or were resumed at engines that the node did not reach either. Their node now tells the connected node that goes on with them: the last event, the engines that may be at work, and the copy it knows. That node orders the source to stop, and resumes the run where it is alone, from the copy or the last move; without a proof the stream ends as broken off. Connections that are dead are noticed within 2 s while the node is cut off, and those that live are left alone.

--- a/packages/core/mastichatch_core/relay/events.py
+++ b/packages/core/mastichatch_core/relay/events.py
@@ -83,10 +83,15 @@
 class EventOrder:
     """Filters out repeated events of a stream, and detects missing ones."""
 
-    def __init__(self) -> None:
-        """Create a filter for a new stream."""
-        self._last: int | None = None
-        self._count = 0
+    def __init__(self, last: int | None = None, count: int = 0) -> None:
+        """Create a filter for a stream.
+
+        :param last: number of the last event that was returned before; ``None``
+            for a new stream
+        :param count: number of events that were returned before
+        """
+        self._last = last
+        self._count = count
 
     @property
     def last(self) -> int | None:
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -338,7 +338,8 @@
         lambda: context.isolation.contact.is_cut_off
     )
     context.turns.subscribe(placer.reconcile)
-    context.isolation.subscribe(placer.reconcile)
+    for notice in (placer.reconcile, relay.watch_isolation):
+        context.isolation.subscribe(notice)
     for react in (placer.reconcile, relay.withdraw_quarantined):
         crashes.subscribe(react)
 
--- a/packages/node/mastichatch_node/relay/proxy_decision.py
+++ b/packages/node/mastichatch_node/relay/proxy_decision.py
@@ -1,25 +1,44 @@
 """Decides which requests this node passes on to other nodes."""
 
+import dataclasses
+
 from mastichatch_core.errors import MastichatchError
-from mastichatch_core.generated.messages import ErrorKind
+from mastichatch_core.generated.messages import ErrorKind, ProxyRun
+from mastichatch_core.relay.events import EventOrder
 from mastichatch_node.relay.context import Job, RelayContext
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeftRun:
+    """A run that goes on at another node.
+
+    :param run: what that node is told of it
+    :param order: events that the caller has
+    """
+
+    run: ProxyRun
+    order: EventOrder
+
+
 class PassOnError(MastichatchError):
     """A request goes on at another node, if one accepts it.
 
     It is what the caller gets if none does.
 
     :param earlier_attempts: attempts of this node that may have run
+    :param left: the run, if one is in progress
     """
 
-    def __init__(self, earlier_attempts: int = 0) -> None:
+    def __init__(
+        self, earlier_attempts: int = 0, left: LeftRun | None = None
+    ) -> None:
         """Set the kind of the error by what may have run."""
         kind = ErrorKind.peer_unreachable
         if earlier_attempts:
             kind = ErrorKind.outcome_unknown
         super().__init__(kind, 'no endpoint and no other node was reached')
         self.earlier_attempts = earlier_attempts
+        self.left = left
 
 
 def must_pass_on(context: RelayContext, job: Job) -> bool:
--- a/packages/node/mastichatch_node/relay/proxying.py
+++ b/packages/node/mastichatch_node/relay/proxying.py
@@ -46,6 +46,7 @@
     read_beginning,
 )
 from mastichatch_node.relay.http_server import ResponseWriter
+from mastichatch_node.relay.proxy_decision import PassOnError
 from mastichatch_node.relay.proxy_metrics import ProxyMetrics
 from mastichatch_node.relay.turns import piece_cost_bytes
 
@@ -95,15 +96,15 @@
         self,
         job: Job,
         reply: ResponseWriter,
+        error: PassOnError,
         *,
-        earlier_attempts: int = 0,
-        is_counted: bool = False,
+        is_counted: bool,
     ) -> bool:
         """Pass a request on, and its answer back to the caller.
 
         :param job: the request
         :param reply: writer of the response
-        :param earlier_attempts: attempts of this node that may have run
+        :param error: what is known of its attempts at this node
         :param is_counted: whether its first attempt has added to the retry
             budget
         :returns: whether a node has accepted it
@@ -115,16 +116,18 @@
             nonce='',
             age_ms=0,
             version=_version(self._context),
-            attempts=earlier_attempts,
+            attempts=error.earlier_attempts,
             is_counted=is_counted,
+            run=None if error.left is None else error.left.run,
         )
+        order = EventOrder() if error.left is None else error.left.order
         asked: set[str] = set()
         while len(asked) < MAX_NODES_ASKED:
             record = self._context.proxy_peers.choose(asked)
             if record is None or job.left_ms() < MIN_TIME_LEFT_MS:
                 return False
             asked.add(record.name)
-            result = await self._try_node(record, job, reply, hop)
+            result = await self._try_node(record, job, reply, hop, order)
             if result.outcome in {ProxyOutcome.answered, ProxyOutcome.refused}:
                 return True
             if result.outcome == ProxyOutcome.unknown:
@@ -157,6 +160,7 @@
         job: Job,
         reply: ResponseWriter,
         hop: ProxyHop,
+        order: EventOrder,
     ) -> _Result:
         """Pass a request on to one node, and log and count the outcome."""
         started_at = loop_time()
@@ -171,6 +175,7 @@
                 nonce=secrets.token_hex(NONCE_BYTES),
                 age_ms=age_s * MS_PER_S,
             ),
+            order,
         )
         outcome: str = 'cancelled'
         reason = ''
@@ -192,6 +197,7 @@
                 status=reply.status,
                 reason=reason,
                 earlier_attempts=hop.attempts,
+                is_run=hop.run is not None,
                 head_ms=exchange.head_ms,
                 took_ms=round((loop_time() - started_at) * MS_PER_S),
                 left_ms=round(job.left_ms()),
@@ -209,6 +215,7 @@
         reply: ResponseWriter,
         record: NodeRecord,
         hop: ProxyHop,
+        order: EventOrder,
     ) -> None:
         """Start before the request.
 
@@ -217,7 +224,9 @@
         :param reply: writer of the response
         :param record: registration of the node that gets it
         :param hop: what that node is told
+        :param order: events that the caller has
         """
+        self._order = order
         self._context = context
         self._job = job
         self._reply = reply
@@ -284,6 +293,8 @@
         outcome = self._read_outcome(connection, head)
         if outcome is not ProxyOutcome.answered:
             return await self._pass_back_error(connection, head, outcome)
+        if self._reply.status and head.status != _OK:
+            raise ExchangeError('the run does not go on', was_sent=True)
         is_stream = self._job.route.kind is RequestKind.streaming
         if is_stream and head.status == _OK:
             await self._pass_back_events(connection, head)
@@ -319,7 +330,7 @@
     ) -> _Result:
         """Pass the error of the other node on, unless a third may accept it."""
         body = await connection.read_body(PASS_ON_BYTES, Purpose.answer)
-        if outcome is ProxyOutcome.elsewhere:
+        if outcome is ProxyOutcome.elsewhere or self._reply.status:
             return _Result(outcome=outcome, reason=f'status {head.status}')
         if outcome is ProxyOutcome.refused and self._hop.attempts:
             # The request may have run before.
@@ -364,7 +375,7 @@
         self, connection: Connection, head: ResponseHead
     ) -> None:
         longest_s = self._job.longest_stall_s
-        with open_event_reader(connection, EventOrder(), longest_s) as reader:
+        with open_event_reader(connection, self._order, longest_s) as reader:
             while True:
                 fresh = await reader.read()
                 if fresh is None:
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -6,6 +6,7 @@
 import math
 import random
 from collections.abc import Callable, Iterator
+from typing import Final
 
 import msgspec
 
@@ -48,6 +49,10 @@
 from mastichatch_node.relay.service_call import relay_call
 from mastichatch_node.relay.streaming import Generation
 
+# TCP timeout towards engines while this node is partitioned from all endpoints:
+# another node can go on with a run whose connection is dead.
+ISOLATED_SILENCE_TIMEOUT_MS: Final = 2000
+
 
 class Relay:
     """Handle requests of callers, and track generations in progress."""
@@ -89,6 +94,14 @@
         """Generations in progress on this node."""
         return frozenset(self._generations)
 
+    def watch_isolation(self) -> None:
+        """Notice soon which streams have ended with the way to endpoints."""
+        if self._context.isolation.is_isolated:
+            for generation in self._generations:
+                connection = generation.connection
+                if connection is not None:
+                    connection.set_silence_timeout(ISOLATED_SILENCE_TIMEOUT_MS)
+
     def begin_draining(self, notice_ends_at: float, stops_at: float) -> None:
         """Refuse requests that the planned stop of the node would cut off.
 
@@ -223,10 +236,7 @@
         if job.hop is not None:
             raise error
         was_accepted = await self._proxy.relay(
-            job,
-            reply,
-            earlier_attempts=error.earlier_attempts,
-            is_counted=is_counted,
+            job, reply, error, is_counted=is_counted
         )
         if not was_accepted:
             raise error
--- /dev/null
+++ b/packages/node/mastichatch_node/relay/run_adoption.py
@@ -0,0 +1,155 @@
+"""Lets runs go on at another node when theirs has lost the way to engines."""
+
+import dataclasses
+
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import (
+    ErrorKind,
+    ProxyRun,
+    RunState,
+)
+from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
+from mastichatch_core.relay.events import EventOrder
+from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.run_engines import Ending, RunEngines
+from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.context import Job, RelayContext
+from mastichatch_node.relay.engine_exchange import AttemptSource, resume_at
+from mastichatch_node.relay.engine_placement import (
+    EnginePlacer,
+    new_run,
+    require_engine,
+)
+from mastichatch_node.relay.proxy_decision import LeftRun, PassOnError
+from mastichatch_node.relay.run_stopping import Handover
+from mastichatch_node.relay.run_transfer import RunLocation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunControl:
+    """What a generation uses to hand its run over.
+
+    :param engines: engines that may be at work on it
+    :param handover: orders engines to stop it
+    """
+
+    engines: RunEngines
+    handover: Handover
+
+
+def leave(
+    source: Endpoint,
+    engines: RunEngines,
+    order: EventOrder,
+    copy: RunLocation | None,
+) -> PassOnError:
+    """Return the error with which another node goes on with a run.
+
+    :param source: engine of the last attempt
+    :param engines: engines that may be at work on it
+    :param order: events that the caller has
+    :param copy: location of a copy, if there is one
+    """
+    works = engines.except_for(None)
+    run = ProxyRun(
+        source=source.instance,
+        engines=tuple(work.endpoint.instance for work in works),
+        begun=tuple(work.endpoint.instance for work in works if work.has_begun),
+        last_event=order.last,
+        events=order.count,
+    )
+    if copy is not None:
+        run = dataclasses.replace(
+            run,
+            copy_at=copy.endpoint.instance,
+            copy_address=copy.address,
+            copy_handle=copy.handle,
+        )
+    return PassOnError(1, LeftRun(run, order))
+
+
+async def adopt(
+    context: RelayContext,
+    placer: EnginePlacer,
+    job: Job,
+    run: ProxyRun,
+    control: RunControl,
+) -> AttemptSource:
+    """Return where a run goes on that another node has left.
+
+    :param context: shared components of the relay
+    :param placer: chooses engines
+    :param job: request of the run
+    :param run: what the other node told of it
+    :param control: used to hand it over
+    :raises MastichatchError: if it cannot go on, or may be at work elsewhere
+    """
+    source = _record_engines(context, run, control.engines)
+    handover = control.handover
+    copy = _find_copy(context, placer, run, source)
+    if copy is None:
+        destination = _choose_destination(context, placer, job, run, source)
+        copy = await handover.take(handover.order_stop(source, destination))
+    if copy is None or not await handover.ensure_alone(copy.endpoint, source):
+        raise MastichatchError(ErrorKind.generation_lost)
+    return resume_at(handover.newest_copy(copy), run.last_event)
+
+
+def _record_engines(
+    context: RelayContext, run: ProxyRun, engines: RunEngines
+) -> Endpoint:
+    """Record the engines that may be at work on a run, and return its last.
+
+    :raises MastichatchError: if one of them is not known, so that nothing can
+        prove that it has stopped
+    """
+    now = loop_time()
+    known = context.belief.endpoints(now)
+    for instance in (run.source, *run.engines):
+        if instance not in known:
+            raise MastichatchError(
+                ErrorKind.generation_lost, f'no engine {instance}'
+            )
+    for instance in run.engines:
+        engines.record_request(known[instance], now)
+        if instance in run.begun:
+            engines.record_answer(known[instance])
+        engines.record_disconnect(known[instance], Ending.by_node)
+    return known[run.source]
+
+
+def _find_copy(
+    context: RelayContext, placer: EnginePlacer, run: ProxyRun, source: Endpoint
+) -> RunLocation | None:
+    """Return the copy that the other node told of, if it is usable."""
+    endpoint = context.belief.endpoints(loop_time()).get(run.copy_at)
+    if endpoint is None or not placer.accepts_runs(endpoint, source):
+        return None
+    return RunLocation(
+        endpoint=endpoint, address=run.copy_address, handle=run.copy_handle
+    )
+
+
+def _choose_destination(
+    context: RelayContext,
+    placer: EnginePlacer,
+    job: Job,
+    run: ProxyRun,
+    source: Endpoint,
+) -> Endpoint:
+    """Return the engine to which a run is moved, which may be its own."""
+    tokens = require_engine(job).tokens_per_event
+    state = dataclasses.replace(
+        new_run(job, context.controls),
+        state=RunState.running,
+        endpoint=source.instance,
+        output_tokens=run.events * tokens,
+    )
+    destination = placer.choose_destination_engine(
+        job,
+        state,
+        frozenset((source.instance,)),
+        source,
+        MOVED_MEMORY_SHARE,
+    )
+    return destination or source
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -424,6 +424,12 @@
                 return made
         return location
 
+    def abandon_orders(self) -> None:
+        """Repeat no order, since another node goes on with the run."""
+        for order in self._orders.values():
+            order.is_settled = True
+            order.cancel()
+
     async def take_transferred(self) -> RunLocation | None:
         """Return where a stopped run can resume if its copy was unusable."""
         for order in tuple(self._orders.values()):
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -1,9 +1,7 @@
 """Relays generations, and resumes them on other engines after a failure."""
 
-import asyncio
-import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -24,25 +22,23 @@
     AttemptResult,
     result_of_error,
     record_result,
-    build_outgoing,
-    read_answer_head,
     start_reply,
-    unforeseen_as_failures,
 )
-from mastichatch_node.relay.dialect import Resumption
 from mastichatch_node.relay.http_client import (
     SILENCE_TIMEOUT_MS,
     Connection,
     ExchangeError,
-    OutgoingRequest,
     ResponseHead,
-    pooled_connection,
+)
+from mastichatch_node.relay import (
+    engine_exchange as exchanges,
+    proxy_decision,
+    run_adoption,
 )
 from mastichatch_node.relay.http_server import ResponseWriter
 from mastichatch_node.relay.context import Job, RelayContext
 from mastichatch_node.relay.rollouts.stream_evidence import StreamEvidence
 from mastichatch_node.relay.run_transfer import (
-    PreparedResumption,
     RunLocation,
     RunTransfer,
 )
@@ -64,33 +60,10 @@
 SEND_LIMIT: Final = 3
 # Maximum number of resumptions of one generation on other engines.
 RESUME_LIMIT: Final = 6
-# TCP timeout towards an engine when no other engine has a copy. A broken link
-# often recovers, and a late event is better than none: callers wait 7.2 s
-# between events, by the users' requirements.
-STREAM_SILENCE_TIMEOUT_MS: Final = 6500
 
 _OK: Final = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class AttemptSource:
-    """Engine and starting point of the next attempt of a generation.
-
-    :param placement: engine of the attempt, and engine with the copy
-    :param resumption: location of the KV cache, if the run is resumed
-    :param prepared: resumption that the engine has accepted already
-    """
-
-    placement: EnginePlacement
-    resumption: Resumption | None = None
-    prepared: PreparedResumption | None = None
-
-    @property
-    def is_resumed(self) -> bool:
-        """Whether a run goes on that has begun on another engine."""
-        return self.resumption is not None or self.prepared is not None
-
-
 class Generation:
     """One generation that is streamed to its caller."""
 
@@ -116,8 +89,8 @@
         self._pause = PauseTimer()
         self._may_have_run = False
         self._excluded: frozenset[str] = frozenset()
-        self._source: AttemptSource | None = None
-        self._connection: Connection | None = None
+        self._source: exchanges.AttemptSource | None = None
+        self.connection: Connection | None = None
         self._head_at: float | None = None
         self._is_withdrawn = False
         self._evidence: StreamEvidence | None = None
@@ -168,9 +141,9 @@
         :param standby: location of the copy; ``None`` without one
         """
         self._transfer.standby = standby
-        if standby is not None and self._connection is not None:
+        if standby is not None and self.connection is not None:
             # A silent engine need not be waited for any longer.
-            self._connection.set_silence_timeout(SILENCE_TIMEOUT_MS)
+            self.connection.set_silence_timeout(SILENCE_TIMEOUT_MS)
         self.announce_destination(None if standby is None else standby.endpoint)
 
     def announce_destination(
@@ -196,10 +169,10 @@
         :returns: whether it was taken off
         """
         has_begun = self._head_at is not None
-        if self._connection is None or has_begun or self._is_withdrawn:
+        if self.connection is None or has_begun or self._is_withdrawn:
             return False
         self._is_withdrawn = True
-        self._connection.close()
+        self.connection.close()
         return True
 
     @property
@@ -244,11 +217,11 @@
         location = RunLocation(
             endpoint=copy, address=copy.address, handle=self._job.request_id
         )
-        source = _resume_at(location, self.last_event)
+        source = exchanges.resume_at(location, self.last_event)
 
         def leave() -> None:
-            if self._connection is not None:
-                self._connection.close()
+            if self.connection is not None:
+                self.connection.close()
 
         def choose_other() -> Endpoint:
             other = self._placer.choose_destination_engine(
@@ -262,7 +235,7 @@
 
         resumption = CopyResumption(
             copy=copy,
-            prepare=lambda: _prepare(
+            prepare=lambda: exchanges.prepare(
                 self._context, self._job, source, self._engines
             ),
             choose_other=choose_other,
@@ -278,6 +251,9 @@
         """
         try:
             await self._relay()
+        except proxy_decision.PassOnError:
+            self._handover.abandon_orders()
+            raise
         except MastichatchError as error:
             raise _overall_error(
                 error, self.run.output_tokens, may_have_run=self._may_have_run
@@ -287,8 +263,20 @@
             _record_end(self._context, self.run, self._pause)
 
     async def _relay(self) -> None:
-        placement = await self._placer.place(self._job, self._excluded)
-        source = AttemptSource(placement=placement)
+        hop = self._job.hop
+        if hop is None or hop.run is None:
+            placement = await self._placer.place(self._job, self._excluded)
+            source = exchanges.AttemptSource(placement=placement)
+        else:
+            self._may_have_run = True
+            self._order = EventOrder(hop.run.last_event, hop.run.events)
+            source = await run_adoption.adopt(
+                self._context,
+                self._placer,
+                self._job,
+                hop.run,
+                run_adoption.RunControl(self._engines, self._handover),
+            )
         for _ in range(SEND_LIMIT + RESUME_LIMIT):
             self._source = source
             self._transfer = RunTransfer()
@@ -304,8 +292,8 @@
         raise MastichatchError(ErrorKind.generation_lost)
 
     async def _next_source(
-        self, result: AttemptResult, source: AttemptSource
-    ) -> AttemptSource | None:
+        self, result: AttemptResult, source: exchanges.AttemptSource
+    ) -> exchanges.AttemptSource | None:
         """Return the source of the next attempt, or ``None`` to give up."""
         handed_over = await _handed_over(
             self._transfer, self._handover, source, self.last_event
@@ -324,11 +312,23 @@
             if is_repeat and not self._context.retries.try_spend():
                 return None
             self._excluded |= {source.placement.endpoint.instance}
-            return AttemptSource(
+            return exchanges.AttemptSource(
                 placement=await self._placer.place(self._job, self._excluded)
             )
         if self._is_withdrawn:
             return None
+        if proxy_decision.must_pass_on(self._context, self._job):
+            raise run_adoption.leave(
+                source.placement.endpoint,
+                self._engines,
+                self._order,
+                _usable_copy(
+                    source,
+                    self._transfer.standby,
+                    self._job.request_id,
+                    lambda endpoint: True,
+                ),
+            )
         may_resume = _resumption_check(
             self._context,
             self._placer,
@@ -345,9 +345,11 @@
             location.endpoint, source.placement.endpoint
         ):
             return None
-        return _resume_at(self._handover.newest_copy(location), self.last_event)
+        return exchanges.resume_at(
+            self._handover.newest_copy(location), self.last_event
+        )
 
-    async def _attempt(self, source: AttemptSource) -> AttemptResult:
+    async def _attempt(self, source: exchanges.AttemptSource) -> AttemptResult:
         """Run or resume the generation on one engine."""
         endpoint = source.placement.endpoint
         started_at = loop_time()
@@ -371,7 +373,7 @@
             result = result_of_error(error)
         finally:
             self._evidence.close()
-        self._connection = None
+        self.connection = None
         self._transfer.has_ended = True
         _record_ending(self._engines, endpoint, result)
         record_result(self._context, endpoint, result, started_at)
@@ -410,13 +412,15 @@
         )
         return result
 
-    async def _exchange(self, source: AttemptSource) -> AttemptResult:
+    async def _exchange(self, source: exchanges.AttemptSource) -> AttemptResult:
         context = self._context
 
         def record_connection(connection: Connection) -> None:
-            self._connection = connection
+            self.connection = connection
 
-        opened = _open_answer(context, self._job, source, record_connection)
+        opened = exchanges.open_answer(
+            context, self._job, source, record_connection
+        )
         async with opened as (connection, head):
             self._head_at = loop_time()
             self._engines.record_answer(source.placement.endpoint)
@@ -425,19 +429,22 @@
                     self._handover.release()
                 await self._forward_events(connection, head, source)
                 return AttemptResult(fate=AttemptOutcome.answered, head=head)
-            with _failures_of(self._job, source):
+            with exchanges.failures_of(self._job, source):
                 body = await connection.read_body(
                     ANSWER_LIMIT_BYTES, Purpose.answer
                 )
             return await _pass_on(context, self._reply, head, body)
 
     async def _forward_events(
-        self, connection: Connection, head: ResponseHead, source: AttemptSource
+        self,
+        connection: Connection,
+        head: ResponseHead,
+        source: exchanges.AttemptSource,
     ) -> None:
         longest_s = self._job.longest_stall_s
         with open_event_reader(connection, self._order, longest_s) as reader:
             while True:
-                with _failures_of(self._job, source):
+                with exchanges.failures_of(self._job, source):
                     fresh = await reader.read()
                 if fresh is None:
                     break
@@ -472,57 +479,6 @@
         self._context.sharing.record(self.run, announce=is_first)
 
 
-def _build_request(
-    context: RelayContext, job: Job, source: AttemptSource
-) -> OutgoingRequest:
-    placement = source.placement
-    with unforeseen_as_failures(job, placement.endpoint, was_sent=False):
-        return build_outgoing(
-            context,
-            job,
-            placement.endpoint,
-            copy_address=''
-            if placement.copy is None
-            else placement.copy.address,
-            resumption=source.resumption,
-        )
-
-
-@contextlib.asynccontextmanager
-async def _open_answer(
-    context: RelayContext,
-    job: Job,
-    source: AttemptSource,
-    on_connect: Callable[[Connection], None],
-) -> AsyncIterator[tuple[Connection, ResponseHead]]:
-    """Send a request, unless its answer has begun, and read the head.
-
-    :param context: shared components of the relay
-    :param job: the request
-    :param source: engine and starting point
-    :param on_connect: called with the connection before the request is sent
-    """
-    endpoint, prepared = source.placement.endpoint, source.prepared
-    if prepared is not None:
-        on_connect(prepared.connection)
-        with contextlib.closing(prepared.connection):
-            yield prepared.connection, prepared.head
-        return
-    outgoing = _build_request(context, job, source)
-    # An idle connection may be dead, and a request sent on it would be lost. A
-    # new connection costs only one round trip.
-    async with pooled_connection(
-        context.pool, endpoint.address, 0
-    ) as connection:
-        on_connect(connection)
-        if source.placement.copy is None:
-            connection.set_silence_timeout(STREAM_SILENCE_TIMEOUT_MS)
-        with _failures_of(job, source):
-            await connection.send(outgoing)
-            head = await read_answer_head(context, job, connection)
-        yield connection, head
-
-
 async def _pass_on(
     context: RelayContext,
     reply: ResponseWriter,
@@ -543,69 +499,6 @@
     return AttemptResult(fate=AttemptOutcome.answered, head=head)
 
 
-async def _prepare(
-    context: RelayContext,
-    job: Job,
-    source: AttemptSource,
-    engines: RunEngines,
-) -> PreparedResumption | None:
-    """Resume a run on another engine, up to the head of its answer.
-
-    :param context: shared components of the relay
-    :param job: the request
-    :param source: the engine, and the copy on it
-    :param engines: engines that may be at work on the run
-    :returns: ``None`` if the engine does not accept it before the stream counts
-        as stalled
-    """
-    endpoint = source.placement.endpoint
-    connection: Connection | None = None
-    head: ResponseHead | None = None
-    failure: Exception | None = None
-    started_at = loop_time()
-    try:
-        async with asyncio.timeout(job.longest_stall_s):
-            outgoing = _build_request(context, job, source)
-            connection = await context.pool.take(endpoint.address, 0)
-            context.turns.charge(endpoint)
-            with _failures_of(job, source):
-                await connection.send(outgoing)
-                head = await read_answer_head(context, job, connection)
-    except (TimeoutError, ExchangeError) as error:
-        failure = error
-    finally:
-        is_accepted = head is not None and head.status == _OK
-        if connection is not None and not is_accepted:
-            connection.close()
-    context.telemetry.log_decision(
-        'run_resumption_prepared',
-        job.request_id,
-        endpoint=endpoint.instance,
-        status=0 if head is None else head.status,
-        reason='' if failure is None else repr(failure),
-        took_ms=_elapsed_ms(started_at, loop_time()),
-    )
-    if _did_not_run(context, head, failure):
-        engines.record_proof(endpoint)
-    if connection is None or head is None or not is_accepted:
-        return None
-    engines.record_answer(endpoint)
-    return PreparedResumption(
-        endpoint=endpoint, connection=connection, head=head
-    )
-
-
-def _did_not_run(
-    context: RelayContext,
-    head: ResponseHead | None,
-    failure: Exception | None,
-) -> bool:
-    """Return whether an engine has refused a request, or never got it."""
-    if head is not None:
-        return context.dialect.proves_not_run(head)
-    return isinstance(failure, ExchangeError) and not failure.was_sent
-
-
 def _record_ending(
     engines: RunEngines, endpoint: Endpoint, result: AttemptResult
 ) -> None:
@@ -618,13 +511,6 @@
         engines.record_disconnect(endpoint, Ending.by_node)
 
 
-def _failures_of(
-    job: Job, source: AttemptSource
-) -> contextlib.AbstractContextManager[None]:
-    endpoint = source.placement.endpoint
-    return unforeseen_as_failures(job, endpoint, was_sent=True)
-
-
 def _resumption_check(
     context: RelayContext,
     placer: EnginePlacer,
@@ -651,9 +537,9 @@
 async def _handed_over(
     transfer: RunTransfer,
     handover: Handover,
-    source: AttemptSource,
+    source: exchanges.AttemptSource,
     last_event: int | None,
-) -> AttemptSource | None:
+) -> exchanges.AttemptSource | None:
     """Return where a hand-over has taken a run, if anywhere."""
     prepared = await transfer.prepared()
     former = source.placement.endpoint
@@ -665,14 +551,14 @@
             return None
         if not await handover.ensure_alone(moved.endpoint, former):
             return None
-        return _resume_at(moved, last_event)
+        return exchanges.resume_at(moved, last_event)
     handover.confirm_stopped(former, prepared)
     placement = EnginePlacement(endpoint=prepared.endpoint, copy=None)
-    return AttemptSource(placement=placement, prepared=prepared)
+    return exchanges.AttemptSource(placement=placement, prepared=prepared)
 
 
 def _usable_copy(
-    source: AttemptSource,
+    source: exchanges.AttemptSource,
     standby: RunLocation | None,
     request_id: str,
     may_resume: Callable[[Endpoint], bool],
@@ -687,7 +573,7 @@
 
 
 def _untried_suspects(
-    source: AttemptSource | None, order: EventOrder
+    source: exchanges.AttemptSource | None, order: EventOrder
 ) -> tuple[str, ...]:
     """Return the suspected parts on which no engine has answered yet."""
     if order.count or source is None:
@@ -704,19 +590,6 @@
     )
 
 
-def _resume_at(location: RunLocation, last_event: int | None) -> AttemptSource:
-    """Return the source of an attempt that continues from a copy."""
-    # A new copy would use bandwidth that other migrations need.
-    return AttemptSource(
-        placement=EnginePlacement(endpoint=location.endpoint, copy=None),
-        resumption=Resumption(
-            address=location.address,
-            handle=location.handle,
-            last_event=last_event,
-        ),
-    )
-
-
 def _overall_error(
     error: MastichatchError, delivered_tokens: int, *, may_have_run: bool
 ) -> MastichatchError:
