--- a/packages/node/mastichatch_node/relay/isolation_tracking.py
+++ b/packages/node/mastichatch_node/relay/isolation_tracking.py
@@ -17,7 +17,7 @@
 # between two answers of one of them, and the age from which on it is checked.
 ANSWERING_PEERS: Final = 4
 ANSWER_INTERVAL_S: Final = 1.0
-FRESH_CONTACT_MS: Final = 1000.0
+FRESH_CONTACT_MS: Final = 300.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -9,7 +9,7 @@
 import contextlib
 import dataclasses
 import itertools
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from types import MappingProxyType
 from typing import Any, Final, cast
 
