--- a/packages/core/mastichatch_core/relay/isolation.py
+++ b/packages/core/mastichatch_core/relay/isolation.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import itertools
 import math
 from collections.abc import (
     Callable,
@@ -20,6 +21,7 @@
 from typing import Final
 
 from mastichatch_core.generated.messages import RunChanges
+from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.units import MS_PER_S
 
 # Number of endpoints at which connections fail or break from which on a node
@@ -114,13 +116,20 @@
         self._begin(now)
         _record(self._unreached, address, now)
 
-    def record_failed_check(self, endpoints: int) -> None:
-        """Record that no endpoint of several services accepted a connection.
+    def record_failed_check(self, endpoints: 'CheckedEndpoints') -> None:
+        """Record that no endpoint accepted a connection.
 
-        :param endpoints: number of endpoints that may be tried
+        The node is cut off if that holds in its own data centre and in others,
+        as a data centre may be cut off as a whole.
+
+        :param endpoints: the endpoints that may be tried
         """
-        needed = max(SUSPICIOUS_ENDPOINTS, min(CUT_OFF_ENDPOINTS, endpoints))
-        if len(self._unreached) >= needed:
+        needed = max(
+            SUSPICIOUS_ENDPOINTS, min(CUT_OFF_ENDPOINTS, endpoints.count)
+        )
+        if len(self._unreached) < needed:
+            return
+        if endpoints.are_covered(self._unreached.keys()):
             self._is_cut_off = True
 
     def record_break(self, address: str, now: float) -> None:
@@ -278,30 +287,92 @@
     return silent >= SILENT_ENDPOINTS
 
 
-def choose_checked(
-    endpoints: Mapping[str, Sequence[str]],
+class CheckedEndpoints:
+    """The endpoints that a check may connect to, by data centre and service."""
+
+    def __init__(
+        self, endpoints: Iterable[Endpoint] = (), data_centre: str = ''
+    ) -> None:
+        """Group endpoints.
+
+        :param endpoints: all registered endpoints
+        :param data_centre: data centre of this node
+        """
+        groups: dict[tuple[bool, str, str], list[str]] = {}
+        for endpoint in endpoints:
+            is_away = endpoint.data_centre != data_centre
+            key = (is_away, endpoint.data_centre, endpoint.service)
+            groups.setdefault(key, []).append(endpoint.address)
+        self._services = frozenset(service for _, _, service in groups)
+        self._home = tuple(group for key, group in groups.items() if not key[0])
+        self._away = tuple(group for key, group in groups.items() if key[0])
+        self._sides = tuple(
+            frozenset(itertools.chain(*groups))
+            for groups in (self._home, self._away)
+        )
+        self._count = len(frozenset().union(*self._sides))
+
+    @property
+    def services(self) -> frozenset[str]:
+        """Names of the services that have endpoints."""
+        return self._services
+
+    @property
+    def count(self) -> int:
+        """Number of endpoints."""
+        return self._count
+
+    def are_covered(self, tried: Collection[str]) -> bool:
+        """Return whether enough were tried here and in other data centres.
+
+        :param tried: addresses that were tried
+        """
+        return all(
+            sum(address in side for address in tried)
+            >= min(SUSPICIOUS_ENDPOINTS, len(side))
+            for side in self._sides
+        )
+
+    def choose(
+        self, excluded: Collection[str], draw: float, count: int
+    ) -> tuple[str, ...]:
+        """Return endpoints here and elsewhere by turns, of different services.
+
+        :param excluded: addresses that are chosen only if there are no others
+        :param draw: random number from zero to one
+        :param count: number of addresses
+        :returns: IP addresses and ports
+        """
+        home, away = (
+            _choose(groups, excluded, draw, count)
+            for groups in (self._home, self._away)
+        )
+        mixed = dict.fromkeys(
+            address
+            for pair in itertools.zip_longest(home, away)
+            for address in pair
+            if address is not None
+        )
+        ranked = sorted(mixed, key=lambda address: address in excluded)
+        return tuple(ranked[:count])
+
+
+def _choose(
+    groups: Sequence[Sequence[str]],
     excluded: Collection[str],
     draw: float,
     count: int,
-) -> tuple[str, ...]:
-    """Return endpoints of different services that a check connects to.
-
-    :param endpoints: addresses by service
-    :param excluded: addresses that are chosen only if there are no others
-    :param draw: random number from zero to one
-    :param count: number of addresses
-    :returns: IP addresses and ports
-    """
-    services = [addresses for addresses in endpoints.values() if addresses]
-    first = int(draw * len(services))
-    rotated = services[first:] + services[:first]
+) -> list[str]:
+    """Return addresses of different groups, the excluded ones last."""
+    first = int(draw * len(groups))
+    rotated = (*groups[first:], *groups[:first])
     candidates = dict.fromkeys(
-        addresses[(int(draw * len(addresses)) + turn) % len(addresses)]
+        group[(int(draw * len(group)) + turn) % len(group)]
         for turn in range(count + len(excluded))
-        for addresses in rotated
+        for group in rotated
     )
     ranked = sorted(candidates, key=lambda address: address in excluded)
-    return tuple(ranked[:count])
+    return ranked[:count]
 
 
 def _record(failed: dict[str, float], address: str, now: float) -> None:
--- a/packages/node/mastichatch_node/relay/contact_checking.py
+++ b/packages/node/mastichatch_node/relay/contact_checking.py
@@ -10,15 +10,15 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from mastichatch_core.relay.isolation import ContactEvidence, choose_checked
+from mastichatch_core.relay.isolation import CheckedEndpoints, ContactEvidence
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.http_client import ConnectionPool, ExchangeError
 from mastichatch_node.relay.isolation_metrics import IsolationMetrics
 
 # Connections of one round, and the time between them unless one has failed.
-CHECKED_ENDPOINTS: Final = 3
-STAGGER_S: Final = 0.05
+CHECKED_ENDPOINTS: Final = 4
+STAGGER_S: Final = 0.03
 # Pauses between rounds.
 FIRST_PAUSE_S: Final = 0.05
 MAX_PAUSE_S: Final = 0.4
@@ -47,38 +47,36 @@
         self._evidence = evidence
         self._metrics = metrics
         self._on_result = on_result
-        self._services: dict[str, list[str]] = {}
-        self._endpoint_count = 0
+        self._endpoints = CheckedEndpoints()
         self._task: asyncio.Task[None] | None = None
         self._began_at = -math.inf
 
     @property
     def is_possible(self) -> bool:
         """Whether one endpoint can be told from all of them."""
-        return self._endpoint_count > 1
+        return self._endpoints.count > 1
 
     @property
     def is_running(self) -> bool:
         """Whether a check is in progress."""
         return self._task is not None
 
-    def replace_endpoints(self, endpoints: Iterable[Endpoint]) -> None:
+    def replace_endpoints(
+        self, endpoints: Iterable[Endpoint], data_centre: str
+    ) -> None:
         """Replace the endpoints that checks connect to.
 
         :param endpoints: all registered endpoints
+        :param data_centre: data centre of this node
         """
-        self._services = {}
-        for endpoint in endpoints:
-            addresses = self._services.setdefault(endpoint.service, [])
-            addresses.append(endpoint.address)
-        self._endpoint_count = sum(map(len, self._services.values()))
+        self._endpoints = CheckedEndpoints(endpoints, data_centre)
 
     def knows(self, service: str) -> bool:
         """Return whether a service has endpoints.
 
         :param service: name of the service
         """
-        return service in self._services
+        return service in self._endpoints.services
 
     def start(self) -> None:
         """Begin a check, unless one is in progress."""
@@ -110,7 +108,7 @@
         pause_s = FIRST_PAUSE_S
         while not self._has_reached(started_at) and self.is_possible:
             if not self._evidence.is_returning:
-                self._evidence.record_failed_check(self._endpoint_count)
+                self._evidence.record_failed_check(self._endpoints)
                 self._on_result()
                 await asyncio.sleep(pause_s)
                 pause_s = min(pause_s * 2, MAX_PAUSE_S)
@@ -127,12 +125,13 @@
         While the node is cut off, it tries one.
         """
         evidence = self._evidence
-        addresses = choose_checked(
-            self._services,
+        addresses = self._endpoints.choose(
             () if evidence.is_cut_off else evidence.unreached,
             random.random(),  # noqa: S311
-            1 if evidence.is_cut_off else CHECKED_ENDPOINTS,
+            CHECKED_ENDPOINTS,
         )
+        if evidence.is_cut_off:
+            addresses = (random.choice(addresses),)  # noqa: S311
         attempts: set[asyncio.Task[bool]] = set()
         try:
             for address in addresses:
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -440,7 +440,9 @@
     by_start = sorted(known.values(), key=lambda one: one.started_ms)
     signs.record_processes({one.address: one.instance for one in by_start})
     signs.keep_only({one.address for one in by_start})
-    context.isolation.contact.checker.replace_endpoints(known.values())
+    context.isolation.contact.checker.replace_endpoints(
+        known.values(), context.data_centre
+    )
 
 
 def _attach_evidence(
