--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
@@ -226,17 +227,13 @@
                 _no_connection_s(self._context, endpoint),
             )
         if shared_s and not is_known:
-            self._context.telemetry.log_state_change(
-                'engine_avoided', instance=instance, reason=result.reason
+            announce = functools.partial(
+                _announce_avoidance, self._context, endpoint, result, shared_s
             )
             if result.is_connection_refused:
-                self._context.isolation.contact.tell(
-                    lambda: self._context.sharing.announce_avoidance(
-                        instance, shared_s
-                    )
-                )
+                self._context.isolation.contact.tell(announce)
             else:
-                self._context.sharing.announce_avoidance(instance, shared_s)
+                announce()
 
     def handle_changes(self, message: RunChanges) -> None:
         """Avoid the engines that another node found to be gone.
@@ -573,6 +570,19 @@
     )
 
 
+def _announce_avoidance(
+    context: RelayContext,
+    endpoint: Endpoint,
+    result: AttemptResult,
+    duration_s: float,
+) -> None:
+    """Tell all other nodes to avoid an engine that is gone."""
+    context.telemetry.log_state_change(
+        'engine_avoided', instance=endpoint.instance, reason=result.reason
+    )
+    context.sharing.announce_avoidance(endpoint.instance, duration_s)
+
+
 def _no_connection_s(context: RelayContext, endpoint: Endpoint) -> float:
     """Return for how long an engine that was not reached is avoided."""
     if endpoint.data_centre in context.remotes.silent:
