Let silent streams leave a node that is cut off within a second or so

A stream whose connection hung left its node only when TCP gave up, after 3 s with a copy and 6 s without: by then engines had made the rest of shorter ones. While a node is cut off, a stream that has begun and is silent for a second goes on through another node; one whose connection lives stays.

The new test of a connection that hangs needs 4 s at most.

--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -117,6 +117,7 @@
                 stack.callback(context.turns.close)
                 stack.callback(context.isolation.contact.checker.close)
                 stack.callback(migrator.close)
+                stack.callback(relay.close)
                 await stack.enter_async_context(
                     _run_updates(components, context, placer, migrator, relay)
                 )
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -49,9 +49,11 @@
 from mastichatch_node.relay.service_call import relay_call
 from mastichatch_node.relay.streaming import Generation
 
-# TCP timeout towards engines while this node is partitioned from all endpoints:
-# another node can go on with a run whose connection is dead.
-ISOLATED_SILENCE_TIMEOUT_MS: Final = 2000
+# Time without bytes after which a stream that has begun leaves a node that is
+# partitioned from all endpoints. Events are due every 0.18 s by the users'
+# specification.
+ISOLATED_SILENCE_S: Final = 1.0
+SILENCE_CHECK_INTERVAL_S: Final = 0.25
 
 
 class Relay:
@@ -81,6 +83,7 @@
         self._key_limit_s = key_limit_s
         self._denial_limit_s = denial_limit_s
         self._generations: set[Generation] = set()
+        self._silence_check: asyncio.TimerHandle | None = None
         self._notice_ends_at = math.inf
         self._stops_at = math.inf
 
@@ -95,12 +98,26 @@
         return frozenset(self._generations)
 
     def watch_isolation(self) -> None:
-        """Notice soon which streams have ended with the way to endpoints."""
-        if self._context.isolation.is_isolated:
+        """Let silent streams go on elsewhere while this node is cut off.
+
+        Some connections to engines live on, and their streams stay.
+        """
+        if self._silence_check is not None:
+            self._silence_check.cancel()
+            self._silence_check = None
+        if not self._context.isolation.is_isolated:
+            return
+        if self._context.proxy_peers.has_any:
             for generation in self._generations:
-                connection = generation.connection
-                if connection is not None:
-                    connection.set_silence_timeout(ISOLATED_SILENCE_TIMEOUT_MS)
+                _close_if_silent(generation)
+        self._silence_check = asyncio.get_running_loop().call_later(
+            SILENCE_CHECK_INTERVAL_S, self.watch_isolation
+        )
+
+    def close(self) -> None:
+        """Stop watching streams."""
+        if self._silence_check is not None:
+            self._silence_check.cancel()
 
     def begin_draining(self, notice_ends_at: float, stops_at: float) -> None:
         """Refuse requests that the planned stop of the node would cut off.
@@ -316,3 +333,13 @@
     if cache.configuration is None:
         raise MastichatchError(ErrorKind.not_ready)
     return cache.configuration
+
+
+def _close_if_silent(generation: Generation) -> None:
+    """Close the connection of a stream that has begun, and is silent."""
+    connection = generation.connection
+    if connection is None or generation.last_event is None:
+        return
+    since = connection.silence.since
+    if since is not None and loop_time() - since >= ISOLATED_SILENCE_S:
+        connection.close()
--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -378,6 +378,33 @@
         assert source.stopped == {'r1'}
         assert sorted(len(one.ran) for one in servers) == [1, 1]
 
+    async def test_stream_whose_connection_hangs_goes_on(self) -> None:
+        server = HouseEndpoint(
+            instance='i-s', script=endpoints.stall_after(5), drops_closed=False
+        )
+        other = engine(endpoints.stream(9))
+        document = configuration()
+        document['services'][1]['engine']['slots'] = 1
+        async with open_isolated(2, server, document=document) as relays:
+            cut = relays[0]
+            reconnect(cut)
+            reader, writer = await _open(cut.settings.callers_address)
+            writer.write(
+                request_bytes('/plan/x', headers=LONG, timeout_ms=9000)
+            )
+            await reader.readuntil(b'id: 5')
+            await other.open()
+            for relay in relays:
+                entry = other.entry('llm', 'north')
+                await relay.store.put(f'servers/{other.instance}', entry)
+            cut_off(cut, 'north-2')
+            async with asyncio.timeout(4):
+                rest = await reader.readuntil(b'0\r\n\r\n')
+            writer.close()
+            other.close()
+        numbers = [int(one) for one in re.findall(rb'id: (\d+)', rest)]
+        assert numbers == [6, 7, 8, 9]
+
     async def test_stream_ends_broken_off_if_no_engine_proves_its_end(
         self,
     ) -> None:
