--- a/packages/node/mastichatch_node/relay/contact_tracking.py
+++ b/packages/node/mastichatch_node/relay/contact_tracking.py
@@ -21,7 +21,7 @@
 # Time between checks that only silence or broken connections call for.
 FIRST_SIGN_PAUSE_S: Final = 0.5
 MAX_SIGN_PAUSE_S: Final = 8.0
-REVIEW_INTERVAL_S: Final = 0.1
+REVIEW_INTERVAL_S: Final = 0.2
 # Most failures of endpoints that are withheld at a time.
 MAX_WITHHELD: Final = 256
 
