--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
@@ -54,6 +55,11 @@
     AttemptOutcome,
     AttemptResult,
 )
+from mastichatch_node.relay.proxy_decision import (
+    PassOnError,
+    may_pass_on_unsent,
+    must_pass_on,
+)
 from mastichatch_node.relay.speed_tracking import SpeedTracker
 
 # Shorter outputs finish before a copy of their KV cache is of any use.
@@ -147,6 +153,9 @@
             prompt would crash it
         """
         engine = require_engine(job)
+        is_unsent = bool(excluded) and may_pass_on_unsent(self._context, job)
+        if is_unsent or must_pass_on(self._context, job):
+            raise PassOnError
         if job.facts.prompt_tokens > engine.memory_tokens:
             # The prompt exceeds the memory of every engine.
             raise self._unavailable(job)
@@ -178,6 +187,7 @@
 
     def reconcile(self) -> None:
         """Assign engines to the queued requests that are next in order."""
+        _release_isolated(self._context, self._waiting.values())
         services = {one.job.service.name for one in self._waiting.values()}
         for service in services:
             self._assign_engines(service)
@@ -226,17 +236,21 @@
                 _no_connection_s(self._context, endpoint),
             )
         if shared_s and not is_known:
-            self._context.telemetry.log_state_change(
-                'engine_avoided', instance=instance, reason=result.reason
+            announce = functools.partial(
+                _announce_avoidance, self._context, endpoint, result, shared_s
             )
-            self._context.sharing.announce_avoidance(instance, shared_s)
+            if result.is_connection_refused:
+                self._context.isolation.contact.tell(announce)
+            else:
+                announce()
 
     def handle_changes(self, message: RunChanges) -> None:
         """Avoid the engines that another node found to be gone.
 
         :param message: message with their instance ids
         """
-        self.avoid(message.avoided, message.avoided_ms / MS_PER_S)
+        if not message.is_cut_off:
+            self.avoid(message.avoided, message.avoided_ms / MS_PER_S)
 
     def avoid(self, instances: Iterable[str], duration_s: float) -> None:
         """Send no requests to some engines for a while.
@@ -519,6 +533,17 @@
         return endpoints[chosen]
 
 
+def _release_isolated(
+    context: RelayContext, waiting: Iterable[_QueuedRequest]
+) -> None:
+    """Let other nodes go on with the queued requests of a partitioned node."""
+    if not context.isolation.is_isolated or not context.proxy_peers.has_any:
+        return
+    for queued in waiting:
+        if not queued.future.done():
+            queued.future.set_exception(PassOnError())
+
+
 def _is_healthy(context: RelayContext, endpoint: Endpoint, now: float) -> bool:
     record = context.records.get(endpoint.instance)
     if record.is_avoided(now):
@@ -565,6 +590,19 @@
     )
 
 
+def _announce_avoidance(
+    context: RelayContext,
+    endpoint: Endpoint,
+    result: AttemptResult,
+    duration_s: float,
+) -> None:
+    """Tell all other nodes to avoid an engine that is gone."""
+    context.telemetry.log_state_change(
+        'engine_avoided', instance=endpoint.instance, reason=result.reason
+    )
+    context.sharing.announce_avoidance(endpoint.instance, duration_s)
+
+
 def _no_connection_s(context: RelayContext, endpoint: Endpoint) -> float:
     """Return for how long an engine that was not reached is avoided."""
     if endpoint.data_centre in context.remotes.silent:
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -7,16 +7,19 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import socket
 import struct
+import weakref
 from collections.abc import (
     AsyncIterator,
     Callable,
     Iterable,
     Iterator,
+    Mapping,
     Sequence,
 )
-from typing import Final, SupportsIndex
+from typing import Final, Protocol, SupportsIndex
 
 import h11
 
@@ -52,6 +55,8 @@
 # or unanswered keepalive probes. Until then, lost packets are retransmitted.
 SILENCE_TIMEOUT_MS: Final = 3000
 KEEPALIVE_INTERVAL_S: Final = 1
+# A connection whose time limit ends this much late is no sign of its peer.
+MAX_TIMER_LAG_S: Final = 0.1
 # Time limit of a connection that shows whether a process still exists.
 PROBE_TIMEOUT_S: Final = 0.25
 # Time within which other connections to a process that refuses new ones end, or
@@ -175,6 +180,17 @@
 ConnectObserver = Callable[[str, float], None]
 
 
+class OutcomeObserver(Protocol):
+    """Follows whether connections are established."""
+
+    def __call__(self, address: str, *, is_established: bool) -> None:
+        """Record the outcome of a new connection.
+
+        :param address: IP address and port
+        :param is_established: whether the peer has accepted it
+        """
+
+
 def _ignore(*_: object) -> None:
     """Do nothing."""
 
@@ -197,6 +213,7 @@
         self._held = budget.open(Purpose.unread, owner, self.cut)
         self._unread = 0
         self._has_ended = False
+        self._received_at = loop_time()
         self._source: asyncio.BaseTransport | None = None
         self._on_bytes: Callable[[], None] = _ignore
         self._on_end: Callable[[], None] = _ignore
@@ -215,6 +232,11 @@
         if self._has_ended:
             self._report_end()
 
+    @property
+    def received_at(self) -> float:
+        """Loop time of the last bytes, in seconds."""
+        return self._received_at
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes have arrived that were not read."""
@@ -231,6 +253,7 @@
         except BudgetExceededError:
             return
         self._unread += len(received)
+        self._received_at = loop_time()
         self._on_bytes()
         super().feed_data(received)
 
@@ -298,6 +321,44 @@
         self._held.close()
 
 
+class PeerSilence:
+    """Since when a peer sends nothing though its answer is due."""
+
+    def __init__(self, reader: CountingReader) -> None:
+        """Start while no answer is due.
+
+        :param reader: bytes of the peer
+        """
+        self._reader = reader
+        self._sent_at: float | None = None
+
+    @property
+    def last_byte_at(self) -> float:
+        """Loop time of the last bytes of the peer, in seconds."""
+        return self._reader.received_at
+
+    @property
+    def since(self) -> float | None:
+        """Loop time since which it is silent, in seconds.
+
+        It is ``None`` while nothing is due, or bytes were not read.
+        """
+        if self._sent_at is None or self._reader.has_unread:
+            return None
+        return max(self._sent_at, self._reader.received_at)
+
+    def begin(self, now: float) -> None:
+        """Record that a request is sent.
+
+        :param now: loop time, in seconds
+        """
+        self._sent_at = now
+
+    def end(self) -> None:
+        """Record that no answer is due any more."""
+        self._sent_at = None
+
+
 class Connection:
     """A client connection, which carries one request at a time."""
 
@@ -326,6 +387,7 @@
         self._observers: list[HeadObserver] = []
         self._matching = _ANSWERS_IN_ORDER
         self.sent = SentRequests()
+        self.silence = PeerSilence(reader)
         self.round_trip_s = measure_round_trip_s(writer)
 
     @property
@@ -397,6 +459,7 @@
         self._request = request
         self._sent_at = loop_time()
         self._may_have_sent = True
+        self.silence.begin(self._sent_at)
         try:
             await write_in_pieces(self._writer, encoded)
         except OSError as error:
@@ -446,6 +509,7 @@
             if not _start_next_cycle(self._protocol):
                 self.close()
             self._request = None
+            self.silence.end()
             return None
         raise self._close_with_error('the answer was cut off')
 
@@ -480,6 +544,7 @@
     def close(self) -> None:
         """Abort the connection, which cancels a request in progress."""
         self._is_closed = True
+        self.silence.end()
         self._writer.transport.abort()
         self._reader.release()
 
@@ -814,6 +879,8 @@
         self._opened = 0
         self._observers: list[HeadObserver] = []
         self._connect_observers: list[ConnectObserver] = []
+        self._outcome_observers: list[OutcomeObserver] = []
+        self._taken: weakref.WeakSet[Connection] = weakref.WeakSet()
         self._matching: AnswerMatching | None = None
 
     @property
@@ -853,6 +920,13 @@
         """
         self._connect_observers.append(observer)
 
+    def observe_outcomes(self, observer: OutcomeObserver) -> None:
+        """Call a function with the outcome of each new connection.
+
+        :param observer: the function
+        """
+        self._outcome_observers.append(observer)
+
     async def take(
         self,
         address: str,
@@ -870,11 +944,11 @@
         """
         found = self._take_idle(address, idle_limit_s, request)
         if found is not None:
+            self._taken.add(found)
             return found
         self._opened += 1
-        connection = await connect(
-            address, self._connect_timeout_s, self._resources
-        )
+        connection = await self._connect(address)
+        self._taken.add(connection)
         round_trip_s = connection.round_trip_s
         if round_trip_s is not None:
             for observe_connect in self._connect_observers:
@@ -882,11 +956,46 @@
         connection.observe_heads(self._observers, self._matching)
         return connection
 
+    def waiting(self) -> tuple[Mapping[str, float], float]:
+        """Return since when answers of peers are due.
+
+        :returns: the time by address, and the time of the last bytes of any
+            peer, as loop times in seconds
+        """
+        since: dict[str, float] = {}
+        last_byte_at = -math.inf
+        for connection in tuple(self._taken):
+            last_byte_at = max(last_byte_at, connection.silence.last_byte_at)
+            silent_since = connection.silence.since
+            if silent_since is not None:
+                since[connection.address] = silent_since
+        return since, last_byte_at
+
+    async def _connect(self, address: str) -> Connection:
+        """Open a connection, and tell the observers of the outcome."""
+        ends_at = loop_time() + self._connect_timeout_s
+        try:
+            connection = await connect(
+                address, self._connect_timeout_s, self._resources
+            )
+        except ExchangeError:
+            # A late timer shows only that this process was held up.
+            if loop_time() - ends_at < MAX_TIMER_LAG_S:
+                self._notify_outcome(address, is_established=False)
+            raise
+        self._notify_outcome(address, is_established=True)
+        return connection
+
+    def _notify_outcome(self, address: str, *, is_established: bool) -> None:
+        for observe in self._outcome_observers:
+            observe(address, is_established=is_established)
+
     def release(self, connection: Connection) -> None:
         """Keep a connection for reuse, or close it if it is not idle.
 
         :param connection: connection that ``take`` returned
         """
+        self._taken.discard(connection)
         if connection.is_idle:
             self._idle.setdefault(connection.address, []).append(connection)
         else:
--- a/packages/node/mastichatch_node/relay/run_orders.py
+++ b/packages/node/mastichatch_node/relay/run_orders.py
@@ -48,7 +48,20 @@
             return
         order.cancel()
         if order.unanswered:
-            self._late.add(endpoint.instance)
+            self.record_late(endpoint)
+
+    def abandon(self) -> None:
+        """Repeat no order, since another node goes on with the run."""
+        for order in self.all:
+            order.is_settled = True
+            order.cancel()
+
+    def record_late(self, endpoint: Endpoint) -> None:
+        """Record that an engine may still carry out an order sent earlier.
+
+        :param endpoint: the engine
+        """
+        self._late.add(endpoint.instance)
 
     async def may_have_stopped(self, endpoint: Endpoint) -> bool:
         """Return whether a run that has ended may have stopped on an order.
