--- a/packages/node/mastichatch_node/relay/contact_checking.py
+++ b/packages/node/mastichatch_node/relay/contact_checking.py
@@ -85,7 +85,8 @@
             self._task.add_done_callback(self._finish)
 
     def close(self) -> None:
-        """End a check in progress."""
+        """End a check in progress, and begin no other one."""
+        self._endpoints = CheckedEndpoints()
         if self._task is not None:
             self._task.cancel()
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import errno
 import math
 import socket
 import struct
@@ -73,6 +74,9 @@
     'an answer without a length ended, and the host refuses connections since'
 )
 
+_NETWORK_ERRORS: Final = frozenset(
+    (errno.EHOSTUNREACH, errno.ENETUNREACH, errno.EHOSTDOWN, errno.ENETDOWN)
+)
 _FRAMING_HEADERS: Final = (b'content-length', b'transfer-encoding')
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 
@@ -864,6 +868,16 @@
     return max(1, timeout_ms // (KEEPALIVE_INTERVAL_S * MS_PER_S) - 1)
 
 
+def _is_due_to_network(error: BaseException | None) -> bool:
+    """Return whether a connection failed at the peer, or on the way there.
+
+    A malformed address, or a process out of descriptors, shows nothing of it.
+    """
+    if isinstance(error, (TimeoutError, ConnectionError)):
+        return True
+    return isinstance(error, OSError) and error.errno in _NETWORK_ERRORS
+
+
 class ConnectionPool:
     """Pool of idle connections, by address."""
 
@@ -978,9 +992,10 @@
             connection = await connect(
                 address, self._connect_timeout_s, self._resources
             )
-        except ExchangeError:
+        except ExchangeError as error:
             # A late timer shows only that this process was held up.
-            if loop_time() - ends_at < MAX_TIMER_LAG_S:
+            is_late = loop_time() - ends_at >= MAX_TIMER_LAG_S
+            if not is_late and _is_due_to_network(error.__cause__):
                 self._notify_outcome(address, is_established=False)
             raise
         self._notify_outcome(address, is_established=True)
--- a/packages/node/mastichatch_node/relay/isolation_tracking.py
+++ b/packages/node/mastichatch_node/relay/isolation_tracking.py
@@ -14,7 +14,7 @@
 from mastichatch_node.relay.telemetry import Telemetry
 
 # Number of peers that tell a node that is cut off of their contact, the time
-# between two answers of one of them, and the age from which on it is checked.
+# between two answers to it, and the age from which on the contact is checked.
 ANSWERING_PEERS: Final = 4
 ANSWER_INTERVAL_S: Final = 1.0
 FRESH_CONTACT_MS: Final = 300.0
@@ -49,7 +49,7 @@
         self._sources = sources
         self._peers = PeerContacts()
         self._callbacks: list[Callback] = []
-        self._answered_at = -math.inf
+        self._answered_at: dict[str, float] = {}
         self._is_isolated = False
         sources.contact.subscribe(self._handle_change)
 
@@ -102,11 +102,12 @@
 
     def _answer(self, name: str, now: float) -> None:
         """Tell a peer that is cut off that this node reaches endpoints."""
-        if now - self._answered_at < ANSWER_INTERVAL_S:
+        answered_at = self._answered_at.get(name, -math.inf)
+        if now - answered_at < ANSWER_INTERVAL_S:
             return
         if random.random() * len(self._peers) > ANSWERING_PEERS:  # noqa: S311
             return
-        self._answered_at = now
+        self._answered_at[name] = now
         contact = self._sources.contact
         age_ms = contact.contact_ms
         if age_ms is not None and age_ms < FRESH_CONTACT_MS:
--- a/tests/test_relay_isolation.py
+++ b/tests/test_relay_isolation.py
@@ -13,6 +13,7 @@
 import pytest
 
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.http_client import ExchangeError
 from mastichatch_node.relay.program import RelayNode
 from tests import relay_nodes
 from tests.network_cuts import Cut, cut_off
@@ -232,3 +233,15 @@
             while loop_time() < ends_at:
                 assert not context.pool.signs.has_ended(address)
                 await asyncio.sleep(CALL_INTERVAL_S)
+
+
+async def test_malformed_addresses_isolate_nobody() -> None:
+    known = create_endpoints()
+    async with open_fleet(**known, count=1) as fleet:
+        context = context_of(fleet.first)
+        for port in range(70_000, 70_010):
+            with pytest.raises(ExchangeError):
+                await context.pool.take(f'127.0.0.1:{port}', 0)
+        await asyncio.sleep(EXCHANGE_S)
+        # No check has connected to anything.
+        assert context.isolation.contact.contact_ms is None
