--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -46,6 +46,31 @@
 Limits = tuple[EndpointLimit, ...]
 
 
+class Contact(Protocol):
+    """What this node tells of its way to the endpoints."""
+
+    @property
+    def contact_ms(self) -> float | None:
+        """Time since the last connection to an endpoint, in milliseconds."""
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether connections fail at all endpoints."""
+
+    @property
+    def may_tell(self) -> bool:
+        """Whether failures of endpoints may be told to other nodes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UnknownContact:
+    """What a node tells that does not track its way to the endpoints."""
+
+    contact_ms: float | None = None
+    is_cut_off: bool = False
+    may_tell: bool = True
+
+
 class NodeDirectory(Protocol):
     """The other nodes, as far as they are registered."""
 
@@ -89,6 +114,7 @@
         self._links_expire_at = -math.inf
         self._current_evidence: Callable[[], Evidence] = _no_evidence
         self._current_limits: Callable[[], Limits] = tuple
+        self._contact: Contact = UnknownContact()
 
     @property
     def table(self) -> RunTable:
@@ -164,6 +190,8 @@
     def announce_outcomes(self, limits: Limits = ()) -> None:
         """Tell other nodes of outcomes of calls that no change has told of.
 
+        Like each message, it also tells whether this node reaches endpoints.
+
         :param limits: limits that endpoints have begun or ceased to name
         """
         message = self._create_message(())
@@ -173,12 +201,16 @@
         self,
         current_evidence: Callable[[], Evidence],
         current_limits: Callable[[], Limits],
+        contact: Contact,
     ) -> None:
         """Send what is known of endpoints with each full list of runs.
 
         :param current_evidence: returns the evidence on crashes
         :param current_limits: returns the limits that endpoints name
+        :param contact: whether this node reaches endpoints, which is sent with
+            each message
         """
+        self._contact = contact
         self._current_evidence = current_evidence
         self._current_limits = current_limits
 
@@ -235,7 +267,9 @@
             dataclasses.replace(
                 message,
                 origin=self._peers.incarnation,
-                outcomes=self._outcomes.take_untold(),
+                outcomes=self._outcomes.take_untold()
+                if self._contact.may_tell
+                else (),
             ),
         )
 
@@ -286,6 +320,8 @@
             is_whole=is_whole,
             runs=runs,
             leaving=leaving,
+            contact_ms=self._contact.contact_ms,
+            is_cut_off=self._contact.is_cut_off,
         )
 
 
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -9,7 +9,7 @@
 import contextlib
 import dataclasses
 import itertools
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from types import MappingProxyType
 from typing import Any, Final, cast
 
@@ -453,6 +453,16 @@
         return lambda *positional, **named: None
 
 
+class _Contact(_Quiet):
+    def tell(self, callback: Callable[[], None]) -> None:
+        callback()
+
+
+class _Isolation(_Quiet):
+    is_isolated = False
+    contact = _Contact()
+
+
 class _Placer(_Quiet):
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
@@ -570,6 +580,9 @@
             'north',
             lambda: 1,
         ),
+        proxy_peers=cast(Any, _Quiet()),
+        proxy_pool=cast(Any, fleet),
+        isolation=cast(Any, _Isolation()),
     )
 
 
