--- a/tests/network_cuts.py
+++ b/tests/network_cuts.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mastichatch_node.relay import http_client
-from mastichatch_node.relay.program import RelayNode
+from mastichatch_node.relay.relay_node import RelayNode
 
 
 class Cut(StrEnum):
--- a/tests/test_relay_isolation.py
+++ b/tests/test_relay_isolation.py
@@ -13,7 +13,7 @@
 import pytest
 
 from mastichatch_node.clock import loop_time
-from mastichatch_node.relay.program import RelayNode
+from mastichatch_node.relay.relay_node import RelayNode
 from tests import relay_nodes
 from tests.network_cuts import Cut, cut_off
 from tests.standins import house_endpoints as endpoints
