Report a repeated call as perhaps run if no other node accepts it

An idempotent call was passed on, the connection to the other node was lost, and no further node was there to repeat it, or all of them refused. Callers got 503 with "ran": "no", which is untrue, as the first node may have run the call.

The error that was known before the call was passed on was used for the answer. Attempts that were made since count as well: the answer is now 502, outcome_unknown. The test got 503 before the change.

--- a/packages/node/mastichatch_node/relay/proxying.py
+++ b/packages/node/mastichatch_node/relay/proxying.py
@@ -125,7 +125,7 @@
         while len(asked) < MAX_NODES_ASKED:
             record = self._context.proxy_peers.choose(asked)
             if record is None or job.left_ms() < MIN_TIME_LEFT_MS:
-                return False
+                break
             asked.add(record.name)
             result = await self._try_node(record, job, reply, hop, order)
             if result.outcome in {ProxyOutcome.answered, ProxyOutcome.refused}:
@@ -134,6 +134,10 @@
                 hop = self._repeat(job, reply, hop, result)
             else:
                 self._context.proxy_peers.avoid(record.name)
+        if hop.attempts > error.earlier_attempts:
+            raise MastichatchError(
+                ErrorKind.outcome_unknown, 'no node repeats the request'
+            )
         return False
 
     def _repeat(
--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import re
 from typing import Any
 
@@ -294,6 +295,16 @@
         assert [one.attempts for one in peer.hops] == [0, 1]
         assert answer.status == 502
 
+    async def test_call_that_may_have_run_is_unknown_if_no_peer_repeats_it(
+        self,
+    ) -> None:
+        async with open_isolated(2) as (cut, _):
+            async with open_peer(cut, hang_up) as peer:
+                answer = await call_cut(cut, '/lookup/x')
+        assert len(peer.hops) == 1
+        assert answer.status == 502
+        assert json.loads(answer.body)['ran'] == 'unknown'
+
     async def test_stream_that_is_cut_off_does_not_look_complete(self) -> None:
         server = engine(endpoints.stream(50, 0.05))
         async with open_isolated(2, server) as (cut, other):
