--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -389,6 +389,25 @@
         assert source.stopped == {'r1'}
         assert sorted(len(one.ran) for one in servers) == [1, 1]
 
+    async def test_stream_goes_on_if_the_first_peer_is_not_reached(
+        self,
+    ) -> None:
+        servers = [engine(endpoints.stream(40, 0.02)) for _ in range(2)]
+        servers[1].instance = 'i-f'
+        async with open_isolated(2, *servers) as (cut, _):
+            await register(cut, 'gone', '127.0.0.1:9', 'token')
+            reconnect(cut)
+            answer = asyncio.create_task(call_cut(cut, '/plan/x', headers=LONG))
+            await until(lambda: any(one.ran for one in servers))
+            await asyncio.sleep(0.1)
+            _lose_connection(cut)
+            with context_of(cut.node).proxy_peers.counted('north-2'):
+                cut_off(cut, 'gone', 'north-2')
+                whole = await answer
+        assert whole.is_whole
+        numbers = [int(one) for one in re.findall(rb'id: (\d+)', whole.body)]
+        assert numbers == list(range(1, 41))
+
     async def test_stream_ends_broken_off_if_no_engine_proves_its_end(
         self,
     ) -> None:
