Ask the next node for a stream in progress if one refuses it

A node that refuses to go on with a run (it has no such service, for example) ended the stream: the refusal counted as the answer, so that callers got the begun stream cut off, and the log and the metrics named it answered. A refusal that is proved says that the run was not touched, so that the next node is asked; without one, the request fails as the others do.

--- a/packages/node/mastichatch_node/relay/proxying.py
+++ b/packages/node/mastichatch_node/relay/proxying.py
@@ -334,6 +334,9 @@
     ) -> _Result:
         """Pass the error of the other node on, unless a third may accept it."""
         body = await connection.read_body(PASS_ON_BYTES, Purpose.answer)
+        if outcome is ProxyOutcome.refused and self._hop.run is not None:
+            # The node has not touched the run, which another one may accept.
+            outcome = ProxyOutcome.elsewhere
         if outcome is ProxyOutcome.elsewhere or self._reply.status:
             return _Result(outcome=outcome, reason=f'status {head.status}')
         if outcome is ProxyOutcome.refused and self._hop.attempts:
--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -389,22 +389,30 @@
         assert source.stopped == {'r1'}
         assert sorted(len(one.ran) for one in servers) == [1, 1]
 
-    async def test_stream_goes_on_if_the_first_peer_is_not_reached(
-        self,
+    @pytest.mark.parametrize('is_reached', [False, True])
+    async def test_stream_goes_on_if_the_first_peer_does_not_accept_it(
+        self, is_reached: bool
     ) -> None:
         servers = [engine(endpoints.stream(40, 0.02)) for _ in range(2)]
         servers[1].instance = 'i-f'
-        async with open_isolated(2, *servers) as (cut, _):
-            await register(cut, 'gone', '127.0.0.1:9', 'token')
+        refuse = answer_with(503, ProxyOutcome.refused)
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            cut, _ = await enter(open_isolated(2, *servers))
+            peer = await enter(open_peer(cut, refuse))
+            if not is_reached:
+                await register(cut, 'fake', '127.0.0.1:9', 'token')
+                await until(lambda: _address(cut, 'fake') == '127.0.0.1:9')
             reconnect(cut)
             answer = asyncio.create_task(call_cut(cut, '/plan/x', headers=LONG))
             await until(lambda: any(one.ran for one in servers))
             await asyncio.sleep(0.1)
             _lose_connection(cut)
             with context_of(cut.node).proxy_peers.counted('north-2'):
-                cut_off(cut, 'gone', 'north-2')
+                cut_off(cut, 'fake', 'north-2')
                 whole = await answer
         assert whole.is_whole
+        assert len(peer.hops) == is_reached
         numbers = [int(one) for one in re.findall(rb'id: (\d+)', whole.body)]
         assert numbers == list(range(1, 41))
 
@@ -524,6 +532,11 @@
     return await asyncio.open_connection(host, int(port))
 
 
+def _address(relay: RelayFixture, name: str) -> str:
+    record = record_of(relay, name)
+    return '' if record is None else record.proxy_address
+
+
 def _lose_connection(relay: RelayFixture) -> None:
     """End a node's connection to an engine, which does not notice."""
     (generation,) = relay.node.relay.generations
