Let a third node accept what a node without contact cannot send

A node that has lost the endpoints, too, but does not know yet that others reach them, answered a passed-on request with 503 after its own connections failed, and callers got that answer although a third node was there. It now says that another node may accept the request, as it would for its own callers. The tests got 503 for a call and for a generation before the change.

--- a/packages/node/mastichatch_node/relay/proxy_decision.py
+++ b/packages/node/mastichatch_node/relay/proxy_decision.py
@@ -57,15 +57,13 @@
 def may_pass_on_unsent(context: RelayContext, job: Job) -> bool:
     """Return whether a request may go to another node that was never sent.
 
-    That is so before it is certain that this node is partitioned, too.
+    That is so before it is certain that this node is partitioned, too. Another
+    node that has passed the request on chooses a third one.
 
     :param context: shared components of the relay
     :param job: the request
     """
-    if job.hop is not None:
+    isolation = context.isolation
+    if not isolation.is_isolated and isolation.reaches(job.service.name):
         return False
-    if context.isolation.is_isolated:
-        return context.proxy_peers.has_any
-    if context.isolation.reaches(job.service.name):
-        return False
-    return context.proxy_peers.has_any
+    return job.hop is not None or context.proxy_peers.has_any
--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -27,6 +27,7 @@
     open_peer,
     reconnect,
     record_of,
+    refuse_connections,
     register,
     write_raw,
 )
@@ -266,6 +267,21 @@
         assert peer.hops
         assert len(server.ran) == TRIES
 
+    @pytest.mark.parametrize('path', ['/book/x', '/plan/x'])
+    async def test_request_goes_on_from_a_peer_that_is_cut_off_itself(
+        self, path: str
+    ) -> None:
+        """It does not know yet that others reach endpoints."""
+        server, model = app(), engine()
+        service = 'llm' if path == '/plan/x' else 'app'
+        async with open_isolated(3, model, apps=(server,)) as relays:
+            refuse_connections(relays[1])
+            isolation_of(relays[1]).set(is_isolated=False, unreached=service)
+            with context_of(relays[0].node).proxy_peers.counted('north-3'):
+                answer = await call_cut(relays[0], path, headers=TOKENS)
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert server.ran + model.ran == ['r1']
+
     async def test_refusal_of_a_peer_keeps_its_time(self) -> None:
         script = answer_with(503, ProxyOutcome.refused, 'Retry-After: 7\r\n')
         async with open_isolated(2) as (cut, _):
