Keep a stream that another node goes on with at its service

Each node draws the service of a request where a route is split. The node that went on with a run of a partitioned one drew again, and so could continue a stream at an engine of another service, with events of two services in one answer. The service of a run in progress is that of its engine. In the test the rest of the stream came from the engine of the other service before the change.

--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -39,6 +39,7 @@
     ResponseWriter,
     error_headers,
 )
+from mastichatch_node.relay import run_adoption
 from mastichatch_node.relay.context import Job, RelayContext
 from mastichatch_node.relay.engine_placement import (
     EngineUnavailableError,
@@ -170,7 +171,9 @@
         metadata = self._context.dialect.read_facts(request.headers)
         try:
             job = self._create_job(request, metadata)
-            await self._run(dataclasses.replace(job, hop=hop), reply)
+            service = run_adoption.service_of(self._context, hop) or job.service
+            job = dataclasses.replace(job, hop=hop, service=service)
+            await self._run(job, reply)
         except MastichatchError as error:
             reply.set_added_headers(outcome_headers(proxy_outcome(error)))
             await self._send_error(request, metadata.request_id, reply, error)
--- a/packages/node/mastichatch_node/relay/run_adoption.py
+++ b/packages/node/mastichatch_node/relay/run_adoption.py
@@ -5,12 +5,13 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import (
     ErrorKind,
+    ProxyHop,
     ProxyRun,
     RunState,
 )
 from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
 from mastichatch_core.relay.events import EventOrder
-from mastichatch_core.relay.model import Endpoint
+from mastichatch_core.relay.model import Endpoint, Service
 from mastichatch_core.relay.run_engines import Ending, RunEngines
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.context import Job, RelayContext
@@ -68,6 +69,25 @@
     return PassOnError(1, LeftRun(run, order))
 
 
+def service_of(context: RelayContext, hop: ProxyHop) -> Service | None:
+    """Return the service of a run that another node has left.
+
+    Its route may lead to several services, of which one is drawn for each
+    request.
+
+    :param context: shared components of the relay
+    :param hop: what the other node told of its request
+    :returns: ``None`` if no run is in progress, or its service is not known
+    """
+    configuration = context.belief.configuration
+    if hop.run is None or configuration is None:
+        return None
+    source = context.belief.endpoints(loop_time()).get(hop.run.source)
+    return (
+        None if source is None else configuration.services.get(source.service)
+    )
+
+
 async def adopt(
     context: RelayContext,
     placer: EnginePlacer,
--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -16,6 +16,7 @@
 from mastichatch_core.relay import proxy_choice
 from mastichatch_core.relay.proxy_hop import request_proof
 from mastichatch_node import codec
+from mastichatch_node.clock import loop_time
 from tests.isolated_nodes import (
     PeerScript,
     answer_with,
@@ -432,6 +433,38 @@
         numbers = [int(one) for one in re.findall(rb'id: (\d+)', whole.body)]
         assert numbers == list(range(1, 41))
 
+    async def test_stream_of_a_split_route_stays_with_its_service(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        server, other = engine(endpoints.stream(40, 0.02)), engine()
+        other.instance = 'i-o'
+        document = configuration()
+        document['services'].append(
+            {**document['services'][1], 'name': 'other'}
+        )
+        document['routes'][2]['split'] = [
+            {'service': 'llm', 'weight': 1},
+            {'service': 'other', 'weight': 1},
+        ]
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            await enter(endpoints.open_endpoints(other))
+            cut, peer = await enter(open_isolated(2, server, document=document))
+            await cut.store.put('servers/i-o', other.entry('other', 'north'))
+            view = context_of(peer.node).belief
+            await until(lambda: len(view.endpoints(loop_time())) == 2)
+            reconnect(cut)
+            monkeypatch.setattr('random.random', lambda: 0.0)
+            answer = asyncio.create_task(call_cut(cut, '/plan/x', headers=LONG))
+            await until(lambda: bool(server.ran))
+            await asyncio.sleep(0.1)
+            monkeypatch.setattr('random.random', lambda: 0.9)
+            _lose_connection(cut)
+            cut_off(cut, 'north-2')
+            whole = await answer
+        assert whole.is_whole
+        assert (server.ran, other.ran) == (['r1', 'r1'], [])
+
     async def test_stream_ends_broken_off_if_no_engine_proves_its_end(
         self,
     ) -> None:
