Avoid a node that breaks off requests that are passed on to it

A node that closes such connections at once, for example as it has restarted under its name and does not accept the former proof, looks idle. It got about half of all requests with one other node at hand, and calls that may run only once failed with 502. It now gets none for half a second, as a node that is not reached.

--- a/packages/node/mastichatch_node/relay/proxy_peers.py
+++ b/packages/node/mastichatch_node/relay/proxy_peers.py
@@ -16,8 +16,8 @@
 
 # Time for which the list of nodes is kept, so that no request pays for it.
 GROUPS_LIFETIME_S: Final = 0.2
-# Time for which a node gets no requests after it has accepted none, or was not
-# reached.
+# Time for which a node gets no requests after it has accepted none, was not
+# reached, or has broken off an answer.
 AVOIDED_S: Final = 0.5
 
 
--- a/packages/node/mastichatch_node/relay/proxying.py
+++ b/packages/node/mastichatch_node/relay/proxying.py
@@ -266,6 +266,7 @@
             outcome = ProxyOutcome.unknown if was_sent else NOT_SENT
             return _Result(outcome=outcome, reason='no answer in time')
         except ExchangeError as error:
+            self._context.proxy_peers.avoid(self._record.name)
             if self._reply.status and error.was_sent:
                 # An answer that was cut off must not look complete.
                 raise MastichatchError(
--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -17,6 +17,7 @@
 from mastichatch_core.relay.proxy_hop import request_proof
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.proxy_peers import AVOIDED_S
 from tests.isolated_nodes import (
     PeerScript,
     answer_with,
@@ -500,6 +501,18 @@
         assert float(answer.headers['retry-after']) > 0
         assert server.received == []
 
+    async def test_node_that_breaks_off_is_avoided_for_a_while(self) -> None:
+        server = app()
+        async with open_isolated(2, apps=(server,)) as (cut, _):
+            async with open_peer(cut, hang_up) as peer:
+                isolation_of(cut).set('fake', 'north-2')
+                started_at = loop_time()
+                for number in range(TRIES):
+                    await call_cut(cut, f'/book/{number}')
+                took_s = loop_time() - started_at
+        assert len(peer.hops) <= 1 + took_s / AVOIDED_S
+        assert len(server.ran) == TRIES - len(peer.hops)
+
     async def test_stopping_node_accepts_no_more(self) -> None:
         server = app()
         async with open_isolated(2, apps=(server,)) as (cut, other):
