--- a/packages/node/mastichatch_node/relay/proxying.py
+++ b/packages/node/mastichatch_node/relay/proxying.py
@@ -125,7 +125,7 @@
         while len(asked) < MAX_NODES_ASKED:
             record = self._context.proxy_peers.choose(asked)
             if record is None or job.left_ms() < MIN_TIME_LEFT_MS:
-                return False
+                break
             asked.add(record.name)
             result = await self._try_node(record, job, reply, hop, order)
             if result.outcome in {ProxyOutcome.answered, ProxyOutcome.refused}:
@@ -134,6 +134,10 @@
                 hop = self._repeat(job, reply, hop, result)
             else:
                 self._context.proxy_peers.avoid(record.name)
+        if hop.attempts > error.earlier_attempts:
+            raise MastichatchError(
+                ErrorKind.outcome_unknown, 'no node repeats the request'
+            )
         return False
 
     def _repeat(
@@ -262,7 +266,8 @@
             outcome = ProxyOutcome.unknown if was_sent else NOT_SENT
             return _Result(outcome=outcome, reason='no answer in time')
         except ExchangeError as error:
-            if self._reply.status:
+            self._context.proxy_peers.avoid(self._record.name)
+            if self._reply.status and error.was_sent:
                 # An answer that was cut off must not look complete.
                 raise MastichatchError(
                     ErrorKind.generation_lost, str(error)
@@ -330,6 +335,9 @@
     ) -> _Result:
         """Pass the error of the other node on, unless a third may accept it."""
         body = await connection.read_body(PASS_ON_BYTES, Purpose.answer)
+        if outcome is ProxyOutcome.refused and self._hop.run is not None:
+            # The node has not touched the run, which another one may accept.
+            outcome = ProxyOutcome.elsewhere
         if outcome is ProxyOutcome.elsewhere or self._reply.status:
             return _Result(outcome=outcome, reason=f'status {head.status}')
         if outcome is ProxyOutcome.refused and self._hop.attempts:
--- a/tests/test_relay_proxying.py
+++ b/tests/test_relay_proxying.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import re
 from typing import Any
 
@@ -15,6 +16,8 @@
 from mastichatch_core.relay import proxy_choice
 from mastichatch_core.relay.proxy_hop import request_proof
 from mastichatch_node import codec
+from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.proxy_peers import AVOIDED_S
 from tests.isolated_nodes import (
     PeerScript,
     answer_with,
@@ -26,6 +29,7 @@
     open_peer,
     reconnect,
     record_of,
+    refuse_connections,
     register,
     write_raw,
 )
@@ -265,6 +269,21 @@
         assert peer.hops
         assert len(server.ran) == TRIES
 
+    @pytest.mark.parametrize('path', ['/book/x', '/plan/x'])
+    async def test_request_goes_on_from_a_peer_that_is_cut_off_itself(
+        self, path: str
+    ) -> None:
+        """It does not know yet that others reach endpoints."""
+        server, model = app(), engine()
+        service = 'llm' if path == '/plan/x' else 'app'
+        async with open_isolated(3, model, apps=(server,)) as relays:
+            refuse_connections(relays[1])
+            isolation_of(relays[1]).set(is_isolated=False, unreached=service)
+            with context_of(relays[0].node).proxy_peers.counted('north-3'):
+                answer = await call_cut(relays[0], path, headers=TOKENS)
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert server.ran + model.ran == ['r1']
+
     async def test_refusal_of_a_peer_keeps_its_time(self) -> None:
         script = answer_with(503, ProxyOutcome.refused, 'Retry-After: 7\r\n')
         async with open_isolated(2) as (cut, _):
@@ -294,6 +313,16 @@
         assert [one.attempts for one in peer.hops] == [0, 1]
         assert answer.status == 502
 
+    async def test_call_that_may_have_run_is_unknown_if_no_peer_repeats_it(
+        self,
+    ) -> None:
+        async with open_isolated(2) as (cut, _):
+            async with open_peer(cut, hang_up) as peer:
+                answer = await call_cut(cut, '/lookup/x')
+        assert len(peer.hops) == 1
+        assert answer.status == 502
+        assert json.loads(answer.body)['ran'] == 'unknown'
+
     async def test_stream_that_is_cut_off_does_not_look_complete(self) -> None:
         server = engine(endpoints.stream(50, 0.05))
         async with open_isolated(2, server) as (cut, other):
@@ -405,6 +434,65 @@
         numbers = [int(one) for one in re.findall(rb'id: (\d+)', rest)]
         assert numbers == [6, 7, 8, 9]
 
+    @pytest.mark.parametrize('is_reached', [False, True])
+    async def test_stream_goes_on_if_the_first_peer_does_not_accept_it(
+        self, is_reached: bool
+    ) -> None:
+        servers = [engine(endpoints.stream(40, 0.02)) for _ in range(2)]
+        servers[1].instance = 'i-f'
+        refuse = answer_with(503, ProxyOutcome.refused)
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            cut, _ = await enter(open_isolated(2, *servers))
+            peer = await enter(open_peer(cut, refuse))
+            if not is_reached:
+                await register(cut, 'fake', '127.0.0.1:9', 'token')
+                await until(lambda: _address(cut, 'fake') == '127.0.0.1:9')
+            reconnect(cut)
+            answer = asyncio.create_task(call_cut(cut, '/plan/x', headers=LONG))
+            await until(lambda: any(one.ran for one in servers))
+            await asyncio.sleep(0.1)
+            _lose_connection(cut)
+            with context_of(cut.node).proxy_peers.counted('north-2'):
+                cut_off(cut, 'fake', 'north-2')
+                whole = await answer
+        assert whole.is_whole
+        assert len(peer.hops) == is_reached
+        numbers = [int(one) for one in re.findall(rb'id: (\d+)', whole.body)]
+        assert numbers == list(range(1, 41))
+
+    async def test_stream_of_a_split_route_stays_with_its_service(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        server, other = engine(endpoints.stream(40, 0.02)), engine()
+        other.instance = 'i-o'
+        document = configuration()
+        document['services'].append(
+            {**document['services'][1], 'name': 'other'}
+        )
+        document['routes'][2]['split'] = [
+            {'service': 'llm', 'weight': 1},
+            {'service': 'other', 'weight': 1},
+        ]
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            await enter(endpoints.open_endpoints(other))
+            cut, peer = await enter(open_isolated(2, server, document=document))
+            await cut.store.put('servers/i-o', other.entry('other', 'north'))
+            view = context_of(peer.node).belief
+            await until(lambda: len(view.endpoints(loop_time())) == 2)
+            reconnect(cut)
+            monkeypatch.setattr('random.random', lambda: 0.0)
+            answer = asyncio.create_task(call_cut(cut, '/plan/x', headers=LONG))
+            await until(lambda: bool(server.ran))
+            await asyncio.sleep(0.1)
+            monkeypatch.setattr('random.random', lambda: 0.9)
+            _lose_connection(cut)
+            cut_off(cut, 'north-2')
+            whole = await answer
+        assert whole.is_whole
+        assert (server.ran, other.ran) == (['r1', 'r1'], [])
+
     async def test_stream_ends_broken_off_if_no_engine_proves_its_end(
         self,
     ) -> None:
@@ -440,6 +528,18 @@
         assert float(answer.headers['retry-after']) > 0
         assert server.received == []
 
+    async def test_node_that_breaks_off_is_avoided_for_a_while(self) -> None:
+        server = app()
+        async with open_isolated(2, apps=(server,)) as (cut, _):
+            async with open_peer(cut, hang_up) as peer:
+                isolation_of(cut).set('fake', 'north-2')
+                started_at = loop_time()
+                for number in range(TRIES):
+                    await call_cut(cut, f'/book/{number}')
+                took_s = loop_time() - started_at
+        assert len(peer.hops) <= 1 + took_s / AVOIDED_S
+        assert len(server.ran) == TRIES - len(peer.hops)
+
     async def test_stopping_node_accepts_no_more(self) -> None:
         server = app()
         async with open_isolated(2, apps=(server,)) as (cut, other):
@@ -521,6 +621,11 @@
     return await asyncio.open_connection(host, int(port))
 
 
+def _address(relay: RelayFixture, name: str) -> str:
+    record = record_of(relay, name)
+    return '' if record is None else record.proxy_address
+
+
 def _lose_connection(relay: RelayFixture) -> None:
     """End a node's connection to an engine, which does not notice."""
     (generation,) = relay.node.relay.generations
