Bound what all nodes have in progress at brittle servers by their slots

While a server of a service is brittle, each plain call has a slot, which one node of the server's data centre grants to all nodes; a second one replaces it. Calls wait for a slot for up to half of their objective, by priority, and are refused at once if none is expected. Rejections reach the granter, which grants fewer; a server that fell, or that is new, gets one call, and one more for each answered. Without brittle servers no message is sent.

The stand-in now falls only from the time on at which it queues nothing; what it rejects before is none of the rule's. Tests of cuts, lost ledgers, falls and odd values come with it.

--- a/packages/core/mastichatch_core/relay/forwarder_choice.py
+++ b/packages/core/mastichatch_core/relay/forwarder_choice.py
@@ -46,6 +46,8 @@
         comes from; earlier releases do not
     :param grants_turns: whether it grants turns at endpoints that name limits;
         earlier releases do not
+    :param grants_slots: whether it grants slots of brittle endpoints; earlier
+        releases do not
     """
 
     name: str
@@ -54,6 +56,7 @@
     can_forward: bool
     accepts_forwarded: bool = True
     grants_turns: bool = True
+    grants_slots: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -27,6 +27,7 @@
 from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.run_stopping import RunStopper
+from mastichatch_node.relay.slot_keeping import SlotKeeper
 from mastichatch_node.relay.telemetry import Telemetry
 from mastichatch_node.relay.turn_keeping import TurnKeeper
 
@@ -140,6 +141,7 @@
     :param sharing: generations in progress on all nodes
     :param records: latency and failure statistics of endpoints
     :param turns: turns at endpoints that name a limit
+    :param slots: slots of brittle endpoints
     :param retries: retry budget of this node
     :param pool: connections to endpoints
     :param dialect: wire protocol of the platform
@@ -157,6 +159,7 @@
     sharing: RunBroadcaster
     records: EndpointStatsTable
     turns: TurnKeeper
+    slots: SlotKeeper
     retries: RetryAllowance
     pool: ConnectionPool
     dialect: Dialect
--- a/packages/node/mastichatch_node/relay/dialect.py
+++ b/packages/node/mastichatch_node/relay/dialect.py
@@ -102,6 +102,9 @@
         request away wants no others, in seconds; ``None`` without a valid one
     :param read_limit: returns what a response says of its endpoint's limit;
         ``None`` if it says nothing
+    :param read_brittle: returns the rejections a second from which on the
+        response's endpoint falls over, as its ``per_s``; ``None`` if it says
+        nothing
     :param is_genuine: returns whether a successful response has the
         endpoint's signature
     :param query_departure: asks an engine, given its address, whether it is
@@ -119,6 +122,7 @@
     says_leaving: Callable[[ResponseHead], bool]
     read_pause_s: Callable[[ResponseHead], float | None]
     read_limit: Callable[[ResponseHead], LimitNotice | None]
+    read_brittle: Callable[[ResponseHead], LimitNotice | None]
     is_genuine: Callable[[ResponseHead], bool]
     query_departure: Callable[[str], Awaitable[bool | None]]
     move_run: Callable[[MoveOrder], Awaitable[MoveResponse]]
--- a/packages/node/mastichatch_node/relay/endpoint_notices.py
+++ b/packages/node/mastichatch_node/relay/endpoint_notices.py
@@ -6,11 +6,14 @@
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_node.peers import Peers
 from mastichatch_node.relay.answer_matching import create_matching
+from mastichatch_node.relay.brittle_tracking import BrittleTracker
 from mastichatch_node.relay.dialect import Dialect
 from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.limit_tracking import LimitTracker
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.server_pausing import PauseKeeper
+from mastichatch_node.relay.slot_granting import SlotGranter
+from mastichatch_node.relay.slot_keeping import SlotKeeper
 from mastichatch_node.relay.store_following import NodeRegistry
 from mastichatch_node.relay.telemetry import Telemetry
 from mastichatch_node.relay.turn_keeping import TurnKeeper
@@ -40,11 +43,13 @@
 
     :param records: statistics of endpoints, with the pauses they asked for
     :param turns: turns at endpoints that name limits
+    :param slots: slots of brittle endpoints
     :param dialect: holds control calls back from both
     """
 
     records: EndpointStatsTable
     turns: TurnKeeper
+    slots: SlotKeeper
     dialect: Dialect
 
 
@@ -60,10 +65,29 @@
     pool.match_answers(create_matching(dialect, sources.telemetry))
     pauses = PauseKeeper(sources.cache, sources.telemetry)
     limits = LimitTracker(sources.cache, sources.broadcaster, sources.telemetry)
+    brittle = BrittleTracker(
+        sources.cache, sources.broadcaster, sources.telemetry
+    )
+    brittle.attach(pool, dialect)
+    granter = SlotGranter(
+        sources.cache,
+        sources.registry,
+        sources.peers,
+        brittle,
+        sources.broadcaster,
+    )
+    slots = SlotKeeper(
+        sources.registry,
+        sources.peers,
+        brittle,
+        granter,
+        lambda instance: pauses.records.get(instance).running,
+    )
     return EndpointNotices(
         records=pauses.records,
         turns=TurnKeeper(
             sources.cache, sources.registry, sources.peers, limits
         ),
+        slots=slots,
         dialect=limits.attach(pool, pauses.attach(pool, dialect)),
     )
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -118,6 +118,11 @@
         """Exchange of runs with the other nodes."""
         return self._context.sharing
 
+    @property
+    def context(self) -> RelayContext:
+        """Components that all parts of the relay share."""
+        return self._context
+
     @property
     def rollouts(self) -> rollouts.RolloutKeeper:
         """Roll-outs of versions, as this node knows them."""
@@ -324,6 +329,7 @@
         sharing=components.broadcaster,
         records=notices.records,
         turns=notices.turns,
+        slots=notices.slots,
         retries=RetryAllowance(percent, burst=0),
         pool=pool,
         dialect=dialect,
@@ -403,6 +409,7 @@
                 placer.handle_changes,
                 components.crashes.handle_changes,
                 context.turns.limits.handle_changes,
+                context.slots.brittle.handle_changes,
             ),
         )
         async with run_in_background(
@@ -430,6 +437,7 @@
     known = context.belief.endpoints(loop_time())
     context.records.keep_only(known)
     context.turns.keep_only(known)
+    context.slots.keep_only(known)
     context.sharing.outcomes.keep_only(known)
     context.stopper.gate.keep_only(known)
     signs = context.pool.signs
@@ -447,7 +455,9 @@
     """Apply new evidence on crashes, and turns, to queued requests and runs."""
     crashes = components.crashes
     components.broadcaster.attach_evidence(
-        crashes.current_evidence, lambda: context.turns.limits.current
+        crashes.current_evidence,
+        lambda: context.turns.limits.current,
+        lambda: context.slots.brittle.current,
     )
     context.turns.subscribe(placer.reconcile)
     for react in (placer.reconcile, relay.withdraw_quarantined):
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -89,6 +89,7 @@
         self._links_expire_at = -math.inf
         self._current_evidence: Callable[[], Evidence] = _no_evidence
         self._current_limits: Callable[[], Limits] = tuple
+        self._current_brittle: Callable[[], Limits] = tuple
 
     @property
     def table(self) -> RunTable:
@@ -161,26 +162,34 @@
             dataclasses.replace(message, crashes=crashes, sound=sound)
         )
 
-    def announce_outcomes(self, limits: Limits = ()) -> None:
+    def announce_outcomes(
+        self, limits: Limits = (), brittle: Limits = ()
+    ) -> None:
         """Tell other nodes of outcomes of calls that no change has told of.
 
         :param limits: limits that endpoints have begun or ceased to name
+        :param brittle: endpoints that have become brittle, or are no longer
         """
         message = self._create_message(())
-        self._send_to_all(dataclasses.replace(message, limits=limits))
+        self._send_to_all(
+            dataclasses.replace(message, limits=limits, brittle=brittle)
+        )
 
     def attach_evidence(
         self,
         current_evidence: Callable[[], Evidence],
         current_limits: Callable[[], Limits],
+        current_brittle: Callable[[], Limits] = tuple,
     ) -> None:
         """Send what is known of endpoints with each full list of runs.
 
         :param current_evidence: returns the evidence on crashes
         :param current_limits: returns the limits that endpoints name
+        :param current_brittle: returns the brittle endpoints
         """
         self._current_evidence = current_evidence
         self._current_limits = current_limits
+        self._current_brittle = current_brittle
 
     async def handle_changes(
         self, message: RunChanges, envelope: Envelope
@@ -225,6 +234,7 @@
             crashes=crashes,
             sound=sound,
             limits=self._current_limits(),
+            brittle=self._current_brittle(),
         )
         self._peers.send_all(receivers, MessageKind.run_changes, message)
 
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -33,9 +33,11 @@
     quarantine_error,
     refuse_if_all_paused,
 )
-from mastichatch_node.relay.limited_choice import (
-    choose_with_turn,
-    refuse_if_all_limited,
+from mastichatch_node.relay.limited_choice import refuse_if_all_limited
+from mastichatch_node.relay.slot_choice import (
+    choose_endpoint,
+    refuse_if_no_slot,
+    returned_slot,
 )
 from mastichatch_node.relay.http_client import (
     Connection,
@@ -90,15 +92,19 @@
     may_crash = _check_quarantine(context, job)
     while True:
         ranked = _rank_endpoints(context, job, tried)
-        endpoint = await choose_with_turn(context, job, ranked)
-        if endpoint is None:
+        choice = await choose_endpoint(context, job, ranked)
+        if choice is None:
             if not any(map(_may_have_run, results)):
                 refuse_if_all_paused(context, job)
+                refuse_if_no_slot(context, job)
                 refuse_if_all_limited(context, job, ranked)
             raise _create_error(results)
+        endpoint = choice.endpoint
         tried[endpoint.instance] = endpoint
-        result = await _attempt(context, job, reply, endpoint, len(results))
-        results.append(result)
+        with returned_slot(context, choice, results):
+            results.append(
+                await _attempt(context, job, reply, endpoint, len(results))
+            )
         is_begun = reply.status > 0
         if is_begun or may_crash or _is_final(context, job, results):
             break
@@ -427,6 +433,8 @@
     answers = [one for one in results if one.fate is AttemptOutcome.answered]
     if answers and reply.status:
         return
+    if not any(map(_may_have_run, results)):
+        refuse_if_no_slot(context, job)
     if not answers or answers[-1].head is None:
         raise _create_error(results)
     head = answers[-1].head
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -201,6 +201,7 @@
                 can_forward=record.forwards_runs and name in heard,
                 accepts_forwarded=record.forwards_runs,
                 grants_turns=record.grants_turns,
+                grants_slots=record.grants_slots,
             )
             for name, record in self._records.items()
         )
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -26,6 +26,7 @@
 from mastichatch_node.clock import loop_time
 from mastichatch_node.logs import set_up_logging
 from mastichatch_node.relay.limit_metrics import LimitMetrics
+from mastichatch_node.relay.slot_metrics import SlotMetrics
 from mastichatch_node.relay.placement_metrics import PlacementMetrics
 
 # A host at the users' sites serves about ten requests a second, with about four
@@ -213,6 +214,7 @@
 
         self._placement = PlacementMetrics(self._registry)
         self._limits = LimitMetrics(self._registry)
+        self._slots = SlotMetrics(self._registry)
 
     @property
     def placement(self) -> PlacementMetrics:
@@ -224,6 +226,11 @@
         """Metrics of the limits that endpoints name."""
         return self._limits
 
+    @property
+    def slots(self) -> SlotMetrics:
+        """Metrics of brittle endpoints and their slots."""
+        return self._slots
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/tests/standins/brittle_servers.py
+++ b/tests/standins/brittle_servers.py
@@ -27,8 +27,8 @@
     """A server that may fall over, and comes back.
 
     It works on ``slots`` requests at a time for ``work_s``, and queues ``room``
-    more. While it is ``brittle`` and has to reject more requests in a second
-    than that says, it falls. ``taken`` requests of other callers use its slots.
+    more. If it ``is_fragile`` and has to reject more requests in a second than
+    ``brittle`` says, it falls. ``taken`` requests of other callers use slots.
     """
 
     endpoint: HouseEndpoint
@@ -37,6 +37,7 @@
     room: int = USUAL_ROOM
     taken: int = 0
     brittle: str | None = None
+    is_fragile: bool = False
     keeps_id: bool = False
     rejections: int = 0
     falls: list[float] = dataclasses.field(default_factory=list)
@@ -128,7 +129,12 @@
             self._rejected_at.popleft()
         limit = _number(self.brittle)
         is_up = len(self.falls) == len(self.returns)
-        if is_up and limit is not None and len(self._rejected_at) > limit:
+        if (
+            self.is_fragile
+            and is_up
+            and limit is not None
+            and len(self._rejected_at) > limit
+        ):
             self.falls.append(now)
             task = asyncio.get_running_loop().create_task(self.fall())
             self._tasks.add(task)
--- a/tests/test_relay_brittle_servers.py
+++ b/tests/test_relay_brittle_servers.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.relay_nodes import RelayFixture, open_nodes
+from tests.relay_nodes import RelayFixture, open_nodes, until
 from tests.standins.brittle_servers import BrittleServer
 from tests.standins.house_endpoints import HouseEndpoint, respond_ok
 
@@ -121,6 +121,7 @@
     await asyncio.sleep(ROOM_S)
     for server in servers:
         server.room = 0
+        server.is_fragile = True
     play.begins_at = time.monotonic()
     await asyncio.sleep(brittle_s - ROOM_S)
     play.ends_at = time.monotonic()
@@ -132,8 +133,13 @@
 def check_play(play: Play) -> None:
     """Check the users' rule, and that the slots are used."""
     assert play.falls <= ALLOWED_FALLS
+    check_answers(play)
     room_per_s = SERVERS * SLOTS / WORK_S
     assert play.served_per_s >= USED_SHARE * room_per_s
+
+
+def check_answers(play: Play) -> None:
+    """Check that calls are answered, or refused as not run."""
     assert set(play.statuses) <= {200, 503}
     for _, took_s, status, headers in play.answers:
         if status == 503:
@@ -150,3 +156,164 @@
     async with open_nodes(nodes, apps=apps) as relays:
         play = await play_brittle(relays, servers, brittle)
     check_play(play)
+
+
+async def test_they_are_not_refused_while_there_is_room() -> None:
+    servers = create_servers()
+    apps = tuple(one.endpoint for one in servers)
+    async with open_nodes(4, apps=apps) as relays:
+        play = await play_brittle(relays, servers, '0', calls_per_s=45)
+    assert not play.falls
+    assert set(play.statuses) == {200}
+
+
+@pytest.mark.parametrize('path', ['/lookup/x', '/book/x'])
+async def test_slots_that_other_callers_use_are_found_out(path: str) -> None:
+    servers = create_servers(taken=2)
+    apps = tuple(one.endpoint for one in servers)
+    async with open_nodes(4, apps=apps) as relays:
+        play = await play_brittle(relays, servers, '2', path=path)
+    assert play.falls <= ALLOWED_FALLS
+    check_answers(play)
+    assert play.served_per_s >= SERVERS * (SLOTS - 2) / WORK_S / 2
+
+
+async def test_servers_without_a_number_of_slots_stay_up() -> None:
+    servers = create_servers()
+    async with open_nodes(
+        2, apps=tuple(one.endpoint for one in servers)
+    ) as relays:
+        for server in servers:
+            entry = {**server.endpoint.entry('app', 'north'), 'slots': 0}
+            key = f'servers/{server.endpoint.instance}'
+            await relays[0].store.put(key, entry)
+        play = await play_brittle(relays, servers, '4')
+    assert play.falls <= ALLOWED_FALLS
+    check_answers(play)
+
+
+@pytest.mark.parametrize('keeps_id', [True, False])
+async def test_fall_of_one_makes_neither_it_nor_another_fall(
+    keeps_id: bool,
+) -> None:
+    servers = create_servers(keeps_id=keeps_id)
+    apps = tuple(one.endpoint for one in servers)
+    async with open_nodes(4, apps=apps) as relays:
+        playing = asyncio.create_task(
+            play_brittle(relays, servers, '2', brittle_s=8)
+        )
+        await asyncio.sleep(CALM_S + ROOM_S + 0.5)
+        servers[0].falls.append(time.monotonic())
+        ran = len(servers[0].endpoint.ran)
+        await servers[0].fall()
+        play = await playing
+    assert play.falls <= ALLOWED_FALLS
+    # A call that was at work when its server fell may have run.
+    assert play.statuses[502] <= SLOTS
+    assert len(servers[0].endpoint.ran) - ran > SLOTS
+
+
+def granter_of(
+    relays: tuple[RelayFixture, ...], server: BrittleServer
+) -> RelayFixture:
+    """Return the node that grants the slots of a server."""
+    keeper = relays[0].node.context.slots
+    known = relays[0].node.belief.endpoints(0).values()
+    address = server.endpoint.address
+    endpoint = next(one for one in known if one.address == address)
+    name = keeper.granter.granters(endpoint)[0]
+    return next(one for one in relays if one.settings.name == name)
+
+
+def cut_off_from_nodes(relay: RelayFixture) -> None:
+    """Lose all that a node and the others send to each other."""
+    peers = relay.node.broadcaster._peers
+    for name in ('_transmit', '_handle_frame'):
+        setattr(peers, name, lambda *_: None)
+
+
+async def test_granter_that_is_cut_off_is_replaced() -> None:
+    servers = create_servers()
+    apps = tuple(one.endpoint for one in servers)
+    async with open_nodes(4, apps=apps) as relays:
+        lost = granter_of(relays, servers[0])
+        others = tuple(one for one in relays if one is not lost)
+        playing = asyncio.create_task(
+            play_brittle(others, servers, '2', brittle_s=10)
+        )
+        await asyncio.sleep(CALM_S + ROOM_S + 0.5)
+        cut_off_from_nodes(lost)
+        play = await playing
+    assert play.falls <= ALLOWED_FALLS
+    check_answers(play)
+    assert play.served_per_s >= SERVERS * SLOTS / WORK_S * 0.7
+
+
+async def test_granters_that_start_again_exceed_no_slots_for_long() -> None:
+    servers = create_servers()
+    apps = tuple(one.endpoint for one in servers)
+    async with open_nodes(4, apps=apps) as relays:
+        playing = asyncio.create_task(play_brittle(relays, servers, '2'))
+        await asyncio.sleep(CALM_S + ROOM_S + 0.5)
+        for relay in relays:
+            relay.node.context.slots.granter.forget()
+        play = await playing
+    assert play.falls <= ALLOWED_FALLS
+    check_answers(play)
+    assert play.served_per_s >= SERVERS * SLOTS / WORK_S * 0.7
+
+
+@pytest.mark.parametrize('number', [0, 1, 2])
+async def test_node_that_is_cut_off_from_the_others_exceeds_no_slots(
+    number: int,
+) -> None:
+    servers = create_servers()
+    apps = tuple(one.endpoint for one in servers)
+    async with open_nodes(3, apps=apps) as relays:
+        playing = asyncio.create_task(
+            play_brittle(relays, servers, '2', brittle_s=10)
+        )
+        await asyncio.sleep(CALM_S + ROOM_S + 0.5)
+        cut_off_from_nodes(relays[number])
+        play = await playing
+    assert play.falls <= ALLOWED_FALLS
+    assert play.served_per_s >= SERVERS * SLOTS / WORK_S / 2
+
+
+async def test_slots_are_no_longer_needed_once_servers_cease_to_say_so() -> (
+    None
+):
+    servers = create_servers()
+    apps = tuple(one.endpoint for one in servers)
+    async with open_nodes(2, apps=apps) as relays:
+        await play_brittle(relays, servers, '2', brittle_s=2)
+        for server in servers:
+            server.turn_brittle(None)
+        for number in range(3 * SERVERS):
+            await relays[0].call('/lookup/x', request_id=f'e{number}')
+        await until(
+            lambda: (
+                not any(
+                    one.node.context.slots.brittle.is_brittle('app')
+                    for one in relays
+                )
+            )
+        )
+
+
+@pytest.mark.parametrize(
+    ('value', 'is_brittle'),
+    [
+        *(('-3', False), ('nan', False), ('1e9', False), ('soon', False)),
+        *(('', False), ('0', True), ('2.5', True)),
+    ],
+)
+async def test_odd_numbers_of_rejections(value: str, is_brittle: bool) -> None:
+    server = create_servers()[0]
+    server.turn_brittle(value)
+    async with open_nodes(1, apps=(server.endpoint,)) as relays:
+        for number in range(3):
+            answer = await relays[0].call('/book/x', request_id=f'r{number}')
+            assert answer.status == 200
+        tracker = relays[0].node.context.slots.brittle
+        assert tracker.is_brittle('app') == is_brittle
