Hold slots of brittle engines for new runs

Engines are assigned by the runs of all nodes, which are some time old, and two nodes that assign at the same time exceeded the slots. A new run now has a slot too; runs that go on from a copy are sent without one, and are counted as in progress. Rejections and lost connections of requests without a slot are told to the granters.

A granter has 300 ms to answer, and is left alone for 0.5 s if it does not.

--- a/packages/node/mastichatch_node/relay/endpoint_notices.py
+++ b/packages/node/mastichatch_node/relay/endpoint_notices.py
@@ -76,13 +76,7 @@
         brittle,
         sources.broadcaster,
     )
-    slots = SlotKeeper(
-        sources.registry,
-        sources.peers,
-        brittle,
-        granter,
-        lambda instance: pauses.records.get(instance).running,
-    )
+    slots = SlotKeeper(sources.registry, sources.peers, brittle, granter)
     return EndpointNotices(
         records=pauses.records,
         turns=TurnKeeper(
--- a/packages/node/mastichatch_node/relay/slot_choice.py
+++ b/packages/node/mastichatch_node/relay/slot_choice.py
@@ -74,17 +74,18 @@
 def returned_slot(
     context: RelayContext, choice: Choice, results: Sequence[AttemptResult]
 ) -> Iterator[None]:
-    """Return the slot of a call after the block.
+    """Return the slot of a request after the block.
 
     :param context: shared components of the relay
-    :param choice: the endpoint of the call
+    :param choice: the endpoint of the request
     :param results: the block appends the result of the attempt
     """
     known = len(results)
     try:
-        yield
+        with context.slots.in_progress(choice.endpoint):
+            yield
     finally:
-        _give_back(context, choice.slot, results[known:])
+        _give_back(context, choice, results[known:])
 
 
 def refuse_if_no_slot(context: RelayContext, job: Job) -> None:
@@ -131,15 +132,18 @@
 
 
 def _give_back(
-    context: RelayContext, slot: Slot | None, results: Sequence[AttemptResult]
+    context: RelayContext, choice: Choice, results: Sequence[AttemptResult]
 ) -> None:
-    if slot is None:
-        return
+    slots, endpoint = context.slots, choice.endpoint
     outcome = _slot_outcome(results[0]) if results else None
-    if outcome is None:
-        context.slots.give_back_later(slot)
+    if choice.slot is None:
+        is_failed = outcome in {SlotOutcome.rejected, SlotOutcome.lost}
+        if outcome and is_failed and slots.brittle.is_brittle(endpoint.service):
+            slots.report_failure(endpoint, outcome)
+    elif outcome is None:
+        slots.give_back_later(choice.slot)
     else:
-        context.slots.give_back(slot, outcome)
+        slots.give_back(choice.slot, outcome)
 
 
 def _slot_outcome(result: AttemptResult) -> SlotOutcome | None:
--- a/packages/node/mastichatch_node/relay/slot_keeping.py
+++ b/packages/node/mastichatch_node/relay/slot_keeping.py
@@ -6,10 +6,11 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import itertools
 import math
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from typing import Final
 
 from mastichatch_core.errors import MastichatchError
@@ -29,10 +30,10 @@
 from mastichatch_node.relay.slot_granting import SlotGranter
 from mastichatch_node.relay.store_following import NodeRegistry
 
-# Two nodes answer each other within a few milliseconds.
-ASK_TIMEOUT_MS: Final = 150.0
+# Two nodes answer each other within a few milliseconds, unless one is busy.
+ASK_TIMEOUT_MS: Final = 300.0
 # A granter that has not answered is not asked again for this time.
-SILENT_S: Final = 1.0
+SILENT_S: Final = 0.5
 # Interval at which a request that is queued is repeated, in case its granter
 # has stopped or the grant was lost.
 REPEAT_S: Final = 0.25
@@ -84,7 +85,6 @@
         peers: Peers,
         brittle: BrittleTracker,
         granter: SlotGranter,
-        running: Callable[[str], int],
     ) -> None:
         """Start without slots.
 
@@ -92,14 +92,13 @@
         :param peers: connections to other nodes
         :param brittle: the brittle endpoints
         :param granter: grants slots if this node is asked for them
-        :param running: returns how many requests this node has in progress at
-            an endpoint, given its instance id
         """
         self._registry = registry
         self._peers = peers
         self._brittle = brittle
         self._granter = granter
-        self._running = running
+        # Requests of this node in progress, by endpoint.
+        self._running: collections.Counter[str] = collections.Counter()
         self._metrics = brittle.telemetry.slots
         self._numbers = itertools.count(1)
         # Slots that this node holds, by endpoint, granter and ledger.
@@ -134,6 +133,21 @@
         for gone in self._opens_at.keys() - set(instances):
             self._opens_at.pop(gone)
 
+    @contextlib.contextmanager
+    def in_progress(self, endpoint: Endpoint) -> Iterator[None]:
+        """Count a request as in progress at an endpoint during the block.
+
+        :param endpoint: the endpoint
+        """
+        instance = endpoint.instance
+        self._running[instance] += 1
+        try:
+            yield
+        finally:
+            self._running[instance] -= 1
+            if not self._running[instance]:
+                self._running.pop(instance)
+
     def opens_in_s(self, endpoints: Sequence[Endpoint]) -> float:
         """Return the time until one of some endpoints may have a slot.
 
@@ -175,20 +189,31 @@
         instance = slot.endpoint.instance
         key = (instance, slot.granter, slot.ledger)
         self._held[key] -= 1
-        held = self._held[key]
-        if held <= 0:
+        if self._held[key] <= 0:
             self._held.pop(key)
-        told = {slot.granter}
         if outcome in {SlotOutcome.rejected, SlotOutcome.lost}:
-            told.update(self._granter.granters(slot.endpoint))
-            self._brittle.telemetry.log_state_change(
-                'brittle_endpoint_failed',
-                instance=instance,
-                outcome=outcome,
-                held=held,
-            )
-        for granter in told:
-            self._return_to(granter, slot.endpoint, slot.ticket, outcome)
+            self.report_failure(slot.endpoint, outcome, slot.ticket)
+            # Its granter may be none of the present ones.
+            outcome = SlotOutcome.unused
+        self._return_to(slot.granter, slot.endpoint, slot.ticket, outcome)
+
+    def report_failure(
+        self, endpoint: Endpoint, outcome: SlotOutcome, ticket: str = ''
+    ) -> None:
+        """Tell the granters that an endpoint rejected a request, or fell.
+
+        :param endpoint: the endpoint
+        :param outcome: what became of the request
+        :param ticket: its slot; empty without one
+        """
+        self._brittle.telemetry.log_state_change(
+            'brittle_endpoint_failed',
+            instance=endpoint.instance,
+            outcome=outcome,
+            in_progress=self._running[endpoint.instance],
+        )
+        for granter in self._granter.granters(endpoint):
+            self._return_to(granter, endpoint, ticket, outcome)
 
     def give_back_later(self, slot: Slot) -> None:
         """Return a slot of a request that its endpoint may still work on.
@@ -224,7 +249,7 @@
             self._pushed.pop(ticket, None)
             if state in {None, SlotState.queued}:
                 for asked in self._granter.granters(endpoint):
-                    self._leave_queue(asked, endpoint, ticket)
+                    self._return_to(asked, endpoint, ticket)
         if state is not SlotState.granted:
             return None
         ledger = self._ledgers.get(granter, '')
@@ -294,7 +319,7 @@
         held = self._held[endpoint.instance, granter, ledger]
         question = dataclasses.replace(
             request,
-            others=max(0, self._running(endpoint.instance) - held),
+            others=max(0, self._running[endpoint.instance] - held),
             held=held,
             ledger=ledger,
         )
@@ -315,23 +340,18 @@
             )
         except MastichatchError:
             # It may have granted the slot.
-            self._leave_queue(granter, endpoint, request.ticket)
+            self._return_to(granter, endpoint, request.ticket)
             return None
         self._brittle.record_told(answer.brittle, granter)
         self._ledgers[granter] = answer.ledger
         return answer
 
-    def _leave_queue(
-        self, granter: str, endpoint: Endpoint, ticket: str
-    ) -> None:
-        self._return_to(granter, endpoint, ticket, SlotOutcome.unused)
-
     def _return_to(
         self,
         granter: str,
         endpoint: Endpoint,
         ticket: str,
-        outcome: SlotOutcome,
+        outcome: SlotOutcome = SlotOutcome.unused,
     ) -> None:
         request = SlotRequest(
             brittle=self._brittle.tell(endpoint.instance),
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -22,7 +22,6 @@
     NOT_RUN_STATUSES,
     AttemptOutcome,
     AttemptResult,
-    result_of_error,
     record_result,
     build_outgoing,
     read_answer_head,
@@ -52,6 +51,7 @@
     StoppedRun,
 )
 from mastichatch_node.relay.event_reading import open_event_reader
+from mastichatch_node.relay.run_slots import RunSlots
 from mastichatch_node.relay.engine_placement import (
     EnginePlacement,
     EnginePlacer,
@@ -117,6 +117,7 @@
         self._may_have_run = False
         self._excluded: frozenset[str] = frozenset()
         self._source: AttemptSource | None = None
+        self._slots = RunSlots(context, job, placing)
         self._connection: Connection | None = None
         self._head_at: float | None = None
         self._is_withdrawn = False
@@ -277,7 +278,8 @@
         :raises MastichatchError: if there is no complete answer
         """
         try:
-            await self._relay()
+            with contextlib.closing(self._slots):
+                await self._relay()
         except MastichatchError as error:
             raise _overall_error(
                 error, self.run.output_tokens, may_have_run=self._may_have_run
@@ -287,8 +289,9 @@
             _record_end(self._context, self.run, self._pause)
 
     async def _relay(self) -> None:
-        placement = await self._placer.place(self._job, self._excluded)
-        source = AttemptSource(placement=placement)
+        source = AttemptSource(
+            placement=await self._slots.place(self._excluded)
+        )
         for _ in range(SEND_LIMIT + RESUME_LIMIT):
             self._source = source
             self._transfer = RunTransfer()
@@ -325,7 +328,7 @@
                 return None
             self._excluded |= {source.placement.endpoint.instance}
             return AttemptSource(
-                placement=await self._placer.place(self._job, self._excluded)
+                placement=await self._slots.place(self._excluded)
             )
         if self._is_withdrawn:
             return None
@@ -365,20 +368,23 @@
         self._evidence = StreamEvidence(
             self._context, self._job, endpoint, is_resumed=source.is_resumed
         )
+        results: list[AttemptResult] = []
+
+        def was_ordered_off() -> bool:
+            return self._transfer.is_moving or self._is_withdrawn
+
         try:
-            result = await self._exchange(source)
-        except ExchangeError as error:
-            result = result_of_error(error)
+            with self._slots.used(endpoint, results, was_ordered_off):
+                results.append(await self._exchange(source))
         finally:
             self._evidence.close()
+        result = results[-1]
         self._connection = None
         self._transfer.has_ended = True
         _record_ending(self._engines, endpoint, result)
         record_result(self._context, endpoint, result, started_at)
         self._placer.record_attempt(endpoint, result)
-        # An engine that stops a run on order has not failed.
-        was_ordered = self._transfer.is_moving or self._is_withdrawn
-        self._evidence.record_end(result, was_ordered=was_ordered)
+        self._evidence.record_end(result, was_ordered=was_ordered_off())
         # A version on trial may crash by itself.
         if (
             not self._order.count
--- a/tests/standins/brittle_servers.py
+++ b/tests/standins/brittle_servers.py
@@ -8,9 +8,9 @@
 from tests.standins.house_endpoints import (
     HouseEndpoint,
     ReceivedRequest,
-    build_response,
+    Script,
     refuse,
-    signature_headers,
+    respond_after,
 )
 from tests.standins.house_store import HouseStore
 
@@ -26,14 +26,15 @@
 class BrittleServer:
     """A server that may fall over, and comes back.
 
-    It works on ``slots`` requests at a time for ``work_s``, and queues ``room``
-    more. If it ``is_fragile`` and has to reject more requests in a second than
+    It works on ``slots`` requests at a time, and queues ``room`` more.
+    If it ``is_fragile`` and has to reject more requests in a second than
     ``brittle`` says, it falls. ``taken`` requests of other callers use slots.
     """
 
     endpoint: HouseEndpoint
     store: HouseStore | None = None
-    work_s: float = 0.3
+    service: str = 'app'
+    work: Script = respond_after(0.3)
     room: int = USUAL_ROOM
     taken: int = 0
     brittle: str | None = None
@@ -86,11 +87,8 @@
                 raise
         self.running += 1
         self.peak = max(self.peak, self.running)
-        endpoint.ran.append(request.request_id)
         try:
-            await asyncio.sleep(self.work_s)
-            headers = signature_headers(request)
-            writer.write(build_response(200, b'done', headers))
+            await self.work(endpoint, request, writer)
         finally:
             self.running -= 1
             self._wake()
@@ -109,7 +107,8 @@
         self.returns.append(time.monotonic())
         if self.store is not None:
             await self.store.put(
-                f'servers/{endpoint.instance}', endpoint.entry('app', 'north')
+                f'servers/{endpoint.instance}',
+                endpoint.entry(self.service, 'north'),
             )
 
     def _is_full(self) -> bool:
--- a/tests/test_relay_brittle_servers.py
+++ b/tests/test_relay_brittle_servers.py
@@ -15,11 +15,12 @@
 
 from tests.relay_nodes import RelayFixture, open_nodes, until
 from tests.standins.brittle_servers import BrittleServer
-from tests.standins.house_endpoints import HouseEndpoint, respond_ok
+from tests.standins.house_endpoints import HouseEndpoint, respond_ok, stream
 
 SERVERS = 3
 SLOTS = 6
 WORK_S = 0.3
+RUN_S = 0.6
 CALM_S = 1.0
 # Time after which a server that has become brittle queues nothing more.
 ROOM_S = 1.0
@@ -28,7 +29,9 @@
 # Share of the slots that is used, and longest time until a call is refused.
 USED_SHARE = 50 / 60
 REFUSAL_S = 1.5
+# Half as much again as the servers have room for.
 CALLS_PER_S = 90.0
+PLAN = ('Mastichatch-Model: m', 'Mastichatch-Token-Counts: 100,400')
 
 
 @dataclasses.dataclass
@@ -66,7 +69,6 @@
     return tuple(
         BrittleServer(
             HouseEndpoint(f'i-{number}', respond_ok, slots=SLOTS),
-            work_s=WORK_S,
             **options,  # type: ignore[arg-type]
         )
         for number in range(SERVERS)
@@ -78,6 +80,7 @@
     play: Play,
     calls_per_s: float,
     path: str,
+    headers: tuple[str, ...],
 ) -> None:
     """Call the nodes in turn until cancelled, then wait for the answers."""
     tasks = set[asyncio.Task[None]]()
@@ -85,7 +88,9 @@
     async def call(number: int) -> None:
         sent_at = time.monotonic()
         relay = relays[number % len(relays)]
-        answer = await relay.call(path, request_id=f'r{number}')
+        answer = await relay.call(
+            path, request_id=f'r{number}', headers=headers
+        )
         took_s = time.monotonic() - sent_at
         play.answers.append((sent_at, took_s, answer.status, answer.headers))
 
@@ -107,13 +112,14 @@
     brittle_s: float = 7.0,
     calls_per_s: float = CALLS_PER_S,
     path: str = '/lookup/x',
+    headers: tuple[str, ...] = (),
 ) -> Play:
     """Call servers that become brittle, and later end that."""
     play = Play(servers)
     for server in servers:
         server.store = relays[0].store
     calling = asyncio.create_task(
-        call_regularly(relays, play, calls_per_s, path)
+        call_regularly(relays, play, calls_per_s, path, headers)
     )
     await asyncio.sleep(CALM_S)
     for server in servers:
@@ -192,6 +198,24 @@
     check_answers(play)
 
 
+@pytest.mark.parametrize('nodes', [1, 4])
+async def test_brittle_engines_stay_up(nodes: int) -> None:
+    servers = create_servers(work=stream(5, RUN_S / 5), service='llm')
+    engines = tuple(one.endpoint for one in servers)
+    async with open_nodes(nodes, *engines) as relays:
+        play = await play_brittle(
+            relays,
+            servers,
+            '2',
+            calls_per_s=45,
+            path='/plan/x',
+            headers=PLAN,
+        )
+    assert play.falls <= ALLOWED_FALLS
+    check_answers(play)
+    assert play.served_per_s >= SERVERS * SLOTS / RUN_S * 0.7
+
+
 @pytest.mark.parametrize('keeps_id', [True, False])
 async def test_fall_of_one_makes_neither_it_nor_another_fall(
     keeps_id: bool,
