--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -446,6 +446,20 @@
         return [int(line[4:]) for line in lines if line.startswith('id: ')]
 
 
+class _NoSlots:
+    """Engines that are not brittle."""
+
+    @property
+    def brittle(self) -> '_NoSlots':
+        return self
+
+    def is_brittle(self, _: str) -> bool:
+        return False
+
+    def in_progress(self, _: object) -> contextlib.AbstractContextManager[None]:
+        return contextlib.nullcontext()
+
+
 class _Quiet:
     """Takes the place of components that only record."""
 
@@ -557,6 +571,7 @@
         sharing=cast(Any, view),
         records=EndpointStatsTable(),
         turns=cast(Any, _Quiet()),
+        slots=cast(Any, _NoSlots()),
         retries=RetryAllowance(100, 1000),
         pool=cast(Any, fleet),
         dialect=dialect,
