--- a/packages/node/mastichatch_node/relay/endpoint_notices.py
+++ b/packages/node/mastichatch_node/relay/endpoint_notices.py
@@ -7,6 +7,7 @@
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers
 from mastichatch_node.relay.answer_matching import create_matching
+from mastichatch_node.relay.brittle_tracking import BrittleTracker
 from mastichatch_node.relay.contact_tracking import ContactTracker
 from mastichatch_node.relay.dialect import Dialect
 from mastichatch_node.relay.http_client import ConnectionPool
@@ -17,6 +18,8 @@
 from mastichatch_node.relay.limit_tracking import LimitTracker
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.server_pausing import PauseKeeper
+from mastichatch_node.relay.slot_granting import SlotGranter
+from mastichatch_node.relay.slot_keeping import SlotKeeper
 from mastichatch_node.relay.store_following import NodeRegistry
 from mastichatch_node.relay.telemetry import Telemetry
 from mastichatch_node.relay.turn_keeping import TurnKeeper
@@ -46,12 +49,14 @@
 
     :param records: statistics of endpoints, with the pauses they asked for
     :param turns: turns at endpoints that name limits
+    :param slots: slots of brittle endpoints
     :param dialect: holds control calls back from both
     :param isolation: whether endpoints are reached at all
     """
 
     records: EndpointStatsTable
     turns: TurnKeeper
+    slots: SlotKeeper
     dialect: Dialect
     isolation: IsolationTracker
 
@@ -85,11 +90,24 @@
         pool.signs.forget_refusals,
     ):
         contact.discard_with(discard)
+    brittle = BrittleTracker(
+        sources.cache, sources.broadcaster, sources.telemetry
+    )
+    brittle.attach(pool, dialect)
+    granter = SlotGranter(
+        sources.cache,
+        sources.registry,
+        sources.peers,
+        brittle,
+        sources.broadcaster,
+    )
+    slots = SlotKeeper(sources.registry, sources.peers, brittle, granter)
     return EndpointNotices(
         records=pauses.records,
         turns=TurnKeeper(
             sources.cache, sources.registry, sources.peers, limits
         ),
+        slots=slots,
         dialect=limits.attach(pool, pauses.attach(pool, dialect)),
         isolation=isolation,
     )
--- a/packages/node/mastichatch_node/relay/node_record.py
+++ b/packages/node/mastichatch_node/relay/node_record.py
@@ -25,6 +25,7 @@
             link_mbps=settings.link_mbps,
             forwards_runs=True,
             grants_turns=True,
+            grants_slots=True,
             proxy_address=settings.proxy_address,
             proxy_token=proxy_token,
         )
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -189,6 +189,7 @@
         sharing=components.broadcaster,
         records=notices.records,
         turns=notices.turns,
+        slots=notices.slots,
         retries=RetryAllowance(percent, burst=0),
         pool=pool,
         dialect=dialect,
@@ -278,6 +279,7 @@
                 placer.handle_changes,
                 components.crashes.handle_changes,
                 context.turns.limits.handle_changes,
+                context.slots.brittle.handle_changes,
             ),
         )
         async with run_in_background(
@@ -310,6 +312,7 @@
     known = context.belief.endpoints(loop_time())
     context.records.keep_only(known)
     context.turns.keep_only(known)
+    context.slots.keep_only(known)
     context.sharing.outcomes.keep_only(known)
     context.stopper.gate.keep_only(known)
     signs = context.pool.signs
@@ -333,6 +336,7 @@
         crashes.current_evidence,
         lambda: context.turns.limits.current,
         context.isolation.contact,
+        lambda: context.slots.brittle.current,
     )
     context.isolation.contact.discard_with(
         lambda: context.stopper.gate.keep_only(())
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -115,6 +115,7 @@
         self._current_evidence: Callable[[], Evidence] = _no_evidence
         self._current_limits: Callable[[], Limits] = tuple
         self._contact: Contact = UnknownContact()
+        self._current_brittle: Callable[[], Limits] = tuple
 
     @property
     def table(self) -> RunTable:
@@ -187,21 +188,27 @@
             dataclasses.replace(message, crashes=crashes, sound=sound)
         )
 
-    def announce_outcomes(self, limits: Limits = ()) -> None:
+    def announce_outcomes(
+        self, limits: Limits = (), brittle: Limits = ()
+    ) -> None:
         """Tell other nodes of outcomes of calls that no change has told of.
 
         Like each message, it also tells whether this node reaches endpoints.
 
         :param limits: limits that endpoints have begun or ceased to name
+        :param brittle: endpoints that have become brittle, or are no longer
         """
         message = self._create_message(())
-        self._send_to_all(dataclasses.replace(message, limits=limits))
+        self._send_to_all(
+            dataclasses.replace(message, limits=limits, brittle=brittle)
+        )
 
     def attach_evidence(
         self,
         current_evidence: Callable[[], Evidence],
         current_limits: Callable[[], Limits],
         contact: Contact,
+        current_brittle: Callable[[], Limits] = tuple,
     ) -> None:
         """Send what is known of endpoints with each full list of runs.
 
@@ -209,10 +216,12 @@
         :param current_limits: returns the limits that endpoints name
         :param contact: whether this node reaches endpoints, which is sent with
             each message
+        :param current_brittle: returns the brittle endpoints
         """
         self._contact = contact
         self._current_evidence = current_evidence
         self._current_limits = current_limits
+        self._current_brittle = current_brittle
 
     async def handle_changes(
         self, message: RunChanges, envelope: Envelope
@@ -257,6 +266,7 @@
             crashes=crashes,
             sound=sound,
             limits=self._current_limits(),
+            brittle=self._current_brittle(),
         )
         self._peers.send_all(receivers, MessageKind.run_changes, message)
 
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -1,5 +1,6 @@
 """Relays generations, and resumes them on other engines after a failure."""
 
+import contextlib
 import dataclasses
 from collections.abc import Callable
 from typing import Final
@@ -20,7 +21,6 @@
     NOT_RUN_STATUSES,
     AttemptOutcome,
     AttemptResult,
-    result_of_error,
     record_result,
     start_reply,
 )
@@ -48,6 +48,7 @@
     StoppedRun,
 )
 from mastichatch_node.relay.event_reading import open_event_reader
+from mastichatch_node.relay.run_slots import RunSlots
 from mastichatch_node.relay.engine_placement import (
     EnginePlacement,
     EnginePlacer,
@@ -91,6 +92,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._source: exchanges.AttemptSource | None = None
         self.connection: Connection | None = None
+        self._slots = RunSlots(context, job, placing)
         self._head_at: float | None = None
         self._is_unframed = False
         self._is_withdrawn = False
@@ -252,7 +254,8 @@
         :raises MastichatchError: if there is no complete answer
         """
         try:
-            await self._relay()
+            with contextlib.closing(self._slots):
+                await self._relay()
         except proxy_decision.PassOnError:
             self._handover.orders.abandon()
             raise
@@ -267,7 +270,7 @@
     async def _relay(self) -> None:
         hop = self._job.hop
         if hop is None or hop.run is None:
-            placement = await self._placer.place(self._job, self._excluded)
+            placement = await self._slots.place(self._excluded)
             source = exchanges.AttemptSource(placement=placement)
         else:
             self._may_have_run = True
@@ -315,7 +318,7 @@
                 return None
             self._excluded |= {source.placement.endpoint.instance}
             return exchanges.AttemptSource(
-                placement=await self._placer.place(self._job, self._excluded)
+                placement=await self._slots.place(self._excluded)
             )
         if self._is_withdrawn:
             return None
@@ -372,20 +375,23 @@
         self._evidence = StreamEvidence(
             self._context, self._job, endpoint, is_resumed=source.is_resumed
         )
+        results: list[AttemptResult] = []
+
+        def was_ordered_off() -> bool:
+            return self._transfer.is_moving or self._is_withdrawn
+
         try:
-            result = await self._exchange(source)
-        except ExchangeError as error:
-            result = result_of_error(error)
+            with self._slots.used(endpoint, results, was_ordered_off):
+                results.append(await self._exchange(source))
         finally:
             self._evidence.close()
+        result = results[-1]
         self.connection = None
         self._transfer.has_ended = True
         _record_ending(self._engines, endpoint, result)
         record_result(self._context, endpoint, result, started_at)
         self._placer.record_attempt(endpoint, result)
-        # An engine that stops a run on order has not failed.
-        was_ordered = self._transfer.is_moving or self._is_withdrawn
-        self._evidence.record_end(result, was_ordered=was_ordered)
+        self._evidence.record_end(result, was_ordered=was_ordered_off())
         # A version on trial may crash by itself.
         if (
             not self._order.count
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -27,6 +27,7 @@
 from mastichatch_node.logs import set_up_logging
 from mastichatch_node.relay.isolation_metrics import IsolationMetrics
 from mastichatch_node.relay.limit_metrics import LimitMetrics
+from mastichatch_node.relay.slot_metrics import SlotMetrics
 from mastichatch_node.relay.placement_metrics import PlacementMetrics
 from mastichatch_node.relay.proxy_metrics import ProxyMetrics
 
@@ -217,6 +218,7 @@
         self._limits = LimitMetrics(self._registry)
         self.proxying = ProxyMetrics(self._registry)
         self._isolation = IsolationMetrics(self._registry)
+        self.slots = SlotMetrics(self._registry)
 
     @property
     def placement(self) -> PlacementMetrics:
