--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -338,20 +338,22 @@
             self._order,
             source.placement.endpoint,
         )
-        location = self._handover.copies.take(may_resume)
-        if location is None:
-            location = _usable_copy(
-                source, self._transfer.standby, self._job.request_id, may_resume
-            )
+        copies = self._handover.copies
+        earlier = copies.take(may_resume)
+        location = earlier or _usable_copy(
+            source, self._transfer.standby, self._job.request_id, may_resume
+        )
         if location is None:
             location = await self._handover.take_transferred()
         if location is None or not await self._handover.ensure_alone(
             location.endpoint, source.placement.endpoint
         ):
+            if earlier is not None:
+                # It is freed with the rest once the run has ended.
+                copies.add(earlier)
             return None
-        return _resume_at(
-            self._handover.orders.newest_copy(location), self.last_event
-        )
+        location = self._handover.orders.newest_copy(location)
+        return _resume_at(location, self.last_event)
 
     async def _attempt(self, source: AttemptSource) -> AttemptResult:
         """Run or resume the generation on one engine."""
