Let the soak's engines lose the answers to orders to stop a run

An engine that leaves closes or resets the connections of its first two orders to stop a run, after it has carried them out. A stopped stream ends with its connection closed, so that an unframed one looks complete.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,8 @@
 LONGEST_S: Final = 3.0
 FAULTS: Final = 10
 NOTICE_S: Final = 1.5
+# How the answers to the first orders to a leaving engine are lost.
+LOST_ANSWERS: Final = ('close', 'reset')
 # Time for which an endpoint says that it leaves: over the users' limit of 2 s
 # after which it gets nothing more.
 LEAVING_S: Final = 4.0
@@ -129,11 +131,13 @@
     """Let an endpoint leave with notice, and come back as another run."""
     endpoint, proxy = fleet.endpoints[name]
     endpoint.leaves_ms = int(NOTICE_S * 1000)
+    endpoint.lost_answers = list(LOST_ANSWERS)
     await fleet.register(name, 'draining')
     await asyncio.sleep(NOTICE_S)
     await proxy.change({'cut': True})
     await fleet.store.remove(f'servers/{endpoint.instance}')
     await asyncio.sleep(for_s)
+    endpoint.lost_answers.clear()
     stem, _, number = endpoint.instance.rpartition('-')
     endpoint.instance = f'{stem}-{int(number) + 1}'
     endpoint.leaves_ms = None
