--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -25,12 +25,15 @@
     StopProof,
     read_stop_answer,
     repeat_delay_s,
+    shows_no_effect,
 )
 from mastichatch_core.relay.switch_gate import SwitchGate
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import Dialect, MoveOrder, MoveResponse
+from mastichatch_node.relay.earlier_copies import EarlierCopies
 from mastichatch_node.relay.http_client import ConnectionPool, ExchangeError
+from mastichatch_node.relay.run_orders import RunOrders
 from mastichatch_node.relay.run_transfer import (
     PreparedResumption,
     RunLocation,
@@ -153,6 +156,13 @@
         """
         self.start_task(self._release(order))
 
+    def free(self, location: RunLocation) -> None:
+        """Free a copy that nobody uses.
+
+        :param location: location of the copy
+        """
+        self.start_task(self._free(location))
+
     def close(self) -> None:
         """Cancel all orders in progress."""
         for task in self._tasks:
@@ -188,23 +198,27 @@
         )
         answer, proof = MoveResponse(status=0), StopProof.none
         started_at = loop_time() + delay_s
-        tries = 0
+        statuses: list[int] = []
         pause_s: float | None = delay_s
         while pause_s is not None:
             await asyncio.sleep(pause_s)
+            order.record_send()
             answer = await self._dialect.move_run(move)
-            tries += 1
+            if answer.status or not answer.was_sent:
+                order.record_answer(is_refused=_is_refused(answer))
+            if statuses[-1:] != [answer.status]:
+                statuses.append(answer.status)
             if answer.is_connection_refused:
                 order.record_reach(Reach.refused)
             elif answer.is_unreachable:
                 order.record_reach(Reach.none)
-            proof = self._read_proof(answer, source, engines)
+            proof = self._read_proof(answer, order, engines)
             if proof.allows_resumption:
                 order.cleared.set()
             pause_s = repeat_delay_s(
                 proof,
                 answer.status,
-                tries,
+                order.sent,
                 loop_time() - started_at,
                 run.ends_at - loop_time(),
             )
@@ -214,18 +228,21 @@
             source=source.instance,
             destination=destination.instance,
             status=answer.status,
+            answers=statuses,
             proof=proof,
             refused=answer.is_connection_refused,
             open=self._pool.signs.is_open(source.address),
-            tries=tries,
+            tries=order.sent,
+            unanswered=order.unanswered,
             last_event=run.last_event,
             took_ms=round((loop_time() - started_at) * MS_PER_S),
         )
         return _stop_outcome(answer, proof, source, destination)
 
     def _read_proof(
-        self, answer: MoveResponse, source: Endpoint, engines: RunEngines
+        self, answer: MoveResponse, order: StopOrder, engines: RunEngines
     ) -> StopProof:
+        source = order.source
         has_process_ended = (
             answer.is_connection_refused
             and engines.was_closed_by_peer(source)
@@ -236,14 +253,16 @@
             has_handle=bool(answer.handle),
             has_process_ended=has_process_ended,
             has_begun=engines.has_begun(source),
+            may_have_stopped=order.may_have_stopped,
         )
 
     async def _release(self, order: StopOrder) -> None:
         outcome = await order.result()
         if outcome.location is not None:
-            await self._dialect.drop_copy(
-                outcome.location.address, outcome.location.handle
-            )
+            await self._free(outcome.location)
+
+    async def _free(self, location: RunLocation) -> None:
+        await self._dialect.drop_copy(location.address, location.handle)
 
 
 class Handover:
@@ -273,18 +292,26 @@
         self._stopper = stopper
         self._engines = engines
         self._current_run = current_run
-        self._orders: dict[str, StopOrder] = {}
+        self._orders = RunOrders()
+        self._copies = EarlierCopies()
         self._choose_other: Callable[[], Endpoint]
 
+    @property
+    def orders(self) -> RunOrders:
+        """Orders to stop the run."""
+        return self._orders
+
+    @property
+    def copies(self) -> EarlierCopies:
+        """Copies that were made before an order to stop the run."""
+        return self._copies
+
     def begin_at(self, endpoint: Endpoint) -> None:
         """Record that the run is about to be sent to an engine.
 
         :param endpoint: the engine
         """
-        order = self._orders.pop(endpoint.instance, None)
-        if order is not None:
-            # An order that is repeated would stop the run that begins now.
-            order.cancel()
+        self._orders.cancel(endpoint)
         self._engines.record_request(endpoint, loop_time())
 
     def order_stop(
@@ -296,7 +323,7 @@
         :param destination: engine on which the run is to continue
         :param delay_s: time to wait before the order is sent, in seconds
         """
-        known = self._orders.get(source.instance)
+        known = self._orders.find(source)
         if known is not None:
             return known
         order = self._stopper.stop(
@@ -307,7 +334,7 @@
             delay_s,
         )
         order.on_result(lambda outcome: self._record_stop(source, outcome))
-        self._orders[source.instance] = order
+        self._orders.add(order)
         return order
 
     def switch(
@@ -410,23 +437,9 @@
             possibly_at_work=_describe(possible),
         )
 
-    def newest_copy(self, location: RunLocation) -> RunLocation:
-        """Return the copy that an order has made in place of an older one.
-
-        :param location: the older copy, on the engine where the run resumes
-        """
-        for order in self._orders.values():
-            made = order.known_location()
-            if made is None or order.is_settled:
-                continue
-            if made.endpoint.instance == location.endpoint.instance:
-                order.is_settled = True
-                return made
-        return location
-
     async def take_transferred(self) -> RunLocation | None:
         """Return where a stopped run can resume if its copy was unusable."""
-        for order in tuple(self._orders.values()):
+        for order in self._orders.all:
             if not order.is_settled:
                 location = await self.take(order)
                 if location is not None:
@@ -444,11 +457,13 @@
         return outcome.location
 
     def release(self) -> None:
-        """Free what was transferred, since the run does not need it."""
-        for order in self._orders.values():
+        """Free the copies that the run does not need."""
+        for order in self._orders.all:
             if not order.is_settled:
                 order.is_settled = True
                 self._stopper.release(order)
+        for location in self._copies.take_all():
+            self._stopper.free(location)
 
     async def _switch(
         self,
@@ -566,7 +581,7 @@
 
     def _abandon(self, endpoint: Endpoint, other: Endpoint) -> None:
         """Stop a resumption that nobody waits for, if it may be at work."""
-        is_ordered = endpoint.instance in self._orders
+        is_ordered = self._orders.find(endpoint) is not None
         if self._engines.has(endpoint) and not is_ordered:
             self._engines.record_disconnect(endpoint, Ending.given_up)
             order = self.order_stop(endpoint, other, DROP_DELAY_S)
@@ -611,6 +626,13 @@
     return source if is_same else destination
 
 
+def _is_refused(answer: MoveResponse) -> bool:
+    """Return whether an order was not carried out, or did not arrive."""
+    return not answer.was_sent or shows_no_effect(
+        answer.status, has_handle=bool(answer.handle)
+    )
+
+
 def _stop_outcome(
     answer: MoveResponse,
     proof: StopProof,
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -48,7 +48,7 @@
     """Result of an order to an engine to stop a run.
 
     :param location: where the run can continue; ``None`` if that is unknown
-    :param had_ended: whether the engine no longer ran it
+    :param had_ended: whether the run had ended, and not by an order
     :param has_stopped: whether the engine is not at work on it
     """
 
@@ -71,6 +71,9 @@
         self.task: asyncio.Task[StopOutcome] | None = None
         # Whether its copy of the run is used or was freed.
         self.is_settled = False
+        self._sent = 0
+        self._answered = 0
+        self._refused = 0
 
     @property
     def source(self) -> Endpoint:
@@ -82,6 +85,21 @@
         """What the last attempt to connect to the engine has shown."""
         return self._reach
 
+    @property
+    def sent(self) -> int:
+        """Number of times that it was sent."""
+        return self._sent
+
+    @property
+    def unanswered(self) -> int:
+        """Number of times that it was sent without an answer so far."""
+        return self._sent - self._answered
+
+    @property
+    def may_have_stopped(self) -> bool:
+        """Whether it may have been carried out."""
+        return self._sent > self._refused
+
     @property
     def is_over(self) -> bool:
         """Whether it is no longer repeated."""
@@ -99,6 +117,19 @@
         """
         self._reach = reach
 
+    def record_send(self) -> None:
+        """Record that it is about to be sent."""
+        self._sent += 1
+
+    def record_answer(self, *, is_refused: bool) -> None:
+        """Record an answer, or a proof that the engine did not get it.
+
+        :param is_refused: whether the engine has not carried it out
+        """
+        self._answered += 1
+        if is_refused:
+            self._refused += 1
+
     def cancel(self) -> None:
         """Stop repeating the order."""
         if self.task is not None:
@@ -166,13 +197,6 @@
         """
         return not self.is_moving and not self.has_ended
 
-    async def was_stopped(self) -> bool:
-        """Return whether the run may have stopped on this node's order."""
-        if self.stop_order is None:
-            return False
-        outcome = await self.stop_order.result()
-        return not outcome.had_ended
-
     async def prepared(self) -> PreparedResumption | None:
         """Return the resumption that another engine has accepted, if any."""
         if self.switch is None:
