--- a/tests/test_relay_handover_times.py
+++ b/tests/test_relay_handover_times.py
@@ -118,6 +118,28 @@
         assert not broken
 
 
+@pytest.mark.parametrize('is_unframed', [True, False])
+async def test_orders_without_effect_leave_a_stream_complete(
+    is_unframed: bool,
+) -> None:
+    """An engine with an unframed stream refuses all orders to stop it."""
+    doubled, broken = await play_all(
+        scenarios(
+            {
+                'head_delay_s': HEAD_DELAYS_S,
+                'drops_closed': (True, False),
+                'has_copy': (True, False),
+            },
+            trouble='drain',
+            order_faults=('conflict',) * 1000,
+            is_unframed=is_unframed,
+        ),
+        has_place,
+    )
+    assert not doubled
+    assert EVENTS not in broken.values()
+
+
 class TestSignsThatProveNothing:
     """Guards against signs that are taken for the end of a run.
 
