Let a refused order leave the end of an unframed stream complete

Callers got a stream with all its events broken off. When an unframed stream ended, the outcome of the order to its engine was waited for, up to 4 s, even if each order sent so far had been refused; an order that stayed without a proof, or whose repetition lost its answer after the end, counted as one that may have stopped the run. An order that is sent after the end cannot have stopped it, and one that was refused has not. The stream is now complete at once if no order sent before its end may have been carried out.

--- a/packages/node/mastichatch_node/relay/run_orders.py
+++ b/packages/node/mastichatch_node/relay/run_orders.py
@@ -58,7 +58,8 @@
         if endpoint.instance in self._late:
             return True
         order = self.find(endpoint)
-        if order is None:
+        # An order that is sent after the end of the run has not stopped it.
+        if order is None or not order.may_have_stopped:
             return False
         outcome = await order.result()
         return not outcome.had_ended
