Reproduce a registration that ends right after its repeated write

The write is repeated under one lease, which nothing renews meanwhile. If it is acknowledged in the last two seconds of the lease, the key is deleted before the first renewal, and written again under a new lease.

--- a/tests/test_relay_registration.py
+++ b/tests/test_relay_registration.py
@@ -12,6 +12,7 @@
 pytestmark = pytest.mark.looptime
 
 LATE_S = 3.0
+REFUSAL_S = 0.5
 
 
 class LateStore:
@@ -19,6 +20,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
+        self.refuses_until = 0.0
         self.expires_at: dict[int, float] = {}
         self.owner = 0
         self.writes = 0
@@ -32,8 +34,11 @@
     async def put(self, key: str, content: bytes, lease: int) -> None:
         """Write the key, at once but for the first time."""
         self._check(lease)
+        if loop_time() < self.refuses_until:
+            await asyncio.sleep(REFUSAL_S)
+            raise StoreUnavailableError('no response')
         self.writes += 1
-        if self.writes == 1:
+        if self.writes == 1 and not self.refuses_until:
             loop = asyncio.get_running_loop()
             loop.call_later(LATE_S, setattr, self, 'owner', lease)
             raise StoreUnavailableError('no response')
@@ -77,3 +82,20 @@
     assert store.writes > 1
     assert store.is_registered
     work.cancel()
+
+
+async def test_lease_does_not_end_after_a_write_that_was_repeated() -> None:
+    """The write may be acknowledged shortly before its lease ends."""
+    store = LateStore()
+    store.refuses_until = loop_time() + LEASE_MS / 1000 - 2
+    work = asyncio.ensure_future(
+        keep_registered(
+            cast(Any, store), 'mastichatch/nodes/x', b'', cast(Any, _Follower())
+        )
+    )
+    while not store.is_registered:
+        await asyncio.sleep(REFUSAL_S)
+    for _ in range(2 * LEASE_MS // 1000):
+        await asyncio.sleep(REFUSAL_S)
+        assert store.is_registered
+    work.cancel()
