Renew a lease right after a write that had to be repeated

A registration that was acknowledged late under its lease was deleted before the first renewal, 2 s after the write, and came back under a new lease: the node left the store's list for up to 2 s. After a repeated write, the lease is now renewed at once.

test_lease_does_not_end_after_a_write_that_was_repeated failed before (a write acknowledged after 5 s of 6 s).

--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -665,8 +665,9 @@
 ) -> None:
     lease = await store.grant_lease(LEASE_MS)
     try:
-        await _write(store, key, content, lease, follower)
-        await asyncio.sleep(RENEWAL_INTERVAL_S)
+        was_repeated = await _write(store, key, content, lease, follower)
+        if not was_repeated:
+            await asyncio.sleep(RENEWAL_INTERVAL_S)
         while True:
             await _renew(store, lease, follower)
     except asyncio.CancelledError:
@@ -677,12 +678,15 @@
 
 async def _write(
     store: Store, key: str, content: bytes, lease: int, follower: StoreFollower
-) -> None:
+) -> bool:
     """Write a key until the store acknowledges it.
 
     A write without an answer may be executed late. With another lease, it would
     take the key away from the one that is renewed.
+
+    :returns: whether it was repeated, so that the lease may end soon
     """
+    was_repeated = False
     while True:
         try:
             await store.put(key, content, lease)
@@ -692,8 +696,9 @@
                 extra={'reason': str(error)},
             )
             await _pause_renewals(follower, error)
+            was_repeated = True
         else:
-            return
+            return was_repeated
 
 
 async def _renew(store: Store, lease: int, follower: StoreFollower) -> None:
