Reproduce switches that are undone since a conflict is noticed to have ended late

Orders that are answered 409 are repeated after 0, 0.02, 0.06, 0.14 and 0.3 s. A switch of a run to its copy is undone if its former engine has not proved after 0.27 s that it has stopped, so that a transfer of 0.15 s undoes it.

--- a/tests/test_relay_run_stops.py
+++ b/tests/test_relay_run_stops.py
@@ -4,6 +4,8 @@
 
 from mastichatch_core.relay.run_stops import (
     ORDER_LIMIT_S,
+    OVERLAP_LIMIT_S,
+    SWITCH_PROOF_LIMIT_S,
     StopProof,
     read_stop_answer,
     repeat_delay_s,
@@ -29,6 +31,22 @@
     assert tries < MAX_ORDERS
 
 
+@pytest.mark.parametrize('copied_s', [0.05, 0.1, 0.15, 0.2])
+def test_end_of_a_conflict_is_noticed_before_a_switch_is_undone(
+    copied_s: float,
+) -> None:
+    """The engine copies the run for another call, and stops it afterwards."""
+    elapsed_s, tries = 0.0, 0
+    while elapsed_s < copied_s:
+        tries += 1
+        pause_s = repeat_delay_s(
+            StopProof.none, 409, tries, elapsed_s, left_s=100
+        )
+        assert pause_s is not None
+        elapsed_s += pause_s
+    assert elapsed_s < SWITCH_PROOF_LIMIT_S - OVERLAP_LIMIT_S
+
+
 @pytest.mark.parametrize('status', [400, 404, 409, 421, 429, 503])
 def test_refused_order_leaves_a_later_proof_of_the_end(status: int) -> None:
     assert shows_no_effect(status, has_handle=False)
