Repeat an order after a conflict within a third of the conflict's time

Since the pause after a 409 doubled with each order, up to 0.25 s. A conflict that lasted 0.15 to 0.27 s was noticed to have ended only after 0.3 s, when the switch of the run to its copy is undone (0.27 s): the run was moved once more, and was at work on two engines for longer. The pause now grows with the time since the first order, from 0.02 s to 0.3 s; by this rule an engine that answers 409 for ten seconds still gets under 50 orders for a run.

--- a/packages/core/mastichatch_core/relay/run_stops.py
+++ b/packages/core/mastichatch_core/relay/run_stops.py
@@ -35,7 +35,9 @@
 ORDER_LIMIT_S: Final = 10.0
 FIRST_REPEAT_DELAY_S: Final = 0.02
 MAX_REPEAT_DELAY_S: Final = 1.0
-CONFLICT_REPEAT_DELAY_S: Final = 0.25
+MAX_CONFLICT_DELAY_S: Final = 0.3
+# The end of a conflict is noticed after this share of its time at most.
+CONFLICT_DELAY_SHARE: Final = 1 / 3
 QUEUED_REPEAT_DELAY_S: Final = 0.25
 
 _OK: Final = 200
@@ -145,9 +147,11 @@
         return QUEUED_REPEAT_DELAY_S if left_s > 0 else None
     if proof.is_final or elapsed_s >= ORDER_LIMIT_S:
         return None
-    # With a conflict, the engine copies the run for another call, which takes a
-    # fraction of a second.
-    longest_s = (
-        CONFLICT_REPEAT_DELAY_S if status == _CONFLICT else MAX_REPEAT_DELAY_S
-    )
-    return min(longest_s, FIRST_REPEAT_DELAY_S * 2.0 ** (tries - 1))
+    if status == _CONFLICT:
+        # The engine copies the run for another call, which takes a fraction of
+        # a second.
+        return min(
+            MAX_CONFLICT_DELAY_S,
+            max(FIRST_REPEAT_DELAY_S, elapsed_s * CONFLICT_DELAY_SHARE),
+        )
+    return min(MAX_REPEAT_DELAY_S, FIRST_REPEAT_DELAY_S * 2.0 ** (tries - 1))
