Wait for what a broken stream shows before its run is given up

Streams of a node whose connections to all engines were reset at once were lost: each was given up, or its engine ordered to stop for 10 s, before the node knew that it was cut off, so that no other node went on with them. Streams whose connections hang went on. A stream whose engine has closed the connection now waits until another endpoint is reached, which takes one connection for all of them, or until the node is isolated, for 1.5 s at most.

The tests with resets failed before and pass now; those with hung connections passed before, too.

--- a/packages/node/mastichatch_node/relay/isolation_tracking.py
+++ b/packages/node/mastichatch_node/relay/isolation_tracking.py
@@ -1,6 +1,7 @@
 """Tracks whether this node is cut off from endpoints that its peers reach."""
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import math
@@ -19,6 +20,8 @@
 # time between two answers of one of them.
 ANSWERING_PEERS: Final = 4
 ANSWER_INTERVAL_S: Final = 1.0
+# Longest wait until it is known whether a connection broke with all others.
+SETTLE_LIMIT_S: Final = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,6 +55,8 @@
         self._callbacks: list[Callback] = []
         self._answered_at = -math.inf
         self._is_isolated = False
+        self._settled = asyncio.Event()
+        self._settled.set()
         sources.contact.subscribe(self._handle_change)
 
     @property
@@ -82,6 +87,22 @@
         contact = self._sources.contact
         return not (contact.is_cut_off and contact.checker.knows(service))
 
+    async def settle(self) -> None:
+        """Wait until an endpoint is reached, or this node is isolated.
+
+        Callers use it after a connection broke, and all share one check.
+        """
+        if self._is_isolated:
+            return
+        if self._settled.is_set():
+            self._settled = asyncio.Event()
+            self._sources.contact.tell(self._settled.set)
+        settled = self._settled
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_LIMIT_S):
+                await settled.wait()
+        settled.set()
+
     def subscribe(self, callback: Callback) -> None:
         """Call a function whenever ``is_isolated`` changes.
 
@@ -116,6 +137,8 @@
         )
 
     def _handle_change(self) -> None:
+        if not self._sources.contact.is_cut_off:
+            self._settled.set()
         self._sources.announce()
         self._update()
 
@@ -128,6 +151,7 @@
         if is_isolated == self._is_isolated:
             return
         self._is_isolated = is_isolated
+        self._settled.set()
         telemetry = self._sources.telemetry
         telemetry.isolation.record_state(
             ContactState.isolated, is_begun=is_isolated
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -317,6 +317,9 @@
             )
         if self._is_withdrawn:
             return None
+        if result.is_closed_by_peer:
+            # The connections to all engines may have broken.
+            await self._context.isolation.settle()
         if proxy_decision.must_pass_on(self._context, self._job):
             raise run_adoption.leave(
                 source.placement.endpoint,
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -462,6 +462,9 @@
     is_isolated = False
     contact = _Contact()
 
+    async def settle(self) -> None:
+        """Return at once: other endpoints are reached."""
+
 
 class _Placer(_Quiet):
     def __init__(self, fleet: Fleet) -> None:
--- a/tests/test_relay_isolation.py
+++ b/tests/test_relay_isolation.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import re
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -240,3 +241,40 @@
             while loop_time() < ends_at:
                 assert not context.pool.signs.has_ended(address)
                 await asyncio.sleep(CALL_INTERVAL_S)
+
+
+@pytest.mark.parametrize('keeps_copies', [False, True])
+@pytest.mark.parametrize('how', [Cut.reset, Cut.hang])
+async def test_streams_of_a_node_that_is_cut_off_go_on(
+    how: Cut, keeps_copies: bool
+) -> None:
+    known = create_endpoints()
+    for one in known['engines']:
+        one.script = endpoints.stream(80, 0.05)
+        one.drops_closed = False
+    document = relay_nodes.configuration()
+    document['services'][1]['engine']['backups'] = keeps_copies
+    document['routes'][2]['timeout_ms'] = 20000
+    opened = relay_nodes.open_nodes(
+        2, *known['engines'], apps=known['apps'], document=document
+    )
+    async with opened as relays:
+        first = relays[0].node
+        streams = [
+            asyncio.create_task(
+                relays[0].call(
+                    '/plan/x',
+                    request_id=f's{number}',
+                    headers=PLAN_HEADERS,
+                    timeout_ms=20000,
+                )
+            )
+            for number in range(4)
+        ]
+        await asyncio.sleep(1)
+        with cut_off((first,), addresses_of(known), how):
+            answers = await asyncio.gather(*streams)
+    for answer in answers:
+        assert answer.is_whole
+        numbers = re.findall(rb'id: (\d+)', answer.body)
+        assert list(map(int, numbers)) == list(range(1, 81))
