--- a/packages/node/mastichatch_node/relay/isolation_tracking.py
+++ b/packages/node/mastichatch_node/relay/isolation_tracking.py
@@ -1,6 +1,9 @@
 """Tracks whether this node is cut off from endpoints that its peers reach."""
 
+import asyncio
+import contextlib
 import dataclasses
+import functools
 import math
 import random
 from collections.abc import Callable, Collection
@@ -13,11 +16,12 @@
 from mastichatch_node.relay.isolation_metrics import ContactState
 from mastichatch_node.relay.telemetry import Telemetry
 
-# Number of peers that tell a node that is cut off of their contact, the time
-# between two answers to it, and the age from which on the contact is checked.
+# Number of peers that tell a node that is cut off of their contact, and the
+# time between two answers to it.
 ANSWERING_PEERS: Final = 4
 ANSWER_INTERVAL_S: Final = 1.0
-FRESH_CONTACT_MS: Final = 300.0
+# Longest wait until it is known whether a connection broke with all others.
+SETTLE_LIMIT_S: Final = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,6 +55,8 @@
         self._callbacks: list[Callback] = []
         self._answered_at: dict[str, float] = {}
         self._is_isolated = False
+        self._settled = asyncio.Event()
+        self._settled.set()
         sources.contact.subscribe(self._handle_change)
 
     @property
@@ -81,6 +87,22 @@
         contact = self._sources.contact
         return not (contact.is_cut_off and contact.checker.knows(service))
 
+    async def settle(self) -> None:
+        """Wait until an endpoint is reached, or this node is isolated.
+
+        Callers use it after a connection broke, and all share one check.
+        """
+        if self._is_isolated:
+            return
+        if self._settled.is_set():
+            self._settled = asyncio.Event()
+            self._sources.contact.tell(self._settled.set)
+        settled = self._settled
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_LIMIT_S):
+                await settled.wait()
+        settled.set()
+
     def subscribe(self, callback: Callback) -> None:
         """Call a function whenever ``is_isolated`` changes.
 
@@ -108,14 +130,16 @@
         if random.random() * len(self._peers) > ANSWERING_PEERS:  # noqa: S311
             return
         self._answered_at[name] = now
-        contact = self._sources.contact
-        age_ms = contact.contact_ms
-        if age_ms is not None and age_ms < FRESH_CONTACT_MS:
-            self._sources.answer(name)
-        else:
-            contact.tell(lambda: self._sources.answer(name))
+        # Only contact that is clearly later than the cut counts.
+        asyncio.get_running_loop().call_later(
+            CONTACT_MARGIN_S,
+            self._sources.contact.tell,
+            functools.partial(self._sources.answer, name),
+        )
 
     def _handle_change(self) -> None:
+        if not self._sources.contact.is_cut_off:
+            self._settled.set()
         self._sources.announce()
         self._update()
 
@@ -128,6 +152,7 @@
         if is_isolated == self._is_isolated:
             return
         self._is_isolated = is_isolated
+        self._settled.set()
         telemetry = self._sources.telemetry
         telemetry.isolation.record_state(
             ContactState.isolated, is_begun=is_isolated
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -322,6 +322,9 @@
             )
         if self._is_withdrawn:
             return None
+        if result.is_closed_by_peer:
+            # The connections to all engines may have broken.
+            await self._context.isolation.settle()
         if proxy_decision.must_pass_on(self._context, self._job):
             raise run_adoption.leave(
                 source.placement.endpoint,
@@ -334,6 +337,15 @@
                     lambda endpoint: True,
                 ),
             )
+        return await self._resume(source)
+
+    async def _resume(
+        self, source: exchanges.AttemptSource
+    ) -> exchanges.AttemptSource | None:
+        """Return the copy from which the run goes on, or ``None`` to give up.
+
+        :param source: source of the last attempt
+        """
         may_resume = _resumption_check(
             self._context,
             self._placer,
