Reject answers whose status HTTP does not define

Callers of the relay got an endpoint's 600 or 999 as an answer, with its seal; in the product's own interface a plain service's 000, 001, 099, 600 and 999 were answers too, and 000, 001 and 099 confirmed the cancellation of a generation. Cause: h11 and aiohttp accept any three digits, and nothing checked the class of the status.

A status outside 100 to 599 is none of HTTP's (RFC 9110, section 15). The relay's client now ends such an exchange as malformed, after the request was sent; this is the one client of calls, streams, orders, reports and the store. All HTTP sessions of the product's interface share one middleware for it. The request counts as perhaps run: 502, or another endpoint for a call that may be repeated.

--- a/packages/node/mastichatch_node/engines.py
+++ b/packages/node/mastichatch_node/engines.py
@@ -11,7 +11,7 @@
 from mastichatch_core.events import EventParser, TokenEvent
 from mastichatch_core.generated.messages import EndpointObservation, ErrorKind
 from mastichatch_core.units import MS_PER_S
-from mastichatch_node.replies import check_reply
+from mastichatch_node.replies import check_reply, reject_undefined_statuses
 from mastichatch_node.reports import (
     ReadReport,
     open_report_reader,
@@ -268,6 +268,7 @@
         aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
+            middlewares=(reject_undefined_statuses,),
         ) as session,
         open_report_reader() as reports,
     ):
--- a/packages/node/mastichatch_node/orders.py
+++ b/packages/node/mastichatch_node/orders.py
@@ -12,7 +12,7 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.placement import ORDER_TIMEOUT_S, EngineState, Order
-from mastichatch_node.replies import read_bounded
+from mastichatch_node.replies import read_bounded, reject_undefined_statuses
 from mastichatch_node.reports import REPORT_LIMIT_BYTES
 
 _JSON_HEADERS: Final = types.MappingProxyType(
@@ -100,6 +100,7 @@
     async with aiohttp.ClientSession(
         timeout=timeout,
         connector=connector,
+        middlewares=(reject_undefined_statuses,),
     ) as session:
         yield Orders(session)
 
--- a/packages/node/mastichatch_node/plain_client.py
+++ b/packages/node/mastichatch_node/plain_client.py
@@ -15,7 +15,11 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.units import MS_PER_S
-from mastichatch_node.replies import check_reply, read_bounded
+from mastichatch_node.replies import (
+    check_reply,
+    read_bounded,
+    reject_undefined_statuses,
+)
 
 ANSWER_LIMIT_BYTES: Final = 1048576
 
@@ -115,6 +119,7 @@
             sock_connect=connect_timeout_s,
         ),
         trace_configs=[trace],
+        middlewares=(reject_undefined_statuses,),
     )
 
 
--- a/packages/node/mastichatch_node/platform.py
+++ b/packages/node/mastichatch_node/platform.py
@@ -15,7 +15,7 @@
 from mastichatch_core.errors import MastichatchError
 from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_core.units import MS_PER_S
-from mastichatch_node.replies import read_bounded
+from mastichatch_node.replies import read_bounded, reject_undefined_statuses
 
 # A call that waits for a connection spends its own timeout, so the limit is
 # above the number of calls that a burst of requests makes at once.
@@ -335,7 +335,7 @@
 def _open_session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True),
-        middlewares=(_disable_retries,),
+        middlewares=(_disable_retries, reject_undefined_statuses),
     )
 
 
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -28,6 +28,7 @@
 )
 from mastichatch_core.relay.process_signs import OpenConnection, ProcessSigns
 from mastichatch_core.relay.sent_requests import Belonging, SentRequests
+from mastichatch_core.statuses import is_status_defined
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.resources import Resources
@@ -487,6 +488,11 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if not is_status_defined(event.status_code):
+                    raise self._close_with_error(
+                        f'undefined status {event.status_code}',
+                        is_malformed=True,
+                    )
                 head = ResponseHead(
                     status=event.status_code,
                     headers=tuple(event.headers),
--- a/packages/node/mastichatch_node/replies.py
+++ b/packages/node/mastichatch_node/replies.py
@@ -2,7 +2,7 @@
 
 HTTP/1.1 matches them by connection alone. If an intermediary passes the bytes
 of one connection to another, only a header with the request id shows it. A body
-is read up to a limit.
+is read up to a limit, and a status that HTTP does not define is no answer.
 """
 
 from collections.abc import Mapping
@@ -10,9 +10,29 @@
 
 import aiohttp
 
+from mastichatch_core.statuses import is_status_defined
+
 REPLY_HEADER: Final = 'In-Reply-To'
 
 
+async def reject_undefined_statuses(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Fail requests whose response has a status that HTTP does not define.
+
+    A middleware of ``aiohttp.ClientSession``. The request may have run.
+
+    :param request: the request
+    :param handler: sends it
+    :raises aiohttp.ClientPayloadError: if the status is undefined
+    """
+    response = await handler(request)
+    if is_status_defined(response.status):
+        return response
+    response.close()
+    raise aiohttp.ClientPayloadError(f'undefined status {response.status}')
+
+
 def check_reply(headers: Mapping[str, str], request_id: str) -> None:
     """Check that a response with an ``In-Reply-To`` header names the request.
 
--- a/packages/node/mastichatch_node/reports.py
+++ b/packages/node/mastichatch_node/reports.py
@@ -18,7 +18,7 @@
 from aiohttp.tracing import Trace
 
 from mastichatch_core.generated.messages import EndpointObservation
-from mastichatch_node.replies import read_bounded
+from mastichatch_node.replies import read_bounded, reject_undefined_statuses
 
 _TIMEOUT: Final = aiohttp.ClientTimeout(total=0.5)
 _KEEPALIVE_S: Final = 30.0
@@ -63,8 +63,8 @@
     kept = _CheckingConnector(limit=0, keepalive_timeout=_KEEPALIVE_S)
     fresh = aiohttp.TCPConnector(limit=0, force_close=True)
     async with (
-        aiohttp.ClientSession(connector=kept, timeout=_TIMEOUT) as first,
-        aiohttp.ClientSession(connector=fresh, timeout=_TIMEOUT) as second,
+        _open_session(kept) as first,
+        _open_session(fresh) as second,
     ):
 
         async def read(url: str) -> bytes:
@@ -92,3 +92,11 @@
     async with session.get(url) as response:
         response.raise_for_status()
         return await read_bounded(response, REPORT_LIMIT_BYTES)
+
+
+def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=_TIMEOUT,
+        middlewares=(reject_undefined_statuses,),
+    )
