--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -337,37 +337,16 @@
                     lambda endpoint: True,
                 ),
             )
-        return await self._resume(source)
-
-    async def _resume(
-        self, source: exchanges.AttemptSource
-    ) -> exchanges.AttemptSource | None:
-        """Return the copy from which the run goes on, or ``None`` to give up.
-
-        :param source: source of the last attempt
-        """
+        former = source.placement.endpoint
         may_resume = _resumption_check(
-            self._context,
-            self._placer,
-            self._job,
-            self._order,
-            source.placement.endpoint,
+            self._context, self._placer, self._job, self._order, former
         )
-        copies = self._handover.copies
-        earlier = copies.take(may_resume)
-        location = earlier or _usable_copy(
+        standby = _usable_copy(
             source, self._transfer.standby, self._job.request_id, may_resume
         )
+        location = await _find_copy(self._handover, standby, may_resume, former)
         if location is None:
-            location = await self._handover.take_transferred()
-        if location is None or not await self._handover.ensure_alone(
-            location.endpoint, source.placement.endpoint
-        ):
-            if earlier is not None:
-                # It is freed with the rest once the run has ended.
-                copies.add(earlier)
             return None
-        location = self._handover.orders.newest_copy(location)
         return exchanges.resume_at(location, self.last_event)
 
     async def _attempt(self, source: exchanges.AttemptSource) -> AttemptResult:
@@ -590,6 +569,31 @@
     return exchanges.AttemptSource(placement=placement, prepared=prepared)
 
 
+async def _find_copy(
+    handover: Handover,
+    standby: RunLocation | None,
+    may_resume: Callable[[Endpoint], bool],
+    former: Endpoint,
+) -> RunLocation | None:
+    """Return the copy from which a run may resume on its own, if any.
+
+    :param handover: hands the run over from engine to engine
+    :param standby: copy that was kept beside the run
+    :param may_resume: returns whether the run may go on at an engine
+    :param former: engine of the last attempt
+    """
+    earlier = handover.copies.take(may_resume)
+    location = earlier or standby or await handover.take_transferred()
+    if location is not None and await handover.ensure_alone(
+        location.endpoint, former
+    ):
+        return handover.orders.newest_copy(location)
+    if earlier is not None:
+        # It is freed with the rest once the run has ended.
+        handover.copies.add(earlier)
+    return None
+
+
 def _usable_copy(
     source: exchanges.AttemptSource,
     standby: RunLocation | None,
