--- a/tests/test_relay_odd_entries.py
+++ b/tests/test_relay_odd_entries.py
@@ -16,7 +16,7 @@
     PromptEvidence,
 )
 from mastichatch_core.relay.store import StoreUnavailableError
-from mastichatch_node.relay import service_call, streaming
+from mastichatch_node.relay import engine_exchange, service_call
 from mastichatch_node.relay.http_client import (
     ExchangeError,
     connect,
@@ -124,7 +124,7 @@
     async def test_error_before_sending_goes_on_at_another_endpoint(
         self, path: str, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        module = streaming if path == '/plan/x' else service_call
+        module = engine_exchange if path == '/plan/x' else service_call
         original = module.build_outgoing
 
         def fail(context: Any, job: Any, endpoint: Any, **more: Any) -> Any:
@@ -152,7 +152,7 @@
     async def test_error_after_sending_is_an_answer_and_a_failure(
         self, path: str, is_served: bool, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        module = streaming if path == '/plan/x' else service_call
+        module = engine_exchange if path == '/plan/x' else service_call
         original = module.read_answer_head
 
         async def fail(context: Any, job: Any, connection: Any) -> Any:
