--- a/packages/node/mastichatch_node/relay/slot_choice.py
+++ b/packages/node/mastichatch_node/relay/slot_choice.py
@@ -1,9 +1,9 @@
 """Chooses endpoints of plain calls, with their slots if they are brittle."""
 
-import random
-from collections.abc import Iterator, Sequence
 import contextlib
 import dataclasses
+import random
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 from mastichatch_core.generated.messages import SlotOutcome
