Follow a store that comes back from an older copy

Cause: revisions were compared alone. After the return they are lower, so that the view counted as ever older and all requests were refused, with some 650 watches a second answered 410; or, once they were passed again, what was written in between was missed for good.

Change: a place in the history is an era and a revision, in the cache, its kept deletions, views and queries between nodes, and the revision that nodes announce. The era comes from the header Store-Era. Another era is entered with a whole listing, of the store or of a node that has one; entries that the copy lacks are kept for a time, older ones of configurations and endpoints do not win. Registrations are written again under a new lease, spread; pins and evidence on crashes by the first node in an order for each key, on condition that they are missing. Listings after which no watch succeeds are paused. An unknown key with a lower revision than the last listing counts as deleted.

Open: roll-outs, and the product's own interface.

--- a/packages/node/mastichatch_node/relay/node_record.py
+++ b/packages/node/mastichatch_node/relay/node_record.py
@@ -22,5 +22,6 @@
             link_mbps=settings.link_mbps,
             forwards_runs=True,
             grants_turns=True,
+            knows_eras=True,
         )
     )
--- a/packages/node/mastichatch_node/relay/rollouts/deciding.py
+++ b/packages/node/mastichatch_node/relay/rollouts/deciding.py
@@ -206,10 +206,12 @@
             return
         result, delay_s = 'written', WRITTEN_WAIT_S
         known: tuple[ViewEntry, ...] = ()
+        era = 0
         try:
             await store.commit(transaction)
         except ConflictError as error:
-            result, delay_s, known = str(error), RETRY_DELAY_S, error.entries
+            result, delay_s = str(error), RETRY_DELAY_S
+            known, era = error.entries, error.era
         except StoreUnavailableError as error:
             # It may have been written; writing it again does no harm.
             result, delay_s = str(error), RETRY_DELAY_S
@@ -228,7 +230,7 @@
         )
         if known:
             # Another node has written, which the watch may bring later.
-            follower.take_entries(known)
+            follower.take_entries(known, era)
 
 
 def _is_on_trial(rollout: ServiceRollout) -> bool:
--- a/tests/standins/house_store.py
+++ b/tests/standins/house_store.py
@@ -47,7 +47,8 @@
     ``page_size`` the number of entries in a page.
 
     ``era`` is named in all answers unless it is zero, and ``era_values``
-    replaces the values of that header.
+    replaces the values of that header; ``odd_eras`` does so for the next
+    answers, one after the other.
     """
 
     def __init__(self) -> None:
@@ -66,6 +67,7 @@
         self.calls: list[str] = []
         self.era = 1
         self.era_values: tuple[str, ...] | None = None
+        self.odd_eras: list[str] = []
         self.gone_answers = 0
         self._transports: set[asyncio.Transport] = set()
         self._changed = asyncio.Condition()
@@ -155,6 +157,8 @@
         finally:
             self._transports.discard(transport)
         default = (str(self.era),) if self.era else ()
+        if self.odd_eras:
+            default = (self.odd_eras.pop(0),)
         for era in default if self.era_values is None else self.era_values:
             response.headers.add('Store-Era', era)
         return response
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -123,3 +123,98 @@
             address = relay.settings.callers_address
             assert (await call(address, '/lookup/x')).status == 401
             assert relay.node.is_ready
+
+
+async def test_store_that_goes_back_without_an_era_is_listed_seldom() -> None:
+    """Each watch was answered 410 at once, and followed by a listing."""
+    async with open_nodes(1) as (relay,):
+        store = relay.store
+        copy = store.copy()
+        for number in range(9):
+            await store.put(f'other/{number}', b'lost')
+        await until(lambda: relay.node.belief.revision == store.revision)
+        store.restore(copy)
+        store.era_values = ()
+        await asyncio.sleep(WATCHED_S)
+        assert 0 < store.gone_answers < 10
+
+
+async def test_answer_with_an_odd_era_leads_to_one_listing() -> None:
+    app = HouseEndpoint('app-1', respond_ok)
+    async with open_nodes(1, apps=(app,)) as (relay,):
+        store = relay.store
+        store.calls.clear()
+        store.odd_eras = ['77']
+        await until(lambda: not store.odd_eras)
+        revision = await store.put('other/b', b'x')
+        await until(lambda: relay.node.belief.revision >= revision)
+        assert relay.node.belief.era == store.era
+        assert relay.node.is_ready
+        answer = await call(relay.settings.callers_address, '/lookup/x')
+        assert answer.status == 200
+        assert store.calls.count('GET /mastichatch/kv-range') <= 2
+
+
+async def test_drills_within_seconds_are_followed() -> None:
+    app = HouseEndpoint('app-1', respond_ok)
+    async with open_nodes(3, apps=(app,)) as relays:
+        store = relays[0].store
+        for version in (2, 3, 4):
+            copy = store.copy()
+            await store.put('op/config', moved(version, f'/v{version}/'))
+            await asyncio.sleep(0.7)
+            store.go_away()
+            await asyncio.sleep(0.3)
+            store.restore(copy)
+            await store.put('op/config', moved(version, f'/v{version}/'))
+        await until(
+            lambda: all(one.node.belief.era == store.era for one in relays)
+        )
+        await asyncio.sleep(2)
+        assert versions(relays) == [4, 4, 4]
+        for relay in relays:
+            address = relay.settings.callers_address
+            assert (await call(address, '/v4/x')).status == 200
+            assert len(registered(relay.node)) == len(relays)
+        names = [key for key in store.items if key.startswith('mastichatch/n')]
+        assert len(names) == len(relays)
+
+
+async def test_node_does_not_end_a_lease_of_the_next_era() -> None:
+    """Ids of leases are given out again, also to other nodes."""
+    async with open_nodes(1) as (relay,):
+        store = relay.store
+        copy = store.copy()
+        former = set(store.leases)
+        store.go_away()
+        store.restore(copy)
+        await until(lambda: relay.node.belief.era == store.era)
+        store.calls.clear()
+        await until(lambda: set(store.leases) != former)
+    ended = [one for one in store.calls if 'kv-lease-end' in one]
+    assert len(ended) == 1
+    assert former <= set(store.leases)
+
+
+async def test_lost_pins_and_evidence_are_written_once_by_nodes() -> None:
+    """The node that wrote them may have stopped since."""
+    async with open_nodes(3) as relays:
+        store = relays[0].store
+        copy = store.copy()
+        keys = ('mastichatch/pins/llm/p', 'mastichatch/crashes/e-1')
+        report = {'instance': 'e-1', 'service': 'llm', 'version': '1'}
+        for key in keys:
+            await store.put(key, report)
+        await until(
+            lambda: all(
+                relay.node.belief.entry(key) for relay in relays for key in keys
+            )
+        )
+        store.go_away()
+        store.restore(copy)
+        store.events.clear()
+        await until(lambda: all(key in store.items for key in keys))
+        await asyncio.sleep(2)
+        written = [one['key'] for one in store.events if one['key'] in keys]
+        assert sorted(written) == sorted(keys)
+        assert store.items[keys[1]].lease in store.leases
