--- a/packages/node/mastichatch_node/relay/store_eras.py
+++ b/packages/node/mastichatch_node/relay/store_eras.py
@@ -134,6 +134,7 @@
         self._store.confirm_era(self.current)
         if former < self.current:
             self._began.notify()
+            self._telemetry.update_store_era(self.current)
         if 0 < former < self.current:
             self._telemetry.log_state_change(
                 'store_era_changed',
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -193,6 +193,11 @@
             ('purpose',),
             registry=self._registry,
         )
+        self._store_era = Gauge(
+            'mastichatch_relay_store_era',
+            'Era of the store that the node knows.',
+            registry=self._registry,
+        )
         self._suspected = Gauge(
             'mastichatch_relay_suspected_parts',
             'Parts of prompts that may crash engines.',
@@ -288,6 +293,13 @@
         """
         self._active.set(active)
 
+    def update_store_era(self, era: int) -> None:
+        """Set the era of the store.
+
+        :param era: the era; zero if the store names none
+        """
+        self._store_era.set(era)
+
     def update_suspected(self, suspected: int) -> None:
         """Set the number of prompt parts that may crash engines.
 
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -21,6 +21,8 @@
     until,
 )
 from tests.standins.house_endpoints import HouseEndpoint, respond_ok
+from tests.standins.house_store import HouseStore
+from tests.test_relay_store_outage import NAMES, open_fleet
 
 # Time after the store's return within which a configuration is in force.
 IN_FORCE_S = 1.0
@@ -218,3 +220,34 @@
         written = [one['key'] for one in store.events if one['key'] in keys]
         assert sorted(written) == sorted(keys)
         assert store.items[keys[1]].lease in store.leases
+
+
+async def test_data_centre_with_a_reader_lists_the_store_seldom() -> None:
+    store = HouseStore()
+    await store.put('op/config', moved(1, '/first/'))
+    async with open_fleet(dict.fromkeys(NAMES, store)) as nodes:
+        copy = store.copy()
+        await asyncio.sleep(COPY_AGE_S)
+        store.go_away()
+        await asyncio.sleep(AWAY_S)
+        store.restore(copy)
+        store.gone_answers = 0
+        store.calls.clear()
+        returned_at = time.monotonic()
+        await store.put('op/config', moved(2, '/second/'))
+        await until(
+            lambda: all(
+                one.belief.configuration is not None
+                and one.belief.configuration.version == 2
+                for one in nodes.values()
+            )
+        )
+        assert time.monotonic() - returned_at < IN_FORCE_S
+        await asyncio.sleep(WATCHED_S)
+        assert all(one.is_ready for one in nodes.values())
+        listings = store.calls.count('GET /mastichatch/kv-range')
+        grants = store.calls.count('POST /mastichatch/kv-lease')
+    # One by each node that called the store itself when it was back.
+    assert listings <= 4
+    assert grants <= len(NAMES) + 2
+    assert store.gone_answers <= MAX_GONE * listings
