Keep the decision on a roll-out when the store lost its order or record

Cause: an order is known by its revision, which changes when the operator writes it again, and the record of its decision may be gone.

--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -27,8 +27,8 @@
 # Endpoints whose entries expired while the store was unavailable write them
 # again within this time of its recovery, which the platform guarantees.
 EXPIRY_GRACE_S: Final = 2.0
-# Time for which what nodes wrote counts as present in a store that came back
-# without it: as long as a lease of theirs.
+# Time for which what nodes wrote, and orders on which they act, count as
+# present in a store that came back without them: as long as a lease of nodes.
 REWRITE_GRACE_S: Final = 6.0
 
 
@@ -240,7 +240,8 @@
                 until = now + _grace_s(self._decoders, missing.key)
                 self._entries.carry(missing, until)
         self._verified_at = max(self._verified_at, verified_at)
-        return tuple(one.key for one in (*change.written, *change.missing))
+        # The places of all entries have changed.
+        return tuple(one.key for one in (*view.entries, *change.missing))
 
     def _apply_entry(self, entry: ViewEntry, now: float) -> bool:
         if not self._entries.put(entry):
@@ -286,7 +287,6 @@
     of_operators = (
         decoders.configuration_key,
         decoders.evacuation_prefix,
-        decoders.rollout_prefix,
     )
     return EXPIRY_GRACE_S if key.startswith(of_operators) else REWRITE_GRACE_S
 
--- a/packages/node/mastichatch_node/relay/rollouts/deciding.py
+++ b/packages/node/mastichatch_node/relay/rollouts/deciding.py
@@ -113,14 +113,7 @@
         if position >= DECIDER_COUNT and _is_on_trial(rollout):
             # It knows only what it has counted itself.
             return None
-        known = self._cache.endpoints(loop_time()).values()
-        record = next_record(
-            rollout.view,
-            self._judge(rollout),
-            {one.version for one in known if one.service == rollout.service},
-            node=self._directory.own_name,
-            may_finish=self._may_finish(rollout),
-        )
+        record = self._next_record(rollout)
         now = loop_time()
         key = (rollout.service, rollout.record_revision)
         if record is None:
@@ -130,6 +123,18 @@
         is_due = now >= max(due_at, self._next_write_at.get(key, now))
         return record if is_due else None
 
+    def _next_record(self, rollout: ServiceRollout) -> RolloutRecord | None:
+        if rollout.is_lost:
+            return rollout.view.record
+        known = self._cache.endpoints(loop_time()).values()
+        return next_record(
+            rollout.view,
+            self._judge(rollout),
+            {one.version for one in known if one.service == rollout.service},
+            node=self._directory.own_name,
+            may_finish=self._may_finish(rollout),
+        )
+
     def _judge(self, rollout: ServiceRollout) -> Verdict | None:
         order = rollout.order
         if order is None or rollout.phase is None:
