--- a/packages/node/mastichatch_node/relay/contact_tracking.py
+++ b/packages/node/mastichatch_node/relay/contact_tracking.py
@@ -104,7 +104,7 @@
         if self._evidence.is_suspicious(now):
             self._check_sign(now)
 
-    def tell(self, callback: Callback) -> None:
+    def call_when_reached(self, callback: Callback) -> None:
         """Call a function once an endpoint is reached.
 
         It is not called if none is: the failure that it tells of may then be
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -240,7 +240,7 @@
                 _announce_avoidance, self._context, endpoint, result, shared_s
             )
             if result.is_connection_refused:
-                self._context.isolation.contact.tell(announce)
+                self._context.isolation.contact.call_when_reached(announce)
             else:
                 announce()
 
--- a/packages/node/mastichatch_node/relay/isolation_tracking.py
+++ b/packages/node/mastichatch_node/relay/isolation_tracking.py
@@ -96,7 +96,7 @@
             return
         if self._settled.is_set():
             self._settled = asyncio.Event()
-            self._sources.contact.tell(self._settled.set)
+            self._sources.contact.call_when_reached(self._settled.set)
         settled = self._settled
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTLE_LIMIT_S):
@@ -133,7 +133,7 @@
         # Only contact that is clearly later than the cut counts.
         asyncio.get_running_loop().call_later(
             CONTACT_MARGIN_S,
-            self._sources.contact.tell,
+            self._sources.contact.call_when_reached,
             functools.partial(self._sources.answer, name),
         )
 
--- a/packages/node/mastichatch_node/relay/rollouts/stream_evidence.py
+++ b/packages/node/mastichatch_node/relay/rollouts/stream_evidence.py
@@ -97,7 +97,7 @@
                 self._record, self._started_at, is_failed=True
             )
             if result.is_closed_by_peer:
-                context.isolation.contact.tell(record)
+                context.isolation.contact.call_when_reached(record)
             else:
                 record()
 
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -328,7 +328,7 @@
             duration_ms=(loop_time() - started_at) * MS_PER_S,
         )
         if result.is_timed_out or result.is_closed_by_peer:
-            context.isolation.contact.tell(record)
+            context.isolation.contact.call_when_reached(record)
         else:
             record()
 
