Tell a helping node of copies made before an order to stop

Callers: a stream was broken off if the answer to the order to stop its run was lost and its node was then cut off, although the engine to which the run had been copied before still had that copy.

Cause: run_adoption.leave told the helping node only of the copy that is kept beside a run, and not of those in EarlierCopies. The helping node ordered the engine to stop once more, was answered 404, and had no copy. Nor did anybody free a copy that it could not use: the node that is cut off does not reach the engine.

Change: ProxyRun has a list of earlier copies. The helping node records them in its own EarlierCopies, goes on from the newest that is usable, and frees the rest. The former node frees them only if no node accepts the run.

--- a/packages/node/mastichatch_node/relay/proxy_decision.py
+++ b/packages/node/mastichatch_node/relay/proxy_decision.py
@@ -6,6 +6,7 @@
 from mastichatch_core.generated.messages import ErrorKind, ProxyRun
 from mastichatch_core.relay.events import EventOrder
 from mastichatch_node.relay.context import Job, RelayContext
+from mastichatch_node.relay.run_transfer import RunLocation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,10 +15,12 @@
 
     :param run: what that node is told of it
     :param order: events that the caller has
+    :param copies: copies of it that this node frees if no node accepts it
     """
 
     run: ProxyRun
     order: EventOrder
+    copies: tuple[RunLocation, ...] = ()
 
 
 class PassOnError(MastichatchError):
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -259,6 +259,9 @@
             job, reply, error, is_counted=is_counted
         )
         if not was_accepted:
+            if error.left is not None:
+                for copy in error.left.copies:
+                    self._context.stopper.free(copy)
             raise error
 
     async def _run_here(self, job: Job, reply: ResponseWriter) -> None:
--- a/packages/node/mastichatch_node/relay/run_adoption.py
+++ b/packages/node/mastichatch_node/relay/run_adoption.py
@@ -7,6 +7,7 @@
     ErrorKind,
     ProxyHop,
     ProxyRun,
+    RunCopy,
     RunState,
 )
 from mastichatch_core.relay.engine_choice import MOVED_MEMORY_SHARE
@@ -43,6 +44,7 @@
     engines: RunEngines,
     order: EventOrder,
     copy: RunLocation | None,
+    earlier: tuple[RunLocation, ...],
 ) -> PassOnError:
     """Return the error with which another node goes on with a run.
 
@@ -50,6 +52,7 @@
     :param engines: engines that may be at work on it
     :param order: events that the caller has
     :param copy: location of a copy, if there is one
+    :param earlier: copies made before an order to stop it, oldest first
     """
     works = engines.except_for(None)
     run = ProxyRun(
@@ -58,6 +61,14 @@
         begun=tuple(work.endpoint.instance for work in works if work.has_begun),
         last_event=order.last,
         events=order.count,
+        earlier=tuple(
+            RunCopy(
+                endpoint=one.endpoint.instance,
+                address=one.address,
+                handle=one.handle,
+            )
+            for one in earlier
+        ),
     )
     if copy is not None:
         run = dataclasses.replace(
@@ -66,7 +77,7 @@
             copy_address=copy.address,
             copy_handle=copy.handle,
         )
-    return PassOnError(1, LeftRun(run, order))
+    return PassOnError(1, LeftRun(run, order, earlier))
 
 
 def service_of(context: RelayContext, hop: ProxyHop) -> Service | None:
@@ -109,11 +120,17 @@
     for work in control.engines.except_for(None):
         # The other node may have ordered it to stop without an answer.
         handover.orders.record_late(work.endpoint)
-    copy = _find_copy(context, placer, run, source)
+    _record_copies(context, job, run, handover)
+    copy = _find_copy(context, placer, run, source, handover)
     if copy is None:
         destination = _choose_destination(context, placer, job, run, source)
         copy = await handover.take(handover.order_stop(source, destination))
-    if copy is None or not await handover.ensure_alone(copy.endpoint, source):
+    if copy is None:
+        raise MastichatchError(ErrorKind.generation_lost)
+    if not await handover.ensure_alone(copy.endpoint, source):
+        if copy.handle != job.request_id:
+            # It is freed with the rest once the run has ended.
+            handover.copies.add(copy)
         raise MastichatchError(ErrorKind.generation_lost)
     return resume_at(handover.orders.newest_copy(copy), run.last_event)
 
@@ -141,12 +158,45 @@
     return known[run.source]
 
 
+def _record_copies(
+    context: RelayContext, job: Job, run: ProxyRun, handover: Handover
+) -> None:
+    """Record the copies that are freed unless the run uses them.
+
+    Engines keep backups under the id of the request, and free them themselves.
+    """
+    known = context.belief.endpoints(loop_time())
+    told = RunCopy(
+        endpoint=run.copy_at, address=run.copy_address, handle=run.copy_handle
+    )
+    for copy in (told, *run.earlier):
+        if copy.endpoint in known and copy.handle != job.request_id:
+            handover.copies.add(
+                RunLocation(
+                    endpoint=known[copy.endpoint],
+                    address=copy.address,
+                    handle=copy.handle,
+                )
+            )
+
+
 def _find_copy(
-    context: RelayContext, placer: EnginePlacer, run: ProxyRun, source: Endpoint
+    context: RelayContext,
+    placer: EnginePlacer,
+    run: ProxyRun,
+    source: Endpoint,
+    handover: Handover,
 ) -> RunLocation | None:
-    """Return the copy that the other node told of, if it is usable."""
+    """Return the best copy that the other node told of, if one is usable."""
+
+    def accepts_runs(endpoint: Endpoint) -> bool:
+        return placer.accepts_runs(endpoint, source)
+
+    found = handover.copies.take(accepts_runs)
+    if found is not None:
+        return found
     endpoint = context.belief.endpoints(loop_time()).get(run.copy_at)
-    if endpoint is None or not placer.accepts_runs(endpoint, source):
+    if endpoint is None or not accepts_runs(endpoint):
         return None
     return RunLocation(
         endpoint=endpoint, address=run.copy_address, handle=run.copy_handle
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -336,6 +336,7 @@
                     self._job.request_id,
                     lambda endpoint: True,
                 ),
+                self._handover.copies.take_all(),
             )
         former = source.placement.endpoint
         may_resume = _resumption_check(
--- /dev/null
+++ b/tests/test_relay_run_adoption.py
@@ -0,0 +1,137 @@
+"""Tests of runs that go on at another node than the one of their caller.
+
+A node that is cut off from all engines hands its streams over. What it knows of
+copies and of orders to stop went no further, so that the stream was lost, or
+two nodes disposed of the same copy.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+from typing import Any
+
+from tests.isolated_nodes import (
+    context_of,
+    isolation_of,
+    open_isolated,
+    reconnect,
+)
+from tests.relay_nodes import (
+    RelayFixture,
+    Response,
+    call,
+    configuration,
+    known_endpoints,
+    until,
+)
+from tests.standins import house_endpoints as endpoints
+from tests.standins.house_endpoints import HouseEndpoint
+
+TOKENS = ('Mastichatch-Model: m', 'Mastichatch-Token-Counts: 100,2000')
+EVENTS = 120
+GAP_S = 0.01
+
+
+def engine(name: str, **options: Any) -> HouseEndpoint:
+    """Return an engine that streams ``EVENTS`` events."""
+    return HouseEndpoint(
+        instance=name,
+        script=endpoints.stream(EVENTS, GAP_S, resets_on_stop=False),
+        **options,
+    )
+
+
+def event_ids(answer: Response) -> list[int]:
+    lines = answer.body.decode().splitlines()
+    return [int(line[4:]) for line in lines if line.startswith('id: ')]
+
+
+def copies_used(server: HouseEndpoint) -> list[str]:
+    return [one.headers['kv-from'] for one in server.received]
+
+
+@contextlib.asynccontextmanager
+async def open_plan(
+    first: HouseEndpoint, second: HouseEndpoint, count: int = 2
+) -> AsyncIterator[tuple[tuple[RelayFixture, ...], 'asyncio.Task[Response]']]:
+    """Run a plan on the first engine, by order of the first node."""
+    document = configuration()
+    async with open_isolated(count, first, document=document) as relays:
+        reconnect(relays[0])
+        address = relays[0].settings.callers_address
+        work = asyncio.ensure_future(
+            call(address, '/plan/x', headers=TOKENS, timeout_ms=8000)
+        )
+        await until(lambda: bool(first.ran))
+        async with endpoints.open_endpoints(second):
+            entry = second.entry('llm', 'south')
+            await relays[0].store.put(f'servers/{second.instance}', entry)
+            await until(
+                lambda: all(
+                    len(known_endpoints(one.node)) == 2 for one in relays
+                )
+            )
+            await asyncio.sleep(GAP_S * 10)
+            yield relays, work
+
+
+async def order_stop(relay: RelayFixture, leaving: HouseEndpoint) -> None:
+    """Let an engine leave, and wait for the order to stop its run."""
+    entry = leaving.entry('llm', 'north', 'draining')
+    await relay.store.put(f'servers/{leaving.instance}', entry)
+    await until(lambda: any(one['final'] for one in leaving.moves))
+
+
+def refuse_frees(relay: RelayFixture) -> None:
+    """Let no order of a node to free a copy arrive."""
+
+    async def lose(address: str, handle: str) -> None:
+        """Ask nothing of the engine."""
+
+    context_of(relay.node).stopper._dialect = dataclasses.replace(
+        context_of(relay.node).dialect, drop_copy=lose
+    )
+
+
+class TestLostAnswerToAnOrder:
+    """Guards against runs that are lost although an earlier copy is left.
+
+    The order to stop is carried out and its answer is lost, and the node is cut
+    off before the run goes on.
+    """
+
+    async def test_run_goes_on_from_the_earlier_copy_at_a_peer(self) -> None:
+        first, second = engine('i-e', stop_delay_s=0.1), engine('i-f')
+        first.lost_answers = ['close']
+        async with open_plan(first, second) as (relays, work):
+            await order_stop(relays[0], first)
+            isolation_of(relays[0]).set('north-2')
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        assert copies_used(second) == [f'{first.address}/h-r1']
+
+    async def test_peer_frees_a_copy_that_it_cannot_use(self) -> None:
+        first, second = engine('i-e', stop_delay_s=0.1), engine('i-f')
+        first.lost_answers = ['close']
+        async with open_plan(first, second) as (relays, work):
+            await order_stop(relays[0], first)
+            entry = second.entry('llm', 'south', 'draining')
+            await relays[0].store.put(f'servers/{second.instance}', entry)
+            refuse_frees(relays[0])
+            isolation_of(relays[0]).set('north-2')
+            answer = await work
+            await until(lambda: first.freed == ['h-r1'])
+        assert not answer.is_whole
+
+    async def test_copy_is_freed_if_no_peer_accepts_the_run(self) -> None:
+        first, second = engine('i-e', stop_delay_s=0.1), engine('i-f')
+        first.lost_answers = ['close']
+        async with open_plan(first, second) as (relays, work):
+            await order_stop(relays[0], first)
+            relays[1].node.set_draining()
+            isolation_of(relays[0]).set('north-2')
+            answer = await work
+            await until(lambda: first.freed == ['h-r1'])
+        assert not answer.is_whole
