Free no copy from which another node may go on with a run

Callers: a stream that another node takes over could be broken off, since the copy from which it goes on was freed under its hands.

Cause: the node that is cut off frees the standby copy of a run that it no longer runs, and a copy that a move makes too late. Its calls fail while it reaches no engine; but the way may be back for up to 0.6 s before the node knows, and the helping node waits for the engine to stop first.

Change: RunTransfer lists the copies that were told, which neither frees. If no node accepts the run, the relay frees them, the standby copy too.

Before: the new test failed (the copy freed before the run had resumed).

--- a/packages/node/mastichatch_node/relay/run_adoption.py
+++ b/packages/node/mastichatch_node/relay/run_adoption.py
@@ -45,6 +45,7 @@
     order: EventOrder,
     copy: RunLocation | None,
     earlier: tuple[RunLocation, ...],
+    request_id: str,
 ) -> PassOnError:
     """Return the error with which another node goes on with a run.
 
@@ -53,6 +54,7 @@
     :param order: events that the caller has
     :param copy: location of a copy, if there is one
     :param earlier: copies made before an order to stop it, oldest first
+    :param request_id: id of its request
     """
     works = engines.except_for(None)
     run = ProxyRun(
@@ -77,7 +79,10 @@
             copy_address=copy.address,
             copy_handle=copy.handle,
         )
-    return PassOnError(1, LeftRun(run, order, earlier))
+    copies = earlier
+    if copy is not None and copy.handle != request_id:
+        copies = (copy, *earlier)
+    return PassOnError(1, LeftRun(run, order, copies))
 
 
 def service_of(context: RelayContext, hop: ProxyHop) -> Service | None:
--- a/packages/node/mastichatch_node/relay/run_migration.py
+++ b/packages/node/mastichatch_node/relay/run_migration.py
@@ -156,7 +156,10 @@
         if copied is None:
             return
         if not self._runs_on(generation, source):
-            await self._context.dialect.drop_copy(source.address, copied.handle)
+            if generation.transfer.may_free(source.address, copied.handle):
+                await self._context.dialect.drop_copy(
+                    source.address, copied.handle
+                )
             return
         await generation.move_to(copied)
 
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -175,6 +175,7 @@
     :param switch: attempt to resume the run from its copy, which ends once the
         engine with the copy has answered; set when it is sent
     :param has_ended: whether the attempt on that engine has ended
+    :param left_copies: copies from which another node may go on with the run
     """
 
     destination: Endpoint | None = None
@@ -183,6 +184,7 @@
     stop_order: StopOrder | None = None
     switch: 'asyncio.Task[PreparedResumption | None] | None' = None
     has_ended: bool = False
+    left_copies: tuple[RunLocation, ...] = ()
 
     @property
     def is_moving(self) -> bool:
@@ -197,6 +199,17 @@
         """
         return not self.is_moving and not self.has_ended
 
+    def may_free(self, address: str, handle: str) -> bool:
+        """Return whether this node frees a copy that it does not need.
+
+        :param address: address of the engine that issued the handle
+        :param handle: identifier of the copy on that engine
+        """
+        return all(
+            (copy.address, copy.handle) != (address, handle)
+            for copy in self.left_copies
+        )
+
     async def prepared(self) -> PreparedResumption | None:
         """Return the resumption that another engine has accepted, if any."""
         if self.switch is None:
--- a/packages/node/mastichatch_node/relay/standby_copying.py
+++ b/packages/node/mastichatch_node/relay/standby_copying.py
@@ -223,7 +223,8 @@
             endpoint is not None
             and endpoint.instance == location.endpoint.instance
         )
-        if not is_used:
+        transfer = standby.generation.transfer
+        if not is_used and transfer.may_free(location.address, location.handle):
             await self._context.dialect.drop_copy(
                 location.address, location.handle
             )
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -256,7 +256,9 @@
         try:
             with contextlib.closing(self._slots):
                 await self._relay()
-        except proxy_decision.PassOnError:
+        except proxy_decision.PassOnError as error:
+            if error.left is not None:
+                self._transfer.left_copies = error.left.copies
             self._handover.orders.abandon()
             raise
         except MastichatchError as error:
@@ -337,6 +339,7 @@
                     lambda endpoint: True,
                 ),
                 self._handover.copies.take_all(),
+                self._job.request_id,
             )
         former = source.placement.endpoint
         may_resume = _resumption_check(
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -29,8 +29,11 @@
 from tests.standins.house_endpoints import HouseEndpoint
 
 TOKENS = ('Mastichatch-Model: m', 'Mastichatch-Token-Counts: 100,2000')
-EVENTS = 120
+EVENTS = 200
 GAP_S = 0.01
+# At 1 Gbit/s, a run of 100 tokens takes two seconds to transfer, so that it
+# gets a standby copy.
+SLOW_BYTES = 2.5e6
 
 
 def engine(name: str, **options: Any) -> HouseEndpoint:
@@ -53,10 +56,14 @@
 
 @contextlib.asynccontextmanager
 async def open_plan(
-    first: HouseEndpoint, second: HouseEndpoint, count: int = 2
+    first: HouseEndpoint,
+    second: HouseEndpoint,
+    count: int = 2,
+    **engine_settings: Any,
 ) -> AsyncIterator[tuple[tuple[RelayFixture, ...], 'asyncio.Task[Response]']]:
     """Run a plan on the first engine, by order of the first node."""
     document = configuration()
+    document['services'][1]['engine'].update(engine_settings)
     async with open_isolated(count, first, document=document) as relays:
         reconnect(relays[0])
         address = relays[0].settings.callers_address
@@ -76,6 +83,13 @@
             yield relays, work
 
 
+def lose_connection(relay: RelayFixture) -> None:
+    """End a node's connection to an engine, which does not notice."""
+    (generation,) = relay.node.relay.generations
+    assert generation.connection is not None
+    generation.connection._writer.transport.abort()
+
+
 async def order_stop(relay: RelayFixture, leaving: HouseEndpoint) -> None:
     """Let an engine leave, and wait for the order to stop its run."""
     entry = leaving.entry('llm', 'north', 'draining')
@@ -135,3 +149,27 @@
             answer = await work
             await until(lambda: first.freed == ['h-r1'])
         assert not answer.is_whole
+
+
+class TestStandbyCopy:
+    """Guards against copies that are freed while a peer is about to use them.
+
+    The way to the engines is back before the node that was cut off knows it.
+    """
+
+    async def test_former_node_does_not_free_the_copy_of_a_run_it_left(
+        self,
+    ) -> None:
+        first, second = engine('i-e', stop_delay_s=1), engine('i-f')
+        opened = open_plan(first, second, kv_bytes=SLOW_BYTES, handle_s=5)
+        async with opened as (relays, work):
+            (generation,) = relays[0].node.relay.generations
+            await until(lambda: generation.transfer.standby is not None)
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2')
+            await until(lambda: bool(second.received))
+            assert first.freed == []
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        assert copies_used(second) == [f'{first.address}/h-r1']
