Repeat an order that hangs before its caller leaves

Callers: a stream paused for four seconds if the answer to the order to stop its run never came. Callers leave after two seconds without an event, and engines stop less than that after their notice.

Cause: a try of an order was awaited for as long as a transfer may take, 4 s, before the order was sent again.

Change: an order is sent again after 0.5 s, then after 1 s and each 2 s, while the answers to all tries are still awaited (OrderTries). An engine that is still carrying the order out answers a later one with 409, so that nothing is lost. One that finds no run answers 404; the answer that names the copy is awaited for 0.2 s more then.

--- a/packages/core/mastichatch_core/relay/run_stops.py
+++ b/packages/core/mastichatch_core/relay/run_stops.py
@@ -39,6 +39,13 @@
 # The end of a conflict is noticed after this share of its time at most.
 CONFLICT_DELAY_SHARE: Final = 1 / 3
 QUEUED_REPEAT_DELAY_S: Final = 0.25
+# An order without an answer for this time is sent again, while the answer is
+# still awaited. Callers leave after two seconds without an event, and engines
+# stop less than that after their notice.
+FIRST_ANSWER_WAIT_S: Final = 0.5
+MAX_ANSWER_WAIT_S: Final = 2.0
+# The answer that names the copy may arrive after one that finds no run.
+LATE_ANSWER_WAIT_S: Final = 0.2
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -126,6 +133,15 @@
     return StopProof.none
 
 
+def answer_wait_s(tries: int) -> float:
+    """Return how long an answer is awaited before an order is sent again.
+
+    :param tries: number of orders sent so far
+    :returns: the time in seconds
+    """
+    return min(MAX_ANSWER_WAIT_S, FIRST_ANSWER_WAIT_S * 2.0 ** (tries - 1))
+
+
 def repeat_delay_s(
     proof: StopProof,
     status: int,
--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -17,12 +17,14 @@
 from mastichatch_core.relay.run_stops import (
     COPY_ANSWER_LIMIT_S,
     DROP_DELAY_S,
+    LATE_ANSWER_WAIT_S,
     OVERLAP_LIMIT_S,
     REACH_CHECK_INTERVAL_S,
     SWITCH_PROOF_LIMIT_S,
     UNREACHABLE_WAIT_S,
     Reach,
     StopProof,
+    answer_wait_s,
     read_stop_answer,
     repeat_delay_s,
     shows_no_effect,
@@ -33,6 +35,7 @@
 from mastichatch_node.relay.dialect import Dialect, MoveOrder, MoveResponse
 from mastichatch_node.relay.earlier_copies import EarlierCopies
 from mastichatch_node.relay.http_client import ConnectionPool, ExchangeError
+from mastichatch_node.relay.order_tries import OrderTries, open_tries
 from mastichatch_node.relay.run_orders import RunOrders
 from mastichatch_node.relay.run_transfer import (
     PreparedResumption,
@@ -200,28 +203,25 @@
         started_at = loop_time() + delay_s
         statuses: list[int] = []
         pause_s: float | None = delay_s
-        while pause_s is not None:
-            await asyncio.sleep(pause_s)
-            order.record_send()
-            answer = await self._dialect.move_run(move)
-            if answer.status or not answer.was_sent:
-                order.record_answer(is_refused=_is_refused(answer))
-            if statuses[-1:] != [answer.status]:
-                statuses.append(answer.status)
-            if answer.is_connection_refused:
-                order.record_reach(Reach.refused)
-            elif answer.is_unreachable:
-                order.record_reach(Reach.none)
-            proof = self._read_proof(answer, order, engines)
-            if proof.allows_resumption:
-                order.cleared.set()
-            pause_s = repeat_delay_s(
-                proof,
-                answer.status,
-                order.sent,
-                loop_time() - started_at,
-                run.ends_at - loop_time(),
-            )
+        with open_tries(self._dialect.move_run, move) as tries:
+            while pause_s is not None:
+                answer = await _next_answer(tries, order, pause_s)
+                if statuses[-1:] != [answer.status]:
+                    statuses.append(answer.status)
+                proof = self._read_proof(answer, order, engines)
+                if proof.allows_resumption:
+                    order.cleared.set()
+                if proof is StopProof.absent:
+                    copied = await _late_copy(tries)
+                    if copied is not None:
+                        answer, proof = copied, StopProof.stopped
+                pause_s = repeat_delay_s(
+                    proof,
+                    answer.status,
+                    order.sent,
+                    loop_time() - started_at,
+                    run.ends_at - loop_time(),
+                )
         self._telemetry.log_decision(
             'run_stopped_and_copied',
             run.request_id,
@@ -593,6 +593,42 @@
             self._engines.record_proof(source)
 
 
+async def _next_answer(
+    tries: OrderTries, order: StopOrder, pause_s: float
+) -> MoveResponse:
+    """Return the next answer to an order, which is sent again after a pause.
+
+    :param tries: tries of the order
+    :param order: the order
+    :param pause_s: time to wait for an answer to an earlier try, in seconds
+    :returns: an answer without a status if there is none in time
+    """
+    answer = await tries.next_answer(pause_s)
+    if answer is None:
+        order.record_send()
+        tries.start()
+        answer = await tries.next_answer(answer_wait_s(order.sent))
+    if answer is None:
+        return MoveResponse(status=0)
+    if answer.status or not answer.was_sent:
+        order.record_answer(is_refused=_is_refused(answer))
+    if answer.is_connection_refused:
+        order.record_reach(Reach.refused)
+    elif answer.is_unreachable:
+        order.record_reach(Reach.none)
+    return answer
+
+
+async def _late_copy(tries: OrderTries) -> MoveResponse | None:
+    """Return the answer of an earlier try that names a copy, if one comes."""
+    ends_at = loop_time() + LATE_ANSWER_WAIT_S
+    while tries.has_open:
+        answer = await tries.next_answer(max(0, ends_at - loop_time()))
+        if answer is None or answer.handle:
+            return answer
+    return None
+
+
 async def _is_cleared(order: StopOrder, limit_s: float) -> bool:
     """Return whether a run may go on elsewhere within a time, in seconds."""
     with contextlib.suppress(TimeoutError):
--- a/tests/standins/house_endpoints.py
+++ b/tests/standins/house_endpoints.py
@@ -84,7 +84,7 @@
     stop are carried out, and their answers are lost: for each entry of
     ``lost_answers`` the connection is closed (``close``), reset (``reset``) or
     left open (``hang``). Later orders to stop that run are answered with
-    ``repeat_status``.
+    ``repeat_status``. While an order moves a run, others are refused.
     """
 
     instance: str
@@ -110,6 +110,7 @@
     working: set[str] = dataclasses.field(default_factory=set)
     stopped: set[str] = dataclasses.field(default_factory=set)
     stopped_unheard: set[str] = dataclasses.field(default_factory=set)
+    moving: set[str] = dataclasses.field(default_factory=set)
     freed: list[str] = dataclasses.field(default_factory=list)
     leaves_ms: int | None = None
     reports: int = 0
@@ -266,11 +267,27 @@
     ) -> None:
         body = json.loads(request.body)
         self.moves.append(body)
+        if body['id'] in self.moving:
+            writer.write(build_response(409, b'{}'))
+            return
+        self.moving.add(body['id'])
+        try:
+            await self._carry_out(body, reader, writer)
+        finally:
+            self.moving.discard(body['id'])
+
+    async def _carry_out(
+        self,
+        body: dict[str, Any],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         if body['final']:
             await asyncio.sleep(self.stop_delay_s)
             if self.lost_answers:
                 self.stopped.add(body['id'])
                 self.stopped_unheard.add(body['id'])
+                self.moving.discard(body['id'])
                 await _lose_answer(self.lost_answers.pop(0), reader, writer)
                 return
             if body['id'] in self.stopped_unheard:
--- a/tests/test_relay_handover.py
+++ b/tests/test_relay_handover.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from mastichatch_core.relay.events import MIN_STALL_MS
+from mastichatch_core.units import MS_PER_S
 from mastichatch_node.relay.http_client import ExchangeError, connect
 from mastichatch_node.relay.run_migration import COPY_COMPLETE_EVENTS
 from tests.relay_nodes import (
@@ -485,6 +487,38 @@
         sources = [one.headers['kv-from'] for one in second.received]
         assert sources == [f'{first.address}/h-r1']
 
+    async def test_order_that_hangs_is_repeated_before_the_caller_leaves(
+        self,
+    ) -> None:
+        first = engine('i-e', resets_on_stop=False)
+        first.lost_answers = ['hang']
+        second = engine('i-f')
+        async with open_plan(first, second, backups=False) as (relay, work):
+            await asyncio.sleep(GAP_S * 10)
+            await drain(relay, first)
+            await until(lambda: bool(first.stopped))
+            stopped_at = time.monotonic()
+            await until(lambda: bool(second.received))
+            paused_s = time.monotonic() - stopped_at
+            answer = await work
+        assert paused_s < MIN_STALL_MS / MS_PER_S
+        assert answer.is_whole
+
+    async def test_order_that_is_carried_out_slowly_still_names_its_copy(
+        self,
+    ) -> None:
+        """Later tries of the order meet the conflict with the first one."""
+        first = engine('i-e', resets_on_stop=False)
+        first.transfer_s = 1
+        second = engine('i-f')
+        async with open_plan(first, second, backups=False) as (relay, work):
+            await asyncio.sleep(GAP_S * 10)
+            await drain(relay, first)
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        assert len([one for one in first.moves if one['final']]) > 1
+
     @pytest.mark.parametrize('is_framed', [True, False])
     async def test_stream_is_broken_off_if_the_copy_is_gone(
         self, is_framed: bool
