Leave a node that is cut off without the answer to an order

Callers: a stream whose engine had stopped it on order was broken off if its node was then cut off, although a peer could go on with it.

Cause: the outcome of the order was awaited for 4 s before the run was passed on, although nothing can answer a node that is cut off. The time of the request was over by then, or its caller gone.

Change: the check that closes silent streams of a node that is cut off also cancels an order whose stream has ended, a second after it was first sent. The peer repeats it.

The tests' isolation now ends `settle` at once where a node is isolated, as IsolationTracker does; it had waited 1.5 s there.

--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -111,6 +111,7 @@
         if self._context.proxy_peers.has_any:
             for generation in self._generations:
                 _close_if_silent(generation)
+                _cancel_if_unanswered(generation)
         self._silence_check = asyncio.get_running_loop().call_later(
             SILENCE_CHECK_INTERVAL_S, self.watch_isolation
         )
@@ -349,3 +350,16 @@
     since = connection.silence.since
     if since is not None and loop_time() - since >= ISOLATED_SILENCE_S:
         connection.close()
+
+
+def _cancel_if_unanswered(generation: Generation) -> None:
+    """Cancel an order to stop a run whose stream has ended, after a while.
+
+    Its answer need not be waited for, since another node repeats the order.
+    """
+    order = generation.transfer.stop_order
+    if order is None or not generation.transfer.has_ended:
+        return
+    sent_at = order.sent_at
+    if sent_at is not None and loop_time() - sent_at >= ISOLATED_SILENCE_S:
+        order.cancel()
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -7,6 +7,7 @@
 
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.relay.run_stops import Reach
+from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.http_client import Connection, ResponseHead
 
 
@@ -72,6 +73,7 @@
         # Whether its copy of the run is used or was freed.
         self.is_settled = False
         self._sent = 0
+        self._sent_at: float | None = None
         self._answered = 0
         self._refused = 0
 
@@ -90,6 +92,11 @@
         """Number of times that it was sent."""
         return self._sent
 
+    @property
+    def sent_at(self) -> float | None:
+        """Loop time at which it was first sent, in seconds, if it was."""
+        return self._sent_at
+
     @property
     def unanswered(self) -> int:
         """Number of times that it was sent without an answer so far."""
@@ -120,6 +127,8 @@
     def record_send(self) -> None:
         """Record that it is about to be sent."""
         self._sent += 1
+        if self._sent_at is None:
+            self._sent_at = loop_time()
 
     def record_answer(self, *, is_refused: bool) -> None:
         """Record an answer, or a proof that the engine did not get it.
--- a/tests/isolated_nodes.py
+++ b/tests/isolated_nodes.py
@@ -86,10 +86,17 @@
 @contextlib.contextmanager
 def manual_isolation() -> Iterator[None]:
     """Let tests set the isolation of the nodes that start in the block."""
+    settle_unset = IsolationTracker.settle
+
+    async def settle(tracker: IsolationTracker) -> None:
+        if not _state(tracker).is_isolated:
+            await settle_unset(tracker)
+
     members = {
         'is_isolated': property(lambda tracker: _state(tracker).is_isolated),
         'reachable_peers': lambda tracker: _state(tracker).peers,
         'reaches': lambda tracker, name: _state(tracker).unreached != name,
+        'settle': settle,
         'subscribe': lambda tracker, callback: _state(tracker).observers.append(
             callback
         ),
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -8,11 +8,15 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
+from mastichatch_core.relay.events import MIN_STALL_MS
+from mastichatch_core.units import MS_PER_S
 from tests.isolated_nodes import (
     context_of,
+    cut_off,
     isolation_of,
     open_isolated,
     reconnect,
@@ -126,6 +130,21 @@
         assert answer.is_whole
         assert copies_used(second) == [f'{first.address}/h-r1']
 
+    async def test_run_goes_on_before_the_caller_leaves(self) -> None:
+        """No answer to the order comes while the node is cut off."""
+        first, second = engine('i-e', stop_delay_s=0.1), engine('i-f')
+        first.lost_answers = ['hang']
+        async with open_plan(first, second) as (relays, work):
+            await order_stop(relays[0], first)
+            cut_off(relays[0], 'north-2')
+            stopped_at = time.monotonic()
+            await until(lambda: bool(second.received))
+            paused_s = time.monotonic() - stopped_at
+            answer = await work
+        assert paused_s < MIN_STALL_MS / MS_PER_S
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
     async def test_peer_frees_a_copy_that_it_cannot_use(self) -> None:
         first, second = engine('i-e', stop_delay_s=0.1), engine('i-f')
         first.lost_answers = ['close']
