Go on with streams whose helping node has died

Callers: a stream of a node that is cut off was broken off if the node that helped with it died, although engines had copies of its run.

Cause: the caller's node knew nothing of the run beyond the connection that broke. What the helping node had announced to all nodes was not used, and the handle of a standby copy was not announced.

Change: runs are announced with the handle of their standby copy. If a helping node closes a stream that has begun, and its process has ended (its address refuses a connection 50 ms later), the caller's node takes the run from the announcements: the engine, which may still be at work, and the copy. It passes the run on to another node, or goes on with it itself if it reaches the endpoints again. A helping node that lives on has given the run up, and may know of engines that are at work on it, so that its streams end as before. An engine counts as having begun only if the caller has events that are later than the announcement.

Not proved: hosts that go silent, and a helping node that dies while it takes the run from one engine to another (design/21).

--- a/packages/core/mastichatch_core/relay/runs.py
+++ b/packages/core/mastichatch_core/relay/runs.py
@@ -161,6 +161,15 @@
         node = self._nodes.get(name)
         return 0 if node is None else len(node.runs)
 
+    def find(self, name: str, request_id: str) -> Run | None:
+        """Return a run as its node has announced it, if it has.
+
+        :param name: name of another node
+        :param request_id: id of its request
+        """
+        node = self._nodes.get(name)
+        return None if node is None else node.runs.get(request_id)
+
     def node_of(self, run: Run) -> str:
         """Return the name of the node of a run; empty for this node.
 
--- a/packages/node/mastichatch_node/relay/proxying.py
+++ b/packages/node/mastichatch_node/relay/proxying.py
@@ -31,6 +31,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay import helper_loss
 from mastichatch_node.relay.context import Job, RelayContext
 from mastichatch_node.relay.endpoint_attempt import (
     FIRST_SERVER_ERROR,
@@ -46,7 +47,7 @@
     read_beginning,
 )
 from mastichatch_node.relay.http_server import ResponseWriter
-from mastichatch_node.relay.proxy_decision import PassOnError
+from mastichatch_node.relay.proxy_decision import LeftRun, PassOnError
 from mastichatch_node.relay.proxy_metrics import ProxyMetrics
 from mastichatch_node.relay.turns import piece_cost_bytes
 
@@ -60,6 +61,7 @@
 # With less time left, another node cannot answer before the deadline.
 MIN_TIME_LEFT_MS: Final = 15.0
 NOT_SENT: Final = 'not_sent'
+BROKEN_OFF: Final = 'broken_off'
 _OK: Final = 200
 
 
@@ -68,7 +70,8 @@
     """What became of a request at another node.
 
     :param outcome: outcome, as the node proved it; ``not_sent`` if no
-        connection was established
+        connection was established, and ``broken_off`` if the node closed it
+        before the end of a stream
     :param reason: description of a failure
     """
 
@@ -108,8 +111,10 @@
         :param is_counted: whether its first attempt has added to the retry
             budget
         :returns: whether a node has accepted it
+        :raises PassOnError: if a node that has accepted it has died, and its
+            run may go on
         :raises MastichatchError: if a node has accepted it, and there is no
-            complete answer
+            complete answer otherwise
         """
         hop = ProxyHop(
             node=self._context.node,
@@ -130,16 +135,49 @@
             result = await self._try_node(record, job, reply, hop, order)
             if result.outcome in {ProxyOutcome.answered, ProxyOutcome.refused}:
                 return True
-            if result.outcome == ProxyOutcome.unknown:
-                hop = self._repeat(job, reply, hop, result)
-            else:
-                self._context.proxy_peers.avoid(record.name)
+            hop = await self._next_hop(record, job, reply, hop, order, result)
         if hop.attempts > error.earlier_attempts:
             raise MastichatchError(
                 ErrorKind.outcome_unknown, 'no node repeats the request'
             )
         return False
 
+    async def _next_hop(
+        self,
+        record: NodeRecord,
+        job: Job,
+        reply: ResponseWriter,
+        hop: ProxyHop,
+        order: EventOrder,
+        result: _Result,
+    ) -> ProxyHop:
+        """Return the hop to another node, after one that has no answer.
+
+        :raises MastichatchError: if there is none
+        """
+        if result.outcome == BROKEN_OFF:
+            raise await self._describe_loss(record, job, hop, order)
+        if result.outcome == ProxyOutcome.unknown:
+            return self._repeat(job, reply, hop, result)
+        self._context.proxy_peers.avoid(record.name)
+        return hop
+
+    async def _describe_loss(
+        self, record: NodeRecord, job: Job, hop: ProxyHop, order: EventOrder
+    ) -> MastichatchError:
+        """Return the error for a stream that a node has broken off.
+
+        A node that lives on has given the run up, and may know of engines that
+        are still at work on it.
+        """
+        if await helper_loss.has_ended(self._context, record):
+            run = helper_loss.find_run(
+                self._context, record.name, job, order, hop.run
+            )
+            if run is not None:
+                return PassOnError(1, LeftRun(run, order))
+        return MastichatchError(ErrorKind.generation_lost, 'broken off')
+
     def _repeat(
         self, job: Job, reply: ResponseWriter, hop: ProxyHop, result: _Result
     ) -> ProxyHop:
@@ -268,13 +306,20 @@
         except ExchangeError as error:
             self._context.proxy_peers.avoid(self._record.name)
             if self._reply.status and error.was_sent:
-                # An answer that was cut off must not look complete.
-                raise MastichatchError(
-                    ErrorKind.generation_lost, str(error)
-                ) from error
+                return self._broken_off(error)
             outcome = ProxyOutcome.unknown if error.was_sent else NOT_SENT
             return _Result(outcome=outcome, reason=str(error))
 
+    def _broken_off(self, error: ExchangeError) -> _Result:
+        """Return the result of a response that has begun and was cut off.
+
+        :raises MastichatchError: if it is no stream that may go on
+        """
+        if self._order.count and error.is_closed_by_peer:
+            return _Result(outcome=BROKEN_OFF, reason=str(error))
+        # An answer that was cut off must not look complete.
+        raise MastichatchError(ErrorKind.generation_lost, str(error)) from error
+
     def _build_request(self, token: str) -> OutgoingRequest:
         request = self._job.request
         encoded = codec.encode_json(self._hop)
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -55,6 +55,8 @@
 # specification.
 ISOLATED_SILENCE_S: Final = 1.0
 SILENCE_CHECK_INTERVAL_S: Final = 0.25
+# Maximum number of nodes that may die while they help with one request.
+HELPER_LIMIT: Final = 3
 
 
 class Relay:
@@ -256,14 +258,40 @@
         """
         if job.hop is not None:
             raise error
-        was_accepted = await self._proxy.relay(
-            job, reply, error, is_counted=is_counted
-        )
-        if not was_accepted:
-            if error.left is not None:
-                for copy in error.left.copies:
-                    self._context.stopper.free(copy)
-            raise error
+        for _ in range(HELPER_LIMIT):
+            loss = await self._ask_helpers(job, reply, error, is_counted)
+            if loss is None:
+                return
+            error, is_counted = loss, True
+            if not must_pass_on(self._context, job):
+                await self._run_here(_resumed(job, error), reply)
+                return
+        raise error
+
+    async def _ask_helpers(
+        self,
+        job: Job,
+        reply: ResponseWriter,
+        error: PassOnError,
+        is_counted: bool,  # noqa: FBT001
+    ) -> PassOnError | None:
+        """Let another node go on with a request.
+
+        :returns: what is known of its run if that node has died; ``None`` if
+            the request has ended
+        """
+        try:
+            was_accepted = await self._proxy.relay(
+                job, reply, error, is_counted=is_counted
+            )
+        except PassOnError as loss:
+            return loss
+        if was_accepted:
+            return None
+        if error.left is not None:
+            for copy in error.left.copies:
+                self._context.stopper.free(copy)
+        raise error
 
     async def _run_here(self, job: Job, reply: ResponseWriter) -> None:
         if job.route.kind is not RequestKind.streaming:
@@ -363,3 +391,21 @@
     sent_at = order.sent_at
     if sent_at is not None and loop_time() - sent_at >= ISOLATED_SILENCE_S:
         order.cancel()
+
+
+def _resumed(job: Job, error: PassOnError) -> Job:
+    """Return a request whose run goes on at this node.
+
+    :param job: the request
+    :param error: what is known of its run
+    """
+    hop = ProxyHop(
+        node='',
+        nonce='',
+        age_ms=0,
+        version=0,
+        attempts=error.earlier_attempts,
+        is_counted=True,
+        run=None if error.left is None else error.left.run,
+    )
+    return dataclasses.replace(job, hop=hop)
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -227,6 +227,13 @@
         self.switch = None
         return prepared
 
+    @property
+    def standby_handle(self) -> str:
+        """Handle of an idle standby copy; empty without one."""
+        if self.standby is None or self.is_departing:
+            return ''
+        return self.standby.handle
+
     @property
     def has_idle_standby(self) -> bool:
         """Whether there is a standby copy and no transfer in progress."""
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -192,6 +192,7 @@
             endpoint='' if endpoint is None else endpoint.instance,
             copy_at='' if copy is None else copy.instance,
             has_standby=self._transfer.has_idle_standby,
+            standby_handle=self._transfer.standby_handle,
             output_tokens=self._order.count * tokens,
             suspects=_untried_suspects(self._source, self._order),
         )
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -9,17 +9,22 @@
 import contextlib
 import dataclasses
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
+import pytest
+
 from mastichatch_core.relay.events import MIN_STALL_MS
 from mastichatch_core.units import MS_PER_S
+from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.http_client import ExchangeError
 from tests.isolated_nodes import (
     context_of,
     cut_off,
     isolation_of,
     open_isolated,
     reconnect,
+    refuse_connections,
 )
 from tests.relay_nodes import (
     RelayFixture,
@@ -62,29 +67,30 @@
 async def open_plan(
     first: HouseEndpoint,
     second: HouseEndpoint,
+    *,
     count: int = 2,
+    is_cut_off: bool = False,
     **engine_settings: Any,
 ) -> AsyncIterator[tuple[tuple[RelayFixture, ...], 'asyncio.Task[Response]']]:
-    """Run a plan on the first engine, by order of the first node."""
+    """Run a plan on the first engine, by order of the first node's caller."""
     document = configuration()
     document['services'][1]['engine'].update(engine_settings)
-    async with open_isolated(count, first, document=document) as relays:
-        reconnect(relays[0])
+    opened = open_isolated(count, first, document=document)
+    async with opened as relays, endpoints.open_endpoints(second):
+        if not is_cut_off:
+            reconnect(relays[0])
+        entry = second.entry('llm', 'south')
+        await relays[0].store.put(f'servers/{second.instance}', entry)
+        await until(
+            lambda: all(len(known_endpoints(one.node)) == 2 for one in relays)
+        )
         address = relays[0].settings.callers_address
         work = asyncio.ensure_future(
             call(address, '/plan/x', headers=TOKENS, timeout_ms=8000)
         )
         await until(lambda: bool(first.ran))
-        async with endpoints.open_endpoints(second):
-            entry = second.entry('llm', 'south')
-            await relays[0].store.put(f'servers/{second.instance}', entry)
-            await until(
-                lambda: all(
-                    len(known_endpoints(one.node)) == 2 for one in relays
-                )
-            )
-            await asyncio.sleep(GAP_S * 10)
-            yield relays, work
+        await asyncio.sleep(GAP_S * 10)
+        yield relays, work
 
 
 def lose_connection(relay: RelayFixture) -> None:
@@ -170,6 +176,104 @@
         assert not answer.is_whole
 
 
+def end_process(relay: RelayFixture, others: Iterable[RelayFixture]) -> None:
+    """End the connections of a node that tells nobody anything from now on."""
+    context_of(relay.node).sharing._peers.send_all = lambda *_: None
+    refuse_connections(relay)
+    for other in others:
+        refuse_hops(other, relay.settings.proxy_address)
+    relay.node.proxy_server.close()
+
+
+def refuse_hops(relay: RelayFixture, refused: str) -> None:
+    """Let no process listen at an address to which a node passes requests."""
+    pool = context_of(relay.node).proxy_pool
+    take = pool.take
+
+    async def refuse(address: str, *options: Any) -> Any:
+        if address == refused:
+            raise ExchangeError(
+                'refused', was_sent=False, is_connection_refused=True
+            )
+        return await take(address, *options)
+
+    pool.take = refuse
+
+
+def announced_copies(
+    relay: RelayFixture, *, is_standby: bool = False
+) -> list[str]:
+    """Return the engines with a copy of a run, as other nodes announce them."""
+    runs = context_of(relay.node).sharing.table.iter_runs(loop_time())
+    return [
+        one.copy_at
+        for one in runs
+        if one.output_tokens and (one.standby_handle or not is_standby)
+    ]
+
+
+class TestHelperThatDies:
+    """Guards against streams that end with the node that helped with them."""
+
+    @pytest.mark.parametrize('is_back', [False, True])
+    @pytest.mark.parametrize('keeps_backups', [False, True])
+    async def test_run_goes_on_from_its_copy(
+        self, keeps_backups: bool, is_back: bool
+    ) -> None:
+        # The first engine drops the run when its connection closes.
+        first, second = engine('i-e', stop_status=404), engine('i-f')
+        settings: dict[str, Any] = {'backups': True}
+        if not keeps_backups:
+            settings = {'kv_bytes': SLOW_BYTES, 'handle_s': 5}
+        opened = open_plan(first, second, count=3, is_cut_off=True, **settings)
+        async with opened as (relays, work):
+            await until(
+                lambda: bool(
+                    announced_copies(relays[0], is_standby=not keeps_backups)
+                )
+            )
+            if is_back:
+                reconnect(relays[0])
+            helper = next(one for one in relays[1:] if one.node.active_requests)
+            end_process(helper, relays)
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        handle = (
+            f'{second.address}/r1' if keeps_backups else f'{first.address}/h-r1'
+        )
+        assert copies_used(second) == [handle]
+
+    async def test_run_leaves_an_engine_that_works_on(self) -> None:
+        first, second = engine('i-e', drops_closed=False), engine('i-f')
+        opened = open_plan(
+            first, second, count=3, is_cut_off=True, backups=True
+        )
+        async with opened as (relays, work):
+            await until(lambda: bool(announced_copies(relays[0])))
+            helper = next(one for one in relays[1:] if one.node.active_requests)
+            end_process(helper, relays)
+            await until(lambda: bool(second.received))
+            assert first.stopped == {'r1'}
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+
+    async def test_run_of_a_helper_that_lives_on_ends(self) -> None:
+        """It may know of engines at work on the run that others do not."""
+        first, second = engine('i-e'), engine('i-f')
+        opened = open_plan(
+            first, second, count=3, is_cut_off=True, backups=True
+        )
+        async with opened as (relays, work):
+            await until(lambda: bool(announced_copies(relays[0])))
+            for helper in relays[1:]:
+                helper.node.proxy_server.close()
+            answer = await work
+        assert not answer.is_whole
+        assert second.received == []
+
+
 class TestStandbyCopy:
     """Guards against copies that are freed while a peer is about to use them.
 
