Keep the connection of a generation private

Generation.connection was a public attribute that anything could set. It is a property of a private attribute now. No behaviour changes.

--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -86,12 +86,17 @@
         self._placer = placing
         self._job = job
         self._reply = reply
-        self._order = EventOrder()
+        run = None if job.hop is None else job.hop.run
+        self._order = (
+            EventOrder()
+            if run is None
+            else EventOrder(run.last_event, run.events)
+        )
         self._pause = PauseTimer()
-        self._may_have_run = False
+        self._may_have_run = run is not None
         self._excluded: frozenset[str] = frozenset()
         self._source: exchanges.AttemptSource | None = None
-        self.connection: Connection | None = None
+        self._connection: Connection | None = None
         self._slots = RunSlots(context, job, placing)
         self._head_at: float | None = None
         self._is_unframed = False
@@ -114,6 +119,11 @@
         """The request."""
         return self._job
 
+    @property
+    def connection(self) -> Connection | None:
+        """Connection to the engine, while the generation runs on it."""
+        return self._connection
+
     @property
     def endpoint(self) -> Endpoint | None:
         """The engine that runs the generation, if one is assigned."""
@@ -144,9 +154,9 @@
         :param standby: location of the copy; ``None`` without one
         """
         self._transfer.standby = standby
-        if standby is not None and self.connection is not None:
+        if standby is not None and self._connection is not None:
             # A silent engine need not be waited for any longer.
-            self.connection.set_silence_timeout(SILENCE_TIMEOUT_MS)
+            self._connection.set_silence_timeout(SILENCE_TIMEOUT_MS)
         self.announce_destination(None if standby is None else standby.endpoint)
 
     def announce_destination(
@@ -172,10 +182,10 @@
         :returns: whether it was taken off
         """
         has_begun = self._head_at is not None
-        if self.connection is None or has_begun or self._is_withdrawn:
+        if self._connection is None or has_begun or self._is_withdrawn:
             return False
         self._is_withdrawn = True
-        self.connection.close()
+        self._connection.close()
         return True
 
     @property
@@ -225,8 +235,8 @@
         source = exchanges.resume_at(location, self.last_event)
 
         def leave() -> None:
-            if self.connection is not None:
-                self.connection.close()
+            if self._connection is not None:
+                self._connection.close()
 
         def choose_other() -> Endpoint:
             other = self._placer.choose_destination_engine(
@@ -256,7 +266,19 @@
         """
         try:
             with contextlib.closing(self._slots):
-                await self._relay()
+                source = await _first_source(
+                    self._context,
+                    self._placer,
+                    self._job,
+                    self._slots,
+                    run_adoption.RunControl(self._engines, self._handover),
+                )
+                for _ in range(SEND_LIMIT + RESUME_LIMIT):
+                    result = await self._attempt(source)
+                    if result.fate is AttemptOutcome.answered:
+                        return
+                    source = await self._next_source(result, source)
+                raise MastichatchError(ErrorKind.generation_lost)
         except proxy_decision.PassOnError as error:
             if error.left is not None:
                 self._transfer.left_copies = error.left.copies
@@ -270,39 +292,13 @@
             self._handover.end(self._transfer, self.endpoint)
             _record_end(self._context, self.run, self._pause)
 
-    async def _relay(self) -> None:
-        hop = self._job.hop
-        if hop is None or hop.run is None:
-            placement = await self._slots.place(self._excluded)
-            source = exchanges.AttemptSource(placement=placement)
-        else:
-            self._may_have_run = True
-            self._order = EventOrder(hop.run.last_event, hop.run.events)
-            source = await run_adoption.adopt(
-                self._context,
-                self._placer,
-                self._job,
-                hop.run,
-                run_adoption.RunControl(self._engines, self._handover),
-            )
-        for _ in range(SEND_LIMIT + RESUME_LIMIT):
-            self._source = source
-            self._transfer = RunTransfer()
-            result = await self._attempt(source)
-            self._may_have_run |= result.fate is AttemptOutcome.unknown
-            if result.fate is AttemptOutcome.answered:
-                return
-
-            next_source = await self._next_source(result, self._source)
-            if next_source is None:
-                raise _attempt_error(result)
-            source = next_source
-        raise MastichatchError(ErrorKind.generation_lost)
-
     async def _next_source(
         self, result: AttemptResult, source: exchanges.AttemptSource
-    ) -> exchanges.AttemptSource | None:
-        """Return the source of the next attempt, or ``None`` to give up."""
+    ) -> exchanges.AttemptSource:
+        """Return the source of the next attempt.
+
+        :raises MastichatchError: if there is none
+        """
         handed_over = await _handed_over(
             self._transfer, self._handover, source, self.last_event
         )
@@ -315,16 +311,13 @@
             AttemptOutcome.refused,
         }
         if not source.is_resumed and nothing_ran:
-            # A request that was never sent does not count as a retry.
-            is_repeat = result.fate is AttemptOutcome.refused
-            if is_repeat and not self._context.retries.try_spend():
-                return None
+            _spend_retry(self._context, result)
             self._excluded |= {source.placement.endpoint.instance}
             return exchanges.AttemptSource(
                 placement=await self._slots.place(self._excluded)
             )
         if self._is_withdrawn:
-            return None
+            raise _attempt_error(result)
         if result.is_closed_by_peer:
             # The connections to all engines may have broken.
             await self._context.isolation.settle()
@@ -337,7 +330,7 @@
                     source,
                     self._transfer.standby,
                     self._job.request_id,
-                    lambda endpoint: True,
+                    _accepts_any,
                 ),
                 self._handover.copies.take_all(),
                 self._job.request_id,
@@ -351,11 +344,13 @@
         )
         location = await _find_copy(self._handover, standby, may_resume, former)
         if location is None:
-            return None
+            raise _attempt_error(result)
         return exchanges.resume_at(location, self.last_event)
 
     async def _attempt(self, source: exchanges.AttemptSource) -> AttemptResult:
         """Run or resume the generation on one engine."""
+        self._source = source
+        self._transfer = RunTransfer()
         endpoint = source.placement.endpoint
         started_at = loop_time()
         self._head_at = None
@@ -384,7 +379,8 @@
         finally:
             self._evidence.close()
         result = results[-1]
-        self.connection = None
+        self._may_have_run |= result.fate is AttemptOutcome.unknown
+        self._connection = None
         self._transfer.has_ended = True
         _record_ending(self._engines, endpoint, result)
         record_result(self._context, endpoint, result, started_at)
@@ -427,7 +423,7 @@
         context = self._context
 
         def record_connection(connection: Connection) -> None:
-            self.connection = connection
+            self._connection = connection
 
         opened = exchanges.open_answer(
             context, self._job, source, record_connection
@@ -496,6 +492,20 @@
         self._context.sharing.record(self.run, announce=is_first)
 
 
+async def _first_source(
+    context: RelayContext,
+    placer: EnginePlacer,
+    job: Job,
+    slots: RunSlots,
+    control: run_adoption.RunControl,
+) -> exchanges.AttemptSource:
+    """Return where a generation begins, or goes on if it is in progress."""
+    if job.hop is None or job.hop.run is None:
+        placement = await slots.place(frozenset())
+        return exchanges.AttemptSource(placement=placement)
+    return await run_adoption.adopt(context, placer, job, job.hop.run, control)
+
+
 async def _pass_on(
     context: RelayContext,
     reply: ResponseWriter,
@@ -614,6 +624,23 @@
     return RunLocation(endpoint=copy, address=copy.address, handle=request_id)
 
 
+def _spend_retry(context: RelayContext, result: AttemptResult) -> None:
+    """Take a repeated request from the retry budget.
+
+    A request that was never sent does not count as a retry.
+
+    :raises MastichatchError: if the budget is used up
+    """
+    is_repeat = result.fate is AttemptOutcome.refused
+    if is_repeat and not context.retries.try_spend():
+        raise _attempt_error(result)
+
+
+def _accepts_any(endpoint: Endpoint) -> bool:
+    """Return whether a run may go on at an engine, which a peer decides."""
+    return True
+
+
 def _untried_suspects(
     source: exchanges.AttemptSource | None, order: EventOrder
 ) -> tuple[str, ...]:
