Explore orders that hang in virtual time

The exploration of lost answers had only answers that are lost at once. An order that is carried out and keeps its connection open is now among them, alone and before a reset.

--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -55,6 +55,8 @@
 EVENTS: Final = 110
 GAP_S: Final = 0.05
 TRANSFER_S: Final = 0.2
+# Time after which a node gives up an order that has no answer.
+MOVE_TIMEOUT_S: Final = 4.0
 RECONCILE_INTERVAL_S: Final = 0.05
 # Event of the run at which the trouble begins.
 TROUBLE_AT: Final = 42
@@ -100,7 +102,8 @@
     :param has_copy: whether the copy can be used
     :param order_faults: answers to the first orders to stop, instead of the
         true one: ``reset``, ``conflict``, ``no_room`` or ``full``; ``lost``: it
-        is carried out, and its answer is lost
+        is carried out, and its answer is lost; ``hang``: the same, and the
+        connection stays open
     :param queues: whether the engine with the copy does not know a run before
         it begins its answer
     :param listener_delay_s: time after the trouble at which the first engine
@@ -204,7 +207,9 @@
         handle = f'{self.endpoint.instance}/h{next(fleet.handles)}'
         if order.is_final:
             run.end()
-        if fault == 'lost':
+        if fault == 'hang':
+            await asyncio.sleep(MOVE_TIMEOUT_S)
+        if fault in {'lost', 'hang'}:
             return MoveResponse(status=0)
         if fault == 'full':
             self.copies.add(handle)
--- a/tests/test_relay_handover_times.py
+++ b/tests/test_relay_handover_times.py
@@ -26,6 +26,8 @@
     ('lost',),
     ('lost', 'reset'),
     ('conflict', 'lost', 'conflict'),
+    ('hang',),
+    ('hang', 'reset'),
 )
 
 
