--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -55,6 +55,8 @@
 # specification.
 ISOLATED_SILENCE_S: Final = 1.0
 SILENCE_CHECK_INTERVAL_S: Final = 0.25
+# Maximum number of nodes that may die while they help with one request.
+HELPER_LIMIT: Final = 3
 
 
 class Relay:
@@ -111,6 +113,7 @@
         if self._context.proxy_peers.has_any:
             for generation in self._generations:
                 _close_if_silent(generation)
+                _cancel_if_unanswered(generation)
         self._silence_check = asyncio.get_running_loop().call_later(
             SILENCE_CHECK_INTERVAL_S, self.watch_isolation
         )
@@ -255,11 +258,40 @@
         """
         if job.hop is not None:
             raise error
-        was_accepted = await self._proxy.relay(
-            job, reply, error, is_counted=is_counted
-        )
-        if not was_accepted:
-            raise error
+        for _ in range(HELPER_LIMIT):
+            loss = await self._ask_helpers(job, reply, error, is_counted)
+            if loss is None:
+                return
+            error, is_counted = loss, True
+            if not must_pass_on(self._context, job):
+                await self._run_here(_resumed(job, error), reply)
+                return
+        raise error
+
+    async def _ask_helpers(
+        self,
+        job: Job,
+        reply: ResponseWriter,
+        error: PassOnError,
+        is_counted: bool,  # noqa: FBT001
+    ) -> PassOnError | None:
+        """Let another node go on with a request.
+
+        :returns: what is known of its run if that node has died; ``None`` if
+            the request has ended
+        """
+        try:
+            was_accepted = await self._proxy.relay(
+                job, reply, error, is_counted=is_counted
+            )
+        except PassOnError as loss:
+            return loss
+        if was_accepted:
+            return None
+        if error.left is not None:
+            for copy in error.left.copies:
+                self._context.stopper.free(copy)
+        raise error
 
     async def _run_here(self, job: Job, reply: ResponseWriter) -> None:
         if job.route.kind is not RequestKind.streaming:
@@ -346,3 +378,34 @@
     since = connection.silence.since
     if since is not None and loop_time() - since >= ISOLATED_SILENCE_S:
         connection.close()
+
+
+def _cancel_if_unanswered(generation: Generation) -> None:
+    """Cancel an order to stop a run whose stream has ended, after a while.
+
+    Its answer need not be waited for, since another node repeats the order.
+    """
+    order = generation.transfer.stop_order
+    if order is None or not generation.transfer.has_ended:
+        return
+    sent_at = order.sent_at
+    if sent_at is not None and loop_time() - sent_at >= ISOLATED_SILENCE_S:
+        order.cancel()
+
+
+def _resumed(job: Job, error: PassOnError) -> Job:
+    """Return a request whose run goes on at this node.
+
+    :param job: the request
+    :param error: what is known of its run
+    """
+    hop = ProxyHop(
+        node='',
+        nonce='',
+        age_ms=0,
+        version=0,
+        attempts=error.earlier_attempts,
+        is_counted=True,
+        run=None if error.left is None else error.left.run,
+    )
+    return dataclasses.replace(job, hop=hop)
--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -7,6 +7,7 @@
 
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.relay.run_stops import Reach
+from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.http_client import Connection, ResponseHead
 
 
@@ -72,6 +73,7 @@
         # Whether its copy of the run is used or was freed.
         self.is_settled = False
         self._sent = 0
+        self._sent_at: float | None = None
         self._answered = 0
         self._refused = 0
 
@@ -90,6 +92,11 @@
         """Number of times that it was sent."""
         return self._sent
 
+    @property
+    def sent_at(self) -> float | None:
+        """Loop time at which it was first sent, in seconds, if it was."""
+        return self._sent_at
+
     @property
     def unanswered(self) -> int:
         """Number of times that it was sent without an answer so far."""
@@ -120,6 +127,8 @@
     def record_send(self) -> None:
         """Record that it is about to be sent."""
         self._sent += 1
+        if self._sent_at is None:
+            self._sent_at = loop_time()
 
     def record_answer(self, *, is_refused: bool) -> None:
         """Record an answer, or a proof that the engine did not get it.
@@ -175,6 +184,7 @@
     :param switch: attempt to resume the run from its copy, which ends once the
         engine with the copy has answered; set when it is sent
     :param has_ended: whether the attempt on that engine has ended
+    :param left_copies: copies from which another node may go on with the run
     """
 
     destination: Endpoint | None = None
@@ -183,6 +193,7 @@
     stop_order: StopOrder | None = None
     switch: 'asyncio.Task[PreparedResumption | None] | None' = None
     has_ended: bool = False
+    left_copies: tuple[RunLocation, ...] = ()
 
     @property
     def is_moving(self) -> bool:
@@ -197,6 +208,17 @@
         """
         return not self.is_moving and not self.has_ended
 
+    def may_free(self, address: str, handle: str) -> bool:
+        """Return whether this node frees a copy that it does not need.
+
+        :param address: address of the engine that issued the handle
+        :param handle: identifier of the copy on that engine
+        """
+        return all(
+            (copy.address, copy.handle) != (address, handle)
+            for copy in self.left_copies
+        )
+
     async def prepared(self) -> PreparedResumption | None:
         """Return the resumption that another engine has accepted, if any."""
         if self.switch is None:
@@ -205,6 +227,13 @@
         self.switch = None
         return prepared
 
+    @property
+    def standby_handle(self) -> str:
+        """Handle of an idle standby copy; empty without one."""
+        if self.standby is None or self.is_departing:
+            return ''
+        return self.standby.handle
+
     @property
     def has_idle_standby(self) -> bool:
         """Whether there is a standby copy and no transfer in progress."""
