--- a/packages/core/mastichatch_core/relay/model.py
+++ b/packages/core/mastichatch_core/relay/model.py
@@ -226,6 +226,8 @@
         may have again
     :param weights: name and version of each model that an engine has loaded,
         sorted; empty if unknown
+    :param sequence: number of the entry among those of this start; zero if
+        unknown. Entries that differ in it alone are equal
     """
 
     instance: str
@@ -239,6 +241,7 @@
     version: str = ''
     registered_id: str = ''
     weights: tuple[tuple[str, int], ...] = ()
+    sequence: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/mastichatch_core/relay/rollouts/order.py
+++ b/packages/core/mastichatch_core/relay/rollouts/order.py
@@ -25,6 +25,15 @@
 }
 
 
+# How far a roll-out has come.
+_PROGRESS: Final = {
+    Phase.serving: 0,
+    Phase.completing: 1,
+    Phase.completed: 2,
+    Phase.reverted: 2,
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RolloutOrder:
     """An operator's order to move a service's traffic to a version.
@@ -127,6 +136,55 @@
     )
 
 
+def is_written_again(
+    known: RolloutOrder | None, found: RolloutOrder | None
+) -> bool:
+    """Return whether an order of a restored store is one that is known.
+
+    The operator writes again what the store lost, at another revision.
+
+    :param known: order that was known before
+    :param found: order that the store has now
+    """
+    if known is None or found is None:
+        return False
+    return dataclasses.replace(known, revision=found.revision) == found
+
+
+def restored_view(known: RolloutView, found: RolloutView) -> RolloutView:
+    """Return the view of a store that came back from an older copy.
+
+    A phase that was known does not go back: its record is of the order that was
+    written again, and is to be written again too.
+
+    :param known: view before the store was restored
+    :param found: what the store has now
+    """
+    order, record = found.order, known.record
+    if order is None or record is None or not known.is_current:
+        return _without_lost_order(found)
+    if not is_written_again(known.order, order):
+        return _without_lost_order(found)
+    phase = current_phase(found)
+    if phase is not None and _PROGRESS[phase] >= _PROGRESS[record.phase]:
+        return found
+    return dataclasses.replace(
+        found, record=dataclasses.replace(record, order_revision=order.revision)
+    )
+
+
+def _without_lost_order(view: RolloutView) -> RolloutView:
+    """Return a view whose record is of no order if the store lost that."""
+    order, record = view.order, view.record
+    if order is None or record is None:
+        return view
+    if record.order_revision <= order.revision:
+        return view
+    return dataclasses.replace(
+        view, record=dataclasses.replace(record, order_revision=0)
+    )
+
+
 def closed_versions(record: RolloutRecord | None) -> tuple[str, ...]:
     """Return the versions that get nothing after a record, oldest first.
 
--- a/packages/core/mastichatch_core/relay/store.py
+++ b/packages/core/mastichatch_core/relay/store.py
@@ -13,10 +13,13 @@
 
     :param revision: revision up to which the entries are complete
     :param entries: entries; those without a value were deleted
+    :param era: era of the store that the revisions belong to; zero if the store
+        names none
     """
 
     revision: int
     entries: tuple[ViewEntry, ...]
+    era: int = 0
 
 
 class StoreUnavailableError(MastichatchError):
@@ -38,10 +41,12 @@
 
     :param expected: revisions of keys; zero for keys that do not exist
     :param puts: new values, by key
+    :param lease: id of the lease with which the keys end; zero for none
     """
 
     expected: Mapping[str, int]
     puts: Mapping[str, bytes]
+    lease: int = 0
 
 
 class HistoryGoneError(Exception):
@@ -57,9 +62,11 @@
 
     :param entries: present state of the keys that the transaction expects, as
         far as the store told it
+    :param era: era of the store that their revisions belong to
     """
 
-    def __init__(self, entries: tuple[ViewEntry, ...]) -> None:
+    def __init__(self, entries: tuple[ViewEntry, ...], era: int = 0) -> None:
         """Store the present state of the keys."""
         super().__init__('a key has another revision than expected')
         self.entries = entries
+        self.era = era
--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -1,11 +1,14 @@
 """Caches the entries of the platform's store on a node, and their age.
 
-Revisions of cached entries only increase: an entry with a revision that is not
-higher than the cached one is ignored, whether it comes from a late answer, a
-stale read or another node.
+Within an era of the store, revisions of cached entries only increase: an entry
+with a revision that is not higher than the cached one is ignored, whether it
+comes from a late answer, a stale read or another node. A listing of a later era
+replaces the entries. What was known before is kept where the store's older copy
+may lack it, and its writers write it again.
 """
 
 import dataclasses
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
@@ -16,15 +19,17 @@
     EndpointState,
     MalformedError,
 )
+from mastichatch_core.relay.registered_endpoints import RegisteredEndpoints
 from mastichatch_core.relay.rollouts.order import RolloutOrder
 from mastichatch_core.relay.store import StoreView
+from mastichatch_core.relay.store_entries import StoreEntries
 
 # Endpoints whose entries expired while the store was unavailable write them
 # again within this time of its recovery, which the platform guarantees.
 EXPIRY_GRACE_S: Final = 2.0
-# Number of deleted keys whose revisions are kept, so that a late answer cannot
-# restore them. The oldest are dropped first.
-DELETION_LIMIT: Final = 4096
+# Time for which what nodes wrote, and orders on which they act, count as
+# present in a store that came back without them: as long as a lease of nodes.
+REWRITE_GRACE_S: Final = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,50 +68,41 @@
         :param decoders: key layout and decoders of the store
         """
         self._decoders = decoders
-        self._entries: dict[str, ViewEntry] = {}
-        self._deleted: dict[str, int] = {}
-        self._revision = 0
-        self._verified_at: float | None = None
+        self._entries = StoreEntries()
+        self._verified_at = -math.inf
         self._configuration: Configuration | None = None
-        self._endpoints: dict[str, Endpoint] = {}
-        self._instances: dict[str, str] = {}
-        self._leaving: dict[str, int] = {}
-        self._expiring: dict[str, float] = {}
-        self._lost_contact = False
-        self._restored_at: float | None = None
+        self._configuration_value = b''
+        self._endpoints = RegisteredEndpoints(decoders.endpoint, EXPIRY_GRACE_S)
 
     @property
     def revision(self) -> int:
         """Revision of the store up to which the cache is complete."""
-        return self._revision
+        return self._entries.revision
+
+    @property
+    def era(self) -> int:
+        """Era of the store that the revision belongs to; zero if unknown."""
+        return self._entries.era
 
     @property
     def configuration(self) -> Configuration | None:
         """Newest configuration; ``None`` before the first was received."""
         return self._configuration
 
-    @property
-    def is_filled(self) -> bool:
-        """Whether the cache was filled from the store or another node."""
-        return self._verified_at is not None
-
     def age(self, now: float) -> float:
         """Return the time since the cache was last known current, in seconds.
 
         :param now: time in seconds, on a clock that also runs while the host
             is suspended
         """
-        if self._verified_at is None:
-            return float('inf')
         return now - self._verified_at
 
     def evacuated_data_centres(self) -> frozenset[str]:
         """Return the data centres that operators have evacuated."""
         prefix = self._decoders.evacuation_prefix
         return frozenset(
-            key.removeprefix(prefix)
-            for key in self._entries
-            if key.startswith(prefix)
+            entry.key.removeprefix(prefix)
+            for entry in self._entries.under(prefix)
         )
 
     def endpoints(self, now: float) -> Mapping[str, Endpoint]:
@@ -114,11 +110,7 @@
 
         :param now: time in seconds
         """
-        for key, until in tuple(self._expiring.items()):
-            if now >= until:
-                self._expiring.pop(key)
-                _remove_endpoint(self._endpoints, self._instances, key)
-        return self._endpoints
+        return self._endpoints.current(now)
 
     def mark_draining(self, instance: str) -> bool:
         """Mark an endpoint as draining after it announced its shutdown.
@@ -130,18 +122,7 @@
         :param instance: instance id of the endpoint
         :returns: whether the endpoint was known and not yet draining
         """
-        endpoint = self._endpoints.get(instance)
-        if endpoint is None:
-            return False
-        if endpoint.started_ms:
-            self._leaving[instance] = self._revision
-            _drop_oldest(self._leaving)
-        if endpoint.state is EndpointState.draining:
-            return False
-        self._endpoints[instance] = dataclasses.replace(
-            endpoint, state=EndpointState.draining
-        )
-        return True
+        return self._endpoints.mark_draining(instance)
 
     def entry(self, key: str) -> ViewEntry | None:
         """Return the entry of a key; ``None`` if it does not exist.
@@ -150,52 +131,48 @@
         """
         return self._entries.get(key)
 
-    def entries_under(self, prefix: str) -> Mapping[str, bytes]:
+    def entries_under(
+        self, prefix: str, *, only_carried: bool = False
+    ) -> Mapping[str, bytes]:
         """Return the values of the keys under a prefix, by key.
 
         :param prefix: prefix of the keys
+        :param only_carried: whether only entries of a former era are returned
+            that the store lacks since it was restored
         """
+        found = self._entries.under(prefix)
+        if only_carried:
+            found = self._entries.carried_under(prefix)
         return {
-            key: entry.value
-            for key, entry in self._entries.items()
-            if key.startswith(prefix) and entry.value is not None
+            entry.key: entry.value for entry in found if entry.value is not None
         }
 
     def changes_after(self, revision: int) -> tuple[ViewEntry, ...]:
         """Return the entries written or deleted after a revision.
 
-        :param revision: revision that another node's cache has reached
+        :param revision: revision of this era that another node's cache has
+            reached
         """
-        written = (
-            entry
-            for entry in self._entries.values()
-            if entry.revision > revision
-        )
-        deleted = (
-            ViewEntry(key=key, revision=deleted_at)
-            for key, deleted_at in self._deleted.items()
-            if deleted_at > revision
-        )
-        return (*written, *deleted)
+        return self._entries.changes_after(revision)
 
     def record_contact_lost(self) -> None:
         """Record that the store did not answer this node."""
-        self._lost_contact = True
+        self._endpoints.record_contact_lost()
 
     def record_contact(self, now: float) -> None:
         """Record that the store answered this node.
 
         :param now: time in seconds
         """
-        if self._lost_contact:
-            self._lost_contact = False
-            self._restored_at = now
+        self._endpoints.record_contact(now)
 
     def apply(
         self, view: StoreView, verified_at: float, now: float
     ) -> tuple[str, ...]:
         """Apply changes of the store to the cache.
 
+        Changes of another era than that of the cache are ignored.
+
         :param view: changes up to the revision of the view
         :param verified_at: time at which the call that returned the view was
             sent, in seconds on a clock that also runs while the host is
@@ -203,15 +180,16 @@
         :param now: time in seconds
         :returns: the keys that changed
         """
+        if view.era != self.era:
+            # A late answer, or one of an era whose listing is yet to come.
+            return ()
         changed = tuple(
             entry.key
             for entry in sorted(view.entries, key=lambda one: one.revision)
             if self._apply_entry(entry, now)
         )
-        if view.revision >= self._revision:
-            self._revision = view.revision
-            if self._verified_at is None or verified_at > self._verified_at:
-                self._verified_at = verified_at
+        if self._entries.advance(view.revision):
+            self._verified_at = max(self._verified_at, verified_at)
         return changed
 
     def apply_listing(
@@ -225,93 +203,92 @@
         :param now: time in seconds
         :returns: the keys that changed
         """
-        listed = {entry.key for entry in view.entries}
-        deletions = tuple(
-            ViewEntry(key=key, revision=view.revision)
-            for key, entry in self._entries.items()
-            if key not in listed and entry.revision <= view.revision
+        if not self.era and view.revision >= self.revision:
+            self._entries.adopt_era(view.era)
+        if view.era > self.era:
+            return self._begin_era(view, verified_at, now)
+        deletions = self._entries.missing_in(view)
+        complete = dataclasses.replace(
+            view, entries=(*view.entries, *deletions)
         )
-        complete = StoreView(
-            revision=view.revision, entries=(*view.entries, *deletions)
-        )
-        return self.apply(complete, verified_at, now)
+        changed = self.apply(complete, verified_at, now)
+        if view.era == self.era:
+            self._entries.record_listing(view.revision)
+        return changed
+
+    def release_entries(self, now: float) -> tuple[str, ...]:
+        """Remove the entries of a former era that nobody wrote again in time.
+
+        :param now: time in seconds
+        :returns: their keys
+        """
+        return self._entries.release(now)
+
+    def _begin_era(
+        self, view: StoreView, verified_at: float, now: float
+    ) -> tuple[str, ...]:
+        """Replace the entries by those of a store that was restored."""
+        self._endpoints.begin_era(now)
+        change = self._entries.begin_era(view)
+        prefix = self._decoders.endpoint_prefix
+        for entry in change.written:
+            self._decode(entry, now, is_restored=True)
+        for missing in change.missing:
+            if missing.key.startswith(prefix):
+                self._endpoints.remove(missing.key, now)
+            else:
+                until = now + _grace_s(self._decoders, missing.key)
+                self._entries.carry(missing, until)
+        self._verified_at = max(self._verified_at, verified_at)
+        # The places of all entries have changed.
+        return tuple(one.key for one in (*view.entries, *change.missing))
 
     def _apply_entry(self, entry: ViewEntry, now: float) -> bool:
-        # A deletion that a listing implies has the revision of the listing, so
-        # an older message about the deleted key is ignored.
-        known = self._entries.get(entry.key)
-        deleted_at = self._deleted.get(entry.key, 0)
-        revision = deleted_at if known is None else known.revision
-        if entry.revision <= revision:
+        if not self._entries.put(entry):
             return False
-        if entry.value is None:
-            self._entries.pop(entry.key, None)
-            self._deleted[entry.key] = entry.revision
-            _drop_oldest(self._deleted)
-            self._remove(entry.key, now)
-            return True
-        self._deleted.pop(entry.key, None)
-        self._entries[entry.key] = entry
-        self._decode(entry.key, entry.value)
+        if entry.value is not None:
+            self._decode(entry, now)
+        elif entry.key.startswith(self._decoders.endpoint_prefix):
+            self._endpoints.remove(entry.key, now)
         return True
 
-    def _decode(self, key: str, content: bytes) -> None:
-        decoders = self._decoders
+    def _decode(
+        self, entry: ViewEntry, now: float, *, is_restored: bool = False
+    ) -> None:
+        decoders, key, content = self._decoders, entry.key, entry.value or b''
         try:
             if key == decoders.configuration_key:
-                self._replace_configuration(decoders.configuration(content))
+                self._replace_configuration(content)
+            elif key.startswith(decoders.endpoint_prefix) and is_restored:
+                self._endpoints.restore(key, content, now)
             elif key.startswith(decoders.endpoint_prefix):
-                self._expiring.pop(key, None)
-                # An earlier start under the same id has ended.
-                _remove_endpoint(self._endpoints, self._instances, key)
-                endpoint = decoders.endpoint(key, content)
-                if endpoint.instance in self._leaving:
-                    endpoint = dataclasses.replace(
-                        endpoint, state=EndpointState.draining
-                    )
-                self._instances[key] = endpoint.instance
-                self._endpoints[endpoint.instance] = endpoint
+                self._endpoints.put(key, content)
         except MalformedError as error:
             decoders.on_malformed(key, str(error))
         except Exception as error:
             # Another writer may have made an entry of an unforeseen kind.
             decoders.on_malformed(key, repr(error))
 
-    def _replace_configuration(self, configuration: Configuration) -> None:
+    def _replace_configuration(self, content: bytes) -> None:
+        configuration = self._decoders.configuration(content)
         current = self._configuration
         if current is None or configuration.version > current.version:
             self._configuration = configuration
-
-    def _remove(self, key: str, now: float) -> None:
-        if not key.startswith(self._decoders.endpoint_prefix):
-            return
-        endpoint = self._endpoints.get(self._instances.get(key, ''))
-        is_inactive = (
-            endpoint is None or endpoint.state is EndpointState.draining
-        )
-        if is_inactive or not self._may_have_expired(now):
-            _remove_endpoint(self._endpoints, self._instances, key)
-            return
-        # The endpoint may still exist and write its entry again.
-        self._expiring[key] = (self._restored_at or now) + EXPIRY_GRACE_S
-
-    def _may_have_expired(self, now: float) -> bool:
-        if self._lost_contact:
-            return True
-        restored_at = self._restored_at
-        return restored_at is not None and now - restored_at < EXPIRY_GRACE_S
-
-
-def _remove_endpoint(
-    endpoints: dict[str, Endpoint], instances: dict[str, str], key: str
-) -> None:
-    """Remove the endpoint that an entry defined."""
-    endpoints.pop(instances.pop(key, ''), None)
-
-
-def _drop_oldest(deleted: dict[str, int]) -> None:
-    while len(deleted) > DELETION_LIMIT:
-        deleted.pop(next(iter(deleted)))
+            self._configuration_value = content
+        elif configuration.version < current.version:
+            # Nodes that read this view must not get an older version.
+            self._entries.replace_value(
+                self._decoders.configuration_key, self._configuration_value
+            )
+
+
+def _grace_s(decoders: Decoders, key: str) -> float:
+    """Return how long an entry of a former era is kept, in seconds."""
+    of_operators = (
+        decoders.configuration_key,
+        decoders.evacuation_prefix,
+    )
+    return EXPIRY_GRACE_S if key.startswith(of_operators) else REWRITE_GRACE_S
 
 
 def endpoint_at(cache: StoreCache, address: str, now: float) -> Endpoint | None:
--- a/packages/node/mastichatch_node/relay/crash_store.py
+++ b/packages/node/mastichatch_node/relay/crash_store.py
@@ -2,27 +2,44 @@
 
 Nodes exchange evidence among themselves. The store holds it for nodes that
 start later, also after all nodes have been restarted.
+
+If the store comes back without some of it, the nodes write that again, since
+all of them know it, and the one that wrote it may have stopped. They have an
+order for each key: the first node writes it, and each of the next ones if it is
+still missing when its turn comes.
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+import random
+from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
 from absl import logging
 
+from mastichatch_core import rendezvous
 from mastichatch_core.generated.messages import CrashReport
 from mastichatch_core.relay.store import (
+    ConflictError,
     LeaseLapsedError,
     StoreUnavailableError,
+    Transaction,
 )
-from mastichatch_core.relay.store_cache import StoreCache
+from mastichatch_core.relay.store_cache import REWRITE_GRACE_S, StoreCache
 from mastichatch_node import codec
+from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.crash_tracking import CrashTracker
+from mastichatch_node.relay.run_broadcast import RunBroadcaster
+from mastichatch_node.relay.store_eras import StoreEras
 from mastichatch_node.relay.store_following import Store
 
 # The longest lease that the platform's store grants.
 EVIDENCE_LEASE_MS: Final = 600_000
 WRITE_INTERVAL_S: Final = 0.5
+# Time that a node leaves to the one before it to write a lost entry.
+TURN_S: Final = 0.5
+REVIEW_INTERVAL_S: Final = 0.1
+# Time after which a node looks which era it knows, if none begins.
+ERA_POLL_S: Final = 5.0
 CRASH_PREFIX: Final = 'mastichatch/crashes/'
 PIN_PREFIX: Final = 'mastichatch/pins/'
 
@@ -72,6 +89,40 @@
                 tracker.put_back_unsaved(report)
 
 
+def create_rank(sharing: RunBroadcaster, own: str) -> Callable[[str], int]:
+    """Return a function that tells how many nodes write a key before this one.
+
+    :param sharing: tells which nodes are alive
+    :param own: name of this node
+    """
+
+    def rank(key: str) -> int:
+        heard = sharing.table.heard(loop_time())
+        return rendezvous.ranked({own, *heard}, key).index(own)
+
+    return rank
+
+
+async def write_lost_entries(
+    store: Store,
+    cache: StoreCache,
+    eras: StoreEras,
+    rank: Callable[[str], int],
+) -> None:
+    """Write what the store lacks after it was restored, until cancelled.
+
+    :param store: the platform's store
+    :param cache: local view of the store
+    :param eras: tells when the store was restored
+    :param rank: returns the number of nodes that write a key before this one
+    """
+    known = eras.current
+    while True:
+        if await eras.wait_for_next(known, ERA_POLL_S):
+            await _write_in_turn(store, cache, rank)
+        known = eras.current
+
+
 def pin_key(service: str, part: str) -> str:
     """Return the key in the store by which a part is pinned.
 
@@ -95,3 +146,46 @@
         yield codec.decode_json(content, CrashReport)
     except codec.DecodeError as error:
         log_malformed(key, str(error))
+
+
+async def _write_in_turn(
+    store: Store, cache: StoreCache, rank: Callable[[str], int]
+) -> None:
+    began_at = loop_time() + random.uniform(0, TURN_S / 2)  # noqa: S311
+    written: set[str] = set()
+    while loop_time() < began_at + REWRITE_GRACE_S:
+        elapsed_s = loop_time() - began_at
+        for key, content in _lost(cache).items():
+            is_due = elapsed_s >= rank(key) * TURN_S
+            if key in written or not is_due:
+                continue
+            if await _write_again(store, key, content):
+                written.add(key)
+        await asyncio.sleep(REVIEW_INTERVAL_S)
+
+
+def _lost(cache: StoreCache) -> Mapping[str, bytes]:
+    return {
+        **cache.entries_under(PIN_PREFIX, only_carried=True),
+        **cache.entries_under(CRASH_PREFIX, only_carried=True),
+    }
+
+
+async def _write_again(store: Store, key: str, content: bytes) -> bool:
+    """Write an entry, and return whether the store has it."""
+    try:
+        lease = 0
+        if key.startswith(CRASH_PREFIX):
+            lease = await store.grant_lease(EVIDENCE_LEASE_MS)
+        await store.commit(
+            Transaction(expected={key: 0}, puts={key: content}, lease=lease)
+        )
+    except ConflictError:
+        return True
+    except StoreUnavailableError as error:
+        logging.info(
+            'a lost entry was not written; trying again',
+            extra={'key': key, 'reason': str(error)},
+        )
+        return False
+    return True
--- a/packages/node/mastichatch_node/relay/node_record.py
+++ b/packages/node/mastichatch_node/relay/node_record.py
@@ -28,5 +28,6 @@
             grants_slots=True,
             proxy_address=settings.proxy_address,
             proxy_token=proxy_token,
+            knows_eras=True,
         )
     )
--- a/packages/node/mastichatch_node/relay/program.py
+++ b/packages/node/mastichatch_node/relay/program.py
@@ -148,7 +148,9 @@
         settings.name, settings.data_centre, settings.link_mbps
     )
     cache = StoreCache(adapter.decoders)
-    broadcaster = RunBroadcaster(peers, registry, lambda: cache.revision)
+    broadcaster = RunBroadcaster(
+        peers, registry, lambda: cache.revision, lambda: cache.era
+    )
     crashes = CrashTracker(cache, broadcaster, telemetry, shared)
     return _Components(
         settings=settings,
@@ -301,6 +303,14 @@
             lambda: _maintain_periodically(context, placer, migrator),
             StandbyCopier(context, placer, relay).review_periodically,
             lambda: crash_store.write_evidence(components.crashes, store),
+            lambda: crash_store.write_lost_entries(
+                store,
+                cache,
+                follower.eras,
+                crash_store.create_rank(
+                    components.broadcaster, components.settings.name
+                ),
+            ),
             components.telemetry.watch_event_loop,
             context.isolation.contact.review_periodically,
             *assembly.create_workers(components, store, follower),
--- a/packages/node/mastichatch_node/relay/rollouts/deciding.py
+++ b/packages/node/mastichatch_node/relay/rollouts/deciding.py
@@ -113,14 +113,7 @@
         if position >= DECIDER_COUNT and _is_on_trial(rollout):
             # It knows only what it has counted itself.
             return None
-        known = self._cache.endpoints(loop_time()).values()
-        record = next_record(
-            rollout.view,
-            self._judge(rollout),
-            {one.version for one in known if one.service == rollout.service},
-            node=self._directory.own_name,
-            may_finish=self._may_finish(rollout),
-        )
+        record = self._next_record(rollout)
         now = loop_time()
         key = (rollout.service, rollout.record_revision)
         if record is None:
@@ -130,6 +123,18 @@
         is_due = now >= max(due_at, self._next_write_at.get(key, now))
         return record if is_due else None
 
+    def _next_record(self, rollout: ServiceRollout) -> RolloutRecord | None:
+        if rollout.is_lost:
+            return rollout.view.record
+        known = self._cache.endpoints(loop_time()).values()
+        return next_record(
+            rollout.view,
+            self._judge(rollout),
+            {one.version for one in known if one.service == rollout.service},
+            node=self._directory.own_name,
+            may_finish=self._may_finish(rollout),
+        )
+
     def _judge(self, rollout: ServiceRollout) -> Verdict | None:
         order = rollout.order
         if order is None or rollout.phase is None:
@@ -206,10 +211,12 @@
             return
         result, delay_s = 'written', WRITTEN_WAIT_S
         known: tuple[ViewEntry, ...] = ()
+        era = 0
         try:
             await store.commit(transaction)
         except ConflictError as error:
-            result, delay_s, known = str(error), RETRY_DELAY_S, error.entries
+            result, delay_s = str(error), RETRY_DELAY_S
+            known, era = error.entries, error.era
         except StoreUnavailableError as error:
             # It may have been written; writing it again does no harm.
             result, delay_s = str(error), RETRY_DELAY_S
@@ -228,7 +235,7 @@
         )
         if known:
             # Another node has written, which the watch may bring later.
-            follower.take_entries(known)
+            follower.take_entries(known, era)
 
 
 def _is_on_trial(rollout: ServiceRollout) -> bool:
--- a/packages/node/mastichatch_node/relay/rollouts/keeper.py
+++ b/packages/node/mastichatch_node/relay/rollouts/keeper.py
@@ -25,6 +25,8 @@
     Phase,
     RolloutOrder,
     RolloutView,
+    is_written_again,
+    restored_view,
 )
 from mastichatch_core.relay.rollouts.versions import (
     Access,
@@ -85,8 +87,10 @@
         return self._options.share > 0
 
     def open_rollouts(self) -> tuple[ServiceRollout, ...]:
-        """Return the roll-outs on which a decision is still due."""
-        return tuple(one for one in self._rollouts.values() if one.is_open)
+        """Return the roll-outs of which a record is still to be written."""
+        return tuple(
+            one for one in self._rollouts.values() if one.is_open or one.is_lost
+        )
 
     def find(self, service: str) -> ServiceRollout | None:
         """Return what is known of a service's roll-outs, if there are any.
@@ -267,20 +271,29 @@
             record=_decode_record(record_entry, decoders),
         )
         former = self._rollouts.get(service)
+        found, is_repeated = view, False
+        if former is not None and former.era != self._cache.era:
+            view = restored_view(former.view, found)
+            is_repeated = is_written_again(former.order, view.order)
         if view.order is None and view.record is None:
             self._rollouts.pop(service, None)
             self._telemetry.show_rollout_phase(service, None)
             return
-        if former is None or former.order != view.order:
+        if former is not None and is_repeated:
+            former = _continue_order(former, view)
+        elif former is None or former.order != view.order:
             self._observer.forget()
             former = self._begin(service, view, former)
+        record_revision = _stored_revision(self._cache, record_entry)
+        is_order_lost = not _stored_revision(self._cache, order_entry)
+        is_lost = _is_record_lost(view, found, record_revision)
         rollout = dataclasses.replace(
             former,
             view=view,
             order_entry=order_entry,
-            record_revision=0
-            if record_entry is None
-            else record_entry.revision,
+            record_revision=record_revision,
+            era=former.era if is_order_lost or is_lost else self._cache.era,
+            is_lost=is_lost and not is_order_lost,
         )
         if rollout.phase is not former.phase:
             rollout.phase_at = loop_time()
@@ -323,6 +336,7 @@
                 target, 0 if order is None else order.period_s
             ),
             evidence=RolloutEvidence(service, revision),
+            era=self._cache.era,
         )
 
     def _log_phase(self, rollout: ServiceRollout) -> None:
@@ -353,6 +367,35 @@
 }
 
 
+def _stored_revision(cache: StoreCache, entry: ViewEntry | None) -> int:
+    """Return the revision of an entry; zero if the store does not have it."""
+    if entry is None:
+        return 0
+    lost = cache.entries_under(entry.key, only_carried=True)
+    return 0 if entry.key in lost else entry.revision
+
+
+def _is_record_lost(
+    view: RolloutView, found: RolloutView, record_revision: int
+) -> bool:
+    """Return whether the store lacks the record that a node knows."""
+    is_same = view.record is found.record and record_revision > 0
+    return view.is_current and not is_same
+
+
+def _continue_order(
+    former: ServiceRollout, view: RolloutView
+) -> ServiceRollout:
+    """Return the state of an order that was written again."""
+    if view.order is None or view.order == former.order:
+        return former
+    return dataclasses.replace(
+        former,
+        view=view,
+        evidence=RolloutEvidence(former.service, view.order.revision),
+    )
+
+
 def _decode_order(
     entry: ViewEntry | None, decoders: Decoders
 ) -> RolloutOrder | None:
--- a/packages/node/mastichatch_node/relay/rollouts/state.py
+++ b/packages/node/mastichatch_node/relay/rollouts/state.py
@@ -97,6 +97,9 @@
     :param evidence: what all nodes have reported to this one
     :param is_vetoed: whether the node's own counts speak against the target
     :param waiting: requests without an answer, by a number
+    :param era: era of the store in which the view was read
+    :param is_lost: whether the store has lost the record, which is to be
+        written again
     """
 
     service: str
@@ -112,6 +115,8 @@
     waiting: dict[int, 'WaitingRequest'] = dataclasses.field(
         default_factory=dict
     )
+    era: int = 0
+    is_lost: bool = False
 
     @property
     def order(self) -> RolloutOrder | None:
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -96,14 +96,17 @@
         peers: Peers,
         directory: NodeDirectory,
         revision: Callable[[], int],
+        era: Callable[[], int] = int,
     ) -> None:
         """Start without runs.
 
         :param peers: connections to other nodes
         :param directory: registrations of the other nodes
         :param revision: returns the latest store revision that this node has
+        :param era: returns the era of the store that the revision belongs to
         """
         self._revision = revision
+        self._era = era
         self._peers = peers
         self._directory = directory
         self._table = RunTable()
@@ -327,6 +330,7 @@
             sequence=self._sequence,
             interval_ms=self.interval_s * MS_PER_S,
             revision=self._revision(),
+            era=self._era(),
             is_whole=is_whole,
             runs=runs,
             leaving=leaving,
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -47,6 +47,7 @@
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, Reply
+from mastichatch_node.relay.store_eras import Signal, StoreEras
 from mastichatch_node.relay.telemetry import (
     Telemetry,
     create_malformed_logger,
@@ -121,6 +122,9 @@
     async def end_lease(self, lease: int) -> None:
         """End a lease."""
 
+    def confirm_era(self, era: int) -> None:
+        """Record the era of the store, as a listing has shown it."""
+
 
 def boottime_clock() -> float:
     """Return the time of a clock that includes host suspension, in seconds."""
@@ -171,6 +175,15 @@
         """Data centres of the other nodes, by node name."""
         return self._data_centres
 
+    @property
+    def without_eras(self) -> frozenset[str]:
+        """Names of the other nodes that do not tell the store's era."""
+        return frozenset(
+            name
+            for name, record in self._records.items()
+            if not record.knows_eras
+        )
+
     @property
     def links(self) -> dict[str, float]:
         """Link rates of all nodes in Mbit/s, by node name."""
@@ -311,7 +324,10 @@
         self._telemetry = telemetry
         self._in_contact = False
         self._needs_listing = True
-        self._updated = asyncio.Event()
+        self._eras = StoreEras(
+            store, belief, telemetry, lambda: 1 + len(neighbours.addresses)
+        )
+        self._updated = Signal()
         self._excluded_until: dict[str, float] = {}
         self._without_store: dict[str, float] = {}
         self._backoff = StoreBackoff(random.uniform)
@@ -331,6 +347,11 @@
         """
         return self._in_contact
 
+    @property
+    def eras(self) -> StoreEras:
+        """The store's eras, as this node follows them."""
+        return self._eras
+
     def subscribe(self, callback: Callable[[tuple[str, ...]], None]) -> None:
         """Register a callback that is called after changes.
 
@@ -348,15 +369,18 @@
                 await self._contact.wait()
         return self._in_contact
 
-    def take_entries(self, entries: tuple[ViewEntry, ...]) -> None:
+    def take_entries(
+        self, entries: tuple[ViewEntry, ...], era: int = 0
+    ) -> None:
         """Apply entries that the store returned with an answer to a write.
 
         A watch may be late to bring them. They do not show that the rest of
         the view is current.
 
         :param entries: entries of the store, as they are now
+        :param era: era of the store that their revisions belong to
         """
-        view = StoreView(revision=0, entries=entries)
+        view = StoreView(revision=0, entries=entries, era=era)
         self._notify(self._belief.apply(view, boottime_clock(), loop_time()))
 
     async def follow(self) -> None:
@@ -396,10 +420,11 @@
         try:
             await self._follow_store()
         except HistoryGoneError:
-            self._needs_listing = True
             self._telemetry.log_state_change(
                 'store_history_gone', revision=self._belief.revision
             )
+            self._needs_listing = True
+            await self._eras.pause_listing()
         except StoreUnavailableError as error:
             self._record_contact_lost(str(error))
             self._backoff.record_failure(rank, loop_time())
@@ -442,12 +467,13 @@
         :param message: changed runs and revision of the sender
         :param envelope: envelope that identifies the sender
         """
-        if message.revision <= self._belief.revision or self._is_catching_up:
+        place = (message.era, message.revision)
+        if place <= self._eras.place or self._is_catching_up:
             return
         self._is_catching_up = True
         try:
             await asyncio.sleep(LAG_TOLERANCE_S)
-            if message.revision > self._belief.revision:
+            if place > self._eras.place:
                 self._telemetry.log_state_change(
                     'behind_another_node',
                     revision=self._belief.revision,
@@ -466,18 +492,22 @@
         :param envelope: envelope that identifies the other node
         """
         asked_at = loop_time()
-        if query.wait_ms and self._belief.revision <= query.after:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(query.wait_ms / MS_PER_S):
-                    await self._updated.wait()
+        # A node of an earlier release does not tell its era.
+        known = (query.era or self._belief.era, query.after)
+        if query.wait_ms and self._eras.place <= known:
+            await self._updated.wait(query.wait_ms / MS_PER_S)
+        is_whole = not query.after or 0 < query.era < self._belief.era
+        after = 0 if is_whole else query.after
         answer = ViewAnswer(
             revision=self._belief.revision,
             age_ms=self._belief.age(boottime_clock()) * MS_PER_S,
             held_ms=(loop_time() - asked_at) * MS_PER_S,
             is_current=self._in_contact,
             entries=tuple(
-                pack(entry) for entry in self._belief.changes_after(query.after)
+                pack(entry) for entry in self._belief.changes_after(after)
             ),
+            era=self._belief.era,
+            is_whole=is_whole,
         )
         return Reply(kind=MessageKind.view_answer, message=answer)
 
@@ -496,7 +526,7 @@
         order = order_readers(
             own,
             neighbours.same_data_centre,
-            set(self._recently_heard()) - excluded,
+            set(self._recently_heard()) - excluded - neighbours.without_eras,
             neighbours.links,
         )
         rank = order.index(own) if own in order else len(order)
@@ -540,14 +570,19 @@
             listing = await self._store.read_range('')
             self._record_contact()
             self._needs_listing = False
-            self._notify(
-                self._belief.apply_listing(listing, sent_at, loop_time())
-            )
+            self._eras.record_listing()
+            self._notify(self._eras.apply_listing(listing, sent_at))
             return
         # A store that is back answers at once, so that others learn of it.
         wait_ms = WATCH_WAIT_MS if self._in_contact else 0
         view = await self._store.watch('', self._belief.revision, wait_ms)
         self._record_contact()
+        if view.era > self._belief.era:
+            # Changes that it does not tell of may have been lost or made.
+            self._needs_listing = True
+            await self._eras.pause_listing()
+            return
+        self._eras.record_watch()
         self._notify(self._belief.apply(view, sent_at, loop_time()))
         if view.entries:
             # Changes that follow within the delay are read with one call.
@@ -561,12 +596,12 @@
         :returns: ``None`` if it does not tell a view that can be used
         """
         asked_at = boottime_clock()
-        known = self._belief.revision
+        era, revision = self._eras.place
         try:
             answer = await self._peers.ask(
                 address,
                 MessageKind.view_query,
-                ViewQuery(after=known, wait_ms=wait_ms),
+                ViewQuery(after=revision, wait_ms=wait_ms, era=era),
                 ViewAnswer,
                 timeout_ms=PEER_QUERY_TIMEOUT_MS + wait_ms,
             )
@@ -576,7 +611,11 @@
                 extra={'address': address, 'reason': str(error)},
             )
             return None
-        if answer.revision < known or answer.age_ms == float('inf'):
+        is_older = (answer.era, answer.revision) < (era, revision)
+        if is_older or answer.age_ms == float('inf'):
+            return None
+        if answer.era > era and not answer.is_whole:
+            self._needs_listing = True
             return None
         try:
             entries = tuple(unpack(entry) for entry in answer.entries)
@@ -586,20 +625,22 @@
                 extra={'address': address, 'reason': str(error)},
             )
             return None
-        view = StoreView(revision=answer.revision, entries=entries)
+        view = StoreView(
+            revision=answer.revision, entries=entries, era=answer.era
+        )
         # The node answered after holding the query for at least ``held_ms``, so
         # this is the earliest time at which its view can have been verified.
         verified_at = asked_at + (answer.held_ms - answer.age_ms) / MS_PER_S
-        self._notify(self._belief.apply(view, verified_at, loop_time()))
+        if answer.era > self._belief.era:
+            self._notify(self._eras.apply_listing(view, verified_at))
+        else:
+            self._notify(self._belief.apply(view, verified_at, loop_time()))
         return answer.is_current
 
-    def _wake_queries(self) -> None:
-        """Answer the queries of other nodes that are held."""
-        self._updated.set()
-        self._updated = asyncio.Event()
-
     def _notify(self, changed: tuple[str, ...]) -> None:
-        self._wake_queries()
+        self._updated.notify()
+        # Entries of a former era that nobody has written again in time.
+        changed = (*changed, *self._belief.release_entries(loop_time()))
         if not changed:
             return
         configuration = self._belief.configuration
@@ -627,7 +668,7 @@
         if self._in_contact:
             self._in_contact = False
             self._contact.clear()
-            self._wake_queries()
+            self._updated.notify()
             self._telemetry.log_state_change(
                 'store_lost',
                 reason=reason,
@@ -667,6 +708,8 @@
             logging.warning(
                 'registration lease of this node expired; registering again'
             )
+        except _StoreRestoredError:
+            await follower.eras.pause_writes()
         except StoreUnavailableError as error:
             logging.info(
                 'registration of this node failed; trying again',
@@ -675,19 +718,37 @@
             await _pause_renewals(follower, error)
 
 
+class _StoreRestoredError(Exception):
+    """The store came back from an older copy, which may lack a lease."""
+
+
 async def _register(
     store: Store, key: str, content: bytes, follower: StoreFollower
 ) -> None:
-    lease = await store.grant_lease(LEASE_MS)
-    try:
+    async with _granted_lease(store, follower.eras) as lease:
+        era = follower.eras.current
         was_repeated = await _write(store, key, content, lease, follower)
-        if not was_repeated:
-            await asyncio.sleep(RENEWAL_INTERVAL_S)
+        pause_s = 0 if was_repeated else RENEWAL_INTERVAL_S
         while True:
-            await _renew(store, lease, follower)
+            if await follower.eras.wait_for_next(era, pause_s):
+                raise _StoreRestoredError
+            era = era or follower.eras.current
+            is_renewed = await _renew(store, lease, follower)
+            pause_s = RENEWAL_INTERVAL_S if is_renewed else 0
+
+
+@contextlib.asynccontextmanager
+async def _granted_lease(store: Store, eras: StoreEras) -> AsyncIterator[int]:
+    """Grant a lease, which ends when the block is cancelled."""
+    era = eras.current
+    lease = await store.grant_lease(LEASE_MS)
+    try:
+        yield lease
     except asyncio.CancelledError:
-        with contextlib.suppress(StoreUnavailableError):
-            await store.end_lease(lease)
+        # In a later era, the id may be that of another node's lease.
+        if era in {0, eras.current}:
+            with contextlib.suppress(StoreUnavailableError):
+                await store.end_lease(lease)
         raise
 
 
@@ -700,7 +761,10 @@
     take the key away from the one that is renewed.
 
     :returns: whether it was repeated, so that the lease may end soon
+    :raises _StoreRestoredError: if the store came back from an older copy, in
+        which the lease may be that of another node
     """
+    era = follower.eras.current
     was_repeated = False
     while True:
         try:
@@ -714,16 +778,21 @@
             was_repeated = True
         else:
             return was_repeated
+        if await follower.eras.wait_for_next(era, 0):
+            raise _StoreRestoredError
+
 
+async def _renew(store: Store, lease: int, follower: StoreFollower) -> bool:
+    """Renew a lease, or wait until that may be tried again.
 
-async def _renew(store: Store, lease: int, follower: StoreFollower) -> None:
-    """Renew a lease, and wait until the next renewal."""
+    :returns: whether it was renewed
+    """
     try:
         await store.renew_lease(lease)
     except StoreUnavailableError as error:
         await _pause_renewals(follower, error)
-    else:
-        await asyncio.sleep(RENEWAL_INTERVAL_S)
+        return False
+    return True
 
 
 async def _pause_renewals(
--- a/packages/node/mastichatch_node/relay/telemetry.py
+++ b/packages/node/mastichatch_node/relay/telemetry.py
@@ -196,6 +196,11 @@
             ('purpose',),
             registry=self._registry,
         )
+        self._store_era = Gauge(
+            'mastichatch_relay_store_era',
+            'Era of the store that the node knows.',
+            registry=self._registry,
+        )
         self._suspected = Gauge(
             'mastichatch_relay_suspected_parts',
             'Parts of prompts that may crash engines.',
@@ -217,7 +222,7 @@
         self._placement = PlacementMetrics(self._registry)
         self._limits = LimitMetrics(self._registry)
         self.proxying = ProxyMetrics(self._registry)
-        self._isolation = IsolationMetrics(self._registry)
+        self.isolation = IsolationMetrics(self._registry)
         self.slots = SlotMetrics(self._registry)
 
     @property
@@ -230,11 +235,6 @@
         """Metrics of the limits that endpoints name."""
         return self._limits
 
-    @property
-    def isolation(self) -> IsolationMetrics:
-        """Metrics of whether endpoints are reached."""
-        return self._isolation
-
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -299,6 +299,13 @@
         """
         self._active.set(active)
 
+    def update_store_era(self, era: int) -> None:
+        """Set the era of the store.
+
+        :param era: the era; zero if the store names none
+        """
+        self._store_era.set(era)
+
     def update_suspected(self, suspected: int) -> None:
         """Set the number of prompt parts that may crash engines.
 
--- a/tests/standins/house_store.py
+++ b/tests/standins/house_store.py
@@ -23,6 +23,17 @@
     lease: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """State of a store at one time, from which it may come back."""
+
+    items: dict[str, Item]
+    revision: int
+    events: tuple[dict[str, Any], ...]
+    leases: dict[int, float]
+    next_lease: int
+
+
 class HouseStore:
     """Store of keys with revisions, leases and watches.
 
@@ -34,6 +45,10 @@
     ``is_endless`` adds further pages of 1 MB without end to each answer.
     ``first_revision`` is the first revision that a watch can start at, and
     ``page_size`` the number of entries in a page.
+
+    ``era`` is named in all answers unless it is zero, and ``era_values``
+    replaces the values of that header; ``odd_eras`` does so for the next
+    answers, one after the other.
     """
 
     def __init__(self) -> None:
@@ -50,6 +65,11 @@
         self.page_size = 500
         self.is_endless = False
         self.calls: list[str] = []
+        self.era = 1
+        self.era_values: tuple[str, ...] | None = None
+        self.odd_eras: list[str] = []
+        self.gone_answers = 0
+        self._transports: set[asyncio.Transport] = set()
         self._changed = asyncio.Condition()
         self._next_lease = 7000
 
@@ -79,6 +99,35 @@
             if item.lease == lease:
                 await self.remove(key)
 
+    def copy(self) -> Copy:
+        """Return a copy of the present state."""
+        return Copy(
+            items=dict(self.items),
+            revision=self.revision,
+            events=tuple(self.events),
+            leases=dict(self.leases),
+            next_lease=self._next_lease,
+        )
+
+    def go_away(self) -> None:
+        """Close all connections, and execute no call until it is restored."""
+        self.resets = True
+        for transport in tuple(self._transports):
+            transport.abort()
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy, in the next era.
+
+        Revisions and ids of leases are given out again.
+        """
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.events = list(copy.events)
+        self.leases = dict(copy.leases)
+        self._next_lease = copy.next_lease
+        self.era += 1
+        self.resets = False
+
     @property
     def _fault_middleware(self) -> Any:
         async def inject_faults(request: web.Request, handler: Any) -> Any:
@@ -100,6 +149,21 @@
 
     async def _inject_faults(self, request: web.Request, handler: Any) -> Any:
         self.calls.append(f'{request.method} {request.path}')
+        transport = request.transport
+        if isinstance(transport, asyncio.Transport):
+            self._transports.add(transport)
+        try:
+            response = await self._answer(request, handler)
+        finally:
+            self._transports.discard(transport)
+        default = (str(self.era),) if self.era else ()
+        if self.odd_eras:
+            default = (self.odd_eras.pop(0),)
+        for era in default if self.era_values is None else self.era_values:
+            response.headers.add('Store-Era', era)
+        return response
+
+    async def _answer(self, request: web.Request, handler: Any) -> Any:
         if self.is_silent:
             await asyncio.Event().wait()
         if self.resets and request.transport is not None:
@@ -154,7 +218,8 @@
                 if event['revision'] > after and event['key'].startswith(prefix)
             ]
 
-        if after < self.first_revision:
+        if after < self.first_revision or after > self.revision:
+            self.gone_answers += 1
             return web.json_response({}, status=410)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s), self._changed:
--- a/tests/test_house_platform.py
+++ b/tests/test_house_platform.py
@@ -1,5 +1,6 @@
 """Tests of the house platform's adapter against a stand-in of its store."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
@@ -133,6 +134,71 @@
                 await client.grant_lease(1000)
 
 
+class TestEras:
+    @pytest.mark.parametrize(
+        ('named', 'era'),
+        [
+            (('7',), 7),
+            (('7', '7'), 7),
+            ((' 7',), 7),
+            ((), 3),
+            (('4', '7'), 3),
+            (('-7',), 3),
+            (('7.0',), 3),
+            (('x',), 3),
+            (('',), 3),
+            (('٣',), 3),
+            (('9' * 5000,), 3),
+        ],
+    )
+    async def test_odd_values_name_no_era(
+        self, named: tuple[str, ...], era: int
+    ) -> None:
+        async with open_client() as (store, client):
+            store.era = 3
+            await client.read_range('')
+            store.era_values = named
+            view = await client.watch('', store.revision, 0)
+        assert view.era == era
+
+    async def test_answer_of_a_former_era_is_none(self) -> None:
+        async with open_client() as (store, client):
+            client.confirm_era(3)
+            store.era = 2
+            with pytest.raises(StoreUnavailableError):
+                await client.watch('', store.revision, 0)
+            lease = 7001
+            with pytest.raises(StoreUnavailableError):
+                await client.put('n/1', b'me', lease)
+
+    async def test_listing_that_a_change_of_era_crosses_is_read_again(
+        self,
+    ) -> None:
+        async with open_client() as (store, client):
+            store.page_size = 2
+            for number in range(5):
+                await store.put(f'a/{number}', b'x')
+            copy = store.copy()
+            await store.put('a/3', b'lost')
+            await client.read_range('')
+            listing = asyncio.ensure_future(client.read_range('a/'))
+            pages = len(store.calls)
+            while len(store.calls) < pages + 2:
+                await asyncio.sleep(0)
+            store.restore(copy)
+            view = await listing
+        assert {one.value for one in view.entries} == {b'x'}
+        assert (view.era, view.revision) == (2, copy.revision)
+
+    async def test_era_counts_once_two_answers_name_it(self) -> None:
+        async with open_client() as (store, client):
+            await client.read_range('')
+            store.era = 2
+            store.calls.clear()
+            assert (await client.read_range('')).era == 2
+            assert len(store.calls) == 2
+
+
 class TestDocuments:
     @given(content=st.binary(max_size=200))
     def test_arbitrary_bytes_raise_only_malformed_error(
--- a/tests/test_relay_registration.py
+++ b/tests/test_relay_registration.py
@@ -5,9 +5,14 @@
 
 import pytest
 
+from mastichatch_platform.program import create_adapter
+
 from mastichatch_core.relay.store import LeaseLapsedError, StoreUnavailableError
+from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.store_eras import StoreEras
 from mastichatch_node.relay.store_following import LEASE_MS, keep_registered
+from mastichatch_node.relay.telemetry import Telemetry
 
 pytestmark = pytest.mark.looptime
 
@@ -66,6 +71,15 @@
 class _Follower:
     in_contact = True
 
+    def __init__(self) -> None:
+        """Follow a store without eras."""
+        self.eras = StoreEras(
+            cast(Any, None),
+            StoreCache(create_adapter().decoders),
+            Telemetry(),
+            lambda: 1,
+        )
+
 
 async def test_late_write_does_not_end_the_registration() -> None:
     """The store may execute a write seconds after its answer was lost.
--- /dev/null
+++ b/tests/test_relay_restored_store.py
@@ -0,0 +1,257 @@
+"""Tests of nodes whose store comes back from an older copy.
+
+Revisions are given out again then: a cache that compares them alone takes the
+store for one that lags, or misses for good what was written in between.
+"""
+
+import asyncio
+import dataclasses
+import time
+from typing import Any
+
+import pytest
+
+from tests.relay_nodes import (
+    RelayFixture,
+    call,
+    configuration,
+    open_nodes,
+    registered,
+    route,
+    until,
+)
+from tests.standins.house_endpoints import HouseEndpoint, respond_ok
+from tests.standins.house_store import HouseStore
+from tests.test_relay_store_outage import NAMES, open_fleet
+
+# Time after the store's return within which a configuration is in force.
+IN_FORCE_S = 1.0
+AWAY_S = 1.0
+COPY_AGE_S = 3.0
+WATCHED_S = 6.0
+# Most answers of the store, by node, that it lacks the history asked for.
+MAX_GONE = 3
+
+
+def moved(version: int, prefix: str) -> dict[str, Any]:
+    """Return a configuration whose plain route has a prefix."""
+    document = configuration(version)
+    document['routes'][0] = route('lookup', 'safe', 'app', prefix=prefix)
+    return document
+
+
+@dataclasses.dataclass
+class Probe:
+    """Calls on a route that all versions have, and those not answered 200."""
+
+    calls: int = 0
+    failed: list[tuple[int, bytes]] = dataclasses.field(default_factory=list)
+
+    async def run(self, relay: RelayFixture) -> None:
+        while True:
+            answer = await call(relay.settings.callers_address, '/book/x')
+            self.calls += 1
+            if answer.status != 200:
+                self.failed.append((answer.status, answer.body))
+            await asyncio.sleep(0.05)
+
+
+def versions(relays: tuple[RelayFixture, ...]) -> list[int]:
+    found = [relay.node.belief.configuration for relay in relays]
+    return [one.version for one in found if one is not None]
+
+
+@pytest.mark.parametrize('changes', (0, 9, 40))
+@pytest.mark.parametrize('count', (1, 3, 8))
+async def test_nodes_serve_and_follow_a_store_that_is_restored(
+    count: int, changes: int
+) -> None:
+    app = HouseEndpoint('app-1', respond_ok)
+    document = moved(1, '/first/')
+    async with open_nodes(count, apps=(app,), document=document) as relays:
+        store = relays[0].store
+        await asyncio.sleep(2.5)
+        copy = store.copy()
+        for number in range(9):
+            await store.put(f'other/{number}', b'lost')
+        await store.put('op/config', moved(2, '/second/'))
+        await asyncio.sleep(COPY_AGE_S)
+        assert versions(relays) == [2] * count
+        store.go_away()
+        await asyncio.sleep(AWAY_S)
+        store.restore(copy)
+        store.gone_answers = 0
+        returned_at = time.monotonic()
+        await store.put(f'servers/{app.instance}', app.entry('app', 'north'))
+        await store.put('op/config', moved(3, '/third/'))
+        for number in range(changes):
+            await store.put(f'other/{number}', b'new')
+        probes = [Probe() for _ in relays]
+        tasks = [
+            asyncio.ensure_future(probe.run(relay))
+            for probe, relay in zip(probes, relays, strict=True)
+        ]
+        try:
+            await until(lambda: versions(relays) == [3] * count)
+            assert time.monotonic() - returned_at < IN_FORCE_S
+            await asyncio.sleep(WATCHED_S)
+        finally:
+            for task in tasks:
+                task.cancel()
+        assert [probe.failed for probe in probes] == [[] for _ in probes]
+        assert all(probe.calls > WATCHED_S for probe in probes)
+        for relay in relays:
+            address = relay.settings.callers_address
+            assert (await call(address, '/third/x')).status == 200
+            assert (await call(address, '/second/x')).status == 404
+            assert (await call(address, '/first/x')).status == 404
+            assert relay.node.is_ready
+            assert len(registered(relay.node)) == count
+        names = [key for key in store.items if key.startswith('mastichatch/n')]
+        assert len(names) == count
+        assert store.gone_answers <= MAX_GONE * count
+
+
+async def test_older_configuration_of_the_copy_is_not_applied() -> None:
+    """The copy has a key that was taken away, until the operator writes."""
+    app = HouseEndpoint('app-1', respond_ok)
+    async with open_nodes(3, apps=(app,)) as relays:
+        store = relays[0].store
+        copy = store.copy()
+        revoked = configuration(2, tenants=[{'name': 'depots', 'api_keys': []}])
+        await store.put('op/config', revoked)
+        await until(lambda: versions(relays) == [2, 2, 2])
+        store.go_away()
+        await asyncio.sleep(AWAY_S)
+        store.restore(copy)
+        await asyncio.sleep(2)
+        for relay in relays:
+            address = relay.settings.callers_address
+            assert (await call(address, '/lookup/x')).status == 401
+            assert relay.node.is_ready
+
+
+async def test_store_that_goes_back_without_an_era_is_listed_seldom() -> None:
+    """Each watch was answered 410 at once, and followed by a listing."""
+    async with open_nodes(1) as (relay,):
+        store = relay.store
+        copy = store.copy()
+        for number in range(9):
+            await store.put(f'other/{number}', b'lost')
+        await until(lambda: relay.node.belief.revision == store.revision)
+        store.restore(copy)
+        store.era_values = ()
+        await asyncio.sleep(WATCHED_S)
+        assert 0 < store.gone_answers < 10
+
+
+async def test_answer_with_an_odd_era_leads_to_one_listing() -> None:
+    app = HouseEndpoint('app-1', respond_ok)
+    async with open_nodes(1, apps=(app,)) as (relay,):
+        store = relay.store
+        store.calls.clear()
+        store.odd_eras = ['77']
+        await until(lambda: not store.odd_eras)
+        revision = await store.put('other/b', b'x')
+        await until(lambda: relay.node.belief.revision >= revision)
+        assert relay.node.belief.era == store.era
+        assert relay.node.is_ready
+        answer = await call(relay.settings.callers_address, '/lookup/x')
+        assert answer.status == 200
+        assert store.calls.count('GET /mastichatch/kv-range') <= 2
+
+
+async def test_drills_within_seconds_are_followed() -> None:
+    app = HouseEndpoint('app-1', respond_ok)
+    async with open_nodes(3, apps=(app,)) as relays:
+        store = relays[0].store
+        for version in (2, 3, 4):
+            copy = store.copy()
+            await store.put('op/config', moved(version, f'/v{version}/'))
+            await asyncio.sleep(0.7)
+            store.go_away()
+            await asyncio.sleep(0.3)
+            store.restore(copy)
+            await store.put('op/config', moved(version, f'/v{version}/'))
+        await until(
+            lambda: all(one.node.belief.era == store.era for one in relays)
+        )
+        await asyncio.sleep(2)
+        assert versions(relays) == [4, 4, 4]
+        for relay in relays:
+            address = relay.settings.callers_address
+            assert (await call(address, '/v4/x')).status == 200
+            assert len(registered(relay.node)) == len(relays)
+        names = [key for key in store.items if key.startswith('mastichatch/n')]
+        assert len(names) == len(relays)
+
+
+async def test_node_does_not_end_a_lease_of_the_next_era() -> None:
+    """Ids of leases are given out again, also to other nodes."""
+    async with open_nodes(1) as (relay,):
+        store = relay.store
+        copy = store.copy()
+        former = set(store.leases)
+        store.go_away()
+        store.restore(copy)
+        await until(lambda: relay.node.belief.era == store.era)
+        store.calls.clear()
+        await until(lambda: set(store.leases) != former)
+    ended = [one for one in store.calls if 'kv-lease-end' in one]
+    assert len(ended) == 1
+    assert former <= set(store.leases)
+
+
+async def test_lost_pins_and_evidence_are_written_once_by_nodes() -> None:
+    """The node that wrote them may have stopped since."""
+    async with open_nodes(3) as relays:
+        store = relays[0].store
+        copy = store.copy()
+        keys = ('mastichatch/pins/llm/p', 'mastichatch/crashes/e-1')
+        report = {'instance': 'e-1', 'service': 'llm', 'version': '1'}
+        for key in keys:
+            await store.put(key, report)
+        await until(
+            lambda: all(
+                relay.node.belief.entry(key) for relay in relays for key in keys
+            )
+        )
+        store.go_away()
+        store.restore(copy)
+        store.events.clear()
+        await until(lambda: all(key in store.items for key in keys))
+        await asyncio.sleep(2)
+        written = [one['key'] for one in store.events if one['key'] in keys]
+        assert sorted(written) == sorted(keys)
+        assert store.items[keys[1]].lease in store.leases
+
+
+async def test_data_centre_with_a_reader_lists_the_store_seldom() -> None:
+    store = HouseStore()
+    await store.put('op/config', moved(1, '/first/'))
+    async with open_fleet(dict.fromkeys(NAMES, store)) as nodes:
+        copy = store.copy()
+        await asyncio.sleep(COPY_AGE_S)
+        store.go_away()
+        await asyncio.sleep(AWAY_S)
+        store.restore(copy)
+        store.gone_answers = 0
+        store.calls.clear()
+        returned_at = time.monotonic()
+        await store.put('op/config', moved(2, '/second/'))
+        await until(
+            lambda: all(
+                one.belief.configuration is not None
+                and one.belief.configuration.version == 2
+                for one in nodes.values()
+            )
+        )
+        assert time.monotonic() - returned_at < IN_FORCE_S
+        await asyncio.sleep(WATCHED_S)
+        assert all(one.is_ready for one in nodes.values())
+        listings = store.calls.count('GET /mastichatch/kv-range')
+        grants = store.calls.count('POST /mastichatch/kv-lease')
+    # One by each node that called the store itself when it was back.
+    assert listings <= 4
+    assert grants <= len(NAMES) + 2
+    assert store.gone_answers <= MAX_GONE * listings
--- a/tests/test_relay_rollout_state.py
+++ b/tests/test_relay_rollout_state.py
@@ -32,6 +32,7 @@
     changes_status,
     current_phase,
     next_record,
+    restored_view,
 )
 from mastichatch_core.relay.rollouts.verdict import Decision, Verdict
 from mastichatch_core.relay.rollouts.versions import (
@@ -211,6 +212,32 @@
         assert (written.target, written.closed) == ('b', ())
 
 
+class TestRestoredStore:
+    """The store has an order again, at another revision or the same one."""
+
+    @pytest.mark.parametrize('revision', (3, 7, 9))
+    @pytest.mark.parametrize('known', Phase)
+    @pytest.mark.parametrize('found', (None, *Phase))
+    def test_phase_does_not_go_back(
+        self, known: Phase, found: Phase | None, revision: int
+    ) -> None:
+        stored = None if found is None else record(found, revision=revision)
+        restored = restored_view(
+            view(known),
+            RolloutView(order=order(revision=revision), record=stored),
+        )
+        phase = current_phase(restored)
+        assert phase is not None
+        assert RANK[phase] >= RANK[known]
+        assert phase in {known, found}
+
+    @pytest.mark.parametrize('lost', (None, record(Phase.serving, revision=2)))
+    def test_other_order_begins_anew(self, lost: RolloutRecord | None) -> None:
+        other = RolloutView(order=order('c', 3), record=lost)
+        assert restored_view(view(Phase.completed), other) == other
+        assert current_phase(other) is None
+
+
 class TestAccess:
     @pytest.mark.parametrize(
         ('phase', 'previous', 'target'),
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -339,3 +339,37 @@
 def _is_decided(relay: RelayFixture) -> bool:
     status = relay.store.items['status/rollout/llm'].content
     return b'serving' not in status
+
+
+class TestRestoredStore:
+    """The store comes back from a copy that lacks what was decided."""
+
+    @pytest.mark.parametrize('lost', ('order', 'late', 'record', 'decision'))
+    async def test_reported_decision_is_not_taken_otherwise(
+        self, lost: str
+    ) -> None:
+        async with open_rollout_fleet(_endpoints()) as fleet:
+            store = fleet.store
+            copies = {'order': store.copy()}
+            async with fleet.load(RATE, LOOKUP):
+                await fleet.order('v2', PERIOD_S)
+                copies['record'] = store.copy()
+                await fleet.phase_is('serving')
+                copies['decision'] = store.copy()
+                await fleet.state_is('completed', 'reverted')
+            decided = fleet.states[-1]
+            await fleet.phase_is(decided)
+            store.go_away()
+            await asyncio.sleep(0.5)
+            store.restore(copies.get(lost, copies['order']))
+            if lost == 'late':
+                await asyncio.sleep(1.5)
+            if lost in {'order', 'late'}:
+                # Other writers come first, so that its revision differs.
+                await store.put('other/a', b'x')
+                await fleet.order('v2', PERIOD_S)
+            # Without requests, a trial that begins again is reverted.
+            await asyncio.sleep(2 * PERIOD_S)
+            assert set(fleet.states) <= {'serving', decided}
+            assert fleet.states[-1] == decided
+            await fleet.phase_is(decided)
