Keep no lease that an era before the first listing granted

Cause: a node compared the era that it knew when it took its lease. A node that starts while the store is restored knows none yet, and took the next era for that of its lease. Ids of leases are given out again, so it renewed the lease of another node for ever and was registered no more. A lease that the next era had granted before it was listed was left to expire, and another one taken. Change: a lease has the era of the answer that granted it.

--- a/packages/core/mastichatch_core/relay/store.py
+++ b/packages/core/mastichatch_core/relay/store.py
@@ -35,6 +35,18 @@
         self.is_refusal = is_refusal
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Lease:
+    """A lease that the store granted.
+
+    :param number: its id, which the store gives out again in a later era
+    :param era: era of the store that granted it; zero if unknown
+    """
+
+    number: int
+    era: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Transaction:
     """Writes that are made together, if some keys are as expected.
--- a/packages/node/mastichatch_node/relay/crash_store.py
+++ b/packages/node/mastichatch_node/relay/crash_store.py
@@ -135,7 +135,7 @@
 async def _write_report(store: Store, report: CrashReport) -> None:
     lease = await store.grant_lease(EVIDENCE_LEASE_MS)
     key = CRASH_PREFIX + report.instance
-    await store.put(key, codec.encode_json(report), lease)
+    await store.put(key, codec.encode_json(report), lease.number)
 
 
 def _decode_report(
@@ -176,7 +176,7 @@
     try:
         lease = 0
         if key.startswith(CRASH_PREFIX):
-            lease = await store.grant_lease(EVIDENCE_LEASE_MS)
+            lease = (await store.grant_lease(EVIDENCE_LEASE_MS)).number
         await store.commit(
             Transaction(expected={key: 0}, puts={key: content}, lease=lease)
         )
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -38,6 +38,7 @@
 from mastichatch_core.relay.store_backoff import StoreBackoff
 from mastichatch_core.relay.store import (
     HistoryGoneError,
+    Lease,
     LeaseLapsedError,
     StoreUnavailableError,
     StoreView,
@@ -113,8 +114,8 @@
     async def commit(self, transaction: Transaction) -> None:
         """Write keys together, if some keys have the expected revisions."""
 
-    async def grant_lease(self, ttl_ms: int) -> int:
-        """Return the id of a new lease."""
+    async def grant_lease(self, ttl_ms: int) -> Lease:
+        """Return a new lease."""
 
     async def renew_lease(self, lease: int) -> None:
         """Restart the lifetime of a lease."""
@@ -726,34 +727,37 @@
     store: Store, key: str, content: bytes, follower: StoreFollower
 ) -> None:
     async with _granted_lease(store, follower.eras) as lease:
-        era = follower.eras.current
         was_repeated = await _write(store, key, content, lease, follower)
+        era = lease.era
         pause_s = 0 if was_repeated else RENEWAL_INTERVAL_S
         while True:
             if await follower.eras.wait_for_next(era, pause_s):
                 raise _StoreRestoredError
             era = era or follower.eras.current
-            is_renewed = await _renew(store, lease, follower)
+            is_renewed = await _renew(store, lease.number, follower)
             pause_s = RENEWAL_INTERVAL_S if is_renewed else 0
 
 
 @contextlib.asynccontextmanager
-async def _granted_lease(store: Store, eras: StoreEras) -> AsyncIterator[int]:
+async def _granted_lease(store: Store, eras: StoreEras) -> AsyncIterator[Lease]:
     """Grant a lease, which ends when the block is cancelled."""
-    era = eras.current
     lease = await store.grant_lease(LEASE_MS)
     try:
         yield lease
     except asyncio.CancelledError:
         # In a later era, the id may be that of another node's lease.
-        if era in {0, eras.current}:
+        if not 0 < lease.era < eras.current:
             with contextlib.suppress(StoreUnavailableError):
-                await store.end_lease(lease)
+                await store.end_lease(lease.number)
         raise
 
 
 async def _write(
-    store: Store, key: str, content: bytes, lease: int, follower: StoreFollower
+    store: Store,
+    key: str,
+    content: bytes,
+    lease: Lease,
+    follower: StoreFollower,
 ) -> bool:
     """Write a key until the store acknowledges it.
 
@@ -764,11 +768,10 @@
     :raises _StoreRestoredError: if the store came back from an older copy, in
         which the lease may be that of another node
     """
-    era = follower.eras.current
     was_repeated = False
     while True:
         try:
-            await store.put(key, content, lease)
+            await store.put(key, content, lease.number)
         except StoreUnavailableError as error:
             logging.info(
                 'registration of this node failed; trying again',
@@ -778,7 +781,7 @@
             was_repeated = True
         else:
             return was_repeated
-        if await follower.eras.wait_for_next(era, 0):
+        if await follower.eras.wait_for_next(lease.era, 0):
             raise _StoreRestoredError
 
 
--- a/tests/test_house_platform.py
+++ b/tests/test_house_platform.py
@@ -73,7 +73,7 @@
 
     async def test_key_is_deleted_with_its_lease(self) -> None:
         async with open_client() as (store, client):
-            lease = await client.grant_lease(2000)
+            lease = (await client.grant_lease(2000)).number
             await client.put('n/1', b'me', lease)
             await client.renew_lease(lease)
             assert store.items['n/1'].content == b'me'
@@ -115,7 +115,7 @@
         self,
     ) -> None:
         async with open_client() as (store, client):
-            lease = await client.grant_lease(2000)
+            lease = (await client.grant_lease(2000)).number
             store.lose_answers = True
             with pytest.raises(StoreUnavailableError):
                 await client.put('n/1', b'me', lease)
