Write pins again that are lost twice within seconds

Pins and evidence that a second drill in that time took away again stayed lost once it was over, always with one node: it counted them as written. Change: the search ends with its era, and begins anew.

--- a/packages/node/mastichatch_node/relay/crash_store.py
+++ b/packages/node/mastichatch_node/relay/crash_store.py
@@ -118,9 +118,10 @@
     """
     known = eras.current
     while True:
-        if await eras.wait_for_next(known, ERA_POLL_S):
-            await _write_in_turn(store, cache, rank)
+        is_restored = await eras.wait_for_next(known, ERA_POLL_S)
         known = eras.current
+        if is_restored:
+            await _write_in_turn(store, cache, eras, rank)
 
 
 def pin_key(service: str, part: str) -> str:
@@ -149,16 +150,23 @@
 
 
 async def _write_in_turn(
-    store: Store, cache: StoreCache, rank: Callable[[str], int]
+    store: Store,
+    cache: StoreCache,
+    eras: StoreEras,
+    rank: Callable[[str], int],
 ) -> None:
+    """Write the entries that are lost in one era, until the next one."""
+    era = eras.current
     began_at = loop_time() + random.uniform(0, TURN_S / 2)  # noqa: S311
     written: set[str] = set()
-    while loop_time() < began_at + REWRITE_GRACE_S:
-        elapsed_s = loop_time() - began_at
-        for key, content in _lost(cache).items():
-            is_due = elapsed_s >= rank(key) * TURN_S
-            if key in written or not is_due:
-                continue
+    while eras.current == era and loop_time() < began_at + REWRITE_GRACE_S:
+        turns = (loop_time() - began_at) / TURN_S
+        due = {
+            key: content
+            for key, content in _lost(cache).items()
+            if key not in written and turns >= rank(key)
+        }
+        for key, content in due.items():
             if await _write_again(store, key, content):
                 written.add(key)
         await asyncio.sleep(REVIEW_INTERVAL_S)
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -226,6 +226,31 @@
         assert store.items[keys[1]].lease in store.leases
 
 
+@pytest.mark.parametrize('count', (1, 3))
+async def test_pins_that_are_lost_again_are_written_again(count: int) -> None:
+    """The second loss comes while nodes still look for lost pins."""
+    key = 'mastichatch/pins/llm/p'
+    async with open_nodes(count) as relays:
+        store = relays[0].store
+        copy = store.copy()
+        await store.put(key, {})
+        for _ in range(2):
+            revision = store.revision
+            await until(
+                lambda revision=revision: all(
+                    relay.node.belief.entry(key)
+                    and relay.node.belief.revision >= revision
+                    for relay in relays
+                )
+            )
+            store.go_away()
+            store.restore(copy)
+            await until(lambda: key in store.items)
+        await asyncio.sleep(WATCHED_S)
+        assert all(relay.node.belief.entry(key) for relay in relays)
+        assert key in store.items
+
+
 async def test_data_centre_with_a_reader_lists_the_store_seldom() -> None:
     store = HouseStore()
     await store.put('op/config', moved(1, '/first/'))
