Use an endpoint again that lives through two losses of the store

Cause: an endpoint that was removed and is back in an older copy gets nothing for a grace time, and is kept as draining for that. A second drill in that time took it for one that had said so itself, and kept it out until its next start, though it writes that it is ready. An older entry of the second copy, or a removal between the two, did the same. Change: endpoints that are withheld are none that leave; what was known of them when they were removed is kept, and the grace time starts again.

--- a/packages/core/mastichatch_core/relay/registered_endpoints.py
+++ b/packages/core/mastichatch_core/relay/registered_endpoints.py
@@ -15,7 +15,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Withheld:
-    content: bytes
+    """An endpoint that gets no requests until it writes, or for a time."""
+
+    endpoint: Endpoint
     until: float
 
 
@@ -54,7 +56,9 @@
         for withheld_key, withheld in tuple(self._withheld.items()):
             if now >= withheld.until:
                 # The store lets the entry of its older copy stand.
-                self.put(withheld_key, withheld.content)
+                self._withheld.pop(withheld_key)
+                self._removed.pop(withheld_key, None)
+                self._register(withheld_key, withheld.endpoint)
         return self._endpoints
 
     def mark_draining(self, instance: str) -> bool:
@@ -100,10 +104,7 @@
         self._removed.pop(key, None)
         # An earlier start under the same id has ended.
         self._endpoints.pop(self._instances.pop(key, ''), None)
-        endpoint = self._decode(key, content)
-        if endpoint.instance in self._leaving:
-            endpoint = _draining(endpoint)
-        self._set(key, endpoint)
+        self._register(key, self._decode(key, content))
 
     def remove(self, key: str, now: float) -> None:
         """Remove an endpoint, after the grace time if its entry may be back.
@@ -127,11 +128,17 @@
         :param now: time in seconds
         """
         self._restored_at = now
+        withheld = {one.endpoint.instance for one in self._withheld.values()}
         for endpoint in (*self._endpoints.values(), *self._removed.values()):
             is_leaving = endpoint.state is EndpointState.draining
+            if endpoint.instance in withheld:
+                # It counts as draining for the grace time only.
+                continue
             if endpoint.started_ms and is_leaving:
                 self._leaving[endpoint.instance] = 0
         drop_oldest(self._leaving)
+        for key, one in tuple(self._withheld.items()):
+            self._withhold(key, one.endpoint, now)
 
     def restore(self, key: str, content: bytes, now: float) -> None:
         """Register an endpoint by an entry that may be of an older copy.
@@ -145,7 +152,9 @@
         :param now: time in seconds
         :raises MalformedError: as for ``put``
         """
-        known = self._endpoints.get(self._instances.get(key, ''))
+        known = None
+        if key not in self._withheld:
+            known = self._endpoints.get(self._instances.get(key, ''))
         removed = self._removed.get(key)
         self.put(key, content)
         restored = self._endpoints[self._instances[key]]
@@ -153,18 +162,27 @@
             self._endpoints.pop(restored.instance)
             self._set(key, known)
         elif removed is not None and _place(restored) <= _place(removed):
-            self._set(key, _draining(restored))
-            until = now + self._grace_s
-            self._withheld[key] = _Withheld(content=content, until=until)
+            self._removed[key] = removed
+            self._withhold(key, restored, now)
+
+    def _register(self, key: str, endpoint: Endpoint) -> None:
+        if endpoint.instance in self._leaving:
+            endpoint = _draining(endpoint)
+        self._set(key, endpoint)
+
+    def _withhold(self, key: str, endpoint: Endpoint, now: float) -> None:
+        until = now + self._grace_s
+        self._withheld[key] = _Withheld(endpoint=endpoint, until=until)
+        self._set(key, _draining(endpoint))
 
     def _set(self, key: str, endpoint: Endpoint) -> None:
         self._instances[key] = endpoint.instance
         self._endpoints[endpoint.instance] = endpoint
 
     def _discard(self, key: str) -> None:
-        self._withheld.pop(key, None)
+        is_withheld = self._withheld.pop(key, None) is not None
         endpoint = self._endpoints.pop(self._instances.pop(key, ''), None)
-        if endpoint is not None:
+        if endpoint is not None and not is_withheld:
             self._removed[key] = endpoint
             drop_oldest(self._removed)
 
--- a/tests/test_relay_store_eras.py
+++ b/tests/test_relay_store_eras.py
@@ -176,6 +176,31 @@
         cache.apply_listing(listing(2, 50, older), 2, 2)
         assert usable(cache, 99) == 0
 
+    @pytest.mark.parametrize('second', (5, 6, 7))
+    def test_removed_one_that_lives_is_used_after_a_second_loss(
+        self, second: int
+    ) -> None:
+        """That it gets nothing for now does not mean that it leaves."""
+        cache = filled(entry('servers/i', 90, server(7)))
+        cache.apply(listing(1, 101, entry('servers/i', 101)), 1, 1)
+        for era, sequence in ((2, 6), (3, second)):
+            found = entry('servers/i', 40, server(sequence))
+            cache.apply_listing(listing(era, 50, found), era, era)
+        assert usable(cache, 2.9 + EXPIRY_GRACE_S) == 0
+        cache.apply(listing(3, 51, entry('servers/i', 51, server(8))), 4, 4)
+        assert usable(cache, 4) == 1
+
+    def test_one_that_expires_before_a_second_loss_is_used_again(self) -> None:
+        cache = filled(entry('servers/i', 90, server(7)))
+        cache.apply(listing(1, 101, entry('servers/i', 101)), 1, 1)
+        older = entry('servers/i', 40, server(6))
+        cache.apply_listing(listing(2, 50, older), 2, 2)
+        cache.apply(listing(2, 51, entry('servers/i', 51)), 3, 3)
+        cache.apply_listing(listing(3, 50, older), 4, 4)
+        assert usable(cache, 4) == 0
+        cache.apply(listing(3, 51, entry('servers/i', 51, server(8))), 5, 5)
+        assert usable(cache, 5) == 1
+
 
 @dataclasses.dataclass
 class Store:
