Replace the entries if the first era is named after a loss

Cause: the first era that the store named was taken for that of the known entries if the revision had not gone back. Where writers had passed the known revision since the loss, entries that they wrote again at lower revisions were ignored for good. Change: the history is the known one only if all listed entries up to the known revision are known with these revisions and values.

--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -203,7 +203,7 @@
         :param now: time in seconds
         :returns: the keys that changed
         """
-        if not self.era and view.revision >= self.revision:
+        if not self.era and self._entries.is_continued_by(view):
             self._entries.adopt_era(view.era)
         if view.era > self.era:
             return self._begin_era(view, verified_at, now)
--- a/packages/core/mastichatch_core/relay/store_entries.py
+++ b/packages/core/mastichatch_core/relay/store_entries.py
@@ -196,6 +196,20 @@
             ),
         )
 
+    def is_continued_by(self, view: StoreView) -> bool:
+        """Return whether a listing can be of the history that is known.
+
+        Otherwise the store has come back from an older copy, and has given
+        revisions out again.
+
+        :param view: all entries, as of the revision of the view or later
+        """
+        return view.revision >= self._revision and all(
+            entry == self._entries.get(entry.key)
+            for entry in view.entries
+            if entry.revision <= self._revision
+        )
+
     def adopt_era(self, era: int) -> None:
         """Record the era of the known entries, which was unknown so far.
 
--- a/tests/test_relay_store_eras.py
+++ b/tests/test_relay_store_eras.py
@@ -95,6 +95,19 @@
         assert set(cache.entries_under('other/')) == {'other/b'}
         assert (cache.era, cache.revision) == (4, 101)
 
+    def test_first_era_that_is_named_after_a_loss_replaces_entries(
+        self,
+    ) -> None:
+        """Revisions have passed the known one again, with other contents."""
+        cache = StoreCache(create_decoders())
+        known = (entry('other/a', 95, 1), entry('other/b', 90, 1))
+        cache.apply_listing(listing(0, 100, *known), 0, 0)
+        found = (entry('other/a', 94, 2), entry('other/c', 99, 1))
+        cache.apply_listing(listing(4, 120, *found), 1, 1)
+        assert cache.entries_under('other/a') == {'other/a': b'2'}
+        assert cache.entries_under('other/c') == {'other/c': b'1'}
+        assert (cache.era, cache.revision) == (4, 120)
+
 
 class TestLostEntries:
     @pytest.mark.parametrize(
