Hold a decision on a roll-out whose copy has an earlier order

Cause: a service that had an order before has that one in the older copy. Nodes took it for the operator's, and forgot what they had decided on the one that was lost; when the operator wrote that again, its trial began anew, and was reverted where completed had been reported. The gauge of phases is set on each change.

--- a/packages/node/mastichatch_node/relay/rollouts/keeper.py
+++ b/packages/node/mastichatch_node/relay/rollouts/keeper.py
@@ -37,6 +37,7 @@
 from mastichatch_core.relay.store_cache import Decoders, StoreCache
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
+from mastichatch_node.relay.rollouts.lost_orders import LostOrders
 from mastichatch_node.relay.rollouts.observing import RolloutObserver
 from mastichatch_node.relay.rollouts.state import (
     OpenEndpoints,
@@ -73,6 +74,7 @@
         self._telemetry = telemetry
         self._count_nodes = count_nodes
         self._rollouts: dict[str, ServiceRollout] = {}
+        self._lost = LostOrders()
         self._was_filled = False
         self._observer = RolloutObserver(self.find, telemetry, data_centre)
 
@@ -270,9 +272,11 @@
             order=_decode_order(order_entry, decoders),
             record=_decode_record(record_entry, decoders),
         )
-        former = self._rollouts.get(service)
+        former = self._lost.take(service, view.order)
+        former = former or self._rollouts.get(service)
         found, is_repeated = view, False
         if former is not None and former.era != self._cache.era:
+            self._lost.keep(former, view.order)
             view = restored_view(former.view, found)
             is_repeated = is_written_again(former.order, view.order)
         if view.order is None and view.record is None:
@@ -295,6 +299,7 @@
             era=former.era if is_order_lost or is_lost else self._cache.era,
             is_lost=is_lost and not is_order_lost,
         )
+        self._telemetry.show_rollout_phase(service, rollout.phase)
         if rollout.phase is not former.phase:
             rollout.phase_at = loop_time()
             self._log_phase(rollout)
@@ -341,7 +346,6 @@
 
     def _log_phase(self, rollout: ServiceRollout) -> None:
         record, phase = rollout.view.record, rollout.phase
-        self._telemetry.show_rollout_phase(rollout.service, phase)
         if record is None or phase is None:
             return
         self._telemetry.log_state_change(
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -373,3 +373,27 @@
             assert set(fleet.states) <= {'serving', decided}
             assert fleet.states[-1] == decided
             await fleet.phase_is(decided)
+
+    @pytest.mark.parametrize('away_s', (0.1, 1.5))
+    async def test_decision_holds_if_the_copy_has_an_earlier_order(
+        self, away_s: float
+    ) -> None:
+        async with open_rollout_fleet(_endpoints()) as fleet:
+            store = fleet.store
+            async with fleet.load(RATE, LOOKUP):
+                for target in ('v2', 'v1'):
+                    copy = store.copy()
+                    await fleet.order(target, PERIOD_S)
+                    await until(lambda: fleet.states[-1:] == ['serving'])
+                    await fleet.state_is('completed')
+                    await fleet.phase_is('completed')
+            store.go_away()
+            await asyncio.sleep(0.5)
+            store.restore(copy)
+            known = len(fleet.states)
+            await asyncio.sleep(away_s)
+            await fleet.order('v1', PERIOD_S)
+            # Without requests, a trial that begins again is reverted.
+            await asyncio.sleep(2 * PERIOD_S)
+            assert set(fleet.states[known:]) == {'completed'}
+            await fleet.phase_is('completed')
