Compress the whole view that a node sends after a loss

Cause: when a reader enters a later era, the nodes that follow it all need its whole view at once, of which only large entries were compressed. At the target size (1,500 endpoints, 340 nodes) that is 546,268 bytes for each of them without the configuration: 0.44 s on a link of 10 Mbit/s, where a query ends after 0.3 s without an answer; the nodes would leave two readers and list the store. Not run: nodes on slow links.

--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -29,7 +29,13 @@
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.forwarder_choice import NodeLink
 from mastichatch_core.relay.store_cache import StoreCache
-from mastichatch_core.relay.packing import PackingError, pack, unpack
+from mastichatch_core.relay.packing import (
+    PackingError,
+    pack,
+    pack_together,
+    unpack,
+    unpack_together,
+)
 from mastichatch_core.relay.reader_choice import (
     MAX_READERS_TRIED,
     MIN_OTHERS_FOR_READER,
@@ -499,16 +505,19 @@
             await self._updated.wait(query.wait_ms / MS_PER_S)
         is_whole = not query.after or 0 < query.era < self._belief.era
         after = 0 if is_whole else query.after
+        entries = tuple(map(pack, self._belief.changes_after(after)))
+        packed = None
+        if is_whole and query.era:
+            entries, packed = pack_together(entries)
         answer = ViewAnswer(
             revision=self._belief.revision,
             age_ms=self._belief.age(boottime_clock()) * MS_PER_S,
             held_ms=(loop_time() - asked_at) * MS_PER_S,
             is_current=self._in_contact,
-            entries=tuple(
-                pack(entry) for entry in self._belief.changes_after(after)
-            ),
+            entries=entries,
             era=self._belief.era,
             is_whole=is_whole,
+            packed=packed,
         )
         return Reply(kind=MessageKind.view_answer, message=answer)
 
@@ -619,7 +628,10 @@
             self._needs_listing = True
             return None
         try:
-            entries = tuple(unpack(entry) for entry in answer.entries)
+            entries = (
+                *map(unpack, answer.entries),
+                *unpack_together(answer.packed),
+            )
         except PackingError as error:
             logging.warning(
                 'view of another node cannot be decoded',
