Wait for the store's era in the test of pins that are lost again

Cause: mypy could not infer a lambda with a default, and a revision of the former era could end the wait. Change: the wait compares the era too.

--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -235,11 +235,11 @@
         copy = store.copy()
         await store.put(key, {})
         for _ in range(2):
-            revision = store.revision
             await until(
-                lambda revision=revision: all(
+                lambda: all(
                     relay.node.belief.entry(key)
-                    and relay.node.belief.revision >= revision
+                    and relay.node.belief.era == store.era
+                    and relay.node.belief.revision >= store.items[key].revision
                     for relay in relays
                 )
             )
