Keep an evacuation that the store lost for as long as other entries

Cause: an evacuation that the copy lacks counted for 2 s more. Change: it counts for 6 s, as all that is kept.

--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -27,8 +27,8 @@
 # Endpoints whose entries expired while the store was unavailable write them
 # again within this time of its recovery, which the platform guarantees.
 EXPIRY_GRACE_S: Final = 2.0
-# Time for which what nodes wrote, and orders on which they act, count as
-# present in a store that came back without them: as long as a lease of nodes.
+# Time for which all entries but those of endpoints count as present in a store
+# that came back without them: as long as a lease of nodes.
 REWRITE_GRACE_S: Final = 6.0
 
 
@@ -237,8 +237,7 @@
             if missing.key.startswith(prefix):
                 self._endpoints.remove(missing.key, now)
             else:
-                until = now + _grace_s(self._decoders, missing.key)
-                self._entries.carry(missing, until)
+                self._entries.carry(missing, now + REWRITE_GRACE_S)
         self._verified_at = max(self._verified_at, verified_at)
         # The places of all entries have changed.
         return tuple(one.key for one in (*view.entries, *change.missing))
@@ -282,15 +281,6 @@
             )
 
 
-def _grace_s(decoders: Decoders, key: str) -> float:
-    """Return how long an entry of a former era is kept, in seconds."""
-    of_operators = (
-        decoders.configuration_key,
-        decoders.evacuation_prefix,
-    )
-    return EXPIRY_GRACE_S if key.startswith(of_operators) else REWRITE_GRACE_S
-
-
 def endpoint_at(cache: StoreCache, address: str, now: float) -> Endpoint | None:
     """Return the endpoint at an address, the one that started last.
 
