--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -26,7 +26,7 @@
 )
 from tests.standins.house_endpoints import HouseEndpoint, respond_ok
 from tests.standins.house_store import HouseStore
-from tests.test_relay_store_outage import NAMES, open_fleet
+from tests.test_relay_store_outage import NAMES, StoreAccess, open_fleet
 
 # Time after the store's return within which a configuration is in force.
 IN_FORCE_S = 1.0
@@ -277,6 +277,40 @@
         assert key in store.items
 
 
+async def test_node_that_the_store_refuses_follows_the_other_nodes() -> None:
+    """It learns of two losses from them, and registers once it is served."""
+    store = HouseStore()
+    await store.put('op/config', moved(1, '/first/'))
+    served, refused = StoreAccess(store), StoreAccess(store)
+    name = NAMES[-1]
+    async with open_fleet(
+        {**dict.fromkeys(NAMES, served), name: refused}
+    ) as nodes:
+        found = nodes.values()
+        copy = store.copy()
+        refused.refuse_status = 503
+        for version in (2, 3):
+            store.go_away()
+            await asyncio.sleep(AWAY_S / 2)
+            store.restore(copy)
+            await store.put('op/config', moved(version, f'/v{version}/'))
+            await until(
+                lambda: {one.belief.era for one in found} == {store.era}
+            )
+            await until(
+                lambda: all(
+                    one.belief.revision >= store.items['op/config'].revision
+                    for one in found
+                )
+            )
+            newest = [one.belief.configuration for one in found]
+            assert {one and one.version for one in newest} == {version}
+        await asyncio.sleep(WATCHED_S)
+        refused.refuse_status = 0
+        await until(lambda: f'mastichatch/nodes/{name}' in store.items)
+        assert store.items[f'mastichatch/nodes/{name}'].lease in store.leases
+
+
 async def test_data_centre_with_a_reader_lists_the_store_seldom() -> None:
     store = HouseStore()
     await store.put('op/config', moved(1, '/first/'))
