Take no era from a single answer at a node's start

Cause: the first listing's era counted at once. One answer with a wrong higher number made a node refuse all later answers until its restart, and the nodes that it told of that era would have followed (by reading). Change: the first era counts as a later one does, once two answers in a row name it; the pages of one listing are such answers. A start at a store of one page costs one more read; a new era at a store of several pages costs one listing where it took two if the answer before it named the former era.

--- a/tests/test_house_platform.py
+++ b/tests/test_house_platform.py
@@ -198,6 +198,23 @@
             assert (await client.read_range('')).era == 2
             assert len(store.calls) == 2
 
+    async def test_first_answer_with_an_odd_era_counts_for_nothing(
+        self,
+    ) -> None:
+        """All later answers would be of a former era otherwise."""
+        async with open_client() as (store, client):
+            store.odd_eras = ['77']
+            assert (await client.read_range('')).era == store.era
+            assert (await client.watch('', store.revision, 0)).era == store.era
+
+    async def test_pages_of_one_era_need_no_other_listing(self) -> None:
+        async with open_client() as (store, client):
+            store.page_size = 1
+            for number in range(3):
+                await store.put(f'a/{number}', b'x')
+            assert (await client.read_range('')).era == store.era
+            assert len(store.calls) == 3
+
     async def test_late_answer_of_the_first_era_is_none(self) -> None:
         """It names the number zero, which is not the same as none."""
         async with open_client() as (store, client):
