Let the soak's store come back from older copies, beside other faults

Cause: nothing played drills of the store beside other faults, or under load. Change: two faults of the soak, one drill and two within seconds. The store loses the newest configuration, nine writes of others and what endpoints wrote meanwhile; the operator writes again at once, the endpoints within a second. Promise: at most three answers 410 a node.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from tests.soak.fleet import NODES, SERVICES, Fleet
-from tests.soak.records import NodeGap
+from tests.soak.records import Drill, NodeGap
 from tests.standins.proxy import Proxy
 
 # Time over which faults begin, and how long each lasts at the most.
@@ -30,6 +30,16 @@
 # Time for which refusals are copied at least, since few copies come while their
 # request is under way again on the same connection.
 COPIES_S: Final = 4.0
+# Time for which the store is away in a drill, and from the end of the writes
+# that follow it until its answers are no longer counted.
+AWAY_S: Final = 0.5
+RETURN_S: Final = 2.0
+# Writes of other users of the store that a drill loses.
+LOST_WRITES: Final = 9
+# Writes of them that follow a drill at once: fewer, so that revisions are lower
+# than the known ones, or more.
+FEW_CHANGES: Final = 0
+MANY_CHANGES: Final = 40
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -127,6 +137,59 @@
     fleet.store.first_revision = fleet.store.revision
 
 
+async def play_drill(
+    fleet: Fleet, copy_age_s: float, changes: int, times: int = 1
+) -> None:
+    """Let the store come back from a copy without the newest configuration.
+
+    :param fleet: whose store loses what it acknowledged
+    :param copy_age_s: age of the copy when the store goes away, in seconds
+    :param changes: writes of others that follow at once
+    :param times: number of drills within seconds; the answers that follow the
+        last one are recorded
+    """
+    starts = _count_starts(fleet)
+    for _ in range(times):
+        await _lose_writes(fleet, copy_age_s, changes)
+    await asyncio.sleep(RETURN_S)
+    started = _count_starts(fleet) - starts
+    fleet.records.drills.append(
+        Drill(
+            gone_answers=fleet.store.gone_answers,
+            requesters=len(fleet.nodes) + started,
+        )
+    )
+
+
+async def _lose_writes(fleet: Fleet, copy_age_s: float, changes: int) -> None:
+    copy = fleet.store.copy()
+    await fleet.change_configuration()
+    await _write_others(fleet, LOST_WRITES)
+    await asyncio.sleep(copy_age_s)
+    fleet.store.go_away()
+    await asyncio.sleep(AWAY_S)
+    fleet.store.gone_answers = 0
+    await fleet.restore_store(copy)
+    await _write_others(fleet, changes)
+
+
+async def _write_others(fleet: Fleet, count: int) -> None:
+    for number in range(count):
+        await fleet.store.put(f'other/{number}', b'x')
+
+
+async def _drill(fleet: Fleet, _name: str, for_s: float) -> None:
+    await play_drill(fleet, for_s, MANY_CHANGES)
+
+
+async def _drill_twice(fleet: Fleet, _name: str, for_s: float) -> None:
+    await play_drill(fleet, for_s / 2, FEW_CHANGES, times=2)
+
+
+def _count_starts(fleet: Fleet) -> int:
+    return sum(node.starts for node in fleet.nodes.values())
+
+
 async def _replace(fleet: Fleet, name: str, for_s: float) -> None:
     """Let an endpoint leave with notice, and come back as another run."""
     endpoint, proxy = fleet.endpoints[name]
@@ -232,6 +295,8 @@
     'store_silent': _store(is_silent=True),
     'store_loses_answers': _store(lose_answers=True),
     'store_compacts': _compact,
+    'store_drill': _drill,
+    'store_drills': _drill_twice,
     'configure': _configure,
     'deadly_part': _flag('has_deadly_part'),
     'odd_answers': _flag('has_odd_answers'),
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,13 +10,13 @@
 from typing import Final
 
 from tests.processes import Process, free_address
-from tests.relay_nodes import configuration
+from tests.relay_nodes import configuration, route
 from tests.relay_process import start_relay
 from tests.soak.promises import STREAM_EVENTS
 from tests.soak.records import Arrival, EndpointRun, Records
 from tests.standins import house_endpoints as endpoints
 from tests.standins.house_endpoints import HouseEndpoint, ReceivedRequest
-from tests.standins.house_store import HouseStore, open_store
+from tests.standins.house_store import Copy, HouseStore, open_store
 from tests.standins.proxy import Proxy, open_proxy
 
 NODES: Final = ('north-1', 'north-2', 'north-3')
@@ -40,6 +40,8 @@
 # What versions on trial may get, by the nodes' settings.
 ROLLOUT_SHARE: Final = 0.2
 ROLLOUT_SLACK: Final = 12.0
+# Time within which endpoints write again what the store has lost.
+WRITE_AGAIN_S: Final = 1.0
 # Limits that endpoints name, in requests a second.
 LIMITS: Final = ('0.5', '1.1', '2')
 # Share of calls that are answered oddly while that fault lasts.
@@ -101,6 +103,11 @@
         self.bad_version = ''
         self._restarts: set[asyncio.Task[None]] = set()
 
+    @property
+    def version_prefix(self) -> str:
+        """Prefix of the route that only the newest configuration has."""
+        return f'/version-{self._version}/'
+
     async def add_endpoint(self, name: str, proxy: Proxy) -> None:
         """Register an endpoint whose callers come through a proxy."""
         endpoint, _ = self.endpoints[name]
@@ -118,10 +125,37 @@
         """Put a new version of the operators' configuration in force."""
         self._version += 1
         document = configuration(self._version)
+        document['routes'].append(
+            route('version', 'safe', 'app', prefix=self.version_prefix)
+        )
         if not with_key:
             document['tenants'] = [{'name': 'depots', 'api_keys': ['other']}]
         await self.store.put('op/config', document)
 
+    async def restore_store(self, copy: Copy) -> None:
+        """Let the store come back from a copy, and its writers write again.
+
+        The operator writes at once, and the endpoints within a second. What a
+        writer changes meanwhile is left as it is.
+        """
+        lost = dict(self.store.items)
+        self.store.restore(copy)
+        keys = sorted(
+            key
+            for key in {*lost, *copy.items}
+            if key.startswith(('op/', 'servers/'))
+            and lost.get(key) != copy.items.get(key)
+        )
+        for key in keys:
+            if key.startswith('servers/'):
+                await asyncio.sleep(WRITE_AGAIN_S / len(keys))
+            if self.store.items.get(key) != copy.items.get(key):
+                continue
+            if key in lost:
+                await self.store.put(key, lost[key].content)
+            else:
+                await self.store.remove(key)
+
     def draw_limit(self) -> str:
         """Return a limit for an endpoint to name."""
         return self._draws.choice(LIMITS)
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -79,18 +79,31 @@
             )
         )
 
-    async def call(self, kind: Kind, node: str, request_id: str) -> Outcome:
+    async def probe(self, node: str, prefix: str) -> Outcome:
+        """Send an idempotent request to a node under a prefix.
+
+        :param node: name of the node
+        :param prefix: prefix of the path
+        """
+        kind = Kind.idempotent
+        return await self.call(kind, node, self._new_id(kind), prefix)
+
+    async def call(
+        self, kind: Kind, node: str, request_id: str, prefix: str = ''
+    ) -> Outcome:
         """Send one request to a node and return what came back.
 
         :param kind: kind of the request
         :param node: name of the node
         :param request_id: id of the request
+        :param prefix: prefix of the path, unless it is that of the kind
         """
+        path = f'{prefix or f"/{kind}/"}x'
         sent_at = time.monotonic()
         answer = None
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                answer = await self._exchange(kind, node, request_id)
+                answer = await self._exchange(kind, node, path, request_id)
         return Outcome(
             request_id=request_id,
             kind=kind,
@@ -116,7 +129,7 @@
         return f'{kind}-{next(self._numbers)}'
 
     async def _exchange(
-        self, kind: Kind, node: str, request_id: str
+        self, kind: Kind, node: str, path: str, request_id: str
     ) -> relay_nodes.Response:
         reader, writer = await self._connect(node)
         is_kept = False
@@ -124,7 +137,7 @@
             headers = self._draw_headers(kind)
             writer.write(
                 relay_nodes.request_bytes(
-                    f'/{kind}/x', request_id=request_id, headers=headers
+                    path, request_id=request_id, headers=headers
                 )
             )
             answer = await relay_nodes.read_answer(reader)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -28,6 +28,9 @@
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_SHARE: Final = 1.5
 LIMIT_SLACK: Final = 5
+# Most answers by node, after the store came back from an older copy, that it
+# lacks the history asked for.
+GONE_ANSWERS: Final = 3
 
 _OK: Final = 200
 
@@ -46,6 +49,7 @@
         _requests_to_leaving_endpoints,
         _requests_in_pauses,
         _requests_over_limits,
+        _watches_of_a_lost_history,
         _nodes_that_ended,
     )
     return [line for check in checks for line in check(records)]
@@ -233,6 +237,15 @@
     )
 
 
+def _watches_of_a_lost_history(records: Records) -> Iterator[str]:
+    for drill in records.drills:
+        if drill.gone_answers > GONE_ANSWERS * drill.requesters:
+            yield (
+                f'{drill.requesters} nodes were answered 410 '
+                f'{drill.gone_answers} times after a drill'
+            )
+
+
 def _nodes_that_ended(records: Records) -> Iterator[str]:
     for line in records.ended:
         yield f'{line} ended by itself'
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -88,6 +88,19 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Drill:
+    """A return of the store from an older copy.
+
+    :param gone_answers: watches that the store answered with 410 from its
+        return until some seconds later
+    :param requesters: nodes that ran at some time since the return
+    """
+
+    gone_answers: int
+    requesters: int
+
+
 @dataclasses.dataclass(kw_only=True)
 class Records:
     """All that was seen.
@@ -97,6 +110,7 @@
     :param arrivals: requests that reached endpoints
     :param gaps: times in which nodes were frozen or did not run
     :param ended: nodes that ended without being told, with their exit codes
+    :param drills: returns of the store from an older copy
     :param key_revoked_at: when the key of the soak's callers was taken away
         for good; ``None`` if it was not
     """
@@ -106,4 +120,5 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     gaps: list[NodeGap] = dataclasses.field(default_factory=list)
     ended: list[str] = dataclasses.field(default_factory=list)
+    drills: list[Drill] = dataclasses.field(default_factory=list)
     key_revoked_at: float | None = None
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -51,7 +51,7 @@
     draws = random.Random(seed)
     series = faults.draw_series(draws)
     async with open_fleet(folder, draws) as fleet:
-        if not await _all_ready(fleet, START_S):
+        if not await all_ready(fleet, START_S):
             return _judge(fleet.records, ['the fleet did not become ready'])
         callers = Callers(fleet, draws)
         if seed % ROLLOUT_SEEDS:
@@ -60,7 +60,7 @@
             # Draws of its own leave the other seeds as they were.
             async with open_rollout(fleet, random.Random(seed)) as rollout:
                 broken = await _play(fleet, callers, series)
-                async with _calling(callers):
+                async with calling(callers):
                     broken.extend([line async for line in rollout.end()])
                 await callers.finish()
                 broken.extend(rollout.broken_promises())
@@ -73,7 +73,7 @@
     fleet: Fleet, callers: Callers, series: tuple[faults.Fault, ...]
 ) -> list[str]:
     """Let faults strike, and return what is still not served afterwards."""
-    async with _calling(callers):
+    async with calling(callers):
         await faults.play(fleet, series)
     await callers.finish()
     fleet.note_ended()
@@ -92,7 +92,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _calling(callers: Callers) -> AsyncIterator[None]:
+async def calling(callers: Callers) -> AsyncIterator[None]:
+    """Call until the end of the block.
+
+    :param callers: who calls
+    """
     task = asyncio.ensure_future(callers.repeat())
     try:
         yield
@@ -105,7 +109,7 @@
     """Return what is still not served once all faults are over."""
     fleet.is_calm = True
     ends_at = time.monotonic() + RECOVER_S
-    if not await _all_ready(fleet, RECOVER_S):
+    if not await all_ready(fleet, RECOVER_S):
         return [f'not all nodes were ready {RECOVER_S} s after the last fault']
     # What nodes believe of endpoints may recover later than they are ready.
     await asyncio.sleep(max(0, ends_at - time.monotonic()))
@@ -128,15 +132,19 @@
         node.process.freeze()
     await fleet.change_configuration(with_key=False)
     fleet.records.key_revoked_at = time.monotonic()
-    async with _calling(callers):
+    async with calling(callers):
         await asyncio.sleep(KEY_LIMIT_S + 2 * KEY_SLACK_S)
         node.process.wake()
         await asyncio.sleep(2 * KEY_SLACK_S)
     await callers.finish()
 
 
-async def _all_ready(fleet: Fleet, timeout_s: float) -> bool:
-    """Return whether all nodes say that they are ready, in time."""
+async def all_ready(fleet: Fleet, timeout_s: float) -> bool:
+    """Return whether all nodes say that they are ready, in time.
+
+    :param fleet: the nodes
+    :param timeout_s: longest wait, in seconds
+    """
     ends_at = time.monotonic() + timeout_s
     timeout = aiohttp.ClientTimeout(total=1)
     async with aiohttp.ClientSession(timeout=timeout) as session:
--- a/tests/standins/house_store.py
+++ b/tests/standins/house_store.py
@@ -32,6 +32,7 @@
     events: tuple[dict[str, Any], ...]
     leases: dict[int, float]
     next_lease: int
+    first_revision: int
 
 
 class HouseStore:
@@ -107,6 +108,7 @@
             events=tuple(self.events),
             leases=dict(self.leases),
             next_lease=self._next_lease,
+            first_revision=self.first_revision,
         )
 
     def go_away(self) -> None:
@@ -125,6 +127,7 @@
         self.events = list(copy.events)
         self.leases = dict(copy.leases)
         self._next_lease = copy.next_lease
+        self.first_revision = copy.first_revision
         self.era += 1
         self.resets = False
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,9 +7,11 @@
 import pytest
 
 from tests.soak import faults
+from tests.soak.drills import play_drills
 from tests.soak.promises import STREAM_EVENTS, broken_promises
 from tests.soak.records import (
     Arrival,
+    Drill,
     EndpointRun,
     Kind,
     NodeGap,
@@ -20,6 +22,8 @@
 
 # One with the key taken away, one without; the rest is played by hand.
 SHORT_RUN = (3, 4)
+# Drills, as many as the counts of writes that follow them.
+DRILLS = 3
 # Seeds that broke a promise, with the cause.
 REGRESSIONS: dict[int, str] = {}
 
@@ -74,6 +78,7 @@
             ),
             Records(outcomes=[_stream(WHOLE_STREAM[:200], is_whole=False)]),
             Records(runs=[_run(5.0)], key_revoked_at=0),
+            Records(drills=[Drill(gone_answers=9, requesters=3)]),
             Records(
                 outcomes=[_refused(), _outcome(sent_at=1)], runs=[_run(1.1)]
             ),
@@ -128,6 +133,10 @@
                 Records(runs=[_run(6.0)], key_revoked_at=0),
                 'with a key taken away',
             ),
+            (
+                Records(drills=[Drill(gone_answers=10, requesters=3)]),
+                'were answered 410',
+            ),
             (Records(ended=['north-1 (exit code 1)']), 'ended by itself'),
         ],
     )
@@ -261,3 +270,13 @@
         verdict = await play_seed(seed, tmp_path)
         assert verdict.broken == ()
         assert verdict.served
+
+
+class TestDrills:
+    async def test_all_requests_are_served(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """The store comes back from older copies, under callers' load."""
+        report = await play_drills(DRILLS, 1, tmp_path)
+        assert report.broken == ()
+        assert report.served == report.sent > 0
