Do not take a connection for failed when the process was held up

Traced with all nodes on one core beside other processes: the probe's call was answered 503 endpoint_unreachable, "no connection to ...: TimeoutError()", after 0.30 to 0.38 s, at several nodes at the same moment. The time limit of a connect (0.25 s) ended in the turn of the event loop in which it learned that the kernel had established the connection, or within few long turns; the timer came first, the caller got 503, and the server had done nothing. Any node that is held up or frozen for that long does so; the return of the store has no part in it. Change: the limit elapses in five steps, each in a turn of the loop at least, so that the connection is noticed first. A peer that does not answer is still given up after 0.25 s.

--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -34,7 +34,7 @@
 from mastichatch_core.relay.sent_requests import Belonging, SentRequests
 from mastichatch_core.statuses import is_status_defined
 from mastichatch_core.units import MS_PER_S
-from mastichatch_node.clock import loop_time
+from mastichatch_node.clock import loop_time, patient_timeout
 from mastichatch_node.relay.resources import Resources
 from mastichatch_node.relay.turns import TurnLimiter, piece_cost_bytes
 
@@ -695,7 +695,7 @@
     signs = resources.signs
     reader = CountingReader(resources.budget, address)
     try:
-        async with asyncio.timeout(timeout_s):
+        async with patient_timeout(timeout_s):
             writer = await _open_stream(reader, host, int(port))
     except Exception as error:
         # The address comes from another process, and errors of other kinds
