Write lost pins and evidence again after each of two drills within seconds

Cause: a node that follows the store into another era repeats lost entries for 6 s, each once. A second drill in that time was part of the first one: an entry that the node had repeated was not repeated once more, and one that the second drill lost had only the time that was left. With one node a pin was lost for good; with more, the others repeat it, unless all of them had. Change: each era has a time of its own, which ends with the next one.

--- a/packages/node/mastichatch_node/relay/crash_store.py
+++ b/packages/node/mastichatch_node/relay/crash_store.py
@@ -116,11 +116,13 @@
     :param eras: tells when the store was restored
     :param rank: returns the number of nodes that write a key before this one
     """
-    known = eras.current
+    era = eras.current
     while True:
-        if await eras.wait_for_next(known, ERA_POLL_S):
-            await _write_in_turn(store, cache, rank)
-        known = eras.current
+        former = era
+        await eras.wait_for_next(former, ERA_POLL_S)
+        era = eras.current
+        if 0 < former < era:
+            await _write_in_turn(store, cache, eras, rank)
 
 
 def pin_key(service: str, part: str) -> str:
@@ -149,16 +151,24 @@
 
 
 async def _write_in_turn(
-    store: Store, cache: StoreCache, rank: Callable[[str], int]
+    store: Store,
+    cache: StoreCache,
+    eras: StoreEras,
+    rank: Callable[[str], int],
 ) -> None:
+    """Write what the store has lost, until it is restored once more."""
+    era = eras.current
     began_at = loop_time() + random.uniform(0, TURN_S / 2)  # noqa: S311
+    ends_at = began_at + REWRITE_GRACE_S
     written: set[str] = set()
-    while loop_time() < began_at + REWRITE_GRACE_S:
+    while eras.current == era and loop_time() < ends_at:
         elapsed_s = loop_time() - began_at
-        for key, content in _lost(cache).items():
-            is_due = elapsed_s >= rank(key) * TURN_S
-            if key in written or not is_due:
-                continue
+        due = {
+            key: content
+            for key, content in _lost(cache).items()
+            if key not in written and elapsed_s >= rank(key) * TURN_S
+        }
+        for key, content in due.items():
             if await _write_again(store, key, content):
                 written.add(key)
         await asyncio.sleep(REVIEW_INTERVAL_S)
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -226,6 +226,21 @@
         assert store.items[keys[1]].lease in store.leases
 
 
+async def test_pin_that_two_drills_lose_is_written_after_both() -> None:
+    """They come within the time for which lost entries are kept."""
+    key = 'mastichatch/pins/llm/p'
+    async with open_nodes(1) as (relay,):
+        store = relay.store
+        copy = store.copy()
+        await store.put(key, {})
+        await until(lambda: relay.node.belief.entry(key) is not None)
+        for _ in range(2):
+            store.go_away()
+            await asyncio.sleep(AWAY_S)
+            store.restore(copy)
+            await until(lambda: key in store.items)
+
+
 async def test_data_centre_with_a_reader_lists_the_store_seldom() -> None:
     store = HouseStore()
     await store.put('op/config', moved(1, '/first/'))
