Remove a pin again whose removal the store has lost

Cause: an operator unpins a part, the store loses that and comes back with the pin. All requests with the part were refused from then on, until somebody noticed and unpinned it again. Change: the entries of a node know the revision of what was deleted. A pin that a later era has again at that revision, or a lower one, is removed by the nodes in turn, as lost pins are written, on condition of its revision; a later pin has a higher one and stays. What was deleted again so is not taken for lost in a further era.

--- a/packages/core/mastichatch_core/relay/store.py
+++ b/packages/core/mastichatch_core/relay/store.py
@@ -42,11 +42,13 @@
     :param expected: revisions of keys; zero for keys that do not exist
     :param puts: new values, by key
     :param lease: id of the lease with which the keys end; zero for none
+    :param removals: keys to delete
     """
 
     expected: Mapping[str, int]
     puts: Mapping[str, bytes]
     lease: int = 0
+    removals: tuple[str, ...] = ()
 
 
 class HistoryGoneError(Exception):
--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -22,7 +22,7 @@
 from mastichatch_core.relay.registered_endpoints import RegisteredEndpoints
 from mastichatch_core.relay.rollouts.order import RolloutOrder
 from mastichatch_core.relay.store import StoreView
-from mastichatch_core.relay.store_entries import StoreEntries
+from mastichatch_core.relay.store_entries import Loss, StoreEntries
 
 # Endpoints whose entries expired while the store was unavailable write them
 # again within this time of its recovery, which the platform guarantees.
@@ -132,17 +132,17 @@
         return self._entries.get(key)
 
     def entries_under(
-        self, prefix: str, *, only_carried: bool = False
+        self, prefix: str, *, lost: Loss | None = None
     ) -> Mapping[str, bytes]:
         """Return the values of the keys under a prefix, by key.
 
         :param prefix: prefix of the keys
-        :param only_carried: whether only entries of a former era are returned
-            that the store lacks since it was restored
+        :param lost: if it is given, only those entries are returned of which
+            the store has lost this
         """
         found = self._entries.under(prefix)
-        if only_carried:
-            found = self._entries.carried_under(prefix)
+        if lost is not None:
+            found = self._entries.lost_under(prefix, lost)
         return {
             entry.key: entry.value for entry in found if entry.value is not None
         }
@@ -241,7 +241,8 @@
                 self._entries.carry(missing, until)
         self._verified_at = max(self._verified_at, verified_at)
         # The places of all entries have changed.
-        return tuple(one.key for one in (*view.entries, *change.missing))
+        places = (*view.entries, *change.missing, *change.deleted)
+        return tuple(one.key for one in places)
 
     def _apply_entry(self, entry: ViewEntry, now: float) -> bool:
         if not self._entries.put(entry):
--- a/packages/core/mastichatch_core/relay/store_entries.py
+++ b/packages/core/mastichatch_core/relay/store_entries.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import enum
 from collections.abc import Iterator
 from typing import Final, TypeVar
 
@@ -23,16 +24,25 @@
 _Kept = TypeVar('_Kept')
 
 
+class Loss(enum.Enum):
+    """What a store that came back from an older copy has lost of an entry."""
+
+    writing = 'writing'
+    deletion = 'deletion'
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EraChange:
     """How the entries of a new era differ from the known ones.
 
     :param written: entries that were unknown, or had another value
     :param missing: entries of the former era that the new one lacks
+    :param deleted: entries whose lost deletion has been made again
     """
 
     written: tuple[ViewEntry, ...]
     missing: tuple[ViewEntry, ...]
+    deleted: tuple[ViewEntry, ...]
 
 
 class StoreEntries:
@@ -42,6 +52,10 @@
         """Create an empty table, of an unknown era."""
         self._entries: dict[str, ViewEntry] = {}
         self._deleted: dict[str, int] = {}
+        # Revisions of the entries that were deleted.
+        self._former: dict[str, int] = {}
+        # Entries whose deletion the store has lost.
+        self._undeleted: dict[str, ViewEntry] = {}
         # Times until which entries of a former era count as present.
         self._carried: dict[str, float] = {}
         self._era = 0
@@ -76,14 +90,19 @@
             if key.startswith(prefix):
                 yield entry
 
-    def carried_under(self, prefix: str) -> Iterator[ViewEntry]:
-        """Yield the entries of a former era that this one lacks so far.
+    def lost_under(self, prefix: str, loss: Loss) -> Iterator[ViewEntry]:
+        """Yield the entries of which the store has lost something.
 
         :param prefix: prefix of their keys
+        :param loss: what it has lost
         """
-        for key in self._carried:
-            if key.startswith(prefix):
-                yield self._entries[key]
+        keys = self._carried if loss is Loss.writing else self._undeleted
+        for key in keys:
+            entry = self._entries.get(key)
+            # One that was written again is another entry.
+            is_lost = loss is Loss.writing or entry == self._undeleted[key]
+            if entry is not None and is_lost and key.startswith(prefix):
+                yield entry
 
     def changes_after(self, revision: int) -> tuple[ViewEntry, ...]:
         """Return the entries written or deleted in this era after a revision.
@@ -133,9 +152,12 @@
         self._carried.pop(key, None)
         self._deleted.pop(key, None)
         if entry.value is None:
-            self._entries.pop(key, None)
+            known = self._entries.pop(key, None)
             self._deleted[key] = entry.revision
             drop_oldest(self._deleted)
+            if known is not None:
+                self._former[key] = known.revision
+                drop_oldest(self._former)
         else:
             self._entries[key] = entry
         return True
@@ -175,6 +197,17 @@
             for entry in view.entries
             if entry.value is not None
         }
+        undeleted = self._undeleted
+        self._undeleted = {
+            key: entry
+            for key, entry in present.items()
+            if self._is_undeleted(entry)
+        }
+        self._former = {
+            key: revision
+            for key, revision in self._former.items()
+            if key not in present
+        }
         self._entries = present
         self._deleted = {
             entry.key: entry.revision
@@ -192,7 +225,14 @@
                 if key not in former or former[key].value != entry.value
             ),
             missing=tuple(
-                entry for key, entry in former.items() if key not in present
+                entry
+                for key, entry in former.items()
+                if key not in present and entry != undeleted.get(key)
+            ),
+            deleted=tuple(
+                entry
+                for key, entry in undeleted.items()
+                if key not in present and entry == former.get(key)
             ),
         )
 
@@ -228,6 +268,17 @@
             self._entries.pop(key)
         return released
 
+    def _is_undeleted(self, entry: ViewEntry) -> bool:
+        """Return whether an entry of a new era was deleted in the former one.
+
+        One with a higher revision than the deleted one was written later.
+        """
+        known = self._entries.get(entry.key)
+        if known is not None:
+            # The drill before this one lost the deletion as well.
+            return known == entry == self._undeleted.get(entry.key)
+        return entry.revision <= self._former.get(entry.key, -1)
+
     def _known_revision(self, key: str) -> int:
         known = self._entries.get(key)
         if known is None or key in self._carried:
--- a/packages/node/mastichatch_node/relay/crash_store.py
+++ b/packages/node/mastichatch_node/relay/crash_store.py
@@ -6,12 +6,13 @@
 If the store comes back without some of it, the nodes write that again, since
 all of them know it, and the one that wrote it may have stopped. They have an
 order for each key: the first node writes it, and each of the next ones if it is
-still missing when its turn comes.
+still missing when its turn comes. So it is with a lost removal of a pin.
 """
 
 import asyncio
+import dataclasses
 import random
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from absl import logging
@@ -25,6 +26,7 @@
     Transaction,
 )
 from mastichatch_core.relay.store_cache import REWRITE_GRACE_S, StoreCache
+from mastichatch_core.relay.store_entries import Loss
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.crash_tracking import CrashTracker
@@ -109,7 +111,7 @@
     eras: StoreEras,
     rank: Callable[[str], int],
 ) -> None:
-    """Write what the store lacks after it was restored, until cancelled.
+    """Write what the store lost before it was restored, until cancelled.
 
     :param store: the platform's store
     :param cache: local view of the store
@@ -164,38 +166,48 @@
     while eras.current == era and loop_time() < ends_at:
         elapsed_s = loop_time() - began_at
         due = {
-            key: content
-            for key, content in _lost(cache).items()
+            key: lost
+            for key, lost in _lost(cache).items()
             if key not in written and elapsed_s >= rank(key) * TURN_S
         }
-        for key, content in due.items():
-            if await _write_again(store, key, content):
+        for key, lost in due.items():
+            if await _write_again(store, lost):
                 written.add(key)
         await asyncio.sleep(REVIEW_INTERVAL_S)
 
 
-def _lost(cache: StoreCache) -> Mapping[str, bytes]:
-    return {
-        **cache.entries_under(PIN_PREFIX, only_carried=True),
-        **cache.entries_under(CRASH_PREFIX, only_carried=True),
+def _lost(cache: StoreCache) -> dict[str, Transaction]:
+    """Return the writes that the store has lost, by key."""
+    written = {
+        **cache.entries_under(PIN_PREFIX, lost=Loss.writing),
+        **cache.entries_under(CRASH_PREFIX, lost=Loss.writing),
     }
+    lost = {
+        key: Transaction(expected={key: 0}, puts={key: content})
+        for key, content in written.items()
+    }
+    for key in cache.entries_under(PIN_PREFIX, lost=Loss.deletion):
+        entry = cache.entry(key)
+        if entry is not None:
+            lost[key] = Transaction(
+                expected={key: entry.revision}, puts={}, removals=(key,)
+            )
+    return lost
 
 
-async def _write_again(store: Store, key: str, content: bytes) -> bool:
-    """Write an entry, and return whether the store has it."""
+async def _write_again(store: Store, lost: Transaction) -> bool:
+    """Repeat a write, and return whether it needs no other try."""
     try:
-        lease = 0
-        if key.startswith(CRASH_PREFIX):
+        if any(key.startswith(CRASH_PREFIX) for key in lost.puts):
             lease = await store.grant_lease(EVIDENCE_LEASE_MS)
-        await store.commit(
-            Transaction(expected={key: 0}, puts={key: content}, lease=lease)
-        )
+            lost = dataclasses.replace(lost, lease=lease)
+        await store.commit(lost)
     except ConflictError:
         return True
     except StoreUnavailableError as error:
         logging.info(
             'a lost entry was not written; trying again',
-            extra={'key': key, 'reason': str(error)},
+            extra={'key': next(iter(lost.expected)), 'reason': str(error)},
         )
         return False
     return True
--- a/packages/node/mastichatch_node/relay/rollouts/keeper.py
+++ b/packages/node/mastichatch_node/relay/rollouts/keeper.py
@@ -35,6 +35,7 @@
     trial_endpoints,
 )
 from mastichatch_core.relay.store_cache import Decoders, StoreCache
+from mastichatch_core.relay.store_entries import Loss
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.rollouts.observing import RolloutObserver
@@ -371,7 +372,7 @@
     """Return the revision of an entry; zero if the store does not have it."""
     if entry is None:
         return 0
-    lost = cache.entries_under(entry.key, only_carried=True)
+    lost = cache.entries_under(entry.key, lost=Loss.writing)
     return 0 if entry.key in lost else entry.revision
 
 
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -241,6 +241,58 @@
             await until(lambda: key in store.items)
 
 
+@pytest.mark.parametrize('drills', (1, 2))
+async def test_lost_removal_of_a_pin_is_made_once_again(drills: int) -> None:
+    """The part would be refused until an operator removes the pin again."""
+    key = 'mastichatch/pins/llm/p'
+    async with open_nodes(3) as relays:
+        store = relays[0].store
+        await store.put(key, {})
+        await until(lambda: all(one.node.belief.entry(key) for one in relays))
+        copy = store.copy()
+        await store.remove(key)
+        await until(
+            lambda: not any(one.node.belief.entry(key) for one in relays)
+        )
+        for _ in range(drills):
+            store.go_away()
+            await asyncio.sleep(AWAY_S / 2)
+            store.restore(copy)
+            await until(
+                lambda: all(one.node.belief.era == store.era for one in relays)
+            )
+        await until(lambda: key not in store.items)
+        await until(
+            lambda: not any(one.node.belief.entry(key) for one in relays)
+        )
+        await asyncio.sleep(2)
+        removed = [one for one in store.events if one.get('deleted')]
+        assert len(removed) == 1
+        assert key not in store.items
+        assert not any(one.node.belief.entry(key) for one in relays)
+
+
+async def test_pin_of_the_next_era_is_not_removed() -> None:
+    """An operator pins a part again, after its removal was lost."""
+    key = 'mastichatch/pins/llm/p'
+    async with open_nodes(3) as relays:
+        store = relays[0].store
+        await store.put(key, {})
+        copy = store.copy()
+        await store.remove(key)
+        revision = store.revision
+        await until(
+            lambda: all(one.node.belief.revision >= revision for one in relays)
+        )
+        store.go_away()
+        await asyncio.sleep(AWAY_S / 2)
+        store.restore(copy)
+        await store.put(key, {})
+        await asyncio.sleep(4)
+        assert key in store.items
+        assert all(one.node.belief.entry(key) for one in relays)
+
+
 async def test_data_centre_with_a_reader_lists_the_store_seldom() -> None:
     store = HouseStore()
     await store.put('op/config', moved(1, '/first/'))
--- a/tests/test_relay_store_eras.py
+++ b/tests/test_relay_store_eras.py
@@ -26,6 +26,7 @@
     StoreCache,
     select_usable,
 )
+from mastichatch_core.relay.store_entries import Loss
 from tests.relay_nodes import configuration
 
 KEYS = ('op/config', 'mastichatch/nodes/n', 'other/a')
@@ -134,6 +135,18 @@
         told.apply_listing(listing(2, 50, *cache.changes_after(0)), 2, 2)
         assert told.configuration == found
 
+    def test_entry_whose_deletion_was_lost_is_not_kept(self) -> None:
+        """Another node may have deleted it again since."""
+        pin = entry('mastichatch/pins/llm/p', 90, {})
+        cache = filled(pin)
+        cache.apply(listing(1, 101, entry(pin.key, 101)), 0, 0)
+        cache.apply_listing(listing(2, 95, pin), 1, 1)
+        found = cache.entries_under('mastichatch/pins/', lost=Loss.deletion)
+        assert set(found) == {pin.key}
+        assert cache.apply_listing(listing(3, 96), 2, 2) == (pin.key,)
+        assert cache.entry(pin.key) is None
+        assert not cache.entries_under('mastichatch/pins/', lost=Loss.writing)
+
 
 class TestEndpoints:
     def test_lost_one_is_used_for_the_grace_time(self) -> None:
