Free the copy of a run whose caller leaves while it changes engines

Callers: none notice. A copy that nobody could use any more held memory and a slot of an engine until that gave it up by itself (handle_s).

Cause: the copy from which a run is to go on is taken out of EarlierCopies before the wait for the proof that no engine is at work on it. It was put back if there was no proof, but not if the wait was cancelled, since the caller had left. Both the helping node (adopt) and the own node (_find_copy) did so.

Change: it is put back in either case, and freed with the rest.

Before: the new test failed (nothing freed), load 29 on 8 cores. After: it passed, load 25. The path of _find_copy has no test of its own.

--- a/packages/node/mastichatch_node/relay/run_adoption.py
+++ b/packages/node/mastichatch_node/relay/run_adoption.py
@@ -132,10 +132,14 @@
         copy = await handover.take(handover.order_stop(source, destination))
     if copy is None:
         raise MastichatchError(ErrorKind.generation_lost)
-    if not await handover.ensure_alone(copy.endpoint, source):
-        if copy.handle != job.request_id:
+    is_alone = False
+    try:
+        is_alone = await handover.ensure_alone(copy.endpoint, source)
+    finally:
+        if not is_alone and copy.handle != job.request_id:
             # It is freed with the rest once the run has ended.
             handover.copies.add(copy)
+    if not is_alone:
         raise MastichatchError(ErrorKind.generation_lost)
     return resume_at(handover.orders.newest_copy(copy), run.last_event)
 
--- a/packages/node/mastichatch_node/relay/streaming.py
+++ b/packages/node/mastichatch_node/relay/streaming.py
@@ -589,13 +589,17 @@
     """
     earlier = handover.copies.take(may_resume)
     location = earlier or standby or await handover.take_transferred()
-    if location is not None and await handover.ensure_alone(
-        location.endpoint, former
-    ):
+    if location is None:
+        return None
+    is_alone = False
+    try:
+        is_alone = await handover.ensure_alone(location.endpoint, former)
+    finally:
+        if not is_alone and earlier is not None:
+            # It is freed with the rest once the run has ended.
+            handover.copies.add(earlier)
+    if is_alone:
         return handover.orders.newest_copy(location)
-    if earlier is not None:
-        # It is freed with the rest once the run has ended.
-        handover.copies.add(earlier)
     return None
 
 
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -296,3 +296,26 @@
         assert event_ids(answer) == list(range(1, EVENTS + 1))
         assert answer.is_whole
         assert copies_used(second) == [f'{first.address}/h-r1']
+
+
+class TestCallerThatLeaves:
+    """Guards against copies that are held though nobody can use them.
+
+    The caller leaves while a peer waits for the proof that its run has stopped.
+    """
+
+    async def test_copy_is_freed(self) -> None:
+        first = engine(
+            'i-e', drops_closed=False, stop_delay_s=0.5, stop_status=404
+        )
+        second = engine('i-f')
+        opened = open_plan(first, second, kv_bytes=SLOW_BYTES, handle_s=5)
+        async with opened as (relays, work):
+            (generation,) = relays[0].node.relay.generations
+            await until(lambda: generation.transfer.standby is not None)
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2')
+            await until(lambda: any(one['final'] for one in first.moves))
+            work.cancel()
+            await until(lambda: first.freed == ['h-r1'])
+        assert second.received == []
