Free the copy of an order to stop whose caller leaves before its answer

Callers: none notice.

Cause: Handover.take marks an order as settled, and then waits up to four seconds for its answer. If the caller left meanwhile, the order went on, and the copy that its answer named was freed by nobody.

Change: an order whose answer is no longer waited for is not settled, so that its copy is freed once it is known.

Before: the new test failed (nothing freed), load 17 on 8 cores. After: all 13 of tests/test_relay_run_adoption.py passed in one run, load 17.

--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -453,7 +453,12 @@
         :returns: ``None`` if the order has not transferred it
         """
         order.is_settled = True
-        outcome = await order.result()
+        try:
+            outcome = await order.result()
+        except asyncio.CancelledError:
+            # The copy is freed, once it is made.
+            order.is_settled = False
+            raise
         return outcome.location
 
     def release(self) -> None:
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -319,3 +319,13 @@
             work.cancel()
             await until(lambda: first.freed == ['h-r1'])
         assert second.received == []
+
+    async def test_copy_that_is_still_being_made_is_freed(self) -> None:
+        first, second = engine('i-e', transfer_s=1), engine('i-f')
+        async with open_plan(first, second) as (relays, work):
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2')
+            await until(lambda: any(one['final'] for one in first.moves))
+            work.cancel()
+            await until(lambda: first.freed == ['h-r1'])
+        assert second.received == []
