Await the order of a run that no other node takes over

Callers: a stream was broken off if its engine was told to stop its run, and the helping node was then cut off for over a second, although the connection of the order lived on and the way was back before its answer.

Cause: a node that is cut off cancels an order that is unanswered for a second, since another node repeats it. A run that was passed on already is passed on no further: nobody repeats its order, and the cancelled one is found again by every later step, so that nothing can prove that the engine has stopped.

Change: orders are cancelled only for runs that leave the node.

--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -113,7 +113,8 @@
         if self._context.proxy_peers.has_any:
             for generation in self._generations:
                 _close_if_silent(generation)
-                _cancel_if_unanswered(generation)
+                if must_pass_on(self._context, generation.job):
+                    _cancel_if_unanswered(generation)
         self._silence_check = asyncio.get_running_loop().call_later(
             SILENCE_CHECK_INTERVAL_S, self.watch_isolation
         )
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -18,6 +18,10 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.http_client import ExchangeError
+from mastichatch_node.relay.relay import (
+    ISOLATED_SILENCE_S,
+    SILENCE_CHECK_INTERVAL_S,
+)
 from tests.isolated_nodes import (
     context_of,
     cut_off,
@@ -329,3 +333,24 @@
             work.cancel()
             await until(lambda: first.freed == ['h-r1'])
         assert second.received == []
+
+
+class TestHelperThatIsCutOff:
+    """Guards against runs that are given up though no other node goes on.
+
+    A run that was passed on stays where it is, also while that node is cut off.
+    """
+
+    async def test_order_to_stop_is_awaited(self) -> None:
+        """Its connection lives on, and the way is back before the answer."""
+        first, second = engine('i-e', transfer_s=2), engine('i-f')
+        async with open_plan(first, second, is_cut_off=True) as (relays, work):
+            await order_stop(relays[0], first)
+            cut_off(relays[1], 'north-1')
+            await asyncio.sleep(
+                ISOLATED_SILENCE_S + 2 * SILENCE_CHECK_INTERVAL_S
+            )
+            reconnect(relays[1])
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
