Count late answers to tries of an order as answers

Callers: a complete stream without framing could be broken off at its end.

Cause: an order that finds no run waits for a further answer that names the copy, and did not record what came then. The order stayed unanswered. If the run then went on at the engine that had stopped it, since its destination had no room, the engine was taken to be able to carry out an order still, so that the end of its stream was no proof.

Change: these answers are recorded as all others.

--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -212,7 +212,7 @@
                 if proof.allows_resumption:
                     order.cleared.set()
                 if proof is StopProof.absent:
-                    copied = await _late_copy(tries)
+                    copied = await _late_copy(tries, order)
                     if copied is not None:
                         answer, proof = copied, StopProof.stopped
                 pause_s = repeat_delay_s(
@@ -615,8 +615,7 @@
         answer = await tries.next_answer(answer_wait_s(order.sent))
     if answer is None:
         return MoveResponse(status=0)
-    if answer.status or not answer.was_sent:
-        order.record_answer(is_refused=_is_refused(answer))
+    _record_answer(answer, order)
     if answer.is_connection_refused:
         order.record_reach(Reach.refused)
     elif answer.is_unreachable:
@@ -624,12 +623,23 @@
     return answer
 
 
-async def _late_copy(tries: OrderTries) -> MoveResponse | None:
+def _record_answer(answer: MoveResponse, order: StopOrder) -> None:
+    """Record an answer to an order, or a proof that it did not arrive."""
+    if answer.status or not answer.was_sent:
+        order.record_answer(is_refused=_is_refused(answer))
+
+
+async def _late_copy(
+    tries: OrderTries, order: StopOrder
+) -> MoveResponse | None:
     """Return the answer of an earlier try that names a copy, if one comes."""
     ends_at = loop_time() + LATE_ANSWER_WAIT_S
     while tries.has_open:
         answer = await tries.next_answer(max(0, ends_at - loop_time()))
-        if answer is None or answer.handle:
+        if answer is None:
+            return None
+        _record_answer(answer, order)
+        if answer.handle:
             return answer
     return None
 
