Take refusals of all tries of an order for the end of the run

Callers: a complete stream without framing was broken off at its end if its engine fell silent for over half a second just then.

Cause: since orders are sent again while answers are awaited, an engine that was silent answers two tries of an order at once. The first answer that finds no run proves nothing yet, since the other try may have stopped the run. The other answer, that finds none either, was read and not taken into account, so that the order seemed to have stopped the run.

Change: if only refusals have come once the answers are read, the run has ended by itself, as after a single order.

Before: the new test failed (had_ended False), load 20 on 8 cores. After: 3 of 3 of the file passed, load 25.

--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -215,6 +215,8 @@
                     copied = await _late_copy(tries, order)
                     if copied is not None:
                         answer, proof = copied, StopProof.stopped
+                    elif not order.may_have_stopped:
+                        proof = StopProof.ended
                 pause_s = repeat_delay_s(
                     proof,
                     answer.status,
--- a/tests/test_relay_order_tries.py
+++ b/tests/test_relay_order_tries.py
@@ -72,6 +72,14 @@
     assert order.unanswered == 0
 
 
+async def test_late_refusal_leaves_the_proof_of_the_end() -> None:
+    """No try has stopped the run, which had ended by itself."""
+    late_s = FIRST_ANSWER_WAIT_S + LATE_ANSWER_WAIT_S / 2
+    order = order_stop((late_s, GONE), (0, GONE))
+    outcome = await order.result()
+    assert outcome.had_ended
+
+
 async def test_absence_proves_no_end_while_another_try_is_unanswered() -> None:
     order = order_stop((60, GONE), (0, GONE))
     outcome = await order.result()
