Free the copies of a run that a helping node cannot take over

Callers: none notice. A copy held memory and a slot of an engine until that gave it up by itself.

Cause: a helping node that does not know one of the engines that may be at work on a run gives the run up before it records the copies that it was told of. The own node does not free them either, since a node has accepted the run.

Change: the copies are recorded first.

--- a/packages/node/mastichatch_node/relay/run_adoption.py
+++ b/packages/node/mastichatch_node/relay/run_adoption.py
@@ -120,12 +120,12 @@
     :param control: used to hand it over
     :raises MastichatchError: if it cannot go on, or may be at work elsewhere
     """
-    source = _record_engines(context, run, control.engines)
     handover = control.handover
+    _record_copies(context, job, run, handover)
+    source = _record_engines(context, run, control.engines)
     for work in control.engines.except_for(None):
         # The other node may have ordered it to stop without an answer.
         handover.orders.record_late(work.endpoint)
-    _record_copies(context, job, run, handover)
     copy = _find_copy(context, placer, run, source, handover)
     if copy is None:
         destination = _choose_destination(context, placer, job, run, source)
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -168,6 +168,25 @@
             await until(lambda: first.freed == ['h-r1'])
         assert not answer.is_whole
 
+    async def test_peer_frees_the_copy_of_a_run_that_it_cannot_take(
+        self,
+    ) -> None:
+        """The run may be at work on an engine that is not known any more."""
+        first, second = engine('i-e'), engine('i-f')
+        opened = open_plan(first, second, kv_bytes=SLOW_BYTES, handle_s=5)
+        async with opened as (relays, work):
+            (generation,) = relays[0].node.relay.generations
+            await until(lambda: generation.transfer.standby is not None)
+            assert generation.endpoint is not None
+            gone = dataclasses.replace(generation.endpoint, instance='i-gone')
+            generation._engines.record_request(gone, loop_time())
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2')
+            answer = await work
+            await until(lambda: first.freed == ['h-r1'])
+        assert not answer.is_whole
+        assert second.received == []
+
     async def test_copy_is_freed_if_no_peer_accepts_the_run(self) -> None:
         first, second = engine('i-e', stop_delay_s=0.1), engine('i-f')
         first.lost_answers = ['close']
