Free the copies of a run that is lost with its helping node

Callers: none notice. A copy held memory and a slot of an engine until that gave it up by itself.

Cause: the own node frees the copies that it told a helping node of only if no node accepts the run. If the process of the one that accepted it had ended, and had announced nothing of the run from which it could go on, the stream was broken off and nobody freed them. Nor did anybody if no further node accepted a run that could go on.

Change: they are freed in the first case, and stay known in the second, in which the relay frees them as before.

The second case has no test of its own.

--- a/packages/node/mastichatch_node/relay/proxying.py
+++ b/packages/node/mastichatch_node/relay/proxying.py
@@ -14,6 +14,7 @@
     ErrorKind,
     ProxyHop,
     ProxyOutcome,
+    ProxyRun,
 )
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.byte_budget import Purpose
@@ -116,6 +117,7 @@
         :raises MastichatchError: if a node has accepted it, and there is no
             complete answer otherwise
         """
+        run, order = _known(error.left)
         hop = ProxyHop(
             node=self._context.node,
             nonce='',
@@ -123,9 +125,8 @@
             version=_version(self._context),
             attempts=error.earlier_attempts,
             is_counted=is_counted,
-            run=None if error.left is None else error.left.run,
+            run=run,
         )
-        order = EventOrder() if error.left is None else error.left.order
         asked: set[str] = set()
         while len(asked) < MAX_NODES_ASKED:
             record = self._context.proxy_peers.choose(asked)
@@ -135,48 +136,57 @@
             result = await self._try_node(record, job, reply, hop, order)
             if result.outcome in {ProxyOutcome.answered, ProxyOutcome.refused}:
                 return True
-            hop = await self._next_hop(record, job, reply, hop, order, result)
+            if result.outcome == BROKEN_OFF:
+                raise await self._describe_loss(record, job, order, error.left)
+            hop = self._next_hop(record, job, reply, hop, result)
         if hop.attempts > error.earlier_attempts:
             raise MastichatchError(
                 ErrorKind.outcome_unknown, 'no node repeats the request'
             )
         return False
 
-    async def _next_hop(
+    def _next_hop(
         self,
         record: NodeRecord,
         job: Job,
         reply: ResponseWriter,
         hop: ProxyHop,
-        order: EventOrder,
         result: _Result,
     ) -> ProxyHop:
         """Return the hop to another node, after one that has no answer.
 
         :raises MastichatchError: if there is none
         """
-        if result.outcome == BROKEN_OFF:
-            raise await self._describe_loss(record, job, hop, order)
         if result.outcome == ProxyOutcome.unknown:
             return self._repeat(job, reply, hop, result)
         self._context.proxy_peers.avoid(record.name)
         return hop
 
     async def _describe_loss(
-        self, record: NodeRecord, job: Job, hop: ProxyHop, order: EventOrder
+        self,
+        record: NodeRecord,
+        job: Job,
+        order: EventOrder,
+        left: LeftRun | None,
     ) -> MastichatchError:
         """Return the error for a stream that a node has broken off.
 
         A node that lives on has given the run up, and may know of engines that
         are still at work on it.
         """
-        if await helper_loss.has_ended(self._context, record):
-            run = helper_loss.find_run(
-                self._context, record.name, job, order, hop.run
-            )
-            if run is not None:
-                return PassOnError(1, LeftRun(run, order))
-        return MastichatchError(ErrorKind.generation_lost, 'broken off')
+        lost = MastichatchError(ErrorKind.generation_lost, 'broken off')
+        if not await helper_loss.has_ended(self._context, record):
+            return lost
+        former, _ = _known(left)
+        copies = () if left is None else left.copies
+        run = helper_loss.find_run(
+            self._context, record.name, job, order, former
+        )
+        if run is not None:
+            return PassOnError(1, LeftRun(run, order, copies))
+        for copy in copies:
+            self._context.stopper.free(copy)
+        return lost
 
     def _repeat(
         self, job: Job, reply: ResponseWriter, hop: ProxyHop, result: _Result
@@ -445,3 +455,8 @@
 def _version(context: RelayContext) -> int:
     configuration = context.belief.configuration
     return 0 if configuration is None else configuration.version
+
+
+def _known(left: LeftRun | None) -> tuple[ProxyRun | None, EventOrder]:
+    """Return what is known of a run, and the events that its caller has."""
+    return (None, EventOrder()) if left is None else (left.run, left.order)
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -282,6 +282,27 @@
         assert event_ids(answer) == list(range(1, EVENTS + 1))
         assert answer.is_whole
 
+    async def test_copy_is_freed_if_the_run_cannot_go_on(self) -> None:
+        """The node has announced nothing, and the way to engines is back."""
+        first = engine(
+            'i-e', drops_closed=False, stop_delay_s=1, stop_status=404
+        )
+        opened = open_plan(
+            first, engine('i-f'), count=3, kv_bytes=SLOW_BYTES, handle_s=5
+        )
+        async with opened as (relays, work):
+            (generation,) = relays[0].node.relay.generations
+            await until(lambda: generation.transfer.standby is not None)
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2', 'north-3')
+            await until(lambda: any(one['final'] for one in first.moves))
+            isolation_of(relays[0]).set(is_isolated=False)
+            helper = next(one for one in relays[1:] if one.node.active_requests)
+            end_process(helper, relays)
+            answer = await work
+            await until(lambda: first.freed == ['h-r1'])
+        assert not answer.is_whole
+
     async def test_run_of_a_helper_that_lives_on_ends(self) -> None:
         """It may know of engines at work on the run that others do not."""
         first, second = engine('i-e'), engine('i-f')
