Announce the standby copy of a run that is about to leave its engine

Callers: a stream whose helping node died was broken off if its run was just being moved, although the engine to which it was moved had its standby copy.

Cause: the handle of a standby copy was announced only until the move of the run began, which may last for seconds when an engine leaves. After a move that failed, it was announced beside another engine than the one that holds the copy.

Change: it is announced as long as the announced engine is the one with the standby copy. The order to stop still comes before its use, and a newer copy that its answer names replaces it.

The second case has no test of its own.

--- a/packages/node/mastichatch_node/relay/run_transfer.py
+++ b/packages/node/mastichatch_node/relay/run_transfer.py
@@ -229,8 +229,8 @@
 
     @property
     def standby_handle(self) -> str:
-        """Handle of an idle standby copy; empty without one."""
-        if self.standby is None or self.is_departing:
+        """Handle of a standby copy at the destination; empty without one."""
+        if self.standby is None or self.destination != self.standby.endpoint:
             return ''
         return self.standby.handle
 
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -282,6 +282,29 @@
         assert event_ids(answer) == list(range(1, EVENTS + 1))
         assert answer.is_whole
 
+    async def test_run_that_is_being_moved_goes_on_from_its_copy(self) -> None:
+        first = engine('i-e', stop_delay_s=0.5, stop_status=404)
+        second = engine('i-f')
+        opened = open_plan(
+            first,
+            second,
+            count=3,
+            is_cut_off=True,
+            kv_bytes=SLOW_BYTES,
+            handle_s=5,
+        )
+        async with opened as (relays, work):
+            await until(
+                lambda: bool(announced_copies(relays[0], is_standby=True))
+            )
+            await order_stop(relays[0], first)
+            helper = next(one for one in relays[1:] if one.node.active_requests)
+            end_process(helper, relays)
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        assert copies_used(second) == [f'{first.address}/h-r1']
+
     async def test_copy_is_freed_if_the_run_cannot_go_on(self) -> None:
         """The node has announced nothing, and the way to engines is back."""
         first = engine(
