--- a/packages/node/mastichatch_node/relay/run_adoption.py
+++ b/packages/node/mastichatch_node/relay/run_adoption.py
@@ -120,22 +120,26 @@
     :param control: used to hand it over
     :raises MastichatchError: if it cannot go on, or may be at work elsewhere
     """
-    source = _record_engines(context, run, control.engines)
     handover = control.handover
+    _record_copies(context, job, run, handover)
+    source = _record_engines(context, run, control.engines)
     for work in control.engines.except_for(None):
         # The other node may have ordered it to stop without an answer.
         handover.orders.record_late(work.endpoint)
-    _record_copies(context, job, run, handover)
     copy = _find_copy(context, placer, run, source, handover)
     if copy is None:
         destination = _choose_destination(context, placer, job, run, source)
         copy = await handover.take(handover.order_stop(source, destination))
     if copy is None:
         raise MastichatchError(ErrorKind.generation_lost)
-    if not await handover.ensure_alone(copy.endpoint, source):
-        if copy.handle != job.request_id:
+    is_alone = False
+    try:
+        is_alone = await handover.ensure_alone(copy.endpoint, source)
+    finally:
+        if not is_alone and copy.handle != job.request_id:
             # It is freed with the rest once the run has ended.
             handover.copies.add(copy)
+    if not is_alone:
         raise MastichatchError(ErrorKind.generation_lost)
     return resume_at(handover.orders.newest_copy(copy), run.last_event)
 
--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -18,6 +18,10 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.http_client import ExchangeError
+from mastichatch_node.relay.relay import (
+    ISOLATED_SILENCE_S,
+    SILENCE_CHECK_INTERVAL_S,
+)
 from tests.isolated_nodes import (
     context_of,
     cut_off,
@@ -164,6 +168,25 @@
             await until(lambda: first.freed == ['h-r1'])
         assert not answer.is_whole
 
+    async def test_peer_frees_the_copy_of_a_run_that_it_cannot_take(
+        self,
+    ) -> None:
+        """The run may be at work on an engine that is not known any more."""
+        first, second = engine('i-e'), engine('i-f')
+        opened = open_plan(first, second, kv_bytes=SLOW_BYTES, handle_s=5)
+        async with opened as (relays, work):
+            (generation,) = relays[0].node.relay.generations
+            await until(lambda: generation.transfer.standby is not None)
+            assert generation.endpoint is not None
+            gone = dataclasses.replace(generation.endpoint, instance='i-gone')
+            generation._engines.record_request(gone, loop_time())
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2')
+            answer = await work
+            await until(lambda: first.freed == ['h-r1'])
+        assert not answer.is_whole
+        assert second.received == []
+
     async def test_copy_is_freed_if_no_peer_accepts_the_run(self) -> None:
         first, second = engine('i-e', stop_delay_s=0.1), engine('i-f')
         first.lost_answers = ['close']
@@ -259,6 +282,50 @@
         assert event_ids(answer) == list(range(1, EVENTS + 1))
         assert answer.is_whole
 
+    async def test_run_that_is_being_moved_goes_on_from_its_copy(self) -> None:
+        first = engine('i-e', stop_delay_s=0.5, stop_status=404)
+        second = engine('i-f')
+        opened = open_plan(
+            first,
+            second,
+            count=3,
+            is_cut_off=True,
+            kv_bytes=SLOW_BYTES,
+            handle_s=5,
+        )
+        async with opened as (relays, work):
+            await until(
+                lambda: bool(announced_copies(relays[0], is_standby=True))
+            )
+            await order_stop(relays[0], first)
+            helper = next(one for one in relays[1:] if one.node.active_requests)
+            end_process(helper, relays)
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
+        assert copies_used(second) == [f'{first.address}/h-r1']
+
+    async def test_copy_is_freed_if_the_run_cannot_go_on(self) -> None:
+        """The node has announced nothing, and the way to engines is back."""
+        first = engine(
+            'i-e', drops_closed=False, stop_delay_s=1, stop_status=404
+        )
+        opened = open_plan(
+            first, engine('i-f'), count=3, kv_bytes=SLOW_BYTES, handle_s=5
+        )
+        async with opened as (relays, work):
+            (generation,) = relays[0].node.relay.generations
+            await until(lambda: generation.transfer.standby is not None)
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2', 'north-3')
+            await until(lambda: any(one['final'] for one in first.moves))
+            isolation_of(relays[0]).set(is_isolated=False)
+            helper = next(one for one in relays[1:] if one.node.active_requests)
+            end_process(helper, relays)
+            answer = await work
+            await until(lambda: first.freed == ['h-r1'])
+        assert not answer.is_whole
+
     async def test_run_of_a_helper_that_lives_on_ends(self) -> None:
         """It may know of engines at work on the run that others do not."""
         first, second = engine('i-e'), engine('i-f')
@@ -296,3 +363,57 @@
         assert event_ids(answer) == list(range(1, EVENTS + 1))
         assert answer.is_whole
         assert copies_used(second) == [f'{first.address}/h-r1']
+
+
+class TestCallerThatLeaves:
+    """Guards against copies that are held though nobody can use them.
+
+    The caller leaves while a peer waits for the proof that its run has stopped.
+    """
+
+    async def test_copy_is_freed(self) -> None:
+        first = engine(
+            'i-e', drops_closed=False, stop_delay_s=0.5, stop_status=404
+        )
+        second = engine('i-f')
+        opened = open_plan(first, second, kv_bytes=SLOW_BYTES, handle_s=5)
+        async with opened as (relays, work):
+            (generation,) = relays[0].node.relay.generations
+            await until(lambda: generation.transfer.standby is not None)
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2')
+            await until(lambda: any(one['final'] for one in first.moves))
+            work.cancel()
+            await until(lambda: first.freed == ['h-r1'])
+        assert second.received == []
+
+    async def test_copy_that_is_still_being_made_is_freed(self) -> None:
+        first, second = engine('i-e', transfer_s=1), engine('i-f')
+        async with open_plan(first, second) as (relays, work):
+            lose_connection(relays[0])
+            isolation_of(relays[0]).set('north-2')
+            await until(lambda: any(one['final'] for one in first.moves))
+            work.cancel()
+            await until(lambda: first.freed == ['h-r1'])
+        assert second.received == []
+
+
+class TestHelperThatIsCutOff:
+    """Guards against runs that are given up though no other node goes on.
+
+    A run that was passed on stays where it is, also while that node is cut off.
+    """
+
+    async def test_order_to_stop_is_awaited(self) -> None:
+        """Its connection lives on, and the way is back before the answer."""
+        first, second = engine('i-e', transfer_s=2), engine('i-f')
+        async with open_plan(first, second, is_cut_off=True) as (relays, work):
+            await order_stop(relays[0], first)
+            cut_off(relays[1], 'north-1')
+            await asyncio.sleep(
+                ISOLATED_SILENCE_S + 2 * SILENCE_CHECK_INTERVAL_S
+            )
+            reconnect(relays[1])
+            answer = await work
+        assert event_ids(answer) == list(range(1, EVENTS + 1))
+        assert answer.is_whole
