Count requests that were served in drills once

Cause: a request without an answer was subtracted twice from those served. Change: whole answers with 200 are counted.

--- a/tests/soak/drills.py
+++ b/tests/soak/drills.py
@@ -91,7 +91,9 @@
         return Report(
             broken=(*broken, *broken_promises(records)),
             sent=len(records.outcomes),
-            served=sum(one.is_whole for one in records.outcomes) - len(refused),
+            served=sum(
+                one.status == _OK and one.is_whole for one in records.outcomes
+            ),
             in_force_s=tuple(in_force_s),
             gone_answers=tuple(one.gone_answers for one in records.drills),
         )
