Heed what the next start of an endpoint says on connections of its own

Cause: while a connection to the earlier start was open, and for 1 s after, all answers from its address counted as possibly those of the earlier start. Change: the head of an answer names its connection, and only those opened before the next start was known may lead to the earlier one. Open: a connection that was opened to the next start before its registration was known still counts as one to the earlier start.

--- a/packages/core/mastichatch_core/relay/process_signs.py
+++ b/packages/core/mastichatch_core/relay/process_signs.py
@@ -115,15 +115,21 @@
                 self._former.pop(address)
                 self._former_ended_at.pop(address)
 
-    def may_be_former(self, address: str) -> bool:
+    def may_be_former(
+        self, address: str, connection: OpenConnection | None = None
+    ) -> bool:
         """Return whether an answer may be that of a former process.
 
         A process that stops in order answers on its connections to the end,
-        while the next one listens at its address.
+        while the next one listens at its address, and may answer as well.
 
         :param address: IP address and port
+        :param connection: the connection on which the answer came, if known
         """
-        return address in self._former
+        former = self._former.get(address)
+        if former is None:
+            return False
+        return connection is None or connection in former
 
     def forget_refusals(self) -> None:
         """Forget all refused connections, which others than hosts refused."""
--- a/packages/node/mastichatch_node/relay/departure_polling.py
+++ b/packages/node/mastichatch_node/relay/departure_polling.py
@@ -75,7 +75,8 @@
         """
         if not self._context.dialect.says_leaving(head):
             return
-        if self._context.pool.signs.may_be_former(address):
+        signs = self._context.pool.signs
+        if signs.may_be_former(address, head.connection):
             return
         endpoint = endpoint_at(self._context.belief, address, loop_time())
         if endpoint is not None and self._record_departure(
--- a/packages/node/mastichatch_node/relay/http_client.py
+++ b/packages/node/mastichatch_node/relay/http_client.py
@@ -146,11 +146,13 @@
     :param status: HTTP status
     :param headers: headers, with lower-case names
     :param sent_at: loop time at which its request was sent, in seconds
+    :param connection: the connection on which it came
     """
 
     status: int
     headers: Headers
     sent_at: float = 0
+    connection: OpenConnection | None = None
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None`` without one.
@@ -373,9 +375,11 @@
         reader: CountingReader,
         writer: asyncio.StreamWriter,
         resources: Resources,
+        opened: OpenConnection | None = None,
     ) -> None:
         """Wrap open streams; use ``connect`` to open a connection."""
         self._address = address
+        self._opened = opened
         self._resources = resources
         self._reader = reader
         self._writer = writer
@@ -566,6 +570,7 @@
                     status=event.status_code,
                     headers=tuple(event.headers),
                     sent_at=self._sent_at,
+                    connection=self._opened,
                 )
                 self._is_unframed = not any(map(head.get, _FRAMING_HEADERS))
                 return head
@@ -715,7 +720,7 @@
         lambda: signs.record_end(opened),
     )
     configure_keepalive(writer)
-    return Connection(address, reader, writer, resources)
+    return Connection(address, reader, writer, resources, opened)
 
 
 async def read_beginning(
--- a/packages/node/mastichatch_node/relay/server_pausing.py
+++ b/packages/node/mastichatch_node/relay/server_pausing.py
@@ -39,7 +39,7 @@
         """
 
         def read_answer(address: str, head: ResponseHead) -> None:
-            if pool.signs.may_be_former(address):
+            if pool.signs.may_be_former(address, head.connection):
                 return
             self.record_request(address, dialect.read_pause_s(head))
 
--- a/tests/test_relay_new_starts.py
+++ b/tests/test_relay_new_starts.py
@@ -161,6 +161,36 @@
             assert not stats.is_paused(loop_time())
 
 
+class TestAnswerOfTheNextStart:
+    """It may need time at once, while connections to the earlier one live."""
+
+    @pytest.mark.parametrize(
+        ('status', 'headers'),
+        [
+            (503, 'Mastichatch-Not-Executed: 1\r\nRetry-After: 30\r\n'),
+            (200, 'Server-Leaving: 1\r\n'),
+        ],
+    )
+    async def test_it_is_left_alone_when_it_says_so(
+        self, status: int, headers: str
+    ) -> None:
+        ended, answers = asyncio.Event(), asyncio.Event()
+        app = HouseEndpoint('i-a', respond_once(ended, 200, ''))
+        async with open_relay((app,)) as relay:
+            call = asyncio.create_task(relay.call('/book/x'))
+            await until(lambda: bool(app.received))
+            await start_again(relay, app, 'app')
+            answers.set()
+            app.script = respond_once(answers, status, headers)
+            await relay.call('/book/x', request_id='r2')
+            records = relay.node.relay._context.records
+            stats = records.get(known(relay).instance)
+            is_leaving = known(relay).state is not EndpointState.ready
+            assert is_leaving or stats.is_paused(loop_time())
+            ended.set()
+            await call
+
+
 class TestFormerProcess:
     def open_signs(self) -> tuple[ProcessSigns, OpenConnection]:
         """Return signs of a process that has started again."""
@@ -194,6 +224,13 @@
         signs.review_former(100 + UNREAD_LIMIT_S)
         assert not signs.may_be_former('a:1')
 
+    def test_does_not_answer_on_a_connection_opened_since(self) -> None:
+        signs, connection = self.open_signs()
+        since = OpenConnection('a:1', lambda: True)
+        signs.record_connect(since)
+        assert signs.may_be_former('a:1', connection)
+        assert not signs.may_be_former('a:1', since)
+
     def test_same_start_is_not_its_own_former_one(self) -> None:
         signs = ProcessSigns()
         signs.record_processes({'a:1': 'i@1'})
