Tell callers that a generation may have run if an earlier attempt did

Cause: a generation whose engine fails before its first event starts at another engine. If no other engine has room then, the caller read that refusal, with "ran: no", although the first engine may have run it or was known to. Seen while links to all engines held their answers: one generation was started at each of two engines, and its caller was told no_endpoint and "ran: no".

Change: an error that ends a request states what its earlier attempts say, unless it says more itself. The kind of the error and what is repeated stay the same.

Open: a generation whose engine never answers with a head has no id, so that it can't be cancelled there before it starts at another engine.

--- a/packages/node/mastichatch_node/generations.py
+++ b/packages/node/mastichatch_node/generations.py
@@ -31,6 +31,7 @@
     PermitGrant,
     PermitOutcome,
     PermitRequest,
+    Ran,
     RequestClass,
 )
 from mastichatch_core.handles import GenerationHandle
@@ -164,6 +165,44 @@
         return spent_s * MS_PER_S / (self.next_index - 1)
 
 
+@dataclasses.dataclass(slots=True)
+class _EarlierAttempts:
+    """The attempts of one request that have failed.
+
+    :param excluded: endpoints to exclude from the next attempt
+    :param lost_engines: number of engines lost before their first token
+    :param ran: whether one of the attempts ran
+    """
+
+    excluded: tuple[str, ...] = ()
+    lost_engines: int = 0
+    ran: Ran = Ran.no
+
+    def record(
+        self, grant: PermitGrant, error: MastichatchError, delivered: int
+    ) -> None:
+        """Record a failed attempt.
+
+        :param grant: its permit
+        :param error: its error
+        :param delivered: number of events that were read
+        """
+        if self.ran is Ran.no:
+            self.ran = error.ran
+        self.lost_engines += _is_engine_lost(error, delivered)
+        self.excluded = _add_excluded(self.excluded, grant, error)
+
+    @contextlib.contextmanager
+    def including_ran(self) -> Iterator[None]:
+        """Let an error that ends the request state whether an attempt ran."""
+        try:
+            yield
+        except MastichatchError as error:
+            if error.ran is Ran.no:
+                error.ran = self.ran
+            raise
+
+
 class Generations:
     """Start, stream and resume generations for callers."""
 
@@ -205,15 +244,15 @@
         :raises MastichatchError: if the generation cannot be started or is
             lost
         """
-        excluded: tuple[str, ...] = ()
-        lost_engines = 0
+        earlier = _EarlierAttempts()
         for attempt_number in range(MAX_START_ATTEMPTS):
             permit_request = dataclasses.replace(
                 request,
                 attempt=attempt_number,
-                excluded=excluded,
+                excluded=earlier.excluded,
             )
-            grant = await acquire(permit_request)
+            with earlier.including_ran():
+                grant = await acquire(permit_request)
             delivered = 0
             try:
                 attempt = self._prepare(grant, permit_request, body, catalogue)
@@ -225,12 +264,14 @@
                         yield batch
                 return
             except MastichatchError as error:
-                delivered_to_caller = 0 if whole else delivered
-                lost_engines += _is_engine_lost(error, delivered)
-                self._raise_unless_retried(
-                    error, delivered_to_caller, attempt_number, lost_engines
-                )
-                excluded = _add_excluded(excluded, grant, error)
+                earlier.record(grant, error, delivered)
+                with earlier.including_ran():
+                    self._raise_unless_retried(
+                        error,
+                        0 if whole else delivered,
+                        attempt_number,
+                        earlier.lost_engines,
+                    )
                 self._log_retry(request, grant, error)
 
     async def resume(
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -9,7 +9,11 @@
 import pytest
 
 from mastichatch_core.errors import MastichatchError
-from mastichatch_core.generated.messages import ErrorKind, PermitRequest
+from mastichatch_core.generated.messages import (
+    ErrorKind,
+    PermitRequest,
+    Ran,
+)
 from mastichatch_node import generations
 from mastichatch_node.generations import (
     MAX_LOST_ENGINES,
@@ -65,15 +69,18 @@
 class _Engines:
     """Engines that begin a generation, break its stream, and work on."""
 
-    def __init__(self, *, obeys: bool = True) -> None:
+    def __init__(self, *, obeys: bool = True, is_silent: bool = False) -> None:
         self.acts: list[str] = []
         self._obeys = obeys
+        self._is_silent = is_silent
 
     @contextlib.asynccontextmanager
     async def start(
         self, address: str, *_: object, **named: object
     ) -> AsyncIterator[Any]:
         self.acts.append(f'start {address}')
+        if self._is_silent:
+            raise MastichatchError(ErrorKind.endpoint_failed)
 
         async def batches() -> AsyncIterator[Any]:
             raise MastichatchError(ErrorKind.endpoint_failed)
@@ -119,14 +126,29 @@
         await self._generate(engines)
         assert engines.acts == ['start a', 'cancelled a']
 
-    async def _generate(self, engines: _Engines) -> None:
+    @pytest.mark.looptime
+    @pytest.mark.parametrize(
+        ('is_silent', 'ran'), [(False, Ran.yes), (True, Ran.unknown)]
+    )
+    async def test_caller_is_not_told_that_it_did_not_run(
+        self, is_silent: bool, ran: Ran
+    ) -> None:
+        """No other engine has room, and the first may have run it."""
+        engines = _Engines(is_silent=is_silent)
+        error = await self._generate(engines, 'a')
+        assert engines.acts[0] == 'start a'
+        assert (error.kind, error.ran) == (ErrorKind.no_endpoint, ran)
+
+    async def _generate(
+        self, engines: _Engines, usable: str = 'ab'
+    ) -> MastichatchError:
         tested = Generations(
             cast(Any, engines),
             cast(Any, _Quiet()),
             cast(Any, _Quiet()),
             cast(Any, _Quiet()),
         )
-        names = iter(('a', 'b'))
+        names = iter(usable)
         catalogue = SimpleNamespace(
             endpoints={
                 name: SimpleNamespace(name=name, address=name) for name in 'ab'
@@ -135,8 +157,11 @@
         )
 
         async def acquire(_: object) -> Any:
+            name = next(names, None)
+            if name is None:
+                raise MastichatchError(ErrorKind.no_endpoint)
             return SimpleNamespace(
-                endpoint=next(names),
+                endpoint=name,
                 boot_id='b',
                 term=SimpleNamespace(number=1),
             )
@@ -144,9 +169,10 @@
         request = PermitRequest(
             request_id='r', attempt=0, service='s', workspace='w', node='n'
         )
-        with pytest.raises(MastichatchError):
+        with pytest.raises(MastichatchError) as raised:
             batches = tested.start(
                 request, b'', cast(Any, catalogue), acquire, whole=False
             )
             async for _ in batches:
                 pass
+        return raised.value
