Let the caller of a stream of 2.75 s wait for 5 s

Cause: the test. With events each 28 ms the old test fails at any time; beside load, a sleep of 25 ms takes that long.

Change: the caller's deadline is the route's time-out, 5 s. What is asserted is the same.

--- a/tests/test_relay_server_notices.py
+++ b/tests/test_relay_server_notices.py
@@ -171,7 +171,10 @@
     ) -> None:
         engine = HouseEndpoint('e-1', endpoints.stream(110, 0.025))
         async with open_relay((), (engine,)) as relay:
-            work = asyncio.ensure_future(relay.call('/plan/x', headers=PLAN))
+            # The stream lasts for 2.75 s at least, and longer beside load.
+            work = asyncio.ensure_future(
+                relay.call('/plan/x', headers=PLAN, timeout_ms=5000)
+            )
             await until(lambda: engine.reports > 1)
             engine.script = endpoints.refuse
             engine.said_headers = 'Retry-After: 1.5\r\n'
