Explore hand-overs of engines that fail all orders in virtual time

The family TestAllHandovers of tests/test_relay_handover.py was listed with 13 entries for 500 and 404: beside load, the stream ended before its last events.

Traced (four and three failures of 17 cases in two runs at load 22 to 26): a stream was cut short, on purpose, and the same happens without load to any run that lasts for longer. An engine that answers 500 to the order to stop never proves that it has stopped. The run has resumed from its copy by then, leaves it after SWITCH_PROOF_LIMIT_S (0.33 s), and ends as broken off, since two engines must not work on it for over 0.4 s. The 80 events at 6 ms ended before that, by a little. No stream ended as complete too early. There are three sorts:

- 500, copy usable: the copy is left after 0.33 s, as above (four of seven, one of them after all 80 events);
- 500, copy lost: the run had ended before the order was sent, so that its end was known, and whole, where the test asks for an unknown one (three of seven);
- 404: the stand-in answered "no such run" and worked on, for the rest of its 0.48 s; this may exceed the 0.4 s that are asked.
It is no answer that the users' pages allow.

Whole if the third order is carried out, or the copy's run ends before it is left, or the run stays; not complete if its end is unknown; and never at two engines for over 0.4 s.

Open: what an engine reports of its runs could prove that it has stopped, where it fails all orders.

--- a/tests/test_relay_handover_times.py
+++ b/tests/test_relay_handover_times.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import Any
+from typing import Any, Final
 
 import pytest
 
@@ -27,6 +27,12 @@
     ('lost', 'reset'),
     ('conflict', 'lost', 'conflict'),
 )
+FAILED_ORDER_AXES: Final[Mapping[str, Iterable[Any]]] = {
+    'head_delay_s': HEAD_DELAYS_S,
+    'drops_closed': (True, False),
+    'has_copy': (True, False),
+    'is_unframed': (True, False),
+}
 
 
 def scenarios(
@@ -140,6 +146,89 @@
     assert EVENTS not in broken.values()
 
 
+class TestOrdersThatFail:
+    """Guards against runs on two engines where orders to stop have no effect.
+
+    The answers are errors, which do not show whether the engine has stopped.
+    """
+
+    @pytest.mark.parametrize('trouble', ['drain', 'reset', 'stall'])
+    async def test_stream_is_whole_once_an_order_is_carried_out(
+        self, trouble: str
+    ) -> None:
+        doubled, broken = await play_all(
+            scenarios(
+                FAILED_ORDER_AXES,
+                trouble=trouble,
+                order_faults=('error', 'error'),
+            ),
+            has_place,
+        )
+        assert not doubled
+        assert not broken
+
+    async def test_stream_is_whole_if_its_copy_ends_before_it_is_left(
+        self,
+    ) -> None:
+        doubled, broken = await play_all(
+            scenarios(
+                {
+                    **FAILED_ORDER_AXES,
+                    'head_delay_s': (0.005, 0.05),
+                    'has_copy': (True,),
+                },
+                trouble='drain',
+                order_faults=('error',) * 1000,
+                trouble_at=EVENTS - 4,
+            ),
+            lambda _: True,
+        )
+        assert not doubled
+        assert not broken
+
+    async def test_stream_that_stays_is_whole_if_its_end_is_known(self) -> None:
+        doubled, broken = await play_all(
+            scenarios(
+                {**FAILED_ORDER_AXES, 'has_copy': (False,)},
+                trouble='drain',
+                order_faults=('error',) * 1000,
+            ),
+            lambda scenario: not scenario.is_unframed,
+        )
+        assert not doubled
+        assert not broken
+
+    async def test_stream_whose_end_is_unknown_is_not_complete(self) -> None:
+        faults = scenarios(
+            {
+                **FAILED_ORDER_AXES,
+                'is_unframed': (True,),
+                'has_copy': (False,),
+            },
+            trouble='drain',
+            order_faults=('error',) * 1000,
+        )
+        for scenario in faults:
+            async with play(scenario) as (_, caller):
+                assert caller.events == list(range(1, EVENTS + 1))
+                assert not caller.is_whole
+
+    @pytest.mark.parametrize('trouble', ['drain', 'reset', 'stall'])
+    async def test_run_is_broken_off_rather_than_generated_twice(
+        self, trouble: str
+    ) -> None:
+        doubled, cut = await play_all(
+            scenarios(
+                FAILED_ORDER_AXES,
+                trouble=trouble,
+                order_faults=('error',) * 1000,
+            ),
+            lambda _: False,
+        )
+        assert not doubled
+        assert not cut
+
+
 class TestSignsThatProveNothing:
     """Guards against signs that are taken for the end of a run.
 
