Limit the delays of calls to the store by a node's present place

tests/test_relay_store_outage.py::test_registrations_that_lapsed_are_back_in_time was listed, and is no matter of load: the processor was idle.

Cause: the product. During an outage of the store, nodes far back in the order of their data centre delay their calls by up to 12.8 s, and follow the nodes before them. If leases expire in the outage, a node may learn of the removed registrations from a node that it polls, before it is in contact itself. It then knows no other node, counts as the first, and still waits for its old delay without contact. Registrations wait for contact, too. Callers at such nodes meet an old view.

Change: while a node calls the store itself, its delay is at most that of its present place, 0.7 s for the first.

The new unit test and the other tests of the backoff pass.

--- a/packages/core/mastichatch_core/relay/store_backoff.py
+++ b/packages/core/mastichatch_core/relay/store_backoff.py
@@ -70,7 +70,7 @@
         :param now: time in seconds
         """
         factor = math.pow(RANK_FACTOR, min(rank, MAX_RANK))
-        limit_s = min(DELAY_LIMIT_S, FIRST_LIMIT_S * factor)
+        limit_s = _limit_s(rank)
         least_s = min(BASE_DELAY_S * factor, limit_s / GROWTH)
         drawn_s = self._draw(least_s, GROWTH * max(least_s, self._delay_s))
         self._delay_s = min(limit_s, drawn_s)
@@ -86,9 +86,27 @@
         self._delay_s = BASE_DELAY_S
         self._next_at = None
 
+    def limit(self, rank: int, now: float) -> None:
+        """Limit the delay of a node by its present place in the order.
+
+        The nodes before it may have left the order since the last call, as all
+        do whose registrations expired during the outage.
+
+        :param rank: number of nodes that come first in the data centre
+        :param now: time in seconds
+        """
+        if self._next_at is not None:
+            self._next_at = min(self._next_at, now + _limit_s(rank))
+
     def left_s(self, now: float) -> float:
         """Return the time until the next call, in seconds.
 
         :param now: time in seconds
         """
         return 0 if self._next_at is None else max(0, self._next_at - now)
+
+
+def _limit_s(rank: int) -> float:
+    """Return the longest delay of a node, in seconds."""
+    factor = math.pow(RANK_FACTOR, min(rank, MAX_RANK))
+    return min(DELAY_LIMIT_S, FIRST_LIMIT_S * factor)
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -386,6 +386,7 @@
                 continue
             if not self._backoff.has_begun:
                 self._backoff.begin(rank, now)
+            self._backoff.limit(rank, now)
             left_s = self._backoff.left_s(now)
             if left_s:
                 await self._wait_for_readers(readers, left_s)
--- a/tests/test_relay_store_outage.py
+++ b/tests/test_relay_store_outage.py
@@ -86,6 +86,18 @@
         assert max(delays) < RETURN_LIMIT_S
         assert len(set(delays)) > 1
 
+    def test_node_that_becomes_the_first_calls_soon(self) -> None:
+        """The registrations of the nodes before it have expired."""
+        backoff = StoreBackoff(random.Random(1).uniform)
+        backoff.begin(9, 5)
+        for _ in range(9):
+            backoff.record_failure(9, 5)
+        backoff.limit(9, 5)
+        assert backoff.left_s(5) > RETURN_LIMIT_S
+        backoff.limit(0, 5)
+        backoff.limit(0, 5.5)
+        assert backoff.left_s(5) < RETURN_LIMIT_S
+
     def test_success_ends_the_delay(self) -> None:
         backoff = StoreBackoff(random.Random(1).uniform)
         backoff.begin(0, 5)
