Leave a brittle server's room as it is when requests without a slot are rejected

Callers saw fewer calls served for some seconds after servers became brittle: one or two servers got two or three requests at a time instead of six.

Cause: at the moment at which nodes begin to share slots, requests that were sent before fill the servers and their queues. What these reject was taken as a sign that a server has less room than its slots; each rejection took one slot off the granted number, the second in a second halved it, and one slot came back each second.

Change: a rejection still counts towards the second in which nothing more is granted. It lowers the granted number only if its request had a slot, granted after the first half second of the ledger, in which hosts tell what else is in progress.

--- a/packages/core/mastichatch_core/relay/slot_grants.py
+++ b/packages/core/mastichatch_core/relay/slot_grants.py
@@ -155,6 +155,10 @@
         """Highest number of requests that the server may process at once."""
         return self.room.slots or UNKNOWN_SLOTS
 
+    def is_gathering(self, now: float) -> bool:
+        """Return whether hosts may not have told yet what is in progress."""
+        return now - self.created_at < GATHER_S
+
     def in_use(self, now: float) -> int:
         """Return how many requests are in progress, as far as is known."""
         others = sum(
@@ -172,7 +176,7 @@
         if now < self.closed_until or 0 < allowed <= len(self.rejected_at):
             return 0
         share = self.room.share
-        if now - self.created_at < GATHER_S:
+        if self.is_gathering(now):
             share = min(share, GATHER_SHARE)
         shared = max(1, int(self.slots * share))
         return min(self.bound, shared)
@@ -197,10 +201,17 @@
         usual = max(1, capacity, self.bound)
         return closed_s + max(0, missing) / usual * self.hold_s
 
-    def reject(self, now: float) -> None:
-        """Record that the server rejected a request for want of room."""
+    def reject(self, now: float, *, has_shown_room: bool) -> None:
+        """Record that the server rejected a request for want of room.
+
+        :param now: time in seconds
+        :param has_shown_room: whether the server had less room than is granted;
+            requests that nobody granted may have filled it instead
+        """
         self.rejected_at.append(now)
         _drop_before(self.rejected_at, now - WINDOW_S)
+        if not has_shown_room:
+            return
         self.bound -= 1
         if len(self.rejected_at) >= self.room.rejections:
             # All slots are free once it gets requests again, and these come
@@ -303,12 +314,15 @@
         if server is None:
             return
         server.queue.pop(ticket, None)
+        server.untold.pop(ticket, None)
+        grant = server.grants.pop(ticket, None)
         if outcome is SlotOutcome.rejected:
-            server.reject(now)
+            is_early = grant is not None and server.is_gathering(
+                grant.granted_at
+            )
+            server.reject(now, has_shown_room=bool(ticket) and not is_early)
         elif outcome is SlotOutcome.lost:
             server.lose(now)
-        server.untold.pop(ticket, None)
-        grant = server.grants.pop(ticket, None)
         if grant is not None and outcome is SlotOutcome.done:
             server.answer(grant, now)
 
--- a/tests/test_relay_slot_grants.py
+++ b/tests/test_relay_slot_grants.py
@@ -26,6 +26,7 @@
     FALL_S,
     FALLBACK_SHARE,
     GATHER_S,
+    GATHER_SHARE,
     MAX_HOLD_S,
     PROBE_S,
     WINDOW_S,
@@ -213,6 +214,28 @@
         table.grant_queued('i', 1 + PROBE_S)
         assert table.in_use('i', 1 + PROBE_S) <= SLOTS
 
+    def test_requests_without_a_slot_do_not_show_that_there_is_less_room(
+        self,
+    ) -> None:
+        table = table_of()
+        for _ in range(ROOM.rejections):
+            table.give_back('i', '', SlotOutcome.rejected, 1)
+        assert SlotState.granted not in request_many(table, SLOTS, 1.1)
+        request_many(table, SLOTS, 1 + WINDOW_S)
+        assert table.in_use('i', 1 + WINDOW_S) == SLOTS
+
+    def test_requests_sent_while_others_are_unknown_do_not_either(
+        self,
+    ) -> None:
+        table = SlotTable()
+        states = request_many(table, SLOTS, 0)
+        assert states.count(SlotState.granted) == SLOTS * GATHER_SHARE
+        for number in range(ROOM.rejections):
+            table.give_back('i', f'0-{number}', SlotOutcome.rejected, 0.1)
+        table.give_back('i', '0-2', SlotOutcome.done, 0.1)
+        request_many(table, SLOTS, 0.1 + WINDOW_S)
+        assert table.in_use('i', 0.1 + WINDOW_S) == SLOTS
+
     def test_server_that_bears_none_is_probed_seldom(self) -> None:
         room = ServerRoom(slots=SLOTS, rejections=0)
         table = table_of(room)
