--- a/tests/test_relay_slot_grants.py
+++ b/tests/test_relay_slot_grants.py
@@ -38,7 +38,8 @@
 )
 
 SLOTS = 6
-ROOM = ServerRoom(slots=SLOTS, rejections=2)
+REJECTIONS = 2
+ROOM = ServerRoom(slots=SLOTS, rejections=REJECTIONS)
 
 
 def claim(ticket: str, **options: object) -> SlotClaim:
@@ -218,7 +219,7 @@
         self,
     ) -> None:
         table = table_of()
-        for _ in range(ROOM.rejections):
+        for _ in range(REJECTIONS):
             table.give_back('i', '', SlotOutcome.rejected, 1)
         assert SlotState.granted not in request_many(table, SLOTS, 1.1)
         request_many(table, SLOTS, 1 + WINDOW_S)
@@ -230,7 +231,7 @@
         table = SlotTable()
         states = request_many(table, SLOTS, 0)
         assert states.count(SlotState.granted) == SLOTS * GATHER_SHARE
-        for number in range(ROOM.rejections):
+        for number in range(REJECTIONS):
             table.give_back('i', f'0-{number}', SlotOutcome.rejected, 0.1)
         table.give_back('i', '0-2', SlotOutcome.done, 0.1)
         request_many(table, SLOTS, 0.1 + WINDOW_S)
