--- a/packages/node/mastichatch_node/relay/slot_choice.py
+++ b/packages/node/mastichatch_node/relay/slot_choice.py
@@ -140,7 +140,7 @@
     is_lost = outcome is SlotOutcome.lost
     if is_lost and slots.brittle.is_brittle(endpoint.service):
         # The way of this node to all endpoints may be the reason.
-        context.isolation.contact.tell(
+        context.isolation.contact.call_when_reached(
             functools.partial(slots.report_failure, endpoint, SlotOutcome.lost)
         )
     if choice.slot is None:
