--- a/packages/core/mastichatch_core/relay/registered_endpoints.py
+++ b/packages/core/mastichatch_core/relay/registered_endpoints.py
@@ -37,6 +37,7 @@
         self._grace_s = grace_s
         self._endpoints: dict[str, Endpoint] = {}
         self._instances: dict[str, str] = {}
+        # An ordered set, from which the oldest are dropped.
         self._leaving: dict[str, float] = {}
         self._expiring: dict[str, float] = {}
         self._removed: dict[str, Endpoint] = {}
--- a/packages/node/mastichatch_node/relay/run_broadcast.py
+++ b/packages/node/mastichatch_node/relay/run_broadcast.py
@@ -88,6 +88,11 @@
         """Return the other nodes, as input to the choice of receivers."""
 
 
+def _no_era() -> int:
+    """Return the era of a store that names none."""
+    return 0
+
+
 class RunBroadcaster:
     """Announces this node's runs, and records those of all nodes."""
 
@@ -96,7 +101,7 @@
         peers: Peers,
         directory: NodeDirectory,
         revision: Callable[[], int],
-        era: Callable[[], int] = int,
+        era: Callable[[], int] = _no_era,
     ) -> None:
         """Start without runs.
 
