Repeat an order seldom while the engine is carrying it out

Cause: an order without an answer for 0.5 s is sent again, and the engine, which is still moving the run, answers 409. These tries followed the delays for other calls' copies, 0.3 s at most: with transfers of 1, 2, 3 and 3.9 s one run sent 4, 7, 10 and 13 orders, on two connections at a time (trial of the review). Change: after a conflict, while an earlier try is open, the next one waits as long as for an answer (1 s, then 2 s). Result: test_order_that_is_being_carried_out_is_seldom_repeated failed before with each of its three transfers (13 orders for 3.9 s), and passes: at most 3, 4 and 5. The price: if that first try is lost while the engine moves the run, the next one is sent up to 1 s later than before.

--- a/packages/node/mastichatch_node/relay/run_stopping.py
+++ b/packages/node/mastichatch_node/relay/run_stopping.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 from collections.abc import Callable, Coroutine, Iterable
+from http import HTTPStatus
 from typing import Any, Final, TypeVar
 
 from mastichatch_core.relay.model import Endpoint
@@ -217,13 +218,14 @@
                         answer, proof = copied, StopProof.stopped
                     elif not order.may_have_stopped:
                         proof = StopProof.ended
-                pause_s = repeat_delay_s(
+                usual_s = repeat_delay_s(
                     proof,
                     answer.status,
                     order.sent,
                     loop_time() - started_at,
                     run.ends_at - loop_time(),
                 )
+                pause_s = _pause_s(usual_s, answer, tries, order)
         self._telemetry.log_decision(
             'run_stopped_and_copied',
             run.request_id,
@@ -631,6 +633,25 @@
         order.record_answer(is_refused=_is_refused(answer))
 
 
+def _pause_s(
+    delay_s: float | None,
+    answer: MoveResponse,
+    tries: OrderTries,
+    order: StopOrder,
+) -> float | None:
+    """Return the delay before the next try, longer while one is carried out.
+
+    :param delay_s: delay without regard to other tries, in seconds
+    :param answer: answer to the last try
+    :param tries: tries of the order
+    :param order: the order
+    """
+    is_conflict = answer.status == HTTPStatus.CONFLICT
+    if delay_s is None or not (is_conflict and tries.has_open):
+        return delay_s
+    return answer_wait_s(order.sent)
+
+
 async def _late_copy(
     tries: OrderTries, order: StopOrder
 ) -> MoveResponse | None:
--- a/tests/test_relay_order_tries.py
+++ b/tests/test_relay_order_tries.py
@@ -85,3 +85,15 @@
     outcome = await order.result()
     assert outcome.has_stopped
     assert not outcome.had_ended
+
+
+@pytest.mark.parametrize(('transfer_s', 'most'), ((1, 3), (2, 4), (3.9, 5)))
+async def test_order_that_is_being_carried_out_is_seldom_repeated(
+    transfer_s: float, most: int
+) -> None:
+    """Other tries are answered with a conflict until the run has moved."""
+    conflicts = ((0, MoveResponse(status=409)),) * 20
+    order = order_stop((transfer_s, COPIED), *conflicts)
+    outcome = await order.result()
+    assert outcome.location is not None
+    assert order.sent <= most
