Choose the granters of turns and of slots in one place

Slots had a copy of how turns rank the hosts of an endpoint, and of how the choice is kept for half a second. Both call rank_granters and GranterRanking.

--- a/packages/core/mastichatch_core/relay/limit_turns.py
+++ b/packages/core/mastichatch_core/relay/limit_turns.py
@@ -16,8 +16,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from mastichatch_core import rendezvous
 from mastichatch_core.relay.forwarder_choice import NodeLink
+from mastichatch_core.relay.granter_choice import rank_granters
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.relay.server_pauses import pause_s
 
@@ -30,7 +30,6 @@
 HOLD_S: Final = 0.5
 # Share of the limit that the second granter grants.
 FALLBACK_SHARE: Final = 0.3
-GRANTERS: Final = 2
 # Longest time by which a host that is denied turns again and again asks later.
 # Else all hosts would ask for each turn, at the moment at which it is free.
 MAX_ASK_SPREAD_S: Final = 2.0
@@ -231,24 +230,12 @@
 ) -> tuple[str, ...]:
     """Return the names of the hosts that grant the turns of a server.
 
-    They are hosts of the server's data centre if it has any, since these are
-    cut off from most hosts only together with the server.
-
     :param endpoint: the server
     :param nodes: all nodes, with this one
     :returns: the first- and second-ranked host, as far as there are any
     """
-    near: list[str] = []
-    far: list[str] = []
-    for node in nodes:
-        if not node.grants_turns:
-            continue
-        is_near = node.data_centre == endpoint.data_centre
-        (near if is_near else far).append(node.name)
-    ranked = rendezvous.ranked(near, endpoint.instance)
-    if len(ranked) < GRANTERS:
-        ranked += rendezvous.ranked(far, endpoint.instance)
-    return ranked[:GRANTERS]
+    able = (node for node in nodes if node.grants_turns)
+    return rank_granters(endpoint, able)
 
 
 def granted_share(granters: tuple[str, ...], own: str) -> float:
--- a/packages/core/mastichatch_core/relay/slot_grants.py
+++ b/packages/core/mastichatch_core/relay/slot_grants.py
@@ -21,9 +21,9 @@
 from collections.abc import Collection, Iterable
 from typing import Final
 
-from mastichatch_core import rendezvous
 from mastichatch_core.generated.messages import SlotOutcome, SlotState
 from mastichatch_core.relay.forwarder_choice import NodeLink
+from mastichatch_core.relay.granter_choice import rank_granters
 from mastichatch_core.relay.model import Endpoint
 
 # Window in which a brittle server counts what it rejects.
@@ -56,7 +56,6 @@
 HOLD_WEIGHT: Final = 0.2
 # Longest time for which a request may keep a slot.
 MAX_HOLD_S: Final = 120.0
-GRANTERS: Final = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -413,15 +412,8 @@
     :param nodes: all nodes, with this one
     :returns: the first- and second-ranked host, as far as there are any
     """
-    able = [node for node in nodes if node.grants_slots]
-    near = [
-        node.name for node in able if node.data_centre == endpoint.data_centre
-    ]
-    ranked = rendezvous.ranked(near, endpoint.instance)
-    if len(ranked) < GRANTERS:
-        far = [node.name for node in able if node.name not in set(near)]
-        ranked += rendezvous.ranked(far, endpoint.instance)
-    return ranked[:GRANTERS]
+    able = (node for node in nodes if node.grants_slots)
+    return rank_granters(endpoint, able)
 
 
 def granted_slot_share(
--- a/packages/node/mastichatch_node/relay/slot_granting.py
+++ b/packages/node/mastichatch_node/relay/slot_granting.py
@@ -26,12 +26,12 @@
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, Reply
 from mastichatch_node.relay.brittle_tracking import BrittleTracker
+from mastichatch_node.relay.granter_ranking import GranterRanking
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.store_following import NodeRegistry
 
 # Time for which an endpoint that appeared may be a new process.
 NEW_S: Final = 10.0
-RANKING_LIFETIME_S: Final = 0.5
 LEDGER_BYTES: Final = 6
 # Time after which a request for a slot of an unknown endpoint is repeated.
 UNKNOWN_S: Final = 1.0
@@ -64,8 +64,7 @@
         self._table = SlotTable()
         self._ledger = secrets.token_hex(LEDGER_BYTES)
         self._appeared_at: dict[str, float] = {}
-        self._ranked: dict[str, tuple[str, ...]] = {}
-        self._ranked_until = -math.inf
+        self._ranking = GranterRanking(registry, choose_slot_granters)
         self._apply_own: Callable[[SlotAnswer], None] = _ignore
         peers.on(MessageKind.slot_request, SlotRequest, self._answer_request)
 
@@ -99,16 +98,7 @@
 
         :param endpoint: the endpoint
         """
-        now = loop_time()
-        if now >= self._ranked_until:
-            self._ranked.clear()
-            self._ranked_until = now + RANKING_LIFETIME_S
-        granters = self._ranked.get(endpoint.instance)
-        if granters is None:
-            nodes = (self._registry.link(), *self._registry.other_links(()))
-            granters = choose_slot_granters(endpoint, nodes)
-            self._ranked[endpoint.instance] = granters
-        return granters
+        return self._ranking.granters(endpoint)
 
     def grant(
         self, request: SlotRequest, endpoint: Endpoint, holder: str = ''
--- a/packages/node/mastichatch_node/relay/turn_keeping.py
+++ b/packages/node/mastichatch_node/relay/turn_keeping.py
@@ -30,15 +30,13 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, Reply
+from mastichatch_node.relay.granter_ranking import GranterRanking
 from mastichatch_node.relay.limit_metrics import TurnOutcome
 from mastichatch_node.relay.limit_tracking import LimitTracker
 from mastichatch_node.relay.store_following import NodeRegistry
 
 # Two nodes answer each other within a few milliseconds.
 ASK_TIMEOUT_MS: Final = 150.0
-# Time for which the choice of granters is kept. It takes half a millisecond
-# among 195 nodes, and each request for a turn depends on it twice.
-RANKING_LIFETIME_S: Final = 0.5
 # After no granter has answered, none is asked for this time.
 UNANSWERED_S: Final = 1.0
 # Longest time until a turn that is requested beside other requests.
@@ -74,8 +72,7 @@
         self._ledger = TurnLedger()
         self._held = HeldTurns()
         self._asking: dict[str, asyncio.Task[Turn]] = {}
-        self._ranked: dict[str, tuple[str, ...]] = {}
-        self._ranked_until = -math.inf
+        self._ranking = GranterRanking(registry, choose_granters)
         self._subscribers: list[Callable[[], None]] = []
         limits.subscribe(self._handle_changed_limit)
         peers.on(MessageKind.turn_request, TurnRequest, self._answer_request)
@@ -134,7 +131,7 @@
         request = TurnRequest(
             limit=self._limits.tell(endpoint.instance), is_charge=True
         )
-        granter = self._granters(endpoint)[0]
+        granter = self._ranking.granters(endpoint)[0]
         if granter == self._registry.own_name:
             self._grant(request, endpoint)
             return
@@ -214,7 +211,7 @@
             limit=self._limits.tell(endpoint.instance),
             wait_ms=longest_s * MS_PER_S,
         )
-        for granter in self._granters(endpoint):
+        for granter in self._ranking.granters(endpoint):
             if answer is None:
                 answer = await self._request_from(granter, endpoint, request)
         now = loop_time()
@@ -282,7 +279,9 @@
         if per_s is None:
             return TurnAnswer(limit=limit, is_granted=True)
         now = loop_time()
-        share = granted_share(self._granters(endpoint), self._registry.own_name)
+        share = granted_share(
+            self._ranking.granters(endpoint), self._registry.own_name
+        )
         if request.is_charge:
             self._ledger.charge(instance, per_s, now, share)
             return TurnAnswer(limit=limit)
@@ -295,18 +294,6 @@
             delay_ms=turn.delay_s * MS_PER_S,
         )
 
-    def _granters(self, endpoint: Endpoint) -> tuple[str, ...]:
-        now = loop_time()
-        if now >= self._ranked_until:
-            self._ranked.clear()
-            self._ranked_until = now + RANKING_LIFETIME_S
-        granters = self._ranked.get(endpoint.instance)
-        if granters is None:
-            nodes = (self._registry.link(), *self._registry.other_links(()))
-            granters = choose_granters(endpoint, nodes)
-            self._ranked[endpoint.instance] = granters
-        return granters
-
     def _handle_changed_limit(self, instance: str) -> None:
         # What was known of the next turn rested on the earlier limit.
         self._held.close(instance, -math.inf)
