Track limits and brittle endpoints by one piece of code

BrittleTracker had a copy of how LimitTracker reads answers, keeps what they name, and exchanges it with other nodes. Both are ValueTrackers now, and differ in what they do on a change.

--- a/packages/node/mastichatch_node/relay/brittle_tracking.py
+++ b/packages/node/mastichatch_node/relay/brittle_tracking.py
@@ -6,17 +6,16 @@
 from mastichatch_core.generated.messages import EndpointLimit, RunChanges
 from mastichatch_core.relay.brittle_services import BrittleServices
 from mastichatch_core.relay.model import Endpoint
-from mastichatch_core.relay.server_limits import LimitTable, ToldLimit
-from mastichatch_core.relay.store_cache import StoreCache, endpoint_at
-from mastichatch_core.units import MS_PER_S
+from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.dialect import Dialect
-from mastichatch_node.relay.http_client import ConnectionPool, ResponseHead
+from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
 from mastichatch_node.relay.telemetry import Telemetry
+from mastichatch_node.relay.value_tracking import ValueTracker
 
 
-class BrittleTracker:
+class BrittleTracker(ValueTracker):
     """The brittle endpoints, as answers and other nodes tell of them."""
 
     def __init__(
@@ -31,24 +30,11 @@
         :param sharing: tells other nodes of brittle endpoints
         :param telemetry: log and metrics of the node
         """
-        self._cache = cache
-        self._sharing = sharing
-        self._telemetry = telemetry
         # The rate of a limit stands for rejections a second.
-        self._table = LimitTable()
+        super().__init__(cache, sharing, telemetry)
         self._services = BrittleServices()
         self._subscribers: list[Callable[[], None]] = []
 
-    @property
-    def current(self) -> tuple[EndpointLimit, ...]:
-        """What is known of brittle endpoints, for other nodes."""
-        return tuple(map(_encode, self._table.all_told(loop_time())))
-
-    @property
-    def telemetry(self) -> Telemetry:
-        """Log and metrics of the node."""
-        return self._telemetry
-
     def attach(self, pool: ConnectionPool, dialect: Dialect) -> None:
         """Read the answers of endpoints.
 
@@ -56,22 +42,10 @@
         :param dialect: decodes the answers
         """
 
-        def read_answer(address: str, head: ResponseHead) -> None:
-            notice = dialect.read_brittle(head)
-            names_none = notice is None or notice.per_s is None
-            if names_none and self._table.is_empty:
-                return
-            now = loop_time()
-            endpoint = endpoint_at(self._cache, address, now)
-            if endpoint is None:
-                return
-            instance = endpoint.instance
-            if self._table.record_answer(instance, notice, head.sent_at, now):
-                self._record_change(instance, 'its answer')
-                told = (self.tell(instance),)
-                self._sharing.announce_outcomes(brittle=told)
-
-        pool.observe_heads(read_answer)
+        def announce(brittle: EndpointLimit) -> None:
+            self._sharing.announce_outcomes(brittle=(brittle,))
+
+        self._read_answers(pool, dialect.read_brittle, announce)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Register a callback for endpoints that become brittle, or end that.
@@ -118,35 +92,10 @@
             return named
         return self._services.rejections(endpoint.service, now)
 
-    def tell(self, instance: str) -> EndpointLimit:
-        """Return what is known of an endpoint, for other nodes.
-
-        :param instance: instance id of the endpoint
-        """
-        told = self._table.find_told(instance, loop_time())
-        if told is None:
-            return EndpointLimit(instance=instance)
-        return _encode(told)
-
-    def record_told(self, brittle: EndpointLimit, teller: str) -> None:
-        """Record what another node knows of an endpoint.
-
-        :param brittle: what it knows
-        :param teller: name or address of the node
-        """
-        told = ToldLimit(
-            instance=brittle.instance,
-            per_s=brittle.per_s,
-            age_s=brittle.age_ms / MS_PER_S,
-        )
-        if self._table.record_told(told, loop_time()):
-            self._record_change(brittle.instance, teller)
-
-    def _record_change(self, instance: str, teller: str) -> None:
-        known = self.tell(instance)
+    def _record_change(self, known: EndpointLimit, teller: str) -> None:
         self._telemetry.log_state_change(
             'endpoint_brittle_changed',
-            instance=instance,
+            instance=known.instance,
             rejections_per_s=known.per_s,
             age_ms=round(known.age_ms),
             told_by=teller,
@@ -173,11 +122,3 @@
         }
         self._services.update(named, ended, now)
         self._telemetry.slots.show_brittle(in_force)
-
-
-def _encode(told: ToldLimit) -> EndpointLimit:
-    return EndpointLimit(
-        instance=told.instance,
-        per_s=told.per_s,
-        age_ms=told.age_s * MS_PER_S,
-    )
