--- a/packages/node/mastichatch_node/clock.py
+++ b/packages/node/mastichatch_node/clock.py
@@ -15,27 +15,30 @@
 
 
 @contextlib.asynccontextmanager
-async def patient_timeout(timeout_s: float) -> AsyncIterator[None]:
+async def patient_timeout(
+    timeout_s: float, steps: int = TIMEOUT_STEPS
+) -> AsyncIterator[None]:
     """Limit the time of a block, but for times in which the loop is held up.
 
     What happened in such a time is handled before the limit ends.
 
     :param timeout_s: longest time, in seconds
+    :param steps: number of steps in which it elapses
     :raises TimeoutError: if the block takes longer
     """
     loop = asyncio.get_running_loop()
-    step_s = timeout_s / TIMEOUT_STEPS
+    step_s = timeout_s / steps
     timer: asyncio.TimerHandle
     async with asyncio.timeout(None) as limit:
 
-        def count_down(steps: int) -> None:
+        def count_down(left: int) -> None:
             nonlocal timer
-            if steps:
-                timer = loop.call_later(step_s, count_down, steps - 1)
+            if left:
+                timer = loop.call_later(step_s, count_down, left - 1)
             else:
                 limit.reschedule(loop.time())
 
-        timer = loop.call_later(step_s, count_down, TIMEOUT_STEPS - 1)
+        timer = loop.call_later(step_s, count_down, steps - 1)
         try:
             yield
         finally:
--- a/packages/node/mastichatch_node/relay/awake_waiting.py
+++ b/packages/node/mastichatch_node/relay/awake_waiting.py
@@ -6,10 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Collection
 from typing import Any, Final
 
+from mastichatch_node.clock import patient_timeout
+
 # A longer step counts as this long, since the event loop did not run.
 STEP_S: Final = 0.05
 
@@ -25,12 +28,7 @@
     :returns: whether one is done
     """
     steps = max(1, math.ceil(timeout_s / STEP_S))
-    for _ in range(steps):
-        done, _pending = await asyncio.wait(
-            futures,
-            timeout=timeout_s / steps,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if done:
-            return True
+    with contextlib.suppress(TimeoutError):
+        async with patient_timeout(timeout_s, steps):
+            await asyncio.wait(futures, return_when=asyncio.FIRST_COMPLETED)
     return any(future.done() for future in futures)
