--- a/review/standins-2/house.py
+++ b/review/standins-2/house.py
@@ -159,6 +159,10 @@
         self.events = []
         self.revision = 100
         self.leases = {}
+        # Returns whether a write is done late, and never answered.
+        self.is_late = lambda body: False
+        self.late_s = 5.0
+        self._late = set()
         self._numbers = itertools.count(7001)
         self._changed = asyncio.Condition()
 
@@ -209,6 +213,12 @@
         query = {name: one[0] for name, one in found.items()}
         name, _, rest = url.path.removeprefix('/mastichatch/').partition('/')
         body = json.loads(request.body or b'{}')
+        if name == 'kv-txn' and self.is_late(body):
+            task = asyncio.ensure_future(self._commit_late(body))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await reader.read()
+            return
         status, document = await self._call(name, rest, query, body)
         content = json.dumps(document).encode()
         headers = ('Content-Type: application/json', 'Store-Era: 1')
@@ -269,6 +279,11 @@
                     await self._changed.wait_for(find)
         return 200, {'events': find(), 'at': self.revision}
 
+    async def _commit_late(self, body):
+        await asyncio.sleep(self.late_s)
+        await self._expire()
+        await self._commit(body)
+
     async def _commit(self, body):
         expected = body['expected_rev']
         for row in expected:
@@ -467,6 +482,37 @@
         writer.write(message(200, json.dumps(answer).encode()))
 
 
+class App(Server):
+    """A server of plain calls, which may name a limit in its answers."""
+
+    def __init__(self, name, record, **options):
+        super().__init__()
+        self.name = name
+        self.record = record
+        self.born = options.get('born', int(time.time() * 1000))
+        self.work_s = options.get('work_s', 0.02)
+        self.slots = 64
+        self.limit = None
+        self.arrivals = []
+
+    def entry(self, service, zone, state='ready'):
+        return Engine.entry(self, service, zone, state)
+
+    async def answer(self, request, reader, writer):
+        said = [f'Mastichatch-Attempt-Id: {request.id}']
+        if self.limit is not None:
+            said.append(f'Server-Limit: {self.limit}')
+        named = request.headers.get('mastichatch-expect-instance', self.name)
+        if not request.id or named != self.name:
+            said.append('Mastichatch-Not-Executed: 1')
+            writer.write(message(421 if request.id else 400, b'', said))
+            return
+        self.arrivals.append((clock(), request.id, self.limit))
+        await asyncio.sleep(self.work_s)
+        said.append(f'Mastichatch-Server-Seal: {self.name}.{request.id}')
+        writer.write(message(200, request.id.encode(), said))
+
+
 # The programs under test
 
 
