--- a/review/standins-2/house.py
+++ b/review/standins-2/house.py
@@ -159,6 +159,7 @@
         self.events = []
         self.revision = 100
         self.leases = {}
+        self.is_silent = False
         # Returns whether a write is done late, and never answered.
         self.is_late = lambda body: False
         self.late_s = 5.0
@@ -194,6 +195,11 @@
         async with self._changed:
             self._changed.notify_all()
 
+    async def return_from_silence(self):
+        """Answer again; leases have run out meanwhile."""
+        await self._expire()
+        self.is_silent = False
+
     async def _expire(self):
         now = time.monotonic()
         for number, (_, ends_at) in tuple(self.leases.items()):
@@ -213,6 +219,10 @@
         query = {name: one[0] for name, one in found.items()}
         name, _, rest = url.path.removeprefix('/mastichatch/').partition('/')
         body = json.loads(request.body or b'{}')
+        if self.is_silent:
+            # The connection stays open, and nothing is done.
+            await reader.read()
+            return
         if name == 'kv-txn' and self.is_late(body):
             task = asyncio.ensure_future(self._commit_late(body))
             self._late.add(task)
@@ -220,6 +230,9 @@
             await reader.read()
             return
         status, document = await self._call(name, rest, query, body)
+        if self.is_silent:
+            await reader.read()
+            return
         content = json.dumps(document).encode()
         headers = ('Content-Type: application/json', 'Store-Era: 1')
         writer.write(message(status, content, headers))
