--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,11 @@
 cd "$(dirname "$0")" || exit 2
 CASE_SCRATCH=$(mktemp -d) || exit 2
 export CASE_SCRATCH
-timeout 118 python3 case.py
+timeout 118 python3 play.py
 status=$?
 rm -rf "$CASE_SCRATCH"
-[ "$status" -le 1 ] || status=2
-exit "$status"
+case "$status" in
+0) exit 0 ;;
+10) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/standins-2/house.py
+++ b/review/standins-2/house.py
@@ -738,7 +738,8 @@
         record(f'the case could not run: {error!r}')
         sys.exit(2)
     record('BROKEN' if is_broken else 'held')
-    sys.exit(1 if is_broken else 0)
+    # Other ends of the interpreter have the status 1.
+    sys.exit(10 if is_broken else 0)
 
 
 def configuration(routes, services, version=7):
