--- a/review/standins-2/house.py
+++ b/review/standins-2/house.py
@@ -724,7 +724,7 @@
         and a stack of clean-ups; it returns whether the rule was broken
     """
     record = Record(folder)
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    has_trouble = os.environ['TROUBLE'] != '0'
     scratch = os.environ['CASE_SCRATCH']
 
     async def main():
