Refuse what waits in vain when a host is stopped, at once

Cause: a request may wait for twice its aim, whatever is left of the node; all were accepted until the stop was noticed; and the end of the grace time cancels what waits instead of refusing it.

Change: PlannedStop limits each wait (engine, slot of an engine, slot or turn of a call, body, answer of a helping node) to the time at which the request would still end before connections are closed, ends waits in progress by the same rule when the stop begins, and begins none that is in vain. Generations take the time that forecasts assume. Before a stop, forecasts are made for all services whose runs are followed. A call that may have run ends as 502, never as refused.

--- a/packages/core/mastichatch_core/relay/admission/room.py
+++ b/packages/core/mastichatch_core/relay/admission/room.py
@@ -18,11 +18,15 @@
     cost_tokens,
     flow_of,
 )
-from mastichatch_core.relay.engine_choice import expected_memory_tokens
+from mastichatch_core.relay.engine_choice import (
+    estimate_output_tokens,
+    expected_memory_tokens,
+)
 from mastichatch_core.relay.engine_queue import (
     FIRST_EVENT_MS,
     PREFILL_TOKENS_PER_MS,
 )
+from mastichatch_core.relay.model import RequestMetadata
 from mastichatch_core.units import MS_PER_S
 
 # Releases are summed by intervals of this length.
@@ -302,6 +306,20 @@
         sums[key] = total
 
 
+def expected_answer_s(facts: RequestMetadata) -> float:
+    """Return the time that a generation takes on an idle engine, in seconds.
+
+    :param facts: metadata of its request
+    """
+    run = Run(
+        request_id=facts.request_id,
+        service='',
+        prompt_tokens=facts.prompt_tokens,
+        expected_tokens=estimate_output_tokens(facts, None),
+    )
+    return expected_time_s(run)
+
+
 def expected_time_s(run: Run) -> float:
     """Return the time until a run is expected to end, in seconds.
 
--- a/packages/node/mastichatch_node/relay/admission_forecasting.py
+++ b/packages/node/mastichatch_node/relay/admission_forecasting.py
@@ -12,7 +12,10 @@
     measure_supply,
     return_delay_s,
 )
-from mastichatch_core.relay.admission.room import RoomTracker
+from mastichatch_core.relay.admission.room import (
+    RoomTracker,
+    expected_answer_s,
+)
 from mastichatch_core.relay.admission.shares import Flow
 from mastichatch_core.relay.engine_queue import QueuePlan, max_queue_wait_s
 from mastichatch_core.relay.load_control import (
@@ -25,6 +28,7 @@
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.context import Job, RelayContext
+from mastichatch_node.relay.planned_stop import draw_return_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,9 +56,11 @@
         self._room = RoomTracker()
         self._expected: dict[str, _Expectation] = {}
         controls = context.controls
-        if {controls.admission_forecast, controls.fair_shares} != {
-            LoadControl.off
-        }:
+        self._is_attached = {
+            controls.admission_forecast,
+            controls.fair_shares,
+        } != {LoadControl.off}
+        if self._is_attached:
             context.sharing.table.attach(self._room)
 
     def held_by_flow(self, service: str) -> Mapping[Flow, float] | None:
@@ -101,7 +107,7 @@
             if run.request_id in jobs
         )
         # Without an engine in use, nothing can be forecast.
-        if not waiting or not usable or not self._is_on(usable[0].service):
+        if not waiting or not usable or not self._is_made(usable[0].service):
             return {}
         now = loop_time()
         supply = measure_supply(
@@ -118,8 +124,8 @@
         refused: dict[str, float] = {}
         for request_id in waiting:
             job, forecast = jobs[request_id], forecasts[request_id]
-            if now + forecast.wait_s > waits_until(job):
-                refused[request_id] = _draw_return_s(job, forecast)
+            if now + forecast.wait_s > waits_until(self._context, job):
+                refused[request_id] = self._draw_return_s(job, forecast)
                 self._log_refusal(job, forecast, supply, refused[request_id])
             else:
                 self._expect(request_id, forecast)
@@ -134,7 +140,7 @@
         expected = self._expected.get(job.request_id)
         if expected is None:
             return None
-        return _draw_return_s(job, expected.latest)
+        return self._draw_return_s(job, expected.latest)
 
     def record_end(self, request_id: str, *, is_placed: bool) -> None:
         """Record that a request no longer waits.
@@ -148,6 +154,14 @@
                 expected.placed_at - loop_time()
             )
 
+    def _is_made(self, service: str) -> bool:
+        """Return whether forecasts are made for a service.
+
+        Before a planned stop, no request waits for room that comes too late.
+        """
+        is_stopping = self._is_attached and self._context.stop.is_planned
+        return is_stopping or self._is_on(service)
+
     def _is_on(self, service: str) -> bool:
         return is_controlled(
             self._context.controls.admission_forecast,
@@ -155,6 +169,19 @@
             service,
         )
 
+    def _draw_return_s(self, job: Job, forecast: Forecast) -> float:
+        if self._context.stop.is_planned and (
+            not self._is_on(job.service.name)
+            or loop_time() + forecast.wait_s <= _longest_wait_until(job)
+        ):
+            # Another node lets it wait.
+            return draw_return_s()
+        return return_delay_s(
+            forecast,
+            job.left_ms() / MS_PER_S,
+            random.random(),  # noqa: S311
+        )
+
     def _expect(self, request_id: str, forecast: Forecast) -> None:
         known = self._expected.get(request_id)
         if known is None:
@@ -187,20 +214,24 @@
         )
 
 
-def waits_until(job: Job) -> float:
+def waits_until(context: RelayContext, job: Job) -> float:
     """Return until which time a request may wait for an engine, in seconds.
 
+    Its answer must end before a planned stop of this node.
+
+    :param context: shared components of the relay
     :param job: the request
     """
+    latest = _longest_wait_until(job)
+    if not context.stop.is_planned:
+        return latest
+    duration_s = expected_answer_s(job.facts)
+    return min(latest, context.stop.latest_start(duration_s))
+
+
+def _longest_wait_until(job: Job) -> float:
+    """Return until when a request waits at nodes that do not stop."""
     arrived_at = job.request.arrived_at
     return arrived_at + max_queue_wait_s(
         job.route.objective_ms / MS_PER_S, job.ends_at - arrived_at
     )
-
-
-def _draw_return_s(job: Job, forecast: Forecast) -> float:
-    return return_delay_s(
-        forecast,
-        job.left_ms() / MS_PER_S,
-        random.random(),  # noqa: S311
-    )
--- a/packages/node/mastichatch_node/relay/context.py
+++ b/packages/node/mastichatch_node/relay/context.py
@@ -26,6 +26,7 @@
 from mastichatch_node.relay.http_client import ConnectionPool
 from mastichatch_node.relay.http_server import IncomingRequest
 from mastichatch_node.relay.isolation_tracking import IsolationTracker
+from mastichatch_node.relay.planned_stop import PlannedStop
 from mastichatch_node.relay.proxy_peers import ProxyPeers
 from mastichatch_node.relay.rollouts.keeper import RolloutKeeper
 from mastichatch_node.relay.run_broadcast import RunBroadcaster
@@ -186,6 +187,7 @@
     :param proxy_pool: connections to these nodes
     :param controls: for which services each decision under load is made
     :param remotes: what was decided on leaving this host's data centre
+    :param stop: when this node stops, once that is planned
     """
 
     node: str
@@ -209,3 +211,4 @@
     remotes: RemoteDecisions = dataclasses.field(
         default_factory=RemoteDecisions
     )
+    stop: PlannedStop = dataclasses.field(default_factory=PlannedStop)
--- a/packages/node/mastichatch_node/relay/engine_placement.py
+++ b/packages/node/mastichatch_node/relay/engine_placement.py
@@ -305,7 +305,7 @@
             )
         )
         try:
-            async with asyncio.timeout_at(waits_until(job)):
+            async with asyncio.timeout_at(waits_until(self._context, job)):
                 return await future
         except TimeoutError:
             raise self._unavailable(job) from None
@@ -795,7 +795,7 @@
     if not usable or any(turns.limits.limit(one) is None for one in usable):
         return
     opens_in_s = turns.opens_in_s(usable)
-    if loop_time() + opens_in_s < waits_until(job):
+    if loop_time() + opens_in_s < waits_until(context, job):
         return
     context.telemetry.limits.count_refusal()
     draw = random.random()  # noqa: S311
--- a/packages/node/mastichatch_node/relay/http_server.py
+++ b/packages/node/mastichatch_node/relay/http_server.py
@@ -27,6 +27,7 @@
     configure_keepalive,
     write_in_pieces,
 )
+from mastichatch_node.relay.planned_stop import PlannedStop
 from mastichatch_node.relay.turns import TurnLimiter
 
 READ_BYTES: Final = 65536
@@ -201,6 +202,7 @@
         body_timeout_s: float,
         budget: ByteBudget,
         check_head: HeadCheck = _accept_all,
+        stop: PlannedStop | None = None,
     ) -> None:
         """Start without connections.
 
@@ -211,7 +213,10 @@
         :param budget: holds the bytes of callers
         :param check_head: called with each head before its body is read; raises
             ``ConnectionResetError`` to close the connection
+        :param stop: when the node stops; bodies that are still coming by then
+            are refused
         """
+        self._stop = stop or PlannedStop()
         self._check_head = check_head
         self._budget = budget
         self._body_timeout_s = body_timeout_s
@@ -396,7 +401,10 @@
         limits: ClientLimits,
         held: HeldBuffer,
     ) -> bytes:
-        async with asyncio.timeout(self._body_timeout_s):
+        async with (
+            self._stop.limit_wait(),
+            asyncio.timeout(self._body_timeout_s),
+        ):
             return await read_request_body(protocol, reader, limits, held)
 
     async def _wait_for_bytes(
--- a/packages/node/mastichatch_node/relay/proxying.py
+++ b/packages/node/mastichatch_node/relay/proxying.py
@@ -306,8 +306,7 @@
             ):
                 was_sent = True
                 started_at = loop_time()
-                await connection.send(outgoing)
-                head = await connection.read_head()
+                head = await self._read_head(connection, outgoing)
                 self._head_ms = round((loop_time() - started_at) * MS_PER_S)
                 return await self._pass_back(connection, head)
         except TimeoutError:
@@ -320,6 +319,21 @@
             outcome = ProxyOutcome.unknown if error.was_sent else NOT_SENT
             return _Result(outcome=outcome, reason=str(error))
 
+    async def _read_head(
+        self, connection: Connection, outgoing: OutgoingRequest
+    ) -> ResponseHead:
+        """Send the request, and read the head of the answer.
+
+        :raises ExchangeError: if there is none, also before a planned stop
+        """
+        try:
+            async with self._context.stop.limit_wait():
+                await connection.send(outgoing)
+                return await connection.read_head()
+        except MastichatchError as error:
+            connection.close()
+            raise ExchangeError(str(error), was_sent=True) from error
+
     def _broken_off(self, error: ExchangeError) -> _Result:
         """Return the result of a response that has begun and was cut off.
 
--- a/packages/node/mastichatch_node/relay/relay.py
+++ b/packages/node/mastichatch_node/relay/relay.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import math
 import random
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -45,6 +44,7 @@
     EngineUnavailableError,
     EnginePlacer,
 )
+from mastichatch_node.relay.planned_stop import draw_return_s
 from mastichatch_node.relay.proxy_decision import PassOnError, must_pass_on
 from mastichatch_node.relay.proxying import PeerProxy
 from mastichatch_node.relay.service_call import relay_call
@@ -87,8 +87,6 @@
         self._denial_limit_s = denial_limit_s
         self._generations: set[Generation] = set()
         self._silence_check: asyncio.TimerHandle | None = None
-        self._notice_ends_at = math.inf
-        self._stops_at = math.inf
 
     @property
     def context(self) -> RelayContext:
@@ -124,17 +122,17 @@
         if self._silence_check is not None:
             self._silence_check.cancel()
 
-    def begin_draining(self, notice_ends_at: float, stops_at: float) -> None:
+    def begin_draining(self, notice_ends_at: float, closes_at: float) -> None:
         """Refuse requests that the planned stop of the node would cut off.
 
-        Until the load balancer has noticed the stop, all are accepted.
+        Until the load balancer has noticed the stop, others are accepted.
 
-        :param notice_ends_at: loop time from which on they are refused, in
-            seconds
-        :param stops_at: loop time at which connections are closed, in seconds
+        :param notice_ends_at: loop time from which on the load balancer sends
+            no new connections, in seconds
+        :param closes_at: loop time at which connections are closed, in seconds
         """
-        self._notice_ends_at = notice_ends_at
-        self._stops_at = stops_at
+        self._context.stop.begin(notice_ends_at, closes_at)
+        self._placer.reconcile()
 
     def withdraw_quarantined(self) -> None:
         """Take runs off the engines that they would crash, before they do."""
@@ -309,11 +307,12 @@
 
     def _check_draining(self, job: Job) -> None:
         """Refuse a request that may last beyond the planned stop."""
-        if loop_time() < self._notice_ends_at:
+        stop = self._context.stop
+        if not stop.is_noticed:
             return
         # How long a generation takes is not known.
         is_generation = job.route.kind is RequestKind.streaming
-        if is_generation or job.ends_at > self._stops_at:
+        if is_generation or job.ends_at > stop.closes_at:
             raise MastichatchError(ErrorKind.draining)
 
     @contextlib.contextmanager
@@ -351,10 +350,9 @@
         )
         if reply.status:
             raise ConnectionResetError(str(error))
-        retry_after_s = None
         body = error.body(request_id)
-        if isinstance(error, EngineUnavailableError):
-            retry_after_s = error.retry_after_s
+        retry_after_s = _retry_after_s(error)
+        if retry_after_s is not None:
             body = dataclasses.replace(
                 body, retry_after_ms=round(retry_after_s * MS_PER_S)
             )
@@ -365,6 +363,15 @@
         )
 
 
+def _retry_after_s(error: MastichatchError) -> float | None:
+    """Return when a caller should come back, unless the kind of error tells."""
+    if isinstance(error, EngineUnavailableError):
+        return error.retry_after_s
+    if error.kind is ErrorKind.draining:
+        return draw_return_s()
+    return None
+
+
 def _require_configuration(cache: StoreCache) -> Configuration:
     if cache.configuration is None:
         raise MastichatchError(ErrorKind.not_ready)
--- a/packages/node/mastichatch_node/relay/relay_node.py
+++ b/packages/node/mastichatch_node/relay/relay_node.py
@@ -70,7 +70,11 @@
         self._relay = relay
         body_timeout_s = settings.body_timeout_ms / MS_PER_S
         self._caller_server = HttpServer(
-            relay.handle, self._limits, body_timeout_s, budget
+            relay.handle,
+            self._limits,
+            body_timeout_s,
+            budget,
+            stop=context.stop,
         )
         self._admin_server = HttpServer(
             self._answer_admin, ClientLimits, body_timeout_s, budget
@@ -81,6 +85,7 @@
             body_timeout_s,
             budget,
             self._proxy.check_head,
+            context.stop,
         )
 
     @property
@@ -141,7 +146,7 @@
         grace_s = self._settings.grace_ms / MS_PER_S
         self._relay.begin_draining(
             notice_ends_at=loop_time() + DRAIN_NOTICE_S,
-            stops_at=loop_time() + grace_s - CLOSE_RESERVE_S,
+            closes_at=loop_time() + grace_s - CLOSE_RESERVE_S,
         )
 
     def _limits(self) -> ClientLimits:
--- a/packages/node/mastichatch_node/relay/run_slots.py
+++ b/packages/node/mastichatch_node/relay/run_slots.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from mastichatch_core.generated.messages import SlotOutcome
+from mastichatch_core.relay.admission.room import expected_answer_s
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.relay.context import Job, RelayContext
@@ -54,8 +55,14 @@
         """Return the engine of a new run, and hold its slot if it is brittle.
 
         :param excluded: instances that refused the run
-        :raises EngineUnavailableError: if no engine has room in time
+        :raises MastichatchError: if no engine has room in time, or in time
+            before a planned stop of this node
         """
+        duration_s = expected_answer_s(self._job.facts)
+        async with self._context.stop.limit_wait(duration_s):
+            return await self._place(excluded)
+
+    async def _place(self, excluded: frozenset[str]) -> EnginePlacement:
         for _ in range(MAX_TRIES):
             placement = await self._placer.place(self._job, excluded)
             endpoint = placement.endpoint
--- a/packages/node/mastichatch_node/relay/service_call.py
+++ b/packages/node/mastichatch_node/relay/service_call.py
@@ -36,7 +36,7 @@
 )
 from mastichatch_node.relay.limited_choice import refuse_if_all_limited
 from mastichatch_node.relay.slot_choice import (
-    choose_endpoint,
+    choose_before_stop,
     refuse_if_no_slot,
     returned_slot,
 )
@@ -101,9 +101,12 @@
     is_passed_on = False
     while not (is_final or is_passed_on):
         ranked = _rank_endpoints(context, job, tried)
-        choice = await choose_endpoint(context, job, ranked)
+        may_have_run = any(map(_may_have_run, results))
+        choice = await choose_before_stop(
+            context, job, ranked, may_have_run=may_have_run
+        )
         if choice is None:
-            if not any(map(_may_have_run, results)):
+            if not may_have_run:
                 refuse_if_all_paused(context, job)
                 refuse_if_no_slot(context, job)
                 refuse_if_all_limited(context, job, ranked)
--- a/packages/node/mastichatch_node/relay/slot_choice.py
+++ b/packages/node/mastichatch_node/relay/slot_choice.py
@@ -7,7 +7,8 @@
 from collections.abc import Iterator, Sequence
 from typing import Final
 
-from mastichatch_core.generated.messages import SlotOutcome
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import ErrorKind, SlotOutcome
 from mastichatch_core.relay.limit_turns import return_delay_s
 from mastichatch_core.relay.model import Endpoint
 from mastichatch_core.relay.store_cache import usable_endpoints
@@ -46,6 +47,32 @@
     slot: Slot | None = None
 
 
+async def choose_before_stop(
+    context: RelayContext,
+    job: Job,
+    ranked: Sequence[Endpoint],
+    *,
+    may_have_run: bool,
+) -> Choice | None:
+    """Return the endpoint of a call that ends before a planned stop.
+
+    :param context: shared components of the relay
+    :param job: the call
+    :param ranked: endpoints that it may be sent to, the best one first
+    :param may_have_run: whether an earlier attempt may have run it
+    :returns: ``None`` without an endpoint that may get it in time
+    :raises MastichatchError: with ``draining`` if it has not run, and would not
+        end before the stop
+    """
+    try:
+        async with context.stop.limit_wait(_fastest_s(context, ranked)):
+            return await choose_endpoint(context, job, ranked)
+    except MastichatchError as error:
+        if error.kind is not ErrorKind.draining or not may_have_run:
+            raise
+        return None
+
+
 async def choose_endpoint(
     context: RelayContext, job: Job, ranked: Sequence[Endpoint]
 ) -> Choice | None:
@@ -115,6 +142,12 @@
     raise EngineUnavailableError(NO_SLOT, return_delay_s(opens_in_s, draw))
 
 
+def _fastest_s(context: RelayContext, ranked: Sequence[Endpoint]) -> float:
+    """Return the time that a call takes at the fastest endpoint, in seconds."""
+    times = [context.records.get(one.instance).mean_ms for one in ranked]
+    return min(times, default=0) / MS_PER_S
+
+
 async def _acquire(
     context: RelayContext, job: Job, ranked: Sequence[Endpoint]
 ) -> Slot | None:
