Ask other nodes before a restored store's view is used

Cause: a node served by the store's first listing before it asked other nodes, and a node told a kept configuration only if it had itself read an older one from the store, not if it had entered the era through another node's view. The same on two more paths: a node that returns from a cut asked nobody, and the answer of a node that had not noticed the store's return was discarded.

Queries tell the version, and whoever has a later one returns it.

--- a/packages/core/mastichatch_core/relay/store_cache.py
+++ b/packages/core/mastichatch_core/relay/store_cache.py
@@ -148,19 +148,25 @@
         }
 
     def changes_after(
-        self, revision: int, *, with_kept: bool = False
+        self, revision: int, *, known_version: int | None = None
     ) -> tuple[ViewEntry, ...]:
         """Return the entries written or deleted after a revision.
 
+        A configuration that is later than the known one is returned also if it
+        was written before that revision: a restored store may have lost it.
+
         :param revision: revision of this era that another node's cache has
             reached
-        :param with_kept: whether the configuration is returned also before
-            that revision, if it is later than that of a restored store
+        :param known_version: version of the configuration that the other node
+            has; ``None`` if it is not to be compared
         """
         changes = self._entries.changes_after(revision)
         entry = self._entries.get(self._decoders.configuration_key)
-        is_kept = with_kept and self._configuration.is_store_older
-        if not is_kept or entry is None or entry in changes:
+        is_later = (
+            known_version is not None
+            and self._configuration.version > known_version
+        )
+        if not is_later or entry is None or entry in changes:
             return changes
         return (*changes, entry)
 
@@ -180,7 +186,8 @@
     ) -> tuple[str, ...]:
         """Apply changes of the store to the cache.
 
-        Changes of another era than that of the cache are ignored.
+        Changes of another era than that of the cache are ignored, but for a
+        later configuration: it counts by its version.
 
         :param view: changes up to the revision of the view
         :param verified_at: time at which the call that returned the view was
@@ -190,8 +197,11 @@
         :returns: the keys that changed
         """
         if view.era != self.era:
-            # A late answer, or one of an era whose listing is yet to come.
-            return ()
+            # A late answer, one of an era whose listing is yet to come, or one
+            # of a node that has not noticed the store's return.
+            return tuple(
+                entry.key for entry in view.entries if self._take_kept(entry)
+            )
         changed = tuple(
             entry.key
             for entry in sorted(view.entries, key=lambda one: one.revision)
--- a/packages/node/mastichatch_node/relay/store_eras.py
+++ b/packages/node/mastichatch_node/relay/store_eras.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from mastichatch_core.relay.store import StoreView
@@ -24,26 +24,6 @@
 FREE_LISTINGS: Final = 2
 
 
-# Number of nodes that a node asks at its start, until one answers.
-MAX_ASKED_AT_START: Final = 2
-
-
-async def ask_in_turn(
-    query: Callable[[str, float], Awaitable[bool | None]],
-    addresses: Sequence[str],
-) -> None:
-    """Ask other nodes what they have kept that a restored store lacks.
-
-    :param query: takes over the view of a node at an address, and returns
-        ``None`` if that is of no use
-    :param addresses: addresses of the other nodes
-    """
-    count = min(len(addresses), MAX_ASKED_AT_START)
-    for address in random.sample(addresses, count):
-        if await query(address, 0) is not None:
-            return
-
-
 class Signal:
     """Wakes the tasks that wait for something to happen."""
 
--- a/packages/node/mastichatch_node/relay/store_following.py
+++ b/packages/node/mastichatch_node/relay/store_following.py
@@ -28,6 +28,7 @@
 )
 from mastichatch_core.generated.records import NodeRecord
 from mastichatch_core.relay.forwarder_choice import NodeLink
+from mastichatch_core.relay.known_configuration import NO_VERSION
 from mastichatch_core.relay.store_cache import StoreCache
 from mastichatch_core.relay.packing import (
     PackingError,
@@ -54,7 +55,8 @@
 from mastichatch_node import codec
 from mastichatch_node.clock import loop_time
 from mastichatch_node.peers import Peers, Reply
-from mastichatch_node.relay.store_eras import Signal, StoreEras, ask_in_turn
+from mastichatch_node.relay.kept_configuration import KeptConfiguration
+from mastichatch_node.relay.store_eras import Signal, StoreEras
 from mastichatch_node.relay.telemetry import (
     Telemetry,
     create_malformed_logger,
@@ -275,6 +277,22 @@
         """
         return self._records.get(name)
 
+    def addresses_in(self, entries: Iterable[ViewEntry]) -> tuple[str, ...]:
+        """Return the peer addresses of the other nodes in a listing.
+
+        :param entries: entries of the store
+        """
+        records = (
+            self._decode(one.key, one.value)
+            for one in entries
+            if one.key.startswith(NODE_PREFIX) and one.value is not None
+        )
+        return tuple(
+            record.peer_address
+            for record in records
+            if record is not None and record.name != self._own_name
+        )
+
     def update(self, belief: StoreCache) -> None:
         """Replace the registrations by those in the store.
 
@@ -334,6 +352,7 @@
         self._eras = StoreEras(
             store, belief, telemetry, lambda: 1 + len(neighbours.addresses)
         )
+        self._learn = KeptConfiguration(self._query_node)
         self._updated = Signal()
         self._excluded_until: dict[str, float] = {}
         self._without_store: dict[str, float] = {}
@@ -459,10 +478,15 @@
         while True:
             await asyncio.sleep(PEER_QUERY_INTERVAL_S)
             known = self._neighbours.addresses
-            if self._in_contact or not known:
+            is_current = self._in_contact and self._learn.has_learned(
+                self._belief.era
+            )
+            if is_current or not known:
                 continue
             query_count += 1
-            await self._query_node(known[query_count % len(known)], 0)
+            await self._learn.ask_one(
+                known[query_count % len(known)], self._belief.era
+            )
 
     async def handle_changes(
         self, message: RunChanges, envelope: Envelope
@@ -506,8 +530,9 @@
             await self._updated.wait(query.wait_ms / MS_PER_S)
         is_whole = not query.after or 0 < query.era < self._belief.era
         after = 0 if is_whole else query.after
-        # A node that does not wait may have started after the store's return.
-        changes = self._belief.changes_after(after, with_kept=not query.wait_ms)
+        changes = self._belief.changes_after(
+            after, known_version=_known_version(query)
+        )
         entries = tuple(map(pack, changes))
         packed = None
         if is_whole and query.era:
@@ -584,10 +609,15 @@
             self._record_contact()
             self._needs_listing = False
             self._eras.record_listing()
-            is_first = not self._belief.revision
+            if not self._belief.revision or listing.era > self._belief.era:
+                # The store may have been restored from an older copy. Its view
+                # is not used before others have told what they have kept.
+                others = (
+                    *self._neighbours.addresses,
+                    *self._neighbours.addresses_in(listing.entries),
+                )
+                await self._learn.ask(tuple(set(others)), listing.era)
             self._notify(self._eras.apply_listing(listing, sent_at))
-            if is_first:
-                await ask_in_turn(self._query_node, self._neighbours.addresses)
             return
         # A store that is back answers at once, so that others learn of it.
         wait_ms = WATCH_WAIT_MS if self._in_contact else 0
@@ -617,7 +647,12 @@
             answer = await self._peers.ask(
                 address,
                 MessageKind.view_query,
-                ViewQuery(after=revision, wait_ms=wait_ms, era=era),
+                ViewQuery(
+                    after=revision,
+                    wait_ms=wait_ms,
+                    era=era,
+                    version=_version(self._belief),
+                ),
                 ViewAnswer,
                 timeout_ms=PEER_QUERY_TIMEOUT_MS + wait_ms,
             )
@@ -627,21 +662,11 @@
                 extra={'address': address, 'reason': str(error)},
             )
             return None
-        if answer.era < era or answer.age_ms == float('inf'):
-            return None
         if answer.era > era and not answer.is_whole:
             self._needs_listing = True
             return None
-        try:
-            entries = (
-                *map(unpack, answer.entries),
-                *unpack_together(answer.packed),
-            )
-        except PackingError as error:
-            logging.warning(
-                'view of another node cannot be decoded',
-                extra={'address': address, 'reason': str(error)},
-            )
+        entries = _unpacked(answer, address)
+        if entries is None or answer.age_ms == float('inf'):
             return None
         view = StoreView(
             revision=answer.revision, entries=entries, era=answer.era
@@ -699,6 +724,34 @@
             )
 
 
+def _unpacked(answer: ViewAnswer, address: str) -> tuple[ViewEntry, ...] | None:
+    """Return the entries of an answer; ``None`` if they cannot be decoded."""
+    try:
+        return (*map(unpack, answer.entries), *unpack_together(answer.packed))
+    except PackingError as error:
+        logging.warning(
+            'view of another node cannot be decoded',
+            extra={'address': address, 'reason': str(error)},
+        )
+        return None
+
+
+def _known_version(query: ViewQuery) -> int | None:
+    """Return with which version a node's own configuration is compared.
+
+    Nodes of an earlier build tell none. Those that do not wait may have started
+    after the store's return.
+    """
+    if query.version is None and not query.wait_ms:
+        return NO_VERSION
+    return query.version
+
+
+def _version(belief: StoreCache) -> int:
+    configuration = belief.configuration
+    return NO_VERSION if configuration is None else configuration.version
+
+
 def _watch_delay_s(started_at: float, exclusions: Iterable[float]) -> float:
     """Return the delay until the next watch, in seconds.
 
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -5,16 +5,23 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import time
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 from mastichatch_platform.program import create_adapter
 
+from mastichatch_core.errors import MastichatchError
+from mastichatch_core.generated.messages import ErrorKind
 from mastichatch_node.relay.program import open_node
+from mastichatch_node.relay.relay_node import RelayNode
 from mastichatch_node.relay.telemetry import Telemetry
+from tests.isolated_nodes import context_of
 from tests.relay_nodes import (
+    WAIT_S,
     RelayFixture,
     call,
     configuration,
@@ -26,6 +33,7 @@
 )
 from tests.standins.house_endpoints import HouseEndpoint, respond_ok
 from tests.standins.house_store import HouseStore
+from tests.standins.serving import serve
 from tests.test_relay_store_outage import NAMES, StoreAccess, open_fleet
 
 # Time after the store's return within which a configuration is in force.
@@ -157,6 +165,118 @@
         assert answer.status == 401
 
 
+@pytest.mark.parametrize('count', [1, 3])
+async def test_nodes_that_start_then_serve_nothing_older_for_a_moment(
+    count: int,
+) -> None:
+    """They applied the store's listing before they asked another node.
+
+    Those that start later may ask one that has started after the store's
+    return itself, and has the later configuration from a third one.
+    """
+    async with (
+        open_nodes(count) as relays,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        store = relays[0].store
+        copy = store.copy()
+        await store.put('op/config', configuration(2))
+        await until(lambda: versions(relays) == [2] * count)
+        store.go_away()
+        store.restore(copy)
+        await until(
+            lambda: all(one.node.belief.era == store.era for one in relays)
+        )
+        for number in range(3):
+            settings = create_settings(
+                relays[0].settings.store_address, name=f'later-{number}'
+            )
+            node = await stack.enter_async_context(
+                open_node(settings, create_adapter(), Telemetry())
+            )
+            assert await versions_until_ready(node) == {2}
+
+
+async def versions_until_ready(node: RelayNode) -> set[int]:
+    """Return the versions by which a node would have served so far."""
+    found: set[int] = set()
+
+    def look() -> bool:
+        current = node.belief.configuration
+        found.update([] if current is None else [current.version])
+        return node.is_ready
+
+    ends_at = time.monotonic() + WAIT_S
+    while not look():
+        assert time.monotonic() < ends_at
+        await asyncio.sleep(0)
+    await asyncio.sleep(AWAY_S)
+    look()
+    return found
+
+
+async def test_node_that_was_cut_off_learns_the_later_configuration() -> None:
+    """It has missed the change, and so has the store that it comes back to."""
+    store = HouseStore()
+    await store.put('op/config', configuration())
+    access = StoreAccess(store)
+    async with contextlib.AsyncExitStack() as stack:
+        cut, other = [
+            await stack.enter_async_context(
+                open_node(
+                    create_settings(
+                        await stack.enter_async_context(
+                            serve(one.application(), 0)
+                        ),
+                        name=name,
+                    ),
+                    create_adapter(),
+                    Telemetry(),
+                )
+            )
+            for name, one in (('north-1', access), ('north-2', store))
+        ]
+        await until(lambda: len(registered(cut)) == len(registered(other)) == 2)
+        copy = store.copy()
+        access.refuse_status = 503
+        # The way to other nodes is back once the store was called again.
+        with unheard(cut, lambda: not access.refuse_status and access.calls):
+            await store.put('op/config', configuration(2))
+            await until(lambda: version(other) == 2)
+            assert version(cut) == 1
+            store.go_away()
+            store.restore(copy)
+            await until(lambda: other.belief.era == store.era)
+            assert version(cut) == 1
+            access.calls = access.refuse_status = 0
+            while cut.belief.era < store.era:
+                await asyncio.sleep(0)
+            assert version(cut) == 2
+
+
+def version(node: RelayNode) -> int:
+    current = node.belief.configuration
+    return 0 if current is None else current.version
+
+
+@contextlib.contextmanager
+def unheard(node: RelayNode, is_over: Callable[[], object]) -> Iterator[None]:
+    """Let a node hear nothing of others until a condition holds."""
+    peers = context_of(node).sharing._peers
+    ask = peers.ask
+
+    async def fail(*arguments: Any, **options: Any) -> Any:
+        if is_over():
+            return await ask(*arguments, **options)
+        raise MastichatchError(ErrorKind.peer_unreachable)
+
+    peers.ask = fail
+    try:
+        yield
+    finally:
+        peers.ask = ask
+
+
 async def test_store_that_goes_back_without_an_era_is_listed_seldom() -> None:
     """Each watch was answered 410 at once, and followed by a listing."""
     async with open_nodes(1) as (relay,):
--- a/tests/test_relay_store_eras.py
+++ b/tests/test_relay_store_eras.py
@@ -74,6 +74,20 @@
         assert cache.entries_under('other/') == {'other/a': b'1'}
         assert (cache.era, cache.revision, cache.age(9)) == (1, 100, 9)
 
+    @pytest.mark.parametrize('era', [0, 1, 3])
+    def test_later_configuration_counts_in_any_era(self, era: int) -> None:
+        cache = filled(entry('op/config', 90, configuration(1)))
+        cache.apply_listing(
+            listing(2, 50, entry('op/config', 45, configuration(1))), 1, 1
+        )
+        kept = listing(era, 95, entry('op/config', 95, configuration(2)))
+        assert cache.apply(kept, 9, 9) == ('op/config',)
+        assert cache.configuration is not None
+        assert cache.configuration.version == 2
+        assert (cache.era, cache.revision, cache.age(9)) == (2, 50, 8)
+        older = listing(era, 99, entry('op/config', 99, configuration(1)))
+        assert cache.apply(older, 9, 9) == ()
+
     def test_listing_of_the_former_era_changes_nothing(self) -> None:
         cache = filled(entry('other/a', 90, 1))
         cache.apply_listing(listing(2, 50, entry('other/a', 45, 2)), 1, 1)
@@ -148,6 +162,22 @@
         told.apply_listing(listing(2, 50, *cache.changes_after(0)), 2, 2)
         assert told.configuration == found
 
+    def test_kept_configuration_is_told_by_who_has_it_from_another_node(
+        self,
+    ) -> None:
+        """A node that entered the era through another one did not tell it."""
+        first = filled(entry('op/config', 90, configuration(2)))
+        restored = listing(2, 50, entry('op/config', 45, configuration(1)))
+        first.apply_listing(restored, 1, 1)
+        second = StoreCache(create_decoders())
+        view = listing(2, 50, *first.changes_after(0))
+        second.apply_listing(view, 1, 1)
+        for cache in (first, second):
+            (told,) = cache.changes_after(50, known_version=1)
+            assert json.loads(told.value or b'')['version'] == 2
+            assert cache.changes_after(50, known_version=2) == ()
+            assert cache.changes_after(50) == ()
+
     def test_entry_whose_deletion_was_lost_is_not_kept(self) -> None:
         """Another node may have deleted it again since."""
         pin = entry('mastichatch/pins/llm/p', 90, {})
