Let a test wait until a peer knows that an engine leaves

Cause: the test.

Change: the order to stop takes effect after 1 s, and the test waits meanwhile for the peer's view. Its assertions are the same, and one is added.

--- a/tests/test_relay_run_adoption.py
+++ b/tests/test_relay_run_adoption.py
@@ -15,6 +15,7 @@
 import pytest
 
 from mastichatch_core.relay.events import MIN_STALL_MS
+from mastichatch_core.relay.model import EndpointState
 from mastichatch_core.units import MS_PER_S
 from mastichatch_node.clock import loop_time
 from mastichatch_node.relay.http_client import ExchangeError
@@ -156,12 +157,21 @@
         assert answer.is_whole
 
     async def test_peer_frees_a_copy_that_it_cannot_use(self) -> None:
-        first, second = engine('i-e', stop_delay_s=0.1), engine('i-f')
+        # The peer learns of the leaving engine before the run stops.
+        first, second = engine('i-e', stop_delay_s=1), engine('i-f')
         first.lost_answers = ['close']
         async with open_plan(first, second) as (relays, work):
             await order_stop(relays[0], first)
             entry = second.entry('llm', 'south', 'draining')
             await relays[0].store.put(f'servers/{second.instance}', entry)
+            peer = relays[1].node
+            await until(
+                lambda: (
+                    known_endpoints(peer)[second.instance].state
+                    is EndpointState.draining
+                )
+            )
+            assert first.lost_answers
             refuse_frees(relays[0])
             isolation_of(relays[0]).set('north-2')
             answer = await work
